Workspace, service document and shared types

Cause: an empty repository. Change: go.work with five modules and a tools module outside it, the service document with faults by line and field, ids, outcomes, events, rings, the platform interface, and the wire shapes in docs/design/0001. Before: nothing. Conclusion: the seams are fixed, so that the parts can be built side by side.

--- /dev/null
+++ b/ferry/ferryplatform/doc.go
@@ -0,0 +1,2 @@
+// Package ferryplatform is the adapter to the platform: its object API with versions, conditional updates and watches, and its instance list.
+package ferryplatform
--- /dev/null
+++ b/ferry/ferryservice/class.go
@@ -0,0 +1,71 @@
+package ferryservice
+
+import (
+	"fmt"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrytoml"
+)
+
+// Class is a range of predicted work with its own deadline and reserved share of the engines' slots.
+type Class struct {
+	Name          ferryid.ClassName `toml:"Name" json:"Name"`
+	MaxTokens     ferryid.Tokens    `toml:"MaxTokens" json:"MaxTokens"`
+	Deadline      Duration          `toml:"Deadline" json:"Deadline"`
+	ReservedShare float64           `toml:"ReservedShare" json:"ReservedShare"`
+	Priority      int               `toml:"Priority" json:"Priority"`
+}
+
+// Classes are the classes of a service, shortest work first; the last has no bound.
+type Classes []Class
+
+func defaultClasses() Classes {
+	return Classes{
+		{Name: "short", MaxTokens: 128, Deadline: Duration(10 * time.Second), ReservedShare: 0.5, Priority: 0},
+		{Name: "long", Deadline: Duration(10 * time.Minute), Priority: 1},
+	}
+}
+
+func (cs Classes) check(c *ferrytoml.Check) {
+	seen := map[ferryid.ClassName]bool{}
+	sum := 0.0
+	for i, cl := range cs {
+		f := fmt.Sprintf("Classes[%d]", i)
+		checkName(c, f+".Name", string(cl.Name))
+		if seen[cl.Name] {
+			c.Fault(f+".Name", "%q stands twice", cl.Name)
+		}
+		seen[cl.Name] = true
+		if cl.MaxTokens < 0 || (cl.MaxTokens == 0 && i < len(cs)-1) {
+			c.Fault(f+".MaxTokens", "must be at least 1 in every class but the last")
+		}
+		if i > 0 && cl.MaxTokens > 0 && cl.MaxTokens <= cs[i-1].MaxTokens {
+			c.Fault(f+".MaxTokens", "must be more than that of the class before")
+		}
+		if cl.Deadline < 0 || time.Duration(cl.Deadline) > maxDeadline {
+			c.Fault(f+".Deadline", "must be from 0s to %s", maxDeadline)
+		}
+		if !(cl.ReservedShare >= 0 && cl.ReservedShare <= 1) {
+			c.Fault(f+".ReservedShare", "must be from 0 to 1, is %v", cl.ReservedShare)
+			continue
+		}
+		sum += cl.ReservedShare
+	}
+	if sum > 1 {
+		c.Fault("Classes", "the reserved shares add up to %v, more than 1", sum)
+	}
+}
+
+// Of returns the class for work of the predicted length.
+func (cs Classes) Of(n ferryid.Tokens) Class {
+	for _, cl := range cs {
+		if cl.MaxTokens == 0 || n <= cl.MaxTokens {
+			return cl
+		}
+	}
+	if len(cs) == 0 {
+		return Class{}
+	}
+	return cs[len(cs)-1]
+}
--- /dev/null
+++ b/ferry/ferryservice/policy.go
@@ -0,0 +1,45 @@
+package ferryservice
+
+import "cactusferry.dev/ferry/ferrytoml"
+
+// QueuePolicy names the order in which waiting work is served.
+type QueuePolicy string
+
+// RoutePolicy names the way an upstream or pipeline is chosen.
+type RoutePolicy string
+
+// The policies; Fifo and Random are the baselines that the others are measured against.
+const (
+	QueueFair   QueuePolicy = "Fair"
+	QueueFifo   QueuePolicy = "Fifo"
+	RouteLeast  RoutePolicy = "LeastWork"
+	RouteRandom RoutePolicy = "Random"
+)
+
+// Policy selects the policies of a service.
+type Policy struct {
+	Queue QueuePolicy `toml:"Queue" json:"Queue"`
+	Route RoutePolicy `toml:"Route" json:"Route"`
+}
+
+func (p *Policy) setDefaults() {
+	if p.Queue == "" {
+		p.Queue = QueueFair
+	}
+	if p.Route == "" {
+		p.Route = RouteLeast
+	}
+}
+
+func (p Policy) check(c *ferrytoml.Check) {
+	switch p.Queue {
+	case "", QueueFair, QueueFifo:
+	default:
+		c.Fault("Policy.Queue", "must be %q or %q, is %q", QueueFair, QueueFifo, p.Queue)
+	}
+	switch p.Route {
+	case "", RouteLeast, RouteRandom:
+	default:
+		c.Fault("Policy.Route", "must be %q or %q, is %q", RouteLeast, RouteRandom, p.Route)
+	}
+}
--- /dev/null
+++ b/ferry/ferryservice/route.go
@@ -0,0 +1,55 @@
+package ferryservice
+
+import (
+	"fmt"
+	"net/http"
+	"path"
+	"slices"
+	"strings"
+
+	"cactusferry.dev/ferry/ferrytoml"
+)
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// Route says whether calls of one method to the paths that match a pattern may be repeated.
+type Route struct {
+	Method     string `toml:"Method" json:"Method"`
+	Path       string `toml:"Path" json:"Path"`
+	Idempotent bool   `toml:"Idempotent" json:"Idempotent"`
+}
+
+// Routes are the routes of a plain service; the first that matches decides.
+type Routes []Route
+
+func (rs Routes) check(c *ferrytoml.Check) {
+	for i, r := range rs {
+		f := fmt.Sprintf("Routes[%d]", i)
+		if !slices.Contains(methods, r.Method) {
+			c.Fault(f+".Method", "must be one of %s, is %q", strings.Join(methods, ", "), r.Method)
+		}
+		if !strings.HasPrefix(r.Path, "/") {
+			c.Fault(f+".Path", "must start with /, is %q", r.Path)
+		}
+		if _, err := path.Match(r.Path, "/"); err != nil {
+			c.Fault(f+".Path", "is not a pattern: %s", err)
+		}
+	}
+}
+
+// Idempotent reports whether a call may be repeated; without a matching route GET, HEAD and OPTIONS may.
+func (rs Routes) Idempotent(method, p string) bool {
+	for _, r := range rs {
+		if ok, _ := path.Match(r.Path, p); ok && r.Method == method {
+			return r.Idempotent
+		}
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/ferry/ferryservice/upstream.go
@@ -0,0 +1,100 @@
+package ferryservice
+
+import (
+	"fmt"
+	"net/netip"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrytoml"
+)
+
+// Upstream is one engine or plain back end of a service.
+type Upstream struct {
+	Name            ferryid.UpstreamName    `toml:"Name" json:"Name"`
+	Address         string                  `toml:"Address" json:"Address"`
+	FailureDomain   ferryid.DomainName      `toml:"FailureDomain" json:"FailureDomain"`
+	Accelerator     string                  `toml:"Accelerator" json:"Accelerator"`
+	Layers          ferryid.LayerRange      `toml:"Layers" json:"Layers"`
+	TokensPerSecond ferryid.TokensPerSecond `toml:"TokensPerSecond" json:"TokensPerSecond"`
+	Slots           int                     `toml:"Slots" json:"Slots"`
+	Leaving         bool                    `toml:"Leaving" json:"Leaving"`
+}
+
+// Upstreams are the back ends of a service.
+type Upstreams []Upstream
+
+func (us Upstreams) check(c *ferrytoml.Check, d *Document) {
+	names := map[ferryid.UpstreamName]bool{}
+	addresses := map[string]bool{}
+	for i, u := range us {
+		f := fmt.Sprintf("Upstreams[%d]", i)
+		checkName(c, f+".Name", string(u.Name))
+		if names[u.Name] {
+			c.Fault(f+".Name", "%q stands twice", u.Name)
+		}
+		names[u.Name] = true
+		if _, err := netip.ParseAddrPort(u.Address); err != nil {
+			c.Fault(f+".Address", "must be an IP address and port such as 10.0.0.1:8000, is %q", u.Address)
+		}
+		if addresses[u.Address] {
+			c.Fault(f+".Address", "%q stands twice", u.Address)
+		}
+		addresses[u.Address] = true
+		checkName(c, f+".FailureDomain", string(u.FailureDomain))
+		if !(u.TokensPerSecond >= 0 && u.TokensPerSecond <= 1e9) {
+			c.Fault(f+".TokensPerSecond", "must be from 0 to 1e9, is %v", u.TokensPerSecond)
+		}
+		if u.Slots < 0 {
+			c.Fault(f+".Slots", "must not be negative, is %d", u.Slots)
+		}
+		if d.Kind == KindModel && (u.Layers.Len() == 0 || u.Layers.To > d.Model.Layers) {
+			c.Fault(f+".Layers", "must be a range within [0,%d), is %s", d.Model.Layers, u.Layers)
+		}
+	}
+}
+
+// ByName returns the upstream of that name.
+func (us Upstreams) ByName(name ferryid.UpstreamName) (Upstream, bool) {
+	for _, u := range us {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
+// Pipeline is a fixed sequence of upstreams; a document without any leaves the choice to the router.
+type Pipeline struct {
+	Name   string                 `toml:"Name" json:"Name"`
+	Stages []ferryid.UpstreamName `toml:"Stages" json:"Stages"`
+}
+
+// Pipelines are the fixed pipelines of a service.
+type Pipelines []Pipeline
+
+func (ps Pipelines) check(c *ferrytoml.Check, d *Document) {
+	seen := map[string]bool{}
+	for i, p := range ps {
+		f := fmt.Sprintf("Pipelines[%d]", i)
+		checkName(c, f+".Name", p.Name)
+		if seen[p.Name] {
+			c.Fault(f+".Name", "%q stands twice", p.Name)
+		}
+		seen[p.Name] = true
+		next := ferryid.Layer(0)
+		for _, name := range p.Stages {
+			u, ok := d.Upstreams.ByName(name)
+			if !ok {
+				c.Fault(f+".Stages", "there is no upstream %q", name)
+				continue
+			}
+			if u.Layers.From > next || u.Layers.To <= next {
+				c.Fault(f+".Stages", "%q holds %s and can't follow layer %d", name, u.Layers, next)
+			}
+			next = u.Layers.To
+		}
+		if next != d.Model.Layers {
+			c.Fault(f+".Stages", "ends at layer %d of %d", next, d.Model.Layers)
+		}
+	}
+}
--- /dev/null
+++ b/ferrybench/doc.go
@@ -0,0 +1,2 @@
+// Command ferrybench is described in its --help.
+package main
--- /dev/null
+++ b/ferryctl/doc.go
@@ -0,0 +1,2 @@
+// Command ferryctl is described in its --help.
+package main
--- /dev/null
+++ b/ferryctl/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/ferryd/doc.go
@@ -0,0 +1,2 @@
+// Command ferryd is described in its --help.
+package main
--- /dev/null
+++ b/ferrystand/doc.go
@@ -0,0 +1,2 @@
+// Command ferrystand is described in its --help.
+package main
