--- a/ferry/ferrytoml/toml.go
+++ b/ferry/ferrytoml/toml.go
@@ -84,6 +84,24 @@
 	if len(c.faults) == 0 {
 		v.Check(c)
 	}
+	return c.err(name)
+}
+
+// Read reads TOML into v without checking it and returns a *FaultsError with every fault found.
+func Read(name string, data []byte, v any) error {
+	c := &Check{lines: fieldLines(data)}
+	decodeStrict(data, v, c)
+	return c.err(name)
+}
+
+// Validate checks a value that was decoded from the data before and may have been changed since.
+func Validate(name string, data []byte, v Checker) error {
+	c := &Check{lines: fieldLines(data)}
+	v.Check(c)
+	return c.err(name)
+}
+
+func (c *Check) err(name string) error {
 	if len(c.faults) == 0 {
 		return nil
 	}
