--- /dev/null
+++ b/ferry/ferryplatform/ferryplatformtest/fake.go
@@ -0,0 +1,254 @@
+package ferryplatformtest
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferryplatform"
+)
+
+var (
+	errOutage = errors.New("outage")
+	errLost   = errors.New("answer lost")
+)
+
+type objectKey struct{ kind, name string }
+
+// change is one version of one object, and when it took effect.
+type change struct {
+	at     time.Time
+	object ferryplatform.Object
+}
+
+// write is a conditional write, which may be waiting to take effect late.
+type write struct {
+	due      time.Time
+	key      objectKey
+	expected ferryplatform.Version
+	value    []byte
+	deleted  bool
+}
+
+// Fake is an in-memory platform; it implements ferryplatform.Store and ferryplatform.Lister.
+type Fake struct {
+	clock     clockwork.Clock
+	mu        sync.Mutex
+	faults    Faults
+	calls     Calls
+	version   ferryplatform.Version
+	objects   map[objectKey][]change
+	late      []write
+	instances []listing
+	saved     *snapshot
+	changed   chan struct{}
+}
+
+// snapshot is the part of the state that a restore brings back.
+type snapshot struct {
+	version ferryplatform.Version
+	objects map[objectKey][]change
+}
+
+// New returns an empty platform on the clock.
+func New(clock clockwork.Clock) *Fake {
+	return &Fake{clock: clock, objects: map[objectKey][]change{}, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the fault switches and wakes waiting watches.
+func (f *Fake) SetFaults(faults Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+	f.wake()
+}
+
+// Faults returns the fault switches as they stand.
+func (f *Fake) Faults() Faults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults
+}
+
+// Calls returns the count of calls by kind.
+func (f *Fake) Calls() Calls {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// Snapshot keeps the state of the objects for Restore.
+func (f *Fake) Snapshot() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	f.saved = &snapshot{version: f.version, objects: cloneObjects(f.objects)}
+}
+
+// Restore goes back to the last Snapshot, versions included, and reports false if there is none.
+func (f *Fake) Restore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.saved == nil {
+		return false
+	}
+	f.settle()
+	f.version = f.saved.version
+	f.objects = cloneObjects(f.saved.objects)
+	f.wake()
+	return true
+}
+
+func cloneObjects(m map[objectKey][]change) map[objectKey][]change {
+	out := make(map[objectKey][]change, len(m))
+	for k, cs := range m {
+		out[k] = slices.Clone(cs)
+	}
+	return out
+}
+
+// Get returns one object or a *ferryplatform.NotFoundError.
+func (f *Fake) Get(ctx context.Context, kind, name string) (ferryplatform.Object, error) {
+	if err := f.enter(ctx, "get "+kind+"/"+name, func(c *Calls) { c.Get++ }); err != nil {
+		return ferryplatform.Object{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	o := f.latest(objectKey{kind, name})
+	if o.Version == ferryplatform.NoVersion || o.Deleted {
+		return ferryplatform.Object{}, &ferryplatform.NotFoundError{Kind: kind, Name: name}
+	}
+	return copyObject(o), nil
+}
+
+// Put writes a value if the object is still at the version expected.
+func (f *Fake) Put(ctx context.Context, kind, name string, expected ferryplatform.Version, value []byte) (ferryplatform.Version, error) {
+	w := write{key: objectKey{kind, name}, expected: expected, value: slices.Clone(value)}
+	return f.write(ctx, "put "+kind+"/"+name, w, func(c *Calls) { c.Put++ })
+}
+
+// Delete removes an object if it is still at the version expected.
+func (f *Fake) Delete(ctx context.Context, kind, name string, expected ferryplatform.Version) error {
+	w := write{key: objectKey{kind, name}, expected: expected, deleted: true}
+	_, err := f.write(ctx, "delete "+kind+"/"+name, w, func(c *Calls) { c.Delete++ })
+	return err
+}
+
+// write does one conditional write; a caller that leaves during the delay does not stop it.
+func (f *Fake) write(ctx context.Context, op string, w write, count func(*Calls)) (ferryplatform.Version, error) {
+	due := f.clock.Now().Add(millis(f.Faults().DelayMS))
+	if err := f.enter(ctx, op, count); err != nil {
+		if ctx.Err() == nil {
+			return 0, err
+		}
+		f.postpone(w, due)
+		return 0, &ferryplatform.UnknownOutcomeError{Op: op, Err: ctx.Err()}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	if f.faults.LoseAnswers == 0 {
+		return f.apply(w)
+	}
+	f.faults.LoseAnswers--
+	if f.faults.LateEffectMS > 0 {
+		f.schedule(w, f.clock.Now().Add(millis(f.faults.LateEffectMS)))
+	} else {
+		_, _ = f.apply(w)
+	}
+	return 0, &ferryplatform.UnknownOutcomeError{Op: op, Err: errLost}
+}
+
+// enter counts the call, waits out the delay and fails in an outage.
+func (f *Fake) enter(ctx context.Context, op string, count func(*Calls)) error {
+	f.mu.Lock()
+	count(&f.calls)
+	delay := millis(f.faults.DelayMS)
+	out := f.faults.Outage
+	f.mu.Unlock()
+	if out {
+		return &ferryplatform.UnavailableError{Op: op, Err: errOutage}
+	}
+	if delay <= 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return &ferryplatform.UnavailableError{Op: op, Err: ctx.Err()}
+	case <-f.clock.After(delay):
+		return nil
+	}
+}
+
+func (f *Fake) postpone(w write, due time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.schedule(w, due)
+}
+
+func (f *Fake) schedule(w write, due time.Time) {
+	w.due = due
+	f.late = append(f.late, w)
+	f.clock.AfterFunc(due.Sub(f.clock.Now()), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.settle()
+	})
+}
+
+// settle lets the late writes that are due take effect.
+func (f *Fake) settle() {
+	now := f.clock.Now()
+	rest := f.late[:0]
+	for _, w := range f.late {
+		if w.due.After(now) {
+			rest = append(rest, w)
+			continue
+		}
+		_, _ = f.apply(w)
+	}
+	f.late = rest
+}
+
+// apply does a conditional write at once.
+func (f *Fake) apply(w write) (ferryplatform.Version, error) {
+	old := f.latest(w.key)
+	at := old.Version
+	if old.Deleted {
+		at = ferryplatform.NoVersion
+	}
+	if w.deleted && at == ferryplatform.NoVersion {
+		return 0, &ferryplatform.NotFoundError{Kind: w.key.kind, Name: w.key.name}
+	}
+	if at != w.expected {
+		return 0, &ferryplatform.ConflictError{Kind: w.key.kind, Name: w.key.name, Expected: w.expected}
+	}
+	f.version++
+	o := ferryplatform.Object{Kind: w.key.kind, Name: w.key.name, Version: f.version, Deleted: w.deleted, Value: w.value}
+	f.objects[w.key] = append(f.objects[w.key], change{at: f.clock.Now(), object: o})
+	f.wake()
+	return f.version, nil
+}
+
+func (f *Fake) latest(k objectKey) ferryplatform.Object {
+	cs := f.objects[k]
+	if len(cs) == 0 {
+		return ferryplatform.Object{}
+	}
+	return cs[len(cs)-1].object
+}
+
+func (f *Fake) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func copyObject(o ferryplatform.Object) ferryplatform.Object {
+	o.Value = slices.Clone(o.Value)
+	return o
+}
--- /dev/null
+++ b/ferry/ferryplatform/ferryplatformtest/faults.go
@@ -0,0 +1,38 @@
+package ferryplatformtest
+
+import "time"
+
+// Faults are the switches of the fake; the zero value is a sound platform.
+type Faults struct {
+	// Outage makes each call fail with an UnavailableError and ends waiting watches.
+	Outage bool `json:"Outage"`
+	// DelayMS is the time in milliseconds that each call waits before it takes effect.
+	DelayMS int `json:"DelayMS"`
+	// LoseAnswers is the number of writes to come whose answer is lost though they take effect.
+	LoseAnswers int `json:"LoseAnswers"`
+	// LateEffectMS is the time in milliseconds after which a write with a lost answer takes effect.
+	LateEffectMS int `json:"LateEffectMS"`
+	// WatchLagMS is the age in milliseconds that a change must have before a watch shows it.
+	WatchLagMS int `json:"WatchLagMS"`
+	// ListLagMS is the age in milliseconds that a change must have before the instance list shows it.
+	ListLagMS int `json:"ListLagMS"`
+}
+
+func millis(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// Calls counts the calls that arrived, by kind; a waiting watch counts as one.
+type Calls struct {
+	Get       int64 `json:"Get"`
+	Put       int64 `json:"Put"`
+	Delete    int64 `json:"Delete"`
+	List      int64 `json:"List"`
+	Watch     int64 `json:"Watch"`
+	Instances int64 `json:"Instances"`
+}
+
+// Total is the number of calls of all kinds.
+func (c Calls) Total() int64 {
+	return c.Get + c.Put + c.Delete + c.List + c.Watch + c.Instances
+}
