Engine adapter and stand-in engine

Change: ferryengine (wire types checked when decoded, client with a progress deadline on each hop and an exact phase from a connection that counts and seals its writes) and the stand-in engine with batching, caches, orders, KV export and import, records and fault switches. Excluded: HTTP/2 between stages; HTTP/1.1 full duplex gives each stream its own connection, so a silent connection costs one stream. The Ready line is new in the wire shape: without it a failure of a later stage before any layer ran could not be told from one after.

--- /dev/null
+++ b/ferry/ferryengine/item.go
@@ -0,0 +1,135 @@
+package ferryengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// Receipt says that a stage applied its layers to a token.
+type Receipt struct {
+	Stage  string             `json:"Stage"`
+	Layers ferryid.LayerRange `json:"Layers"`
+}
+
+// FailureKind says why a stage failed.
+type FailureKind string
+
+// The kinds of failures.
+const (
+	FailureDied     FailureKind = "Died"
+	FailureRefused  FailureKind = "Refused"
+	FailureEmpty    FailureKind = "Empty"
+	FailureDraining FailureKind = "Draining"
+)
+
+// Failure names the stage that ended an epoch early.
+type Failure struct {
+	Stage  string      `json:"Stage"`
+	Kind   FailureKind `json:"Kind"`
+	Detail string      `json:"Detail,omitempty"`
+}
+
+// Item is one line of a run's answer: the start, a token, the end, or a failure; before the start no stage has run a layer of the epoch.
+type Item struct {
+	Epoch    ferryid.Epoch    `json:"Epoch"`
+	Position ferryid.Position `json:"Position"`
+	Text     string           `json:"Text,omitempty"`
+	Receipts []Receipt        `json:"Receipts,omitempty"`
+	Ready    bool             `json:"Ready,omitempty"`
+	Done     bool             `json:"Done,omitempty"`
+	Reason   string           `json:"Reason,omitempty"`
+	Tokens   int              `json:"Tokens,omitempty"`
+	Failed   *Failure         `json:"Failed,omitempty"`
+}
+
+// Check returns a *FieldError unless the item is exactly one of a start, a token, an end and a failure.
+func (it *Item) Check() error {
+	if it.Epoch == 0 {
+		return fieldError("Epoch", "must be at least 1")
+	}
+	switch {
+	case it.Failed != nil:
+		return it.Failed.check(it)
+	case it.Done && it.Ready:
+		return fieldError("Ready", "must come alone")
+	case it.Done || it.Ready:
+		if it.Text != "" || len(it.Receipts) > 0 || it.Tokens < 0 {
+			return fieldError("Done", "must come without a token")
+		}
+		return nil
+	}
+	if it.Text == "" || len(it.Text) > maxTextBytes {
+		return fieldError("Text", "must have 1 to %d bytes, has %d", maxTextBytes, len(it.Text))
+	}
+	if len(it.Receipts) == 0 || len(it.Receipts) > maxStages {
+		return fieldError("Receipts", "must have 1 to %d receipts, has %d", maxStages, len(it.Receipts))
+	}
+	return nil
+}
+
+func (f *Failure) check(it *Item) error {
+	if it.Done || it.Ready || it.Text != "" || len(it.Receipts) > 0 {
+		return fieldError("Failed", "must come alone")
+	}
+	switch f.Kind {
+	case FailureDied, FailureRefused, FailureEmpty, FailureDraining:
+		return nil
+	}
+	return fieldError("Failed", "has an unknown kind %q", f.Kind)
+}
+
+// DecodeItem reads one line of a run's answer and checks it.
+func DecodeItem(line []byte) (Item, error) {
+	var it Item
+	if err := json.Unmarshal(line, &it); err != nil {
+		return Item{}, fmt.Errorf("decode item: %w", err)
+	}
+	if err := it.Check(); err != nil {
+		return Item{}, err
+	}
+	return it, nil
+}
+
+// AppendItem appends the item as one line.
+func AppendItem(b []byte, it *Item) []byte {
+	if it.Ready || it.Done || it.Failed != nil {
+		line, _ := json.Marshal(it)
+		return append(append(b, line...), '\n')
+	}
+	b = append(b, `{"Epoch":`...)
+	b = strconv.AppendUint(b, uint64(it.Epoch), 10)
+	b = append(b, `,"Position":`...)
+	b = strconv.AppendUint(b, uint64(it.Position), 10)
+	b = append(b, `,"Text":`...)
+	b = AppendString(b, it.Text)
+	b = append(b, `,"Receipts":[`...)
+	for i, r := range it.Receipts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, `{"Stage":`...)
+		b = AppendString(b, r.Stage)
+		b = append(b, `,"Layers":{"From":`...)
+		b = strconv.AppendUint(b, uint64(r.Layers.From), 10)
+		b = append(b, `,"To":`...)
+		b = strconv.AppendUint(b, uint64(r.Layers.To), 10)
+		b = append(b, `}}`...)
+	}
+	return append(b, "]}\n"...)
+}
+
+// AppendString appends a string as a JSON string, replacing invalid UTF-8.
+func AppendString(b []byte, s string) []byte {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
+			q, _ := json.Marshal(s)
+			return append(b, q...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
+}
--- /dev/null
+++ b/ferry/ferryengine/transport.go
@@ -0,0 +1,67 @@
+package ferryengine
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	dialTimeout        = 2 * time.Second
+	idleConnTimeout    = 90 * time.Second
+	maxIdleConns       = 4096
+	maxIdleConnsByHost = 512
+)
+
+// meteredConn counts the bytes handed to a connection and can be sealed against more, so that a count of nothing stays true.
+type meteredConn struct {
+	net.Conn
+	mu      sync.Mutex
+	written int64
+	sealed  bool
+}
+
+// Write hands bytes to the connection unless it is sealed.
+func (c *meteredConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.written += int64(len(b))
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+func (c *meteredConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+func (c *meteredConn) seal() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
+// NewTransport returns an HTTP/1.1 transport whose connections count what is written, so that a failed call's phase is exact.
+func NewTransport() *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &meteredConn{Conn: conn}, nil
+		},
+		DisableCompression:  true,
+		MaxIdleConns:        maxIdleConns,
+		MaxIdleConnsPerHost: maxIdleConnsByHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+}
--- /dev/null
+++ b/ferrystand/engine.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferrystand/ferrystandengine"
+)
+
+const (
+	engineRegisterTimeout = 5 * time.Second
+	engineExitDied        = 3
+)
+
+const engineHelp = `Runs one stand-in model engine that holds a range of layers. It registers itself in the platform's
+instance list, prints "ready ADDRESS" once it listens, and on SIGTERM marks itself leaving, finishes its
+streams and exits 0.
+
+Example:
+  ferrystand engine --name=ruse-1 --listen=127.0.0.1:9101 --domain=ruse-a --service=herd-llm \
+      --layers=0:16 --tokens-per-second=400 --slots=16 --platform=http://127.0.0.1:9000`
+
+type engineCommand struct {
+	Name            string  `long:"name" required:"yes" description:"name of the engine, as in the service document"`
+	Listen          string  `long:"listen" default:"127.0.0.1:0" description:"address and port to listen on"`
+	Domain          string  `long:"domain" required:"yes" description:"failure domain"`
+	Service         string  `long:"service" required:"yes" description:"service that the engine belongs to"`
+	Layers          string  `long:"layers" required:"yes" description:"layers held, FROM:TO with TO excluded"`
+	Accelerator     string  `long:"accelerator" description:"kind of accelerator"`
+	TokensPerSecond float64 `long:"tokens-per-second" default:"400" description:"rate of tokens through all its layers"`
+	Slots           int     `long:"slots" default:"16" description:"streams that share the rate at once"`
+	Platform        string  `long:"platform" description:"URL of the platform; without one the engine registers nowhere"`
+}
+
+func init() {
+	subcommands = append(subcommands, func(p *flags.Parser) error {
+		_, err := p.AddCommand("engine", "run a stand-in model engine", engineHelp, &engineCommand{})
+		return err
+	})
+}
+
+// Execute runs the engine until SIGTERM or SIGINT.
+func (c *engineCommand) Execute([]string) error {
+	layers, err := parseLayers(c.Layers)
+	if err != nil {
+		return fmt.Errorf("--layers: %w", err)
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	e := ferrystandengine.New(ferrystandengine.Config{
+		Name: ferryid.UpstreamName(c.Name), Service: ferryid.ServiceName(c.Service), Layers: layers,
+		Accelerator: c.Accelerator, TokensPerSecond: ferryid.TokensPerSecond(c.TokensPerSecond), Slots: c.Slots,
+		OnDie: func() { os.Exit(engineExitDied) },
+	})
+	defer e.Close()
+	srv := &http.Server{Handler: e, ReadHeaderTimeout: engineRegisterTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(ln) }()
+	address := ln.Addr().String()
+	if err := c.register(e, layers, address, ferryplatform.StateLive); err != nil {
+		return err
+	}
+	fmt.Println("ready", address)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	e.Leave()
+	if err := c.register(e, layers, address, ferryplatform.StateLeaving); err != nil {
+		fmt.Fprintln(os.Stderr, "ferrystand engine:", err)
+	}
+	return srv.Shutdown(context.Background())
+}
+
+// register writes the engine's row of the instance list.
+func (c *engineCommand) register(e *ferrystandengine.Engine, layers ferryid.LayerRange, address string, state ferryplatform.InstanceState) error {
+	if c.Platform == "" {
+		return nil
+	}
+	row := ferryplatform.Instance{
+		Name: c.Name, Role: ferryplatform.RoleEngine, Service: ferryid.ServiceName(c.Service), Address: address,
+		FailureDomain: ferryid.DomainName(c.Domain), Incarnation: e.Incarnation(), State: state,
+		Accelerator: c.Accelerator, Layers: layers,
+	}
+	return c.put(row)
+}
+
+// put writes one row of the instance list.
+func (c *engineCommand) put(row ferryplatform.Instance) error {
+	b, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), engineRegisterTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.Platform+"/admin/instances/"+url.PathEscape(row.Name), bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("register %s: %w", row.Name, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("register %s: the platform answered %s", row.Name, resp.Status)
+	}
+	return nil
+}
+
+func parseLayers(s string) (ferryid.LayerRange, error) {
+	from, to, ok := strings.Cut(s, ":")
+	a, err1 := strconv.ParseUint(from, 10, 16)
+	b, err2 := strconv.ParseUint(to, 10, 16)
+	if !ok || err1 != nil || err2 != nil || a >= b {
+		return ferryid.LayerRange{}, fmt.Errorf("must be FROM:TO with FROM below TO, is %q", s)
+	}
+	return ferryid.LayerRange{From: ferryid.Layer(a), To: ferryid.Layer(b)}, nil
+}
--- /dev/null
+++ b/ferrystand/ferrystandengine/chain.go
@@ -0,0 +1,226 @@
+package ferrystandengine
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+)
+
+const hopRing = 4
+
+// hop is the connection to the next stage.
+type hop struct {
+	stage  string
+	w      *io.PipeWriter
+	stream ferryengine.Stream
+	items  chan hopItem
+	stop   chan struct{}
+}
+
+type hopItem struct {
+	item ferryengine.Item
+	err  error
+}
+
+// open connects to the next stage and waits until the rest of the chain is ready.
+func (ru *run) open() *ferryengine.Failure {
+	req := ru.req
+	req.Stages = req.Stages[1:]
+	stage := req.Stages[0].Address
+	pr, pw := io.Pipe()
+	s, err := ru.e.client.Forward(ru.ctx, req, pr)
+	if err != nil {
+		_ = pw.Close()
+		return failureOf(stage, err)
+	}
+	ru.next = &hop{stage: stage, w: pw, stream: s, items: make(chan hopItem, hopRing), stop: make(chan struct{})}
+	go ru.next.read()
+	it, failed := ru.next.take()
+	if failed == nil && !it.Ready {
+		failed = &ferryengine.Failure{Stage: stage, Kind: ferryengine.FailureDied, Detail: "the next stage did not start"}
+	}
+	if failed != nil {
+		ru.next.close()
+	}
+	return failed
+}
+
+func failureOf(stage string, err error) *ferryengine.Failure {
+	f := &ferryengine.Failure{Stage: stage, Kind: ferryengine.FailureDied, Detail: err.Error()}
+	var refused *ferryengine.RefusedError
+	if errors.As(err, &refused) {
+		f.Kind = ferryengine.FailureRefused
+		switch refused.Kind {
+		case ferryoutcome.KindDraining:
+			f.Kind = ferryengine.FailureDraining
+		case ferryoutcome.KindNotFound:
+			f.Kind = ferryengine.FailureEmpty
+		}
+	}
+	return f
+}
+
+// read keeps reading, so that heartbeats count while nothing is asked.
+func (h *hop) read() {
+	for {
+		it, err := h.stream.Next()
+		select {
+		case h.items <- hopItem{it, err}:
+		case <-h.stop:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (h *hop) take() (ferryengine.Item, *ferryengine.Failure) {
+	in := <-h.items
+	switch {
+	case in.err != nil:
+		return in.item, failureOf(h.stage, in.err)
+	case in.item.Failed != nil:
+		return in.item, in.item.Failed
+	}
+	return in.item, nil
+}
+
+func (h *hop) close() {
+	_ = h.w.Close()
+	close(h.stop)
+	_ = h.stream.Close()
+}
+
+// finish ends the chain's input and waits for its end, so that the connection can be used again.
+func (h *hop) finish() {
+	_ = h.w.Close()
+	for in := range h.items {
+		if in.err != nil || in.item.Done || in.item.Failed != nil {
+			return
+		}
+	}
+}
+
+// drive begins each token: it feeds the history and then every token that comes back.
+func (ru *run) drive() error {
+	req := &ru.req
+	p := ferryid.Position(len(req.Generated))
+	states := ru.history()
+	for ; int(p) < req.MaxTokens; p++ {
+		from := p - ferryid.Position(len(states)-1)
+		text, err := ru.step(from, states)
+		if err != nil || text == "" {
+			return err
+		}
+		states = append(states[:0], ferryengine.TokenElement(req.Seed, p+1, text))
+	}
+	if ru.next != nil {
+		ru.next.finish()
+	}
+	end := ferryengine.Item{Epoch: req.Epoch, Done: true, Reason: "length", Tokens: req.MaxTokens - len(req.Generated)}
+	return ru.out.send(&end, 0)
+}
+
+// history is the elements not in the KV cache yet, up to the one that yields the next token.
+func (ru *run) history() []uint64 {
+	req := &ru.req
+	from := 0
+	if req.Import {
+		from = len(req.Generated)
+	}
+	states := make([]uint64, 0, len(req.Generated)-from+1)
+	for i := from; i <= len(req.Generated); i++ {
+		if i == 0 {
+			states = append(states, ferryengine.PromptElement(req.Seed, req.Prompt))
+			continue
+		}
+		states = append(states, ferryengine.TokenElement(req.Seed, ferryid.Position(i), req.Generated[i-1]))
+	}
+	return states
+}
+
+// follow applies this stage's layers to what the stage before sends.
+func (ru *run) follow() error {
+	for {
+		line, err := ru.lines.Next()
+		if errors.Is(err, io.EOF) {
+			if ru.next != nil {
+				ru.next.finish()
+			}
+			return ru.out.send(&ferryengine.Item{Epoch: ru.req.Epoch, Done: true, Reason: "length"}, 0)
+		}
+		if err != nil {
+			return err
+		}
+		a, err := ferryengine.DecodeActivations(line)
+		if err != nil {
+			return err
+		}
+		text, err := ru.step(a.From, a.States)
+		if err != nil || text == "" {
+			return err
+		}
+	}
+}
+
+// step takes elements through this stage and the rest of the chain and sends the token up; an empty text means that the epoch has failed.
+func (ru *run) step(from ferryid.Position, states []uint64) (string, error) {
+	p := from + ferryid.Position(len(states)-1)
+	err := ru.apply(from, states)
+	if errors.Is(err, errEmpty) {
+		return "", ru.fail(ru.receipt.Stage, ferryengine.FailureEmpty, err.Error())
+	}
+	if err != nil {
+		return "", err
+	}
+	if ru.last() {
+		it := ferryengine.Item{Epoch: ru.req.Epoch, Position: p, Text: ferryengine.Word(states[len(states)-1])}
+		return it.Text, ru.answer(&it)
+	}
+	line, err := json.Marshal(ferryengine.Activations{From: from, States: states})
+	if err != nil {
+		return "", err
+	}
+	if _, err := ru.next.w.Write(append(line, '\n')); err != nil {
+		return "", ru.fail(ru.next.stage, ferryengine.FailureDied, err.Error())
+	}
+	for {
+		it, failed := ru.next.take()
+		if failed != nil {
+			return "", ru.out.send(&ferryengine.Item{Epoch: ru.req.Epoch, Failed: failed}, 0)
+		}
+		if it.Epoch == ru.req.Epoch && it.Position == p && it.Text != "" {
+			return it.Text, ru.answer(&it)
+		}
+	}
+}
+
+// answer adds this stage's receipt to a token and sends it up.
+func (ru *run) answer(it *ferryengine.Item) error {
+	it.Receipts = append([]ferryengine.Receipt{ru.receipt}, it.Receipts...)
+	f := ru.e.currentFaults()
+	if at(f.DieAtPosition, it.Position) && f.DieWhen == DieInLine {
+		ru.out.half(it)
+		ru.e.dieNow()
+	}
+	if f.LateFromOldEpoch && it.Epoch > 1 {
+		old := *it
+		old.Epoch--
+		old.Text = " late"
+		if err := ru.out.send(&old, 0); err != nil {
+			return err
+		}
+	}
+	if err := ru.out.send(it, f.delay()); err != nil {
+		return err
+	}
+	if f.Duplicate {
+		return ru.out.send(it, 0)
+	}
+	return nil
+}
--- /dev/null
+++ b/ferrystand/ferrystandengine/record.go
@@ -0,0 +1,79 @@
+package ferrystandengine
+
+import (
+	"net/http"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+const maxSteps = 1 << 16
+
+// Record says that the engine applied one layer to one position of a stream.
+type Record struct {
+	Stream   ferryid.StreamID `json:"Stream"`
+	Epoch    ferryid.Epoch    `json:"Epoch"`
+	Position ferryid.Position `json:"Position"`
+	Layer    ferryid.Layer    `json:"Layer"`
+	// Prefill marks a position that was rebuilt from the history and yields no token.
+	Prefill bool `json:"Prefill,omitempty"`
+	// AtNanos is the Unix time in nanoseconds; it orders the records of engines on one machine.
+	AtNanos int64 `json:"AtNanos"`
+}
+
+type step struct {
+	Stream  ferryid.StreamID
+	Epoch   ferryid.Epoch
+	From    ferryid.Position
+	N       int
+	Layers  ferryid.LayerRange
+	AtNanos int64
+}
+
+// recordLog keeps the last steps; the oldest give way.
+type recordLog struct {
+	steps []step
+	head  int
+}
+
+func (l *recordLog) add(s step) {
+	if len(l.steps) < maxSteps {
+		l.steps = append(l.steps, s)
+		return
+	}
+	l.steps[l.head] = s
+	l.head = (l.head + 1) % maxSteps
+}
+
+func (l *recordLog) of(stream ferryid.StreamID) []Record {
+	var out []Record
+	for i := range l.steps {
+		s := l.steps[(l.head+i)%len(l.steps)]
+		if stream != "" && s.Stream != stream {
+			continue
+		}
+		for p := range s.N {
+			for layer := s.Layers.From; layer < s.Layers.To; layer++ {
+				out = append(out, Record{
+					Stream: s.Stream, Epoch: s.Epoch, Position: s.From + ferryid.Position(p),
+					Layer: layer, Prefill: p < s.N-1, AtNanos: s.AtNanos,
+				})
+			}
+		}
+	}
+	return out
+}
+
+// Records returns what the engine applied to a stream, in order; an empty name means all streams.
+func (e *Engine) Records(stream ferryid.StreamID) []Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.records.of(stream)
+}
+
+func (e *Engine) handleRecords(w http.ResponseWriter, r *http.Request) {
+	records := e.Records(ferryid.StreamID(r.URL.Query().Get("stream")))
+	if records == nil {
+		records = []Record{}
+	}
+	writeJSON(w, records)
+}
--- /dev/null
+++ b/ferrystand/ferrystandengine/run.go
@@ -0,0 +1,245 @@
+package ferrystandengine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+)
+
+const (
+	prefillSpeedup = 16
+	bytesPerToken  = 4
+)
+
+// run is one epoch of one stream on this engine.
+type run struct {
+	e       *Engine
+	ctx     context.Context
+	req     ferryengine.RunRequest
+	layers  ferryid.LayerRange
+	lines   *ferryengine.LineReader
+	out     *itemWriter
+	next    *hop
+	receipt ferryengine.Receipt
+	kv      []uint64
+}
+
+func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	_ = rc.EnableFullDuplex()
+	lines := ferryengine.NewRequestReader(r.Body)
+	line, err := lines.Next()
+	if err != nil {
+		ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%v", err).Write(w)
+		return
+	}
+	req, err := ferryengine.DecodeRunRequest(line)
+	if err != nil {
+		ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%v", err).Write(w)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	ru := &run{e: e, ctx: ctx, req: req, layers: req.Stages[0].Layers, lines: lines}
+	ru.receipt = ferryengine.Receipt{Stage: req.Stages[0].Address, Layers: ru.layers}
+	if p := ru.accept(cancel); p != nil {
+		p.Write(w)
+		return
+	}
+	defer ru.forget()
+	ru.out = newItemWriter(e, w, rc)
+	defer ru.out.beat(ctx)()
+	err = ru.serve()
+	var silent *silence
+	switch {
+	case errors.As(err, &silent):
+		ru.out.hush()
+		hang(r.Context(), e.lifetime())
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) lifetime() context.Context {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// accept takes the epoch, or says why it is refused before anything of it ran.
+func (ru *run) accept(cancel context.CancelFunc) *ferryoutcome.Problem {
+	e, req := ru.e, &ru.req
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	want, named := req.Incarnations[req.Stages[0].Address]
+	switch {
+	case e.leaving || e.faults.Leaving:
+		return ferryoutcome.New(ferryoutcome.KindDraining, ferryoutcome.NotRun, "the engine is leaving")
+	case named && want != e.incarnation:
+		return ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "this is incarnation %s", e.incarnation)
+	case ru.layers.From < e.layers.From || ru.layers.To > e.layers.To:
+		return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "the engine holds layers %s", e.layers)
+	}
+	st := e.streams.get(req.Stream)
+	if req.Epoch <= st.epoch {
+		return ferryoutcome.New(ferryoutcome.KindConflict, ferryoutcome.NotRun, "epoch %d was seen", st.epoch)
+	}
+	if st.cancel != nil && !e.faults.LateFromOldEpoch {
+		st.cancel()
+	}
+	st.epoch = req.Epoch
+	st.cancel = cancel
+	st.left = req.MaxTokens - len(req.Generated)
+	if req.Import && st.layers == ru.layers {
+		ru.kv = append(ru.kv, st.kv...)
+	}
+	st.layers = ru.layers
+	st.kv = nil
+	return nil
+}
+
+func (ru *run) forget() {
+	e := ru.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if st, ok := e.streams.byID[ru.req.Stream]; ok && st.epoch == ru.req.Epoch {
+		st.left = 0
+		st.cancel = nil
+	}
+}
+
+func (ru *run) drives() bool { return ru.layers.From == 0 }
+
+func (ru *run) last() bool { return len(ru.req.Stages) == 1 }
+
+func (ru *run) serve() error {
+	done, err := ru.e.sched.slot(ru.ctx, ru.req.Priority)
+	if err != nil {
+		return err
+	}
+	defer done()
+	if ru.req.Import && !ru.truncate() {
+		return ru.fail(ru.receipt.Stage, ferryengine.FailureEmpty, "the KV cache is not here")
+	}
+	if !ru.last() {
+		if failed := ru.open(); failed != nil {
+			return ru.out.send(&ferryengine.Item{Epoch: ru.req.Epoch, Failed: failed}, 0)
+		}
+		defer ru.next.close()
+	}
+	if err := ru.out.send(&ferryengine.Item{Epoch: ru.req.Epoch, Ready: true}, 0); err != nil {
+		return err
+	}
+	if ru.drives() {
+		return ru.drive()
+	}
+	return ru.follow()
+}
+
+// truncate cuts the KV cache to the history and reports whether there was enough of it.
+func (ru *run) truncate() bool {
+	want := len(ru.req.Generated) * ru.layers.Len()
+	if len(ru.kv) < want {
+		return false
+	}
+	ru.kv = ru.kv[:want]
+	return true
+}
+
+func (ru *run) fail(stage string, kind ferryengine.FailureKind, detail string) error {
+	f := &ferryengine.Failure{Stage: stage, Kind: kind, Detail: detail}
+	return ru.out.send(&ferryengine.Item{Epoch: ru.req.Epoch, Failed: f}, 0)
+}
+
+// silence is the error of a run whose engine went silent.
+type silence struct{}
+
+func (*silence) Error() string { return "silent" }
+
+// apply runs the stage's layers over consecutive history elements, of which only the last yields a token.
+func (ru *run) apply(from ferryid.Position, states []uint64) error {
+	p := from + ferryid.Position(len(states)-1)
+	f := ru.e.currentFaults()
+	if f.Silent || at(f.SilentAtPosition, p) {
+		return &silence{}
+	}
+	if at(f.DieAtPosition, p) && f.DieWhen == DieBeforeApply {
+		ru.e.dieNow()
+	}
+	if err := ru.e.sched.step(ru.ctx, ru.req.Priority, ru.cost(f, from, len(states))); err != nil {
+		return err
+	}
+	for i, x := range states {
+		base := len(ru.kv) - ru.layers.Len()
+		for l := ru.layers.From; l < ru.layers.To; l++ {
+			kv := uint64(0)
+			if base >= 0 {
+				kv = ru.kv[base+int(l-ru.layers.From)]
+			}
+			x, kv = ferryengine.ApplyLayer(l, x, kv)
+			ru.kv = append(ru.kv, kv)
+		}
+		states[i] = x
+	}
+	if !ru.note(from, len(states), f) {
+		return errEmpty
+	}
+	if at(f.DieAtPosition, p) && f.DieWhen == DieAfterApply {
+		ru.e.dieNow()
+	}
+	return nil
+}
+
+var errEmpty = errors.New("the stream is not here")
+
+// note records the step and reports whether the engine still knows the stream.
+func (ru *run) note(from ferryid.Position, n int, f Faults) bool {
+	e := ru.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st, ok := e.streams.byID[ru.req.Stream]
+	if !ok || f.Empty || at(f.EmptyAtPosition, from+ferryid.Position(n-1)) {
+		return false
+	}
+	e.records.add(step{
+		Stream: ru.req.Stream, Epoch: ru.req.Epoch, From: from, N: n,
+		Layers: ru.layers, AtNanos: e.clock.Now().UnixNano(),
+	})
+	if st.epoch == ru.req.Epoch {
+		st.ran = true
+		st.kv = ru.kv
+		st.left--
+	}
+	return true
+}
+
+func (ru *run) cost(f Faults, from ferryid.Position, n int) time.Duration {
+	rate := ru.e.cfg.TokensPerSecond
+	if f.TokensPerSecond > 0 {
+		rate = f.TokensPerSecond
+	}
+	if rate <= 0 {
+		return 0
+	}
+	tokens := 1 + float64(n-1)/prefillSpeedup
+	if from == 0 {
+		tokens += float64(ru.uncached()) / prefillSpeedup
+	}
+	ru.e.mu.Lock()
+	share := float64(ru.layers.Len()) / float64(max(1, ru.e.layers.Len()))
+	ru.e.mu.Unlock()
+	return time.Duration(tokens * share / float64(rate) * float64(time.Second))
+}
+
+// uncached is the number of the prompt's tokens that are not in the prefix cache.
+func (ru *run) uncached() int {
+	e := ru.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, len(ru.req.Prompt)/bytesPerToken-e.cache.use(ru.req.Prompt, e.clock.Now()))
+}
