--- a/ferry/ferryplatform/ferryplatformtest/fake.go
+++ b/ferry/ferryplatform/ferryplatformtest/fake.go
@@ -39,7 +39,7 @@
 	clock     clockwork.Clock
 	mu        sync.Mutex
 	faults    Faults
-	calls     Calls
+	calls     ferryplatform.Calls
 	version   ferryplatform.Version
 	objects   map[objectKey][]change
 	late      []write
@@ -75,7 +75,7 @@
 }
 
 // Calls returns the count of calls by kind.
-func (f *Fake) Calls() Calls {
+func (f *Fake) Calls() ferryplatform.Calls {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.calls
@@ -113,7 +113,7 @@
 
 // Get returns one object or a *ferryplatform.NotFoundError.
 func (f *Fake) Get(ctx context.Context, kind, name string) (ferryplatform.Object, error) {
-	if err := f.enter(ctx, "get "+kind+"/"+name, func(c *Calls) { c.Get++ }); err != nil {
+	if err := f.enter(ctx, "get "+kind+"/"+name, func(c *ferryplatform.Calls) { c.Get++ }); err != nil {
 		return ferryplatform.Object{}, err
 	}
 	f.mu.Lock()
@@ -129,18 +129,18 @@
 // Put writes a value if the object is still at the version expected.
 func (f *Fake) Put(ctx context.Context, kind, name string, expected ferryplatform.Version, value []byte) (ferryplatform.Version, error) {
 	w := write{key: objectKey{kind, name}, expected: expected, value: slices.Clone(value)}
-	return f.write(ctx, "put "+kind+"/"+name, w, func(c *Calls) { c.Put++ })
+	return f.write(ctx, "put "+kind+"/"+name, w, func(c *ferryplatform.Calls) { c.Put++ })
 }
 
 // Delete removes an object if it is still at the version expected.
 func (f *Fake) Delete(ctx context.Context, kind, name string, expected ferryplatform.Version) error {
 	w := write{key: objectKey{kind, name}, expected: expected, deleted: true}
-	_, err := f.write(ctx, "delete "+kind+"/"+name, w, func(c *Calls) { c.Delete++ })
+	_, err := f.write(ctx, "delete "+kind+"/"+name, w, func(c *ferryplatform.Calls) { c.Delete++ })
 	return err
 }
 
 // write does one conditional write; a caller that leaves during the delay does not stop it.
-func (f *Fake) write(ctx context.Context, op string, w write, count func(*Calls)) (ferryplatform.Version, error) {
+func (f *Fake) write(ctx context.Context, op string, w write, count func(*ferryplatform.Calls)) (ferryplatform.Version, error) {
 	due := f.clock.Now().Add(millis(f.Faults().DelayMS))
 	if err := f.enter(ctx, op, count); err != nil {
 		if ctx.Err() == nil {
@@ -165,7 +165,7 @@
 }
 
 // enter counts the call, waits out the delay and fails in an outage.
-func (f *Fake) enter(ctx context.Context, op string, count func(*Calls)) error {
+func (f *Fake) enter(ctx context.Context, op string, count func(*ferryplatform.Calls)) error {
 	f.mu.Lock()
 	count(&f.calls)
 	delay := millis(f.faults.DelayMS)
--- a/ferry/ferryplatform/ferryplatformtest/faults.go
+++ b/ferry/ferryplatform/ferryplatformtest/faults.go
@@ -21,18 +21,3 @@
 func millis(n int) time.Duration {
 	return time.Duration(n) * time.Millisecond
 }
-
-// Calls counts the calls that arrived, by kind; a waiting watch counts as one.
-type Calls struct {
-	Get       int64 `json:"Get"`
-	Put       int64 `json:"Put"`
-	Delete    int64 `json:"Delete"`
-	List      int64 `json:"List"`
-	Watch     int64 `json:"Watch"`
-	Instances int64 `json:"Instances"`
-}
-
-// Total is the number of calls of all kinds.
-func (c Calls) Total() int64 {
-	return c.Get + c.Put + c.Delete + c.List + c.Watch + c.Instances
-}
--- a/ferry/ferryplatform/ferryplatformtest/instances.go
+++ b/ferry/ferryplatform/ferryplatformtest/instances.go
@@ -20,7 +20,7 @@
 
 // Instances returns the instance list as it was ListLagMS ago.
 func (f *Fake) Instances(ctx context.Context) (ferryplatform.Instances, error) {
-	if err := f.enter(ctx, "instances", func(c *Calls) { c.Instances++ }); err != nil {
+	if err := f.enter(ctx, "instances", func(c *ferryplatform.Calls) { c.Instances++ }); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
--- a/ferry/ferryplatform/ferryplatformtest/watch.go
+++ b/ferry/ferryplatform/ferryplatformtest/watch.go
@@ -11,7 +11,7 @@
 
 // List returns all objects of a kind.
 func (f *Fake) List(ctx context.Context, kind string) (ferryplatform.Changes, error) {
-	if err := f.enter(ctx, "list "+kind, func(c *Calls) { c.List++ }); err != nil {
+	if err := f.enter(ctx, "list "+kind, func(c *ferryplatform.Calls) { c.List++ }); err != nil {
 		return ferryplatform.Changes{}, err
 	}
 	f.mu.Lock()
@@ -34,7 +34,7 @@
 // Watch waits until objects of a kind change after a version; a version from before a restore is answered with the whole list.
 func (f *Fake) Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error) {
 	op := "watch " + kind
-	if err := f.enter(ctx, op, func(c *Calls) { c.Watch++ }); err != nil {
+	if err := f.enter(ctx, op, func(c *ferryplatform.Calls) { c.Watch++ }); err != nil {
 		return ferryplatform.Changes{}, err
 	}
 	over := f.clock.After(wait)
