--- /dev/null
+++ b/ferry/ferryroute/budget.go
@@ -0,0 +1,34 @@
+package ferryroute
+
+import "sync"
+
+// Budget bounds retries to a share of first tries, as a token bucket.
+type Budget struct {
+	mu     sync.Mutex
+	share  float64
+	burst  float64
+	tokens float64
+}
+
+// NewBudget returns a full budget; burst is how many retries may come before any first try.
+func NewBudget(share, burst float64) *Budget {
+	return &Budget{share: share, burst: burst, tokens: burst}
+}
+
+// FirstTry counts a first try.
+func (b *Budget) FirstTry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.burst, b.tokens+b.share)
+}
+
+// Retry takes one retry and reports whether it is allowed.
+func (b *Budget) Retry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/ferry/ferryroute/table_test.go
@@ -0,0 +1,243 @@
+package ferryroute
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+var start = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+
+func document(n int) *ferryservice.Document {
+	d := &ferryservice.Document{Policy: ferryservice.Policy{Route: ferryservice.RouteLeast}}
+	for i := range n {
+		d.Upstreams = append(d.Upstreams, ferryservice.Upstream{
+			Name:            ferryid.UpstreamName(fmt.Sprintf("u%d", i)),
+			Address:         fmt.Sprintf("10.0.0.%d:80", i+1),
+			FailureDomain:   "ruse-a",
+			TokensPerSecond: ferryid.TokensPerSecond(100 * (1 + i%3)),
+			Slots:           8,
+		})
+	}
+	return d
+}
+
+func table(n int, opts Options) *Table {
+	t := NewTable(opts)
+	t.SetDocument(document(n))
+	return t
+}
+
+func TestOwnDispatchesCountAtOnce(t *testing.T) {
+	tb := table(6, Options{})
+	r := Rand(1)
+	w := &Work{Predicted: 100}
+	taken := map[ferryid.UpstreamName]int{}
+	for range 24 {
+		s := tb.Snapshot()
+		name := s.At(Choose(s, w, &r)).Name
+		tb.Start(name, w.Predicted, start)
+		taken[name]++
+	}
+	for i := range 6 {
+		name := ferryid.UpstreamName(fmt.Sprintf("u%d", i))
+		assert.Assert(t, taken[name] >= 1+i%3 && taken[name] <= 8, "%v", taken)
+	}
+}
+
+func TestDispatchCountsDownAndOutgrowsItsPrediction(t *testing.T) {
+	tb := table(1, Options{})
+	out := func() int { return int(tb.Snapshot().At(0).Outstanding) }
+	d := tb.Start("u0", 100, start)
+	assert.Equal(t, out(), 100)
+	d.Progress(60, start)
+	assert.Equal(t, out(), 40)
+	d.Progress(120, start)
+	assert.Equal(t, out(), 120)
+	d.Finish(150, start.Add(time.Second))
+	d.Finish(150, start.Add(time.Second))
+	d.Cancel(start)
+	assert.Equal(t, out(), 0)
+	assert.Equal(t, tb.Snapshot().At(0).Running, 0)
+}
+
+func TestReports(t *testing.T) {
+	tests := []struct {
+		name   string
+		report Report
+		fault  ReportFault
+	}{
+		{"good", Report{Upstream: "u0", OutstandingTokens: 500, RunningStreams: 5, At: start}, ""},
+		{"NaN", Report{Upstream: "u0", OutstandingTokens: math.NaN(), At: start}, FaultNumber},
+		{"infinite rate", Report{Upstream: "u0", TokensPerSecond: math.Inf(1), At: start}, FaultNumber},
+		{"negative", Report{Upstream: "u0", OutstandingTokens: -1, At: start}, FaultRange},
+		{"negative streams", Report{Upstream: "u0", RunningStreams: -1, At: start}, FaultRange},
+		{"huge", Report{Upstream: "u0", OutstandingTokens: 1e18, At: start}, FaultRange},
+		{"future", Report{Upstream: "u0", OutstandingTokens: 1, At: start.Add(time.Minute)}, FaultFuture},
+		{"old", Report{Upstream: "u0", OutstandingTokens: 1, At: start.Add(-time.Hour)}, FaultOld},
+		{"unknown", Report{Upstream: "nobody", OutstandingTokens: 1, At: start}, FaultUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb := table(3, Options{})
+			before := tb.Snapshot().All()
+			err := tb.Report(tt.report, start)
+			if tt.fault == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, tb.Snapshot().At(0).Outstanding, ferryid.Tokens(500))
+				assert.Equal(t, tb.Snapshot().At(0).Running, 5)
+				return
+			}
+			var re *ReportError
+			assert.Assert(t, errors.As(err, &re))
+			assert.Equal(t, re.Fault, tt.fault)
+			assert.Equal(t, tb.RefusedReports()[tt.fault], uint64(1))
+			assert.DeepEqual(t, tb.Snapshot().All(), before)
+		})
+	}
+}
+
+func TestReportOutOfOrderChangesNothing(t *testing.T) {
+	tb := table(1, Options{})
+	assert.NilError(t, tb.Report(Report{Upstream: "u0", OutstandingTokens: 5, At: start}, start))
+	err := tb.Report(Report{Upstream: "u0", OutstandingTokens: 9, At: start.Add(-time.Second)}, start)
+	assert.ErrorContains(t, err, "OutOfOrder")
+	assert.Equal(t, tb.Snapshot().At(0).Outstanding, ferryid.Tokens(5))
+}
+
+func TestLateReportDoesNotCountOwnWorkTwice(t *testing.T) {
+	tb := table(1, Options{})
+	tb.Start("u0", 300, start)
+	at := start.Add(time.Second)
+	tb.Start("u0", 200, at.Add(time.Second))
+	assert.NilError(t, tb.Report(Report{Upstream: "u0", OutstandingTokens: 1000, RunningStreams: 4, At: at}, at.Add(2*time.Second)))
+	got := tb.Snapshot().At(0)
+	assert.Equal(t, got.Outstanding, ferryid.Tokens(700+500))
+	assert.Equal(t, got.Running, 3+2)
+}
+
+func TestSlowUpstreamIsTakenOutAndProbedBack(t *testing.T) {
+	tb := table(6, Options{})
+	serve := func(name ferryid.UpstreamName, speed float64, at time.Time) {
+		d := tb.Start(name, 100, at)
+		d.Finish(100, at.Add(time.Duration(100/speed*float64(time.Second))))
+	}
+	now := start
+	for i := range 6 {
+		for range minSamples + 12 {
+			speed := 12.5 * float64(1+i%3)
+			if i == 2 {
+				speed /= 10
+			}
+			serve(ferryid.UpstreamName(fmt.Sprintf("u%d", i)), speed, now)
+		}
+	}
+	for range 10 {
+		serve("u2", 3.75, now)
+	}
+	assert.Equal(t, tb.Snapshot().At(2).State, StateSlow)
+	assert.Equal(t, len(tb.Snapshot().Candidates()), 5)
+	now = now.Add(time.Hour)
+	tb.Tick(now)
+	assert.Equal(t, tb.Snapshot().At(2).State, StateProbing)
+	for range probesToLive {
+		serve("u2", 37.5, now)
+	}
+	assert.Equal(t, tb.Snapshot().At(2).State, StateLive)
+}
+
+func TestAtMostAThirdIsTakenOutForSlowness(t *testing.T) {
+	tb := table(6, Options{})
+	for range 100 {
+		for i := range 6 {
+			d := tb.Start(ferryid.UpstreamName(fmt.Sprintf("u%d", i)), 100, start)
+			d.Finish(100, start.Add(time.Second*time.Duration(1+100*(i%2))))
+		}
+	}
+	out := 0
+	for _, c := range tb.Snapshot().All() {
+		if c.State == StateSlow {
+			out++
+		}
+	}
+	assert.Assert(t, out <= 2, "%d of 6 out", out)
+}
+
+func TestFailures(t *testing.T) {
+	tests := []struct {
+		name  string
+		fails []Failure
+		want  State
+	}{
+		{"one bad answer", []Failure{FailureAnswer}, StateLive},
+		{"three bad answers", []Failure{FailureAnswer, FailureAnswer, FailureAnswer}, StateDown},
+		{"one broken connection", []Failure{FailureConnection}, StateDown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb := table(3, Options{})
+			for _, f := range tt.fails {
+				tb.Start("u0", 1, start).Fail(f, start)
+			}
+			assert.Equal(t, tb.Snapshot().At(0).State, tt.want)
+		})
+	}
+}
+
+func TestChooseFallsBackWhenAllAreDown(t *testing.T) {
+	for _, p := range []ferryservice.RoutePolicy{ferryservice.RouteLeast, ferryservice.RouteRandom} {
+		tb := NewTable(Options{})
+		d := document(2)
+		d.Policy.Route = p
+		tb.SetDocument(d)
+		tb.Start("u0", 1, start).Fail(FailureConnection, start)
+		tb.Start("u1", 1, start).Fail(FailureConnection, start)
+		tb.SetLeaving("u1", true)
+		r := Rand(1)
+		assert.Equal(t, Choose(tb.Snapshot(), &Work{}, &r), 0)
+		assert.Equal(t, Choose(tb.Snapshot(), &Work{Avoid: []ferryid.UpstreamName{"u0"}}, &r), -1)
+	}
+}
+
+func TestAffinityGivesWayToLoad(t *testing.T) {
+	tb := table(6, Options{Affinity: true})
+	r := Rand(1)
+	w := &Work{Predicted: 100, Prefix: 42}
+	s := tb.Snapshot()
+	for i := range 6 {
+		if i%3 != 2 {
+			tb.SetLeaving(s.At(i).Name, true)
+		}
+	}
+	home := Choose(tb.Snapshot(), w, &r)
+	for range 20 {
+		assert.Equal(t, Choose(tb.Snapshot(), w, &r), home)
+	}
+	for range 8 {
+		tb.Start(s.At(home).Name, 100, start)
+	}
+	assert.Assert(t, Choose(tb.Snapshot(), w, &r) != home)
+}
+
+func TestSplitLayersFollowsTheRates(t *testing.T) {
+	tests := []struct {
+		layers ferryid.Layer
+		rates  []ferryid.TokensPerSecond
+		want   string
+	}{
+		{32, []ferryid.TokensPerSecond{100, 100}, "[[0,16) [16,32)]"},
+		{32, []ferryid.TokensPerSecond{300, 100}, "[[0,24) [24,32)]"},
+		{3, []ferryid.TokensPerSecond{1, 0, 2}, "[[0,1) [1,1) [1,3)]"},
+		{3, []ferryid.TokensPerSecond{0}, "[]"},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, fmt.Sprint(SplitLayers(tt.layers, tt.rates)), tt.want)
+	}
+}
