--- /dev/null
+++ b/ferry/ferrydocument/apply.go
@@ -0,0 +1,118 @@
+package ferrydocument
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrytoml"
+)
+
+// applyPatience bounds the time spent on resolving a lost answer.
+const applyPatience = 15 * time.Second
+
+// Apply makes a text the next version of its service document by a conditional update.
+//
+// It returns a *ferrytoml.FaultsError, a *RequestError, a *LostRaceError, a *ForkError, an *ApplyIDReusedError, an
+// *UnresolvedError, or an error of the store; with any but *UnresolvedError nothing was accepted.
+func Apply(ctx context.Context, store ferryplatform.Store, clock clockwork.Clock, req ApplyRequest) (ferryservice.Accepted, error) {
+	end := apply(ctx, store, clock, req)
+	return end.accepted, end.err
+}
+
+// Apply is the function Apply with what this holder knows, and puts the accepted version in force here at once.
+func (h *Holder) Apply(ctx context.Context, store ferryplatform.Store, req ApplyRequest) (ferryservice.Accepted, error) {
+	if f, ok := h.Get(req.Service); ok {
+		req.InForce = &f.Accepted
+	}
+	if base, ok := h.Version(req.Service, req.BaseGeneration); ok {
+		req.Base = &base
+	}
+	end := apply(ctx, store, h.clock, req)
+	h.settle(req, end)
+	return end.accepted, end.err
+}
+
+// settle learns from the outcome of an apply.
+func (h *Holder) settle(req ApplyRequest, end endApply) {
+	if end.current.Generation > 0 {
+		h.Offer(end.current, "apply")
+	}
+	var lost *LostRaceError
+	switch {
+	case end.err == nil:
+		h.events.Add(EventAccepted, string(req.Service), "generation %d by %s, apply %s", end.accepted.Generation, req.Operator, req.ApplyID)
+	case errors.As(end.err, &lost):
+		h.events.Add(EventLostRace, string(req.Service), "%s lost to generation %d by %s", req.Operator, lost.Winner.Generation, lost.Winner.Operator)
+	}
+}
+
+func apply(ctx context.Context, store ferryplatform.Store, clock clockwork.Clock, req ApplyRequest) endApply {
+	if err := checkRequest(req); err != nil {
+		return endApply{err: err}
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, clock, applyPatience)
+	defer cancel()
+	core := newApplyCore(req, clock.Now().UTC())
+	action := core.next(applyStarted{})
+	for {
+		if end, ok := action.(endApply); ok {
+			return end.prepend("apply document")
+		}
+		action = core.next(perform(ctx, store, clock, req.Service, action))
+		if _, ended := action.(endApply); !ended && ctx.Err() != nil {
+			action = core.next(applyExpired{ctx.Err()})
+		}
+	}
+}
+
+func (e endApply) prepend(op string) endApply {
+	if e.err != nil {
+		e.err = merry.Prepend(e.err, op)
+	}
+	return e
+}
+
+func checkRequest(req ApplyRequest) error {
+	if err := req.check(); err != nil {
+		return err
+	}
+	d, err := ferryservice.Decode(string(req.Service), []byte(req.Source))
+	if err != nil {
+		return err
+	}
+	if d.Service != req.Service {
+		return &ferrytoml.FaultsError{Name: string(req.Service), Faults: []ferrytoml.Fault{{
+			Line: 1, Field: "Service", Text: "must be " + quoted(req.Service) + " as in the request, is " + quoted(d.Service),
+		}}}
+	}
+	return nil
+}
+
+func quoted(s ferryid.ServiceName) string {
+	return `"` + string(s) + `"`
+}
+
+// perform does one action of the core.
+func perform(ctx context.Context, store ferryplatform.Store, clock clockwork.Clock, service ferryid.ServiceName, action applyAction) applyMessage {
+	switch a := action.(type) {
+	case readStore:
+		o, err := store.Get(ctx, ferryservice.ObjectKind, string(service))
+		return applyRead{o, err}
+	case writeStore:
+		v, err := store.Put(ctx, ferryservice.ObjectKind, string(service), a.expected, a.value)
+		return applyWritten{v, err}
+	case pauseApply:
+		select {
+		case <-ctx.Done():
+		case <-clock.After(a.d):
+		}
+	}
+	return applyPaused{}
+}
--- /dev/null
+++ b/ferry/ferrydocument/digest.go
@@ -0,0 +1,68 @@
+package ferrydocument
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+// DigestRow names the version of one document that is in force.
+type DigestRow struct {
+	Service    ferryid.ServiceName `json:"Service" cbor:"1,keyasint"`
+	Generation ferryid.Generation  `json:"Generation" cbor:"2,keyasint"`
+	Hash       string              `json:"Hash" cbor:"3,keyasint"`
+}
+
+// Digest names the versions of all documents in force, by service name.
+type Digest []DigestRow
+
+// Sum identifies the whole digest in 16 hexadecimal digits, for peers that only ask whether they differ.
+func (d Digest) Sum() string {
+	h := sha256.New()
+	for _, r := range d {
+		fmt.Fprintf(h, "%s %d %s\n", r.Service, r.Generation, r.Hash)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// Digest returns the versions in force.
+func (h *Holder) Digest() Digest {
+	all := h.All()
+	out := make(Digest, 0, len(all))
+	for _, f := range all {
+		out = append(out, DigestRow{Service: f.Accepted.Service, Generation: f.Accepted.Generation, Hash: f.Hash})
+	}
+	return out
+}
+
+// Missing returns the documents that the sender of a digest lacks, and those of which it has another branch.
+func (h *Holder) Missing(d Digest) []ferryservice.Accepted {
+	theirs := make(map[ferryid.ServiceName]DigestRow, len(d))
+	for _, r := range d {
+		theirs[r.Service] = r
+	}
+	var out []ferryservice.Accepted
+	for _, f := range h.All() {
+		r, ok := theirs[f.Accepted.Service]
+		g := f.Accepted.Generation
+		if !ok || r.Generation < g || (r.Generation == g && r.Hash != f.Hash) {
+			out = append(out, f.Accepted)
+		}
+	}
+	return out
+}
+
+// Wanted returns the services of which the sender of a digest has a later version than this holder.
+func (h *Holder) Wanted(d Digest) []ferryid.ServiceName {
+	var out []ferryid.ServiceName
+	for _, r := range d {
+		f, ok := h.Get(r.Service)
+		if !ok || f.Accepted.Generation < r.Generation {
+			out = append(out, r.Service)
+		}
+	}
+	return out
+}
--- a/ferry/ferryplatform/ferryplatformtest/fake.go
+++ b/ferry/ferryplatform/ferryplatformtest/fake.go
@@ -153,13 +153,13 @@
 	defer f.mu.Unlock()
 	f.settle()
 	if f.faults.LoseAnswers == 0 {
-		return f.apply(w)
+		return f.apply(w, f.clock.Now())
 	}
 	f.faults.LoseAnswers--
 	if f.faults.LateEffectMS > 0 {
 		f.schedule(w, f.clock.Now().Add(millis(f.faults.LateEffectMS)))
 	} else {
-		_, _ = f.apply(w)
+		_, _ = f.apply(w, f.clock.Now())
 	}
 	return 0, &ferryplatform.UnknownOutcomeError{Op: op, Err: errLost}
 }
@@ -210,27 +210,27 @@
 			rest = append(rest, w)
 			continue
 		}
-		_, _ = f.apply(w)
+		_, _ = f.apply(w, w.due)
 	}
 	f.late = rest
 }
 
-// apply does a conditional write at once.
-func (f *Fake) apply(w write) (ferryplatform.Version, error) {
+// apply does a conditional write, which took effect at the time given.
+func (f *Fake) apply(w write, at time.Time) (ferryplatform.Version, error) {
 	old := f.latest(w.key)
-	at := old.Version
+	is := old.Version
 	if old.Deleted {
-		at = ferryplatform.NoVersion
+		is = ferryplatform.NoVersion
 	}
-	if w.deleted && at == ferryplatform.NoVersion {
+	if w.deleted && is == ferryplatform.NoVersion {
 		return 0, &ferryplatform.NotFoundError{Kind: w.key.kind, Name: w.key.name}
 	}
-	if at != w.expected {
+	if is != w.expected {
 		return 0, &ferryplatform.ConflictError{Kind: w.key.kind, Name: w.key.name, Expected: w.expected}
 	}
 	f.version++
 	o := ferryplatform.Object{Kind: w.key.kind, Name: w.key.name, Version: f.version, Deleted: w.deleted, Value: w.value}
-	f.objects[w.key] = append(f.objects[w.key], change{at: f.clock.Now(), object: o})
+	f.objects[w.key] = append(f.objects[w.key], change{at: at, object: o})
 	f.wake()
 	return f.version, nil
 }
