Pipelines: plans, the core of a job, its runner and the layer checker

Cause: a stream has to survive the death, emptiness, silence and lateness of its stages without a token lost, given twice or made by two epochs. Change: ferrypipeline: Planner (chains over layer boundaries, fixed pipelines), Place (layers over mixed engines), Core (pure, messages in and actions out), Runner (the I/O around it), RetryBudget, Checker (records of the engines against the tokens delivered), Pool (a simple Picker). A cancel's answer says whether the first stage ever ran a layer; a job that failed with an epoch in doubt waits for it, so Unknown is left only where the first stage can't be asked. Excluded: waiting for missing pieces inside an epoch (a connection is ordered, so a gap is a fault); judging an answered header as Ran (no layer may have run before the Ready line).

--- /dev/null
+++ b/ferry/ferrypipeline/planner.go
@@ -0,0 +1,317 @@
+package ferrypipeline
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+const (
+	maxDomains   = 16
+	sumWeight    = 0.5
+	noPlan       = -1
+	startOfChain = -2
+)
+
+// LinkCosts gives the time that one token takes from a stage to the next, between two failure domains.
+type LinkCosts map[[2]ferryid.DomainName]time.Duration
+
+// NoChainError says that the candidates that may be used don't cover the layers.
+type NoChainError struct {
+	Layers   ferryid.Layer
+	Excluded int
+}
+
+func (e *NoChainError) Error() string {
+	return fmt.Sprintf("no chain of engines covers %d layers, %d excluded", e.Layers, e.Excluded)
+}
+
+// PlannerConfig sets up a Planner.
+type PlannerConfig struct {
+	Layers     ferryid.Layer
+	Candidates Candidates
+	Links      LinkCosts
+	// Fixed are the document's pipelines; without any the planner chains candidates itself.
+	Fixed ferryservice.Pipelines
+}
+
+// edge is a candidate's use between two layer boundaries.
+type edge struct {
+	candidate int
+	from      int
+	to        int
+	share     float64
+}
+
+// label is the best chain up to a boundary that ends in one failure domain.
+type label struct {
+	score float64
+	worst float64
+	sum   float64
+	link  float64
+	edge  int
+	prev  int
+}
+
+// Planner chooses among candidates that change seldom; it is for one goroutine at a time.
+type Planner struct {
+	layers     ferryid.Layer
+	candidates Candidates
+	domainOf   []int
+	domains    int
+	boundaries []ferryid.Layer
+	edges      []edge
+	link       [maxDomains][maxDomains]float64
+	fixed      [][]int
+	labels     []label
+	chain      []int
+}
+
+// NewPlanner prepares the choice among the candidates.
+func NewPlanner(cfg PlannerConfig) (*Planner, error) {
+	p := &Planner{layers: cfg.Layers, candidates: cfg.Candidates}
+	names := map[ferryid.DomainName]int{}
+	index := map[ferryid.UpstreamName]int{}
+	for i, c := range cfg.Candidates {
+		if _, ok := names[c.Domain]; !ok {
+			names[c.Domain] = len(names)
+		}
+		p.domainOf = append(p.domainOf, names[c.Domain])
+		index[c.Name] = i
+	}
+	p.domains = len(names)
+	if p.domains > maxDomains {
+		return nil, fmt.Errorf("at most %d failure domains, there are %d", maxDomains, p.domains)
+	}
+	for pair, d := range cfg.Links {
+		a, okA := names[pair[0]]
+		b, okB := names[pair[1]]
+		if okA && okB {
+			p.link[a][b] = d.Seconds()
+		}
+	}
+	p.cut()
+	for _, f := range cfg.Fixed {
+		if chain, ok := fixedChain(f, index); ok {
+			p.fixed = append(p.fixed, chain)
+		}
+	}
+	if len(cfg.Fixed) > 0 && len(p.fixed) == 0 {
+		return nil, &NoChainError{Layers: cfg.Layers}
+	}
+	p.labels = make([]label, len(p.boundaries)*max(1, p.domains))
+	return p, nil
+}
+
+func fixedChain(f ferryservice.Pipeline, index map[ferryid.UpstreamName]int) ([]int, bool) {
+	var chain []int
+	for _, name := range f.Stages {
+		i, ok := index[name]
+		if !ok {
+			return nil, false
+		}
+		chain = append(chain, i)
+	}
+	return chain, true
+}
+
+// cut finds the layer boundaries and the edges between them, those that end earlier first.
+func (p *Planner) cut() {
+	set := map[ferryid.Layer]bool{0: true, p.layers: true}
+	for _, c := range p.candidates {
+		set[min(c.Layers.From, p.layers)] = true
+		set[min(c.Layers.To, p.layers)] = true
+	}
+	for b := range set {
+		p.boundaries = append(p.boundaries, b)
+	}
+	slices.Sort(p.boundaries)
+	for to := range p.boundaries {
+		for from := range to {
+			p.edgesBetween(from, to)
+		}
+	}
+}
+
+func (p *Planner) edgesBetween(from, to int) {
+	r := ferryid.LayerRange{From: p.boundaries[from], To: p.boundaries[to]}
+	for i, c := range p.candidates {
+		if c.Layers.From <= r.From && r.To <= c.Layers.To {
+			share := float64(r.Len()) / float64(c.Layers.Len())
+			p.edges = append(p.edges, edge{candidate: i, from: from, to: to, share: share})
+		}
+	}
+}
+
+// Choose writes the best plan for a job of so many tokens into plan, reusing its stages; loads and excluded run parallel to the candidates.
+func (p *Planner) Choose(loads []Load, excluded []bool, tokens ferryid.Tokens, plan *Plan) error {
+	p.chain = p.chain[:0]
+	found := false
+	if len(p.fixed) > 0 {
+		found = p.chooseFixed(loads, excluded, tokens)
+	} else {
+		found = p.chooseChain(loads, excluded, tokens)
+	}
+	if !found {
+		return &NoChainError{Layers: p.layers, Excluded: count(excluded)}
+	}
+	p.write(loads, tokens, plan)
+	return nil
+}
+
+func count(bs []bool) int {
+	n := 0
+	for _, b := range bs {
+		if b {
+			n++
+		}
+	}
+	return n
+}
+
+func usable(l Load, excluded []bool, i int) bool {
+	return !l.Avoid && l.Rate > 0 && (excluded == nil || !excluded[i])
+}
+
+// seconds is how long the candidate takes until it has done its work and this job's share.
+func seconds(l Load, share float64, tokens ferryid.Tokens) float64 {
+	return (float64(l.Outstanding) + float64(tokens)*share) / float64(l.Rate)
+}
+
+// chooseChain goes over the boundaries from layer 0 and keeps the best chain to each boundary and last failure domain.
+func (p *Planner) chooseChain(loads []Load, excluded []bool, tokens ferryid.Tokens) bool {
+	for i := range p.labels {
+		p.labels[i] = label{score: math.Inf(1), edge: noPlan}
+	}
+	for ei := range p.edges {
+		e := &p.edges[ei]
+		l := loads[e.candidate]
+		if !usable(l, excluded, e.candidate) {
+			continue
+		}
+		own := seconds(l, e.share, tokens)
+		d := p.domainOf[e.candidate]
+		at := &p.labels[e.to*p.domains+d]
+		if e.from == 0 {
+			p.improve(at, label{worst: own, sum: own, edge: ei, prev: startOfChain}, tokens)
+			continue
+		}
+		for pd := range p.domains {
+			prev := e.from*p.domains + pd
+			b := &p.labels[prev]
+			if b.edge == noPlan {
+				continue
+			}
+			next := label{worst: max(b.worst, own), sum: b.sum + own, link: b.link + p.link[pd][d], edge: ei, prev: prev}
+			p.improve(at, next, tokens)
+		}
+	}
+	return p.trace()
+}
+
+func (p *Planner) improve(at *label, l label, tokens ferryid.Tokens) {
+	l.score = l.worst + sumWeight*l.sum + float64(tokens)*l.link
+	if l.score < at.score {
+		*at = l
+	}
+}
+
+// trace follows the best chain back to layer 0.
+func (p *Planner) trace() bool {
+	last := (len(p.boundaries) - 1) * p.domains
+	best := noPlan
+	for d := range p.domains {
+		if p.labels[last+d].edge != noPlan && (best == noPlan || p.labels[last+d].score < p.labels[best].score) {
+			best = last + d
+		}
+	}
+	if best == noPlan {
+		return false
+	}
+	for i := best; i != startOfChain; i = p.labels[i].prev {
+		p.chain = append(p.chain, p.edges[p.labels[i].edge].candidate)
+	}
+	slices.Reverse(p.chain)
+	return true
+}
+
+func (p *Planner) chooseFixed(loads []Load, excluded []bool, tokens ferryid.Tokens) bool {
+	best := math.Inf(1)
+	for _, chain := range p.fixed {
+		score, ok := p.scoreFixed(chain, loads, excluded, tokens)
+		if ok && score < best {
+			best = score
+			p.chain = append(p.chain[:0], chain...)
+		}
+	}
+	return !math.IsInf(best, 1)
+}
+
+func (p *Planner) scoreFixed(chain []int, loads []Load, excluded []bool, tokens ferryid.Tokens) (float64, bool) {
+	worst, sum, link := 0.0, 0.0, 0.0
+	next := ferryid.Layer(0)
+	for i, c := range chain {
+		held := p.candidates[c].Layers
+		if !usable(loads[c], excluded, c) || held.From > next || held.To <= next {
+			return 0, false
+		}
+		own := seconds(loads[c], float64(held.To-next)/float64(held.Len()), tokens)
+		worst = max(worst, own)
+		sum += own
+		if i > 0 {
+			link += p.link[p.domainOf[chain[i-1]]][p.domainOf[c]]
+		}
+		next = held.To
+	}
+	return worst + sumWeight*sum + float64(tokens)*link, next >= p.layers
+}
+
+// write fills the plan in, with the layers that two neighbours both hold split so that neither waits for the other.
+func (p *Planner) write(loads []Load, tokens ferryid.Tokens, plan *Plan) {
+	plan.Layers, plan.Tokens = p.layers, tokens
+	plan.Stages = plan.Stages[:0]
+	next := ferryid.Layer(0)
+	for i, ci := range p.chain {
+		c := &p.candidates[ci]
+		to := min(c.Layers.To, p.layers)
+		if i+1 < len(p.chain) {
+			to = p.split(ci, p.chain[i+1], next, loads, tokens)
+		}
+		plan.Stages = append(plan.Stages, Stage{
+			Name: c.Name, Address: c.Address, Incarnation: c.Incarnation, Domain: c.Domain,
+			Layers: ferryid.LayerRange{From: next, To: to},
+		})
+		next = to
+	}
+	plan.Rate = ferryid.TokensPerSecond(math.Inf(1))
+	for i := range plan.Stages {
+		s := &plan.Stages[i]
+		s.Share = float64(s.Layers.Len()) / float64(p.candidates[p.chain[i]].Layers.Len())
+		plan.Rate = min(plan.Rate, loads[p.chain[i]].Rate/ferryid.TokensPerSecond(s.Share))
+	}
+}
+
+// split is the layer at which a stage that begins at from hands over to the next.
+func (p *Planner) split(a, b int, from ferryid.Layer, loads []Load, tokens ferryid.Tokens) ferryid.Layer {
+	ca, cb := p.candidates[a].Layers, p.candidates[b].Layers
+	lo, hi := max(cb.From, from+1), min(ca.To, cb.To-1, p.layers-1)
+	if lo >= hi {
+		return min(ca.To, hi)
+	}
+	end := min(cb.To, p.layers)
+	best, at := math.Inf(1), lo
+	for l := lo; l <= hi; l++ {
+		worst := max(
+			seconds(loads[a], float64(l-from)/float64(ca.Len()), tokens),
+			seconds(loads[b], float64(end-l)/float64(cb.Len()), tokens),
+		)
+		if worst < best {
+			best, at = worst, l
+		}
+	}
+	return at
+}
--- a/ferrystand/ferrystandengine/record.go
+++ b/ferrystand/ferrystandengine/record.go
@@ -4,21 +4,13 @@
 	"net/http"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypipeline"
 )
 
 const maxSteps = 1 << 16
 
 // Record says that the engine applied one layer to one position of a stream.
-type Record struct {
-	Stream   ferryid.StreamID `json:"Stream"`
-	Epoch    ferryid.Epoch    `json:"Epoch"`
-	Position ferryid.Position `json:"Position"`
-	Layer    ferryid.Layer    `json:"Layer"`
-	// Prefill marks a position that was rebuilt from the history and yields no token.
-	Prefill bool `json:"Prefill,omitempty"`
-	// AtNanos is the Unix time in nanoseconds; it orders the records of engines on one machine.
-	AtNanos int64 `json:"AtNanos"`
-}
+type Record = ferrypipeline.Applied
 
 type step struct {
 	Stream  ferryid.StreamID
--- a/ferrystand/ferrystandengine/run.go
+++ b/ferrystand/ferrystandengine/run.go
@@ -186,8 +186,8 @@
 		}
 		states[i] = x
 	}
-	if !ru.note(from, len(states), f) {
-		return errEmpty
+	if err := ru.note(from, len(states), f); err != nil {
+		return err
 	}
 	if at(f.DieAtPosition, p) && f.DieWhen == DieAfterApply {
 		ru.e.dieNow()
@@ -197,14 +197,17 @@
 
 var errEmpty = errors.New("the stream is not here")
 
-// note records the step and reports whether the engine still knows the stream.
-func (ru *run) note(from ferryid.Position, n int, f Faults) bool {
+// note records the step, unless the engine does not know the stream any more or has cancelled the epoch.
+func (ru *run) note(from ferryid.Position, n int, f Faults) error {
 	e := ru.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st, ok := e.streams.byID[ru.req.Stream]
 	if !ok || f.Empty || at(f.EmptyAtPosition, from+ferryid.Position(n-1)) {
-		return false
+		return errEmpty
+	}
+	if ru.req.Epoch <= st.cancelled {
+		return context.Canceled
 	}
 	e.records.add(step{
 		Stream: ru.req.Stream, Epoch: ru.req.Epoch, From: from, N: n,
@@ -215,7 +218,7 @@
 		st.kv = ru.kv
 		st.left--
 	}
-	return true
+	return nil
 }
 
 func (ru *run) cost(f Faults, from ferryid.Position, n int) time.Duration {
--- a/ferrystand/ferrystandengine/stream.go
+++ b/ferrystand/ferrystandengine/stream.go
@@ -17,8 +17,10 @@
 type stream struct {
 	epoch  ferryid.Epoch
 	cancel context.CancelFunc
-	ran    bool
-	layers ferryid.LayerRange
+	// cancelled is the highest epoch that was cancelled; nothing of it is applied any more.
+	cancelled ferryid.Epoch
+	ran       bool
+	layers    ferryid.LayerRange
 	// kv holds the cache after each history element, one value a layer.
 	kv   []uint64
 	left int
@@ -68,13 +70,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := e.streams.get(streamID(r))
-	if st.epoch <= req.Epoch {
-		st.epoch = req.Epoch
-		if st.cancel != nil && !e.faults.LateFromOldEpoch {
+	ignored := e.faults.LateFromOldEpoch && st.cancel != nil
+	if st.epoch <= req.Epoch && !ignored {
+		st.epoch, st.cancelled = req.Epoch, req.Epoch
+		if st.cancel != nil {
 			st.cancel()
 		}
 	}
-	writeJSON(w, ferryengine.CancelResult{Ran: st.ran})
+	writeJSON(w, ferryengine.CancelResult{Ran: st.ran || ignored})
 }
 
 type cancelRequest ferryengine.CancelRequest
