The whole path in separate processes, thin

Excluded: a mock of the engines inside ferryd; the stand-ins are processes of their own from the start. Change: ferryd with callers', peers' and operators' handlers over the parts that have landed, the fleet harness and the demo.

--- /dev/null
+++ b/ferryd/ferrycaller/claim.go
@@ -0,0 +1,139 @@
+package ferrycaller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cactusferry.dev/ferry/ferryclaim"
+	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferryplain"
+)
+
+// ReplayHeader marks an answer that was recorded when the call ran before.
+const ReplayHeader = "Replayed"
+
+// once runs a call that has a key or a ticket, at most once among all entries, even if its caller goes away.
+func (s *Server) once(ctx context.Context, c *caller, call ferryplain.Call, key, ticket string) (*ferryplain.Answer, *ferryoutcome.Problem) {
+	deadline, ok := ctx.Deadline()
+	ctx = context.WithoutCancel(ctx)
+	if ok {
+		var cancel func()
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	claim, err := s.Claims.Begin(ctx, ferryclaim.Call{
+		Customer: c.customer.Name, Service: c.doc.Service, Key: key, Ticket: ticket,
+		Digest: digest(call), Retention: time.Duration(c.doc.Limits.ClaimRetention),
+	})
+	if err != nil {
+		return s.notBegun(c, err)
+	}
+	s.Events.Add("Claimed", claim.Ref().String(), "request %s", c.id)
+	dispatched := false
+	answer, p := s.repeat(ctx, c, call, func() *ferryoutcome.Problem {
+		if dispatched {
+			return nil
+		}
+		if err := claim.Dispatching(); err != nil {
+			return asProblem(err)
+		}
+		dispatched = true
+		return nil
+	})
+	s.settle(ctx, claim, answer, p)
+	return answer, p
+}
+
+// settle records what came of the call, or gives the claim back if nothing was sent.
+func (s *Server) settle(ctx context.Context, claim *ferryclaim.Claim, answer *ferryplain.Answer, p *ferryoutcome.Problem) {
+	ctx = context.WithoutCancel(ctx)
+	switch {
+	case p != nil && p.Outcome == ferryoutcome.NotRun:
+		claim.Release(ctx)
+	case p != nil:
+		claim.Finish(ctx, ferryclaim.Result{Outcome: p.Outcome})
+	default:
+		res := ferryclaim.Result{Outcome: ferryoutcome.Ran, Status: answer.Status}
+		if answer.Rest == nil {
+			res.Body, res.Whole = answer.Body, true
+			res.Header = http.Header{}
+			if v := answer.Header.Get("Content-Type"); v != "" {
+				res.Header.Set("Content-Type", v)
+			}
+		}
+		claim.Finish(ctx, res)
+	}
+	s.Events.Add("Settled", claim.Ref().String(), "%s", settledAs(p))
+}
+
+func settledAs(p *ferryoutcome.Problem) string {
+	if p == nil {
+		return string(ferryoutcome.Ran)
+	}
+	return string(p.Outcome)
+}
+
+// notBegun answers a call that may not run now: with its recorded answer, or with why not.
+func (s *Server) notBegun(c *caller, err error) (*ferryplain.Answer, *ferryoutcome.Problem) {
+	var replay *ferryclaim.Replay
+	if errors.As(err, &replay) {
+		s.Events.Add("Replayed", string(c.customer.Name), "request %s: %s", c.id, replay.Outcome)
+		return replayed(replay)
+	}
+	var elsewhere *ferryclaim.ElsewhereError
+	if errors.As(err, &elsewhere) {
+		return nil, s.elsewhere(elsewhere)
+	}
+	return nil, asProblem(err)
+}
+
+func replayed(r *ferryclaim.Replay) (*ferryplain.Answer, *ferryoutcome.Problem) {
+	if r.Outcome == ferryoutcome.Ran && r.Whole {
+		h := r.Header.Clone()
+		if h == nil {
+			h = http.Header{}
+		}
+		h.Set(ReplayHeader, "true")
+		return &ferryplain.Answer{Status: r.Status, Header: h, Body: r.Body}, nil
+	}
+	text := "The call ran before, but its answer was not kept; do not send it again."
+	if r.Outcome == ferryoutcome.Unknown {
+		text = "The call was sent before and it is not known whether it ran; it will not be sent again."
+	}
+	return nil, ferryoutcome.New(ferryoutcome.KindConflict, r.Outcome, "%s", text)
+}
+
+// elsewhere names the entry whose ticket it is.
+func (s *Server) elsewhere(e *ferryclaim.ElsewhereError) *ferryoutcome.Problem {
+	p := ferryoutcome.New(ferryoutcome.KindConflict, ferryoutcome.NotRun, "Only the entry that issued the ticket can run it; send the call there.")
+	if a, ok := s.AddressOf(e.Incarnation); ok {
+		p.Entries = []string{a}
+	}
+	return p
+}
+
+// tickets issues a ticket for one call that may not be repeated.
+func (s *Server) tickets(w http.ResponseWriter, r *http.Request) {
+	c, p := s.authenticate(r, r.URL.Query().Get("service"), "")
+	if p == nil {
+		p = s.admitNew()
+	}
+	if p != nil {
+		s.fail(w, r, p)
+		return
+	}
+	t, err := s.Claims.IssueTicket(c.customer.Name, c.doc.Service)
+	if err != nil {
+		s.fail(w, r, asProblem(err))
+		return
+	}
+	writeJSON(w, ticketAnswer{Ticket: t, Entry: s.Advertise, LifetimeSeconds: int(ferryclaim.TicketLifetime / time.Second)})
+}
+
+type ticketAnswer struct {
+	Ticket          string
+	Entry           string
+	LifetimeSeconds int
+}
--- /dev/null
+++ b/ferryd/ferrycaller/doc.go
@@ -0,0 +1,2 @@
+// Package ferrycaller answers callers: completions, plain services, tickets and the choice of an entry.
+package ferrycaller
--- /dev/null
+++ b/ferryd/ferrycaller/events.go
@@ -0,0 +1,160 @@
+package ferrycaller
+
+import (
+	"errors"
+	"net/http"
+
+	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrypipeline"
+	"cactusferry.dev/ferry/ferrystream"
+)
+
+const (
+	// maxWriteBytes bounds what is put together before it is sent.
+	maxWriteBytes  = 32 << 10
+	eventBytes     = 512
+	eventStreamTag = "text/event-stream; charset=utf-8"
+)
+
+// eventWriter writes one answer's events to a caller.
+type eventWriter struct {
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	server   *Server
+	composer *ferrystream.Composer
+	seam     *ferrystream.Seam
+	buf      []byte
+	id       string
+	started  bool
+}
+
+func (st *stream) newWriter(w http.ResponseWriter, shape ferrystream.Shape) (*eventWriter, error) {
+	s := st.server
+	resume := ferrystream.Resume{
+		Customer: st.job.Customer, Service: st.job.Service, Stream: st.job.Stream,
+		Request: ferrystream.RequestDigest(st.job.Prompt, st.job.MaxTokens, st.job.Seed), Seed: st.job.Seed,
+		Epoch: st.job.Epoch + 1,
+	}
+	sealer, err := s.Sealer.Stream(resume)
+	if err != nil {
+		return nil, err
+	}
+	out := &eventWriter{w: w, control: http.NewResponseController(w), server: s, id: string(st.job.Stream), buf: make([]byte, 0, eventBytes)}
+	out.composer = ferrystream.NewComposer(ferrystream.ComposerConfig{
+		Shape: shape, ID: st.job.Stream, Model: st.job.Service, Created: s.Clock.Now(), Sealer: sealer,
+	})
+	if st.resume != nil {
+		out.seam = ferrystream.NewSeam(*st.resume)
+	}
+	return out, nil
+}
+
+// tokens writes a token and all that wait behind it.
+func (e *eventWriter) tokens(t ferrypipeline.Token, more <-chan ferrypipeline.Token) error {
+	for {
+		if err := e.token(t); err != nil {
+			return err
+		}
+		if len(e.buf) >= maxWriteBytes {
+			return e.flush()
+		}
+		select {
+		case next, ok := <-more:
+			if !ok {
+				return e.flush()
+			}
+			t = next
+		default:
+			return e.flush()
+		}
+	}
+}
+
+// token adds one token, unless a resumed caller has it already.
+func (e *eventWriter) token(t ferrypipeline.Token) error {
+	if e.seam != nil {
+		needed, err := e.seam.Add(t)
+		if err != nil {
+			return seamBroken(err)
+		}
+		if !needed {
+			e.composer.Skip(t)
+			return nil
+		}
+	}
+	e.start()
+	e.buf = e.composer.Token(e.buf, t)
+	return nil
+}
+
+// start sends the header before the first event.
+func (e *eventWriter) start() {
+	if e.started {
+		return
+	}
+	e.started = true
+	h := e.w.Header()
+	h.Set("Content-Type", eventStreamTag)
+	h.Set("Cache-Control", "no-store")
+	h.Set(StreamHeader, e.id)
+	e.buf = e.composer.Start(e.buf)
+}
+
+func (e *eventWriter) heartbeat() error {
+	if !e.started {
+		return nil
+	}
+	e.buf = e.composer.Heartbeat(e.buf)
+	return e.flush()
+}
+
+func (e *eventWriter) done(reason string) error {
+	if e.seam != nil {
+		if err := e.seam.End(); err != nil {
+			return seamBroken(err)
+		}
+	}
+	e.start()
+	e.buf = e.composer.Done(e.buf, reason)
+	return e.flush()
+}
+
+func (e *eventWriter) failed(p *ferryoutcome.Problem) error {
+	e.buf = e.composer.Failed(e.buf[:0], p)
+	return e.flush()
+}
+
+// flush sends what was put together; a caller that does not take it in time is given up.
+func (e *eventWriter) flush() error {
+	if len(e.buf) == 0 {
+		return nil
+	}
+	_ = e.control.SetWriteDeadline(e.server.Clock.Now().Add(e.server.Limits.WriteTimeout))
+	_, err := e.w.Write(e.buf)
+	e.buf = e.buf[:0]
+	if err == nil {
+		err = e.control.Flush()
+	}
+	if err != nil {
+		return callerGone(err)
+	}
+	return nil
+}
+
+func callerGone(err error) *ferryoutcome.Problem {
+	return ferryoutcome.New(ferryoutcome.KindTimeout, ferryoutcome.Ran, "The caller did not take the answer in time.").Because(err)
+}
+
+func seamBroken(err error) *ferryoutcome.Problem {
+	return ferryoutcome.New(ferryoutcome.KindConflict, ferryoutcome.Ran,
+		"The answer can't be continued with the same text; send the request again without %s.", EventIDHeader).Because(err)
+}
+
+// asProblem turns any error into what a caller is answered with.
+func asProblem(err error) *ferryoutcome.Problem {
+	var p *ferryoutcome.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return ferryoutcome.New(ferryoutcome.KindInternal, ferryoutcome.Unknown, "The call failed inside the router.").Because(err)
+}
--- /dev/null
+++ b/ferryd/ferrynode/doc.go
@@ -0,0 +1,2 @@
+// Package ferrynode puts the duties of one entry instance together and runs them.
+package ferrynode
--- /dev/null
+++ b/ferryd/ferrynode/node.go
@@ -0,0 +1,173 @@
+package ferrynode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	stdlog "log"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"cactusferry.dev/ferry/ferryclaim"
+	"cactusferry.dev/ferry/ferrydocument"
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplain"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferry/ferrystream"
+	"cactusferry.dev/ferryd/ferrycaller"
+	"cactusferry.dev/ferryd/ferryoperator"
+	"cactusferry.dev/ferryd/ferrysettings"
+)
+
+const (
+	eventRing      = 8192
+	resumeLifetime = time.Hour
+	platformBurst  = 20
+	// callersBodyBytes bounds a body whose service, and so whose own limit, is not known yet.
+	callersBodyBytes = 64 << 20
+)
+
+// State says whether a node serves callers.
+type State int32
+
+// The states of a node, in the order they follow one another.
+const (
+	// StateStarting has not learnt any configuration yet.
+	StateStarting State = iota
+	// StateReady serves.
+	StateReady
+	// StateDraining takes no new calls and finishes what is open.
+	StateDraining
+)
+
+func (s State) String() string {
+	switch s {
+	case StateStarting:
+		return "Starting"
+	case StateReady:
+		return "Ready"
+	case StateDraining:
+		return "Draining"
+	}
+	return fmt.Sprintf("State(%d)", int32(s))
+}
+
+// Node is one entry instance.
+type Node struct {
+	cfg       ferrysettings.Settings
+	clock     clockwork.Clock
+	log       zerolog.Logger
+	self      ferryid.Incarnation
+	started   time.Time
+	current   atomic.Int32
+	events    *ferryevent.Log
+	list      atomic.Pointer[ferryplatform.Instances]
+	metrics   *metrics
+	platform  *ferryplatform.Client
+	holder    *ferrydocument.Holder
+	watcher   *ferrydocument.Watcher
+	services  *services
+	engines   *ferryengine.Client
+	plain     *ferryplain.Client
+	claims    *ferryclaim.Claims
+	callers   *ferrycaller.Server
+	operators *ferryoperator.Server
+}
+
+// New puts a node together; nothing runs yet.
+func New(cfg ferrysettings.Settings, clock clockwork.Clock, log zerolog.Logger) (*Node, error) {
+	n := &Node{
+		cfg:     cfg,
+		clock:   clock,
+		self:    ferryid.NewIncarnation(),
+		started: clock.Now(),
+		log:     log.With().Str("Entry", string(cfg.Name)).Logger(),
+		events:  ferryevent.NewLog(clock, string(cfg.Name), eventRing),
+		metrics: newMetrics(),
+	}
+	n.platform = ferryplatform.New(ferryplatform.ClientConfig{
+		URL: cfg.Platform.URL, Clock: clock, Timeout: time.Duration(cfg.Platform.Timeout),
+		Budget: ferryplatform.Budget{PerSecond: cfg.Platform.CallsPerSecond, Burst: platformBurst},
+	})
+	n.holder = ferrydocument.NewHolder(clock, n.events)
+	n.watcher = ferrydocument.NewWatcher(ferrydocument.WatcherConfig{Store: n.platform, Holder: n.holder, Clock: clock, Seed: uint64(clock.Now().UnixNano())})
+	n.engines = ferryengine.New(ferryengine.ClientConfig{Clock: clock})
+	n.services = newServices(clock, n.engines, n.events)
+	n.plain = ferryplain.New(ferryplain.ClientConfig{Clock: clock})
+	if err := n.newServers(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) newServers() error {
+	keys := n.cfg.Keys.SealKeys()
+	seal, err := ferryclaim.NewSeal(keys...)
+	if err != nil {
+		return err
+	}
+	sealer, err := ferrystream.NewSealer(ferrystream.SealerConfig{Keys: keys, MaxAge: resumeLifetime, Clock: n.clock})
+	if err != nil {
+		return err
+	}
+	n.claims = ferryclaim.New(ferryclaim.Config{Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock})
+	n.callers = &ferrycaller.Server{
+		Clock: n.clock, Log: n.log, Events: n.events, Documents: n.services, Plain: n.plain, Claims: n.claims, Sealer: sealer,
+		Upstreams: plainUpstreams{services: n.services, clock: n.clock, leaving: n.markLeaving},
+		Models:    &models{node: n},
+		Limits: ferrycaller.Limits{
+			BodyTimeout: time.Duration(n.cfg.Callers.BodyTimeout), WriteTimeout: time.Duration(n.cfg.Callers.WriteTimeout), BodyBytes: callersBodyBytes,
+		},
+		Advertise: n.cfg.Callers.Advertise,
+		Steer:     n.steer, Allow: n.allow, AddressOf: n.addressOf, Refuse: n.refuse,
+	}
+	n.operators = &ferryoperator.Server{
+		Token: n.cfg.Keys.OperatorToken, Log: n.log, Events: n.events, Documents: documents{n},
+		Status: func() any { return n.status() }, Leave: n.leave, Claim: n.claim, SetLevel: zerolog.SetGlobalLevel,
+	}
+	return nil
+}
+
+func (n *Node) state() State {
+	return State(n.current.Load())
+}
+
+func (n *Node) setState(s State) {
+	if n.current.Swap(int32(s)) != int32(s) {
+		n.events.Add("State", string(n.cfg.Name), "%s", s)
+		n.log.Info().Str("State", s.String()).Msg("state")
+	}
+}
+
+// stdLog passes net/http's own messages to the log.
+func (n *Node) stdLog() *stdlog.Logger {
+	return stdlog.New(n.log.With().Str("From", "net/http").Logger().Level(zerolog.DebugLevel), "", 0)
+}
+
+// Run serves until a signal asks it to stop and everything open is finished.
+func (n *Node) Run(ctx context.Context, stop <-chan os.Signal) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	fail := func(err error) {
+		if err != nil && !errors.Is(err, context.Canceled) {
+			cancel(err)
+		}
+	}
+	if err := n.serve(ctx, fail); err != nil {
+		return err
+	}
+	n.duties(ctx, fail)
+	select {
+	case s := <-stop:
+		n.log.Info().Str("Signal", s.String()).Msg("planned stop")
+		return n.stop(ctx, stop)
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/ferryd/ferrynode/service.go
@@ -0,0 +1,262 @@
+package ferrynode
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplain"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferry/ferryqueue"
+	"cactusferry.dev/ferry/ferryroute"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+const (
+	retryBurst   = 10
+	defaultSlots = 16
+	// capacitySlack lets one entry run more than an even share, since callers are not spread evenly.
+	capacitySlack = 1.5
+)
+
+// service is what this entry keeps of one service beside its document.
+type service struct {
+	name      ferryid.ServiceName
+	accepted  *ferryservice.Document
+	doc       atomic.Pointer[ferryservice.Document]
+	table     *ferryroute.Table
+	admission *ferryqueue.Admission
+	budget    atomic.Pointer[ferryroute.Budget]
+	model     atomic.Pointer[model]
+	mu        sync.Mutex
+	rand      ferryroute.Rand
+}
+
+// services is the registry of all services; it is changed by one duty and read by every call.
+type services struct {
+	clock   clockwork.Clock
+	engines *ferryengine.Client
+	events  *ferryevent.Log
+	mu      sync.Mutex
+	named   map[ferryid.ServiceName]*service
+	snap    atomic.Pointer[map[ferryid.ServiceName]*service]
+	list    ferryplatform.Instances
+	live    int
+}
+
+func newServices(clock clockwork.Clock, engines *ferryengine.Client, events *ferryevent.Log) *services {
+	s := &services{clock: clock, engines: engines, events: events, named: map[ferryid.ServiceName]*service{}, live: 1}
+	s.snap.Store(&map[ferryid.ServiceName]*service{})
+	return s
+}
+
+func (s *services) get(name ferryid.ServiceName) (*service, bool) {
+	sv, ok := (*s.snap.Load())[name]
+	return sv, ok
+}
+
+// all returns the services by name.
+func (s *services) all() []*service {
+	var out []*service
+	for _, sv := range *s.snap.Load() {
+		out = append(out, sv)
+	}
+	slices.SortFunc(out, func(a, b *service) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Document returns the document in force, with the upstreams that the instance list adds to it.
+func (s *services) Document(name ferryid.ServiceName) (*ferryservice.Document, bool) {
+	sv, ok := s.get(name)
+	if !ok {
+		return nil, false
+	}
+	return sv.doc.Load(), true
+}
+
+// setDocument puts a document to use; ctx ends the duties of a new service.
+func (s *services) setDocument(ctx context.Context, d *ferryservice.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sv, ok := s.named[d.Service]
+	if !ok {
+		sv = &service{
+			name:      d.Service,
+			table:     ferryroute.NewTable(ferryroute.Options{}),
+			admission: ferryqueue.NewAdmission(s.clock),
+			rand:      ferryroute.Rand(s.clock.Now().UnixNano()),
+		}
+		s.named[d.Service] = sv
+		go sv.admission.Run(ctx, ferryqueue.ConfigOf(d))
+	}
+	sv.accepted = d
+	sv.budget.Store(ferryroute.NewBudget(d.Limits.RetryShare, retryBurst))
+	s.refresh(sv)
+	next := make(map[ferryid.ServiceName]*service, len(s.named))
+	for k, v := range s.named {
+		next[k] = v
+	}
+	s.snap.Store(&next)
+}
+
+// setInstances takes a new instance list and the number of live entries.
+func (s *services) setInstances(list ferryplatform.Instances, live int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = list
+	s.live = max(1, live)
+	for _, sv := range s.named {
+		s.refresh(sv)
+	}
+}
+
+// refresh merges the accepted document with the instance list; the caller holds the lock.
+func (s *services) refresh(sv *service) {
+	d := *sv.accepted
+	d.Upstreams = merged(sv.accepted, s.list)
+	sv.doc.Store(&d)
+	sv.table.SetDocument(&d)
+	sv.admission.SetDocument(&d)
+	sv.admission.SetCapacity(s.capacity(&d))
+	if d.Kind == ferryservice.KindModel {
+		s.refreshModel(sv, &d)
+	}
+}
+
+// refreshModel gives the engines to the pool; a set that covers no whole model leaves the last one in use.
+func (s *services) refreshModel(sv *service, d *ferryservice.Document) {
+	if md := sv.model.Load(); md != nil {
+		if err := md.set(d, sv.table); err != nil {
+			s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
+		}
+		return
+	}
+	md, err := newModel(d, sv.table, s.engines, s.clock, s.events)
+	if err != nil {
+		s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
+		return
+	}
+	sv.model.Store(md)
+}
+
+// merged adds the listed instances of the service that the document does not name, and the list's leaving marks.
+func merged(d *ferryservice.Document, list ferryplatform.Instances) ferryservice.Upstreams {
+	ups := slices.Clone(d.Upstreams)
+	for _, in := range list {
+		if in.Service != d.Service || in.Role == ferryplatform.RoleEntry {
+			continue
+		}
+		i := slices.IndexFunc(ups, func(u ferryservice.Upstream) bool { return u.Address == in.Address })
+		if i < 0 {
+			ups = append(ups, ferryservice.Upstream{
+				Name: ferryid.UpstreamName(in.Name), Address: in.Address, FailureDomain: in.FailureDomain,
+				Accelerator: in.Accelerator, Layers: in.Layers,
+			})
+			i = len(ups) - 1
+		}
+		if in.State == ferryplatform.StateLeaving {
+			ups[i].Leaving = true
+		}
+	}
+	return ups
+}
+
+// capacity is how many calls this entry runs at once: its share of all slots, counted in whole pipelines.
+func (s *services) capacity(d *ferryservice.Document) int {
+	slots := 0.0
+	for _, u := range d.Upstreams {
+		if u.Leaving {
+			continue
+		}
+		n := float64(u.Slots)
+		if n == 0 {
+			n = defaultSlots
+		}
+		if d.Kind == ferryservice.KindModel {
+			n *= float64(u.Layers.Len()) / float64(d.Model.Layers)
+		}
+		slots += n
+	}
+	if s.live == 1 {
+		return int(slots)
+	}
+	return int(math.Ceil(slots * capacitySlack / float64(s.live)))
+}
+
+// plainUpstreams chooses among the upstreams of plain services.
+type plainUpstreams struct {
+	services *services
+	clock    clockwork.Clock
+	leaving  func(ferryid.ServiceName, ferryid.UpstreamName)
+}
+
+// Choose returns an upstream that is not excluded and counts the call at once.
+func (p plainUpstreams) Choose(d *ferryservice.Document, exclude []ferryid.UpstreamName) (ferryservice.Upstream, *ferryroute.Dispatch, bool) {
+	sv, ok := p.services.get(d.Service)
+	if !ok {
+		return ferryservice.Upstream{}, nil, false
+	}
+	if len(exclude) == 0 {
+		sv.budget.Load().FirstTry()
+	}
+	w := ferryroute.Work{Predicted: 1, Avoid: exclude}
+	snap := sv.table.Snapshot()
+	sv.mu.Lock()
+	i := ferryroute.Choose(snap, &w, &sv.rand)
+	sv.mu.Unlock()
+	if i < 0 {
+		return ferryservice.Upstream{}, nil, false
+	}
+	c := snap.At(i)
+	dispatch := sv.table.Start(c.Name, 1, p.clock.Now())
+	return ferryservice.Upstream{Name: c.Name, Address: c.Address, FailureDomain: c.FailureDomain}, dispatch, true
+}
+
+// Done reports how a call went.
+func (p plainUpstreams) Done(d *ferryservice.Document, u ferryservice.Upstream, dispatch *ferryroute.Dispatch, err error) {
+	now := p.clock.Now()
+	var refused *ferryplain.RefusedError
+	switch {
+	case err == nil:
+		dispatch.Finish(1, now)
+	case errors.As(err, &refused) && refused.Leaving:
+		dispatch.Cancel(now)
+		p.leaving(d.Service, u.Name)
+	case errors.Is(err, context.Canceled):
+		dispatch.Cancel(now)
+	default:
+		dispatch.Fail(ferryroute.FailureConnection, now)
+	}
+}
+
+// Retry takes one retry from the service's budget.
+func (p plainUpstreams) Retry(d *ferryservice.Document) bool {
+	sv, ok := p.services.get(d.Service)
+	return ok && sv.budget.Load().Retry()
+}
+
+// tick lets upstreams that were put aside be tried again.
+func (s *services) tick(now time.Time) {
+	for _, sv := range s.all() {
+		sv.table.Tick(now)
+		s.mu.Lock()
+		if d := sv.doc.Load(); d.Kind == ferryservice.KindModel {
+			s.refreshModel(sv, d)
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/ferryd/ferryoperator/server.go
@@ -0,0 +1,156 @@
+package ferryoperator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+const bodyBytes = 1 << 20
+
+// Documents accepts and gives service documents.
+type Documents interface {
+	// Apply accepts a document or returns one of ferrydocument's errors.
+	Apply(ctx context.Context, req ApplyRequest) (ferryservice.Accepted, error)
+	// Accepted returns what is in force here.
+	Accepted(name ferryid.ServiceName) (ferryservice.Accepted, bool)
+	// All returns everything in force here.
+	All() []ferryservice.Accepted
+}
+
+// ApplyRequest asks for a changed document.
+type ApplyRequest struct {
+	Service        ferryid.ServiceName `json:"-"`
+	Source         string              `json:"Source"`
+	BaseGeneration ferryid.Generation  `json:"BaseGeneration"`
+	Operator       string              `json:"Operator"`
+	ApplyID        string              `json:"ApplyID"`
+}
+
+// LeaveRequest marks an upstream as leaving, or takes the mark back.
+type LeaveRequest struct {
+	Service  ferryid.ServiceName  `json:"Service"`
+	Upstream ferryid.UpstreamName `json:"Upstream"`
+	Operator string               `json:"Operator"`
+	Leaving  bool                 `json:"Leaving"`
+}
+
+// Server answers operators.
+type Server struct {
+	Token     string
+	Log       zerolog.Logger
+	Events    *ferryevent.Log
+	Documents Documents
+	Status    func() any
+	Leave     func(LeaveRequest) error
+	Claim     func(ctx context.Context, service ferryid.ServiceName, key string) (any, error)
+	SetLevel  func(zerolog.Level)
+}
+
+// Mount adds the operators' routes.
+func (s *Server) Mount(m chi.Router) {
+	m.Route("/admin", func(m chi.Router) {
+		m.Use(s.authenticate)
+		m.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Status()) })
+		m.Get("/events", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Events.Events()) })
+		m.Get("/documents", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Documents.All()) })
+		m.Get("/documents/{service}", s.document)
+		m.Post("/documents/{service}", s.apply)
+		m.Post("/drain", s.leave)
+		m.Get("/claims", s.claim)
+		m.Put("/log-level", s.logLevel)
+	})
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(given), []byte(s.Token)) != 1 {
+			ferryoutcome.New(ferryoutcome.KindUnauthorized, ferryoutcome.NotRun,
+				"The operator token is missing or wrong; send it as Authorization: Bearer TOKEN.").Write(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) *ferryoutcome.Problem {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyBytes))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return ferryoutcome.New(ferryoutcome.KindTooLarge, ferryoutcome.NotRun, "The body is over %d bytes.", bodyBytes)
+	}
+	if err != nil {
+		return ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "The body is not the JSON expected: %s.", err)
+	}
+	return nil
+}
+
+func (s *Server) document(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "service")
+	a, ok := s.Documents.Accepted(ferryid.ServiceName(name))
+	if !ok {
+		ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "There is no service %.80q here.", name).Write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, a)
+}
+
+func (s *Server) leave(w http.ResponseWriter, r *http.Request) {
+	var req LeaveRequest
+	if p := readJSON(w, r, &req); p != nil {
+		p.Write(w)
+		return
+	}
+	if err := s.Leave(req); err != nil {
+		ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%s", err).Write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) claim(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	v, err := s.Claim(r.Context(), ferryid.ServiceName(q.Get("service")), q.Get("key"))
+	var p *ferryoutcome.Problem
+	switch {
+	case errors.As(err, &p):
+		p.Write(w)
+	case err != nil:
+		ferryoutcome.New(ferryoutcome.KindInternal, ferryoutcome.Unknown, "%s", err).Write(w)
+	default:
+		writeJSON(w, http.StatusOK, v)
+	}
+}
+
+func (s *Server) logLevel(w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(io.LimitReader(r.Body, 64))
+	level, err := zerolog.ParseLevel(strings.TrimSpace(string(b)))
+	if err != nil || len(b) == 0 {
+		ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "The level must be debug, info, warn or error.").Write(w)
+		return
+	}
+	s.SetLevel(level)
+	s.Log.WithLevel(level).Str("Level", level.String()).Msg("log level changed")
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/ferryd/version.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+)
+
+// release is set by the linker of a release build.
+var release = "development"
+
+func version() string {
+	commit := ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				commit = " " + s.Value
+			}
+		}
+	}
+	return fmt.Sprintf("ferryd %s%s %s", release, commit, runtime.Version())
+}
--- /dev/null
+++ b/ferrystand/ferrydemo/fleet.go
@@ -0,0 +1,270 @@
+package ferrydemo
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferrystand/ferryprocess"
+)
+
+// The names and sizes of the fleet that the demo and the proofs start.
+const (
+	ModelService = "herd-llm"
+	PlainService = "parlour-api"
+	Customer     = "dobrich"
+	CustomerKey  = "demo-key-dobrich"
+	OtherKey     = "demo-key-smolyan"
+	Operator     = "morning"
+	token        = "demo-operator-token"
+	Layers       = 16
+	sealKey      = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+)
+
+var domains = []string{"ruse-a", "varna-b", "pleven-c"}
+
+// Engine is one engine stand-in of the fleet.
+type Engine struct {
+	Name            string
+	Address         string
+	Domain          string
+	Layers          ferryid.LayerRange
+	Accelerator     string
+	TokensPerSecond int
+	Process         *ferryprocess.Process
+}
+
+// Entry is one ferryd of the fleet.
+type Entry struct {
+	Name    string
+	Callers string
+	Peers   string
+	Domain  string
+	Process *ferryprocess.Process
+}
+
+// Fleet is a platform, engines, one plain service and entries, each a process of its own.
+type Fleet struct {
+	ferryprocess.Group
+	Platform string
+	Plain    string
+	Plains   *ferryprocess.Process
+	Engines  []*Engine
+	Entries  []*Entry
+}
+
+// Config says how large a fleet is.
+type Config struct {
+	Dir     string
+	Engines int
+	Entries int
+	Slots   int
+}
+
+// New lays out a fleet on free loopback addresses and starts nothing.
+func New(cfg Config) (*Fleet, error) {
+	addresses, err := ferryprocess.FreeAddresses(2 + cfg.Engines + 2*cfg.Entries)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}}
+	f.Platform, f.Plain = addresses[0], addresses[1]
+	addresses = addresses[2:]
+	for i := range cfg.Engines {
+		f.Engines = append(f.Engines, newEngine(i, addresses[i]))
+	}
+	addresses = addresses[cfg.Engines:]
+	for i := range cfg.Entries {
+		f.Entries = append(f.Entries, &Entry{
+			Name:    fmt.Sprintf("entry-%d", i+1),
+			Callers: addresses[2*i],
+			Peers:   addresses[2*i+1],
+			Domain:  domains[i%len(domains)],
+		})
+	}
+	return f, nil
+}
+
+func newEngine(i int, address string) *Engine {
+	half := ferryid.Layer(Layers / 2)
+	layers := ferryid.LayerRange{From: 0, To: half}
+	if i%2 == 1 {
+		layers = ferryid.LayerRange{From: half, To: Layers}
+	}
+	kinds := []string{"h100", "a100", "l40s"}
+	k := (i / 2) % len(kinds)
+	return &Engine{
+		Name:            fmt.Sprintf("engine-%d", i+1),
+		Address:         address,
+		Domain:          domains[(i/2)%len(domains)],
+		Layers:          layers,
+		Accelerator:     kinds[k],
+		TokensPerSecond: []int{2000, 1000, 400}[k],
+	}
+}
+
+// StartUpstreams starts the platform, the plain service and the engines, and waits for each.
+func (f *Fleet) StartUpstreams(ctx context.Context) error {
+	if _, err := f.StartReady(ctx, "platform", "ferrystand", "platform", "--listen", f.Platform); err != nil {
+		return err
+	}
+	p, err := f.StartReady(ctx, "plain", "ferrystand", "plain", "--listen", f.Plain, "--name", "robots-1",
+		"--domain", domains[0], "--service", PlainService, "--platform", "http://"+f.Platform)
+	if err != nil {
+		return err
+	}
+	f.Plains = p
+	for _, e := range f.Engines {
+		if err := f.StartEngine(ctx, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEngine starts one engine and waits for it.
+func (f *Fleet) StartEngine(ctx context.Context, e *Engine) error {
+	p, err := f.StartReady(ctx, e.Name, "ferrystand", "engine", "--name", e.Name, "--listen", e.Address,
+		"--domain", e.Domain, "--service", ModelService, "--layers", fmt.Sprintf("%d:%d", e.Layers.From, e.Layers.To),
+		"--accelerator", e.Accelerator, "--tokens-per-second", fmt.Sprint(e.TokensPerSecond), "--slots", "16",
+		"--platform", "http://"+f.Platform)
+	e.Process = p
+	return err
+}
+
+// StartEntry starts one ferryd, enters it in the instance list and waits until it is ready.
+func (f *Fleet) StartEntry(ctx context.Context, e *Entry) error {
+	args := []string{
+		"--name", e.Name, "--failure-domain", e.Domain, "--callers.listen", e.Callers, "--peers.listen", e.Peers,
+		"--platform.url", "http://" + f.Platform, "--keys.seal", sealKey, "--keys.operator-token", token,
+		"--stop.grace", "300ms", "--log.level", "info",
+	}
+	for _, other := range f.Entries {
+		if other != e {
+			args = append(args, "--peers.seed", other.Peers)
+		}
+	}
+	p, err := f.Start(e.Name, "ferryd", args...)
+	if err != nil {
+		return err
+	}
+	e.Process = p
+	if err := f.Register(ctx, e, ferryplatform.StateLive); err != nil {
+		return err
+	}
+	return p.WaitHTTP(ctx, "http://"+e.Callers+"/readyz")
+}
+
+// Register writes an entry's row of the instance list, as the users' platform would.
+func (f *Fleet) Register(ctx context.Context, e *Entry, state ferryplatform.InstanceState) error {
+	row := ferryplatform.Instance{
+		Name: e.Name, Role: ferryplatform.RoleEntry, Address: e.Callers, PeerAddress: e.Peers,
+		FailureDomain: ferryid.DomainName(e.Domain), State: state,
+	}
+	return f.PutJSON(ctx, "http://"+f.Platform+"/admin/instances/"+e.Name, row)
+}
+
+// PutJSON sends a stand-in's administrative call.
+func (f *Fleet) PutJSON(ctx context.Context, url string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	if w.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(w.Body)
+		return fmt.Errorf("PUT %s: %s: %s", url, w.Status, text)
+	}
+	return nil
+}
+
+// GetJSON reads a stand-in's answer.
+func (f *Fleet) GetJSON(ctx context.Context, url string, v any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	if w.StatusCode != http.StatusOK {
+		return fmt.Errorf("GET %s: %s", url, w.Status)
+	}
+	return json.NewDecoder(w.Body).Decode(v)
+}
+
+// Ctl runs ferryctl against the fleet.
+func (f *Fleet) Ctl(ctx context.Context, args ...string) (string, error) {
+	var peers []string
+	for _, e := range f.Entries {
+		peers = append(peers, "http://"+e.Peers)
+	}
+	args = append(args, "--entry", strings.Join(peers, ","), "--token", token)
+	return f.Run(ctx, "ferryctl", args...)
+}
+
+// ModelDocument is the document of the model service.
+func (f *Fleet) ModelDocument(shortTokens int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Service = %q\nTeam = \"herd\"\nKind = \"Model\"\n\n", ModelService)
+	fmt.Fprintf(&b, "[Model]\nName = \"herd-7b\"\nVersion = \"1\"\nLayers = %d\nEnginesFencing = true\n\n", Layers)
+	fmt.Fprintf(&b, "[[Classes]]\nName = \"short\"\nMaxTokens = %d\nDeadline = \"10s\"\nReservedShare = 0.5\n\n", shortTokens)
+	fmt.Fprintf(&b, "[[Classes]]\nName = \"long\"\nDeadline = \"5m\"\nPriority = 1\n\n")
+	for _, e := range f.Engines {
+		fmt.Fprintf(&b, "[[Upstreams]]\nName = %q\nAddress = %q\nFailureDomain = %q\nAccelerator = %q\n", e.Name, e.Address, e.Domain, e.Accelerator)
+		fmt.Fprintf(&b, "Layers = { From = %d, To = %d }\nTokensPerSecond = %d.0\nSlots = 16\n\n", e.Layers.From, e.Layers.To, e.TokensPerSecond)
+	}
+	return b.String() + customers()
+}
+
+// PlainDocument is the document of the plain service.
+func (f *Fleet) PlainDocument() string {
+	return fmt.Sprintf(`Service = %q
+Team = "parlour"
+Kind = "Plain"
+
+[[Upstreams]]
+Name = "robots-1"
+Address = %q
+FailureDomain = %q
+Slots = 32
+
+[[Routes]]
+Method = "GET"
+Path = "/teat-cups/*"
+Idempotent = true
+
+[[Routes]]
+Method = "POST"
+Path = "/rations/*"
+Idempotent = false
+
+`, PlainService, f.Plain, domains[0]) + customers()
+}
+
+func customers() string {
+	var b strings.Builder
+	for _, c := range [][2]string{{Customer, CustomerKey}, {"smolyan", OtherKey}} {
+		sum := sha256.Sum256([]byte(c[1]))
+		fmt.Fprintf(&b, "[[Customers]]\nName = %q\nKeySHA256 = [%q]\nShare = 1.0\n\n", c[0], hex.EncodeToString(sum[:]))
+	}
+	return b.String()
+}
--- a/ferrystand/ferryprocess/process.go
+++ b/ferrystand/ferryprocess/process.go
@@ -149,8 +149,25 @@
 	}
 }
 
-// PollHTTP waits until a GET of the URL answers 200.
-func PollHTTP(ctx context.Context, url string) error {
+// WaitHTTP waits until a GET of the URL answers 200 or the process ends.
+func (p *Process) WaitHTTP(ctx context.Context, url string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-p.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := pollHTTP(ctx, url)
+	if err != nil {
+		return fmt.Errorf("%s: %w\n%s", p.Name, err, p.Log())
+	}
+	return nil
+}
+
+func pollHTTP(ctx context.Context, url string) error {
 	return Poll(ctx, func(ctx context.Context) error {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
