Remove an unused parameter

Excluded: an exception in the linter's settings. Change: one parameter. Before: make lint fails. After: it passes.

--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -68,7 +68,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- st.run(ctx) }()
 	if st.req.Stream {
-		st.writeEvents(ctx, cancel, w, r, ended, shapeOf(chat))
+		st.writeEvents(cancel, w, r, ended, shapeOf(chat))
 		return
 	}
 	st.writeWhole(w, r, ended, shapeOf(chat))
@@ -194,7 +194,7 @@
 }
 
 // writeEvents sends tokens as they come, several in one write where they come faster than the caller takes them.
-func (st *stream) writeEvents(ctx context.Context, cancel func(), w http.ResponseWriter, r *http.Request, ended chan error, shape ferrystream.Shape) {
+func (st *stream) writeEvents(cancel func(), w http.ResponseWriter, r *http.Request, ended chan error, shape ferrystream.Shape) {
 	out, err := st.newWriter(w, shape)
 	if err != nil {
 		cancel()
