ferrypeer: overlay and membership

Excluded: full mesh (heartbeats alone pass 12 KB/s at 350), links by each end's own rendezvous ranking (inbound degree unbounded), heartbeat counters of all members flooded each second.

--- /dev/null
+++ b/ferry/ferrypeer/choose.go
@@ -0,0 +1,174 @@
+package ferrypeer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+const (
+	targetLinks       = 8
+	ringLinks         = 2
+	fewDomains        = 3
+	linksIntoFew      = 2
+	linksIntoMany     = 1
+	maxUnequalFactor  = 3
+	fibonacciMultiply = 0x9E3779B97F4A7C15
+)
+
+// Candidate is an entry that a link may lead to.
+type Candidate struct {
+	Name          ferryid.EntryName
+	FailureDomain ferryid.DomainName
+}
+
+// ChooseLinks returns the names to which self keeps links, by computation alone, so that both ends of a link choose it when they know the same candidates.
+//
+// Inside a failure domain the entries form a ring by hash and fill up with a greedy matching by
+// rendezvous weight; between each two domains there is a matching. A change of one candidate moves few links.
+func ChooseLinks(self Candidate, candidates []Candidate) []ferryid.EntryName {
+	domains := byDomain(self, candidates)
+	own := domains[self.FailureDomain]
+	others := len(domains) - 1
+	into := linksIntoMany
+	if others <= fewDomains {
+		into = linksIntoFew
+	}
+	extra := max(0, targetLinks-ringLinks-others*into)
+	chosen := map[ferryid.EntryName]bool{}
+	chooseInside(self.Name, own, extra, chosen)
+	for d, theirs := range domains {
+		if d != self.FailureDomain {
+			chooseBetween(self.Name, own, theirs, into, chosen)
+		}
+	}
+	out := make([]ferryid.EntryName, 0, len(chosen))
+	for n := range chosen {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// point is a candidate on the hash ring.
+type point struct {
+	hash uint64
+	name ferryid.EntryName
+}
+
+func byDomain(self Candidate, candidates []Candidate) map[ferryid.DomainName][]point {
+	out := map[ferryid.DomainName][]point{}
+	add := func(c Candidate) {
+		p := point{hash: xxhash.Sum64String(string(c.Name)), name: c.Name}
+		out[c.FailureDomain] = append(out[c.FailureDomain], p)
+	}
+	add(self)
+	for _, c := range candidates {
+		if c.Name != self.Name {
+			add(c)
+		}
+	}
+	for _, ps := range out {
+		slices.SortFunc(ps, func(a, b point) int {
+			return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+		})
+	}
+	return out
+}
+
+func chooseInside(self ferryid.EntryName, own []point, extra int, chosen map[ferryid.EntryName]bool) {
+	n := len(own)
+	ringEdge := func(i, j int) bool { return j-i == 1 || j-i == n-1 }
+	edges := make([]edge, 0, n*(n-1)/2)
+	for i := range n {
+		for j := i + 1; j < n; j++ {
+			if !ringEdge(i, j) {
+				edges = append(edges, edge{weight: weigh(own[i].hash, own[j].hash), a: i, b: j})
+				continue
+			}
+			choose(self, own[i].name, own[j].name, chosen)
+		}
+	}
+	match(edges, n, n, extra, extra, true, func(a, b int) {
+		choose(self, own[a].name, own[b].name, chosen)
+	})
+}
+
+func chooseBetween(self ferryid.EntryName, own, theirs []point, into int, chosen map[ferryid.EntryName]bool) {
+	edges := make([]edge, 0, len(own)*len(theirs))
+	for i, a := range own {
+		for j, b := range theirs {
+			edges = append(edges, edge{weight: weigh(a.hash, b.hash), a: i, b: j})
+		}
+	}
+	roomOwn := into * min(maxUnequalFactor, ceilDiv(len(theirs), len(own)))
+	roomTheirs := into * min(maxUnequalFactor, ceilDiv(len(own), len(theirs)))
+	match(edges, len(own), len(theirs), roomOwn, roomTheirs, false, func(a, b int) {
+		choose(self, own[a].name, theirs[b].name, chosen)
+	})
+}
+
+func choose(self, a, b ferryid.EntryName, chosen map[ferryid.EntryName]bool) {
+	switch self {
+	case a:
+		chosen[b] = true
+	case b:
+		chosen[a] = true
+	}
+}
+
+type edge struct {
+	weight uint64
+	a, b   int
+}
+
+// match takes edges from the heaviest down while both ends have room left.
+func match(edges []edge, na, nb, roomA, roomB int, sameSide bool, take func(a, b int)) {
+	if roomA == 0 || roomB == 0 {
+		return
+	}
+	slices.SortFunc(edges, func(x, y edge) int {
+		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b))
+	})
+	left := fill(na, roomA)
+	right := left
+	if !sameSide {
+		right = fill(nb, roomB)
+	}
+	for _, e := range edges {
+		if left[e.a] == 0 || right[e.b] == 0 {
+			continue
+		}
+		left[e.a]--
+		right[e.b]--
+		take(e.a, e.b)
+	}
+}
+
+func fill(n, v int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = v
+	}
+	return out
+}
+
+func ceilDiv(a, b int) int {
+	return (a + b - 1) / b
+}
+
+// weigh is symmetric, so both ends rank a link alike.
+func weigh(a, b uint64) uint64 {
+	return mix(mix(min(a, b)) ^ max(a, b))
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 32
+	x *= fibonacciMultiply
+	x ^= x >> 29
+	x *= fibonacciMultiply
+	return x ^ x>>32
+}
--- /dev/null
+++ b/ferry/ferrypeer/hello.go
@@ -0,0 +1,178 @@
+package ferrypeer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+const helloTimeout = 3 * time.Second
+
+// HelloError says why a connection was refused at its hello.
+type HelloError struct {
+	Reason CloseReason
+	Detail string
+}
+
+func (e *HelloError) Error() string {
+	return fmt.Sprintf("hello refused: %s %s", e.Reason, e.Detail)
+}
+
+// session is what a hello agreed on.
+type session struct {
+	peer    Member
+	purpose Purpose
+	topics  []TopicName
+}
+
+func (n *Node) hello(p Purpose, expect ferryid.EntryName) *Hello {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	return &Hello{MinVersion: MinVersion, Purpose: p, Member: n.Self(), Topics: n.overlay.Topics(), Nonce: nonce, Expect: expect}
+}
+
+// The roles in a proof, so that one side's proof can't be sent back as the other's.
+const (
+	proofOfDialler  = "dial"
+	proofOfAcceptor = "accept"
+)
+
+// prove returns the MAC of a side over both hellos of this connection.
+func (n *Node) prove(role string, dialled, accepted []byte) *Proof {
+	m := hmac.New(sha256.New, n.cfg.Secret)
+	for _, part := range [][]byte{[]byte(role), dialled, accepted} {
+		fmt.Fprintf(m, "%d:", len(part))
+		m.Write(part)
+	}
+	return &Proof{MAC: m.Sum(nil)}
+}
+
+func (n *Node) checkProof(got *Proof, want *Proof) error {
+	if !hmac.Equal(got.MAC, want.MAC) {
+		return &HelloError{Reason: CloseUnauthenticated, Detail: "wrong proof"}
+	}
+	return nil
+}
+
+// acceptHello takes the accepting side: hello, hello back, proof, proof back.
+func (n *Node) acceptHello(ctx context.Context, ws *websocket.Conn) (session, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, n.cfg.Clock, helloTimeout)
+	defer cancel()
+	theirs, theirFrame, err := n.readHello(ctx, ws)
+	if err != nil {
+		return session{}, err
+	}
+	own := n.hello(theirs.Purpose, "")
+	own.Refused = n.judge(theirs)
+	ownFrame, err := n.writeMessage(ctx, ws, own)
+	if err != nil {
+		return session{}, err
+	}
+	if own.Refused != "" {
+		return session{}, &HelloError{Reason: own.Refused}
+	}
+	proof, err := readProof(ctx, ws)
+	if err != nil {
+		return session{}, err
+	}
+	if err := n.checkProof(proof, n.prove(proofOfDialler, theirFrame, ownFrame)); err != nil {
+		return session{}, err
+	}
+	if _, err := n.writeMessage(ctx, ws, n.prove(proofOfAcceptor, theirFrame, ownFrame)); err != nil {
+		return session{}, err
+	}
+	return session{peer: theirs.Member, purpose: theirs.Purpose, topics: theirs.Topics}, nil
+}
+
+// judge returns the reason for refusing a hello, or nothing.
+func (n *Node) judge(h *Hello) CloseReason {
+	switch {
+	case h.MinVersion > Version:
+		return CloseVersion
+	case h.Member.Name == n.cfg.Self.Name:
+		return CloseNotThere
+	case h.Expect != "" && h.Expect != n.cfg.Self.Name:
+		return CloseNotThere
+	}
+	return ""
+}
+
+// dialHello takes the dialling side.
+func (n *Node) dialHello(ctx context.Context, ws *websocket.Conn, p Purpose, expect ferryid.EntryName) (session, error) {
+	own := n.hello(p, expect)
+	ownFrame, err := n.writeMessage(ctx, ws, own)
+	if err != nil {
+		return session{}, err
+	}
+	theirs, theirFrame, err := n.readHello(ctx, ws)
+	if err != nil {
+		return session{}, err
+	}
+	switch {
+	case theirs.Refused != "":
+		return session{}, &HelloError{Reason: theirs.Refused, Detail: "by the far side"}
+	case theirs.MinVersion > Version:
+		return session{}, &HelloError{Reason: CloseVersion}
+	case expect != "" && theirs.Member.Name != expect:
+		return session{}, &HelloError{Reason: CloseNotThere, Detail: string(theirs.Member.Name)}
+	}
+	if _, err := n.writeMessage(ctx, ws, n.prove(proofOfDialler, ownFrame, theirFrame)); err != nil {
+		return session{}, err
+	}
+	proof, err := readProof(ctx, ws)
+	if err != nil {
+		return session{}, err
+	}
+	if err := n.checkProof(proof, n.prove(proofOfAcceptor, ownFrame, theirFrame)); err != nil {
+		return session{}, err
+	}
+	return session{peer: theirs.Member, purpose: p, topics: theirs.Topics}, nil
+}
+
+func (n *Node) writeMessage(ctx context.Context, ws *websocket.Conn, m Message) ([]byte, error) {
+	frame, err := Encode(n.cfg.Self.Tag(), n.cfg.Events.Now(), m)
+	if err != nil {
+		return nil, err
+	}
+	return frame, ws.Write(ctx, websocket.MessageBinary, frame)
+}
+
+func (n *Node) readHello(ctx context.Context, ws *websocket.Conn) (*Hello, []byte, error) {
+	_, frame, err := ws.Read(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	e, m, err := Decode(frame)
+	if err != nil {
+		return nil, nil, err
+	}
+	h, ok := m.(*Hello)
+	if !ok || e.From != h.Member.Tag() {
+		return nil, nil, &MalformedError{Kind: e.Kind, Err: fmt.Errorf("a hello from its own member was due")}
+	}
+	return h, frame, nil
+}
+
+func readProof(ctx context.Context, ws *websocket.Conn) (*Proof, error) {
+	_, frame, err := ws.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	e, m, err := Decode(frame)
+	if err != nil {
+		return nil, err
+	}
+	p, ok := m.(*Proof)
+	if !ok {
+		return nil, &MalformedError{Kind: e.Kind, Err: fmt.Errorf("a proof was due")}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/ferry/ferrypeer/table.go
@@ -0,0 +1,407 @@
+package ferrypeer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+const (
+	maxMembers     = 4096
+	tombstoneFor   = 10 * time.Minute
+	tombstoneGrace = time.Minute
+	digestMaxAge   = 10 * time.Second
+	startGrace     = time.Minute
+
+	topicMembers TopicName = "members"
+	topicBeats   TopicName = "beats"
+)
+
+// Record is what is spread of a member: whole, or without Member to those who know its tag.
+type Record struct {
+	Tag    Tag     `cbor:"1,keyasint"`
+	Member *Member `cbor:"2,keyasint,omitempty"`
+	Beat   uint64  `cbor:"3,keyasint"`
+	Status Status  `cbor:"4,keyasint"`
+	State  State   `cbor:"5,keyasint"`
+	// Until is when the record of a dead or left member is forgotten, in Unix seconds.
+	Until int64 `cbor:"6,keyasint,omitempty"`
+	Load  Load  `cbor:"7,keyasint"`
+}
+
+// Check returns an error that says what is wrong with the record, or nil.
+func (r Record) Check() error {
+	if r.Status < Alive || r.Status > Left {
+		return fmt.Errorf("record with unknown status %d", r.Status)
+	}
+	if r.State != Ready && r.State != Draining {
+		return fmt.Errorf("record with unknown state %d", r.State)
+	}
+	if r.Member == nil {
+		return nil
+	}
+	if r.Member.Tag() != r.Tag {
+		return fmt.Errorf("record of %s with another's tag", r.Member.Name)
+	}
+	return r.Member.Check()
+}
+
+// supersedes orders records of one incarnation: leaving is final, then the heartbeat count, then the status.
+func (r Record) supersedes(o Record) bool {
+	if o.Status == Left {
+		return false
+	}
+	if r.Status == Left {
+		return true
+	}
+	return cmp.Or(cmp.Compare(r.Beat, o.Beat), cmp.Compare(r.Status, o.Status)) > 0
+}
+
+func (r Record) gone() bool {
+	return r.Status == Dead || r.Status == Left
+}
+
+type row struct {
+	Record
+	beatAt   time.Time
+	statusAt time.Time
+}
+
+// table is the membership as one process holds it; merging records in any order ends in the same table.
+type table struct {
+	self  Record
+	born  time.Time
+	now   time.Time
+	rows  map[ferryid.EntryName]*row
+	byTag map[Tag]ferryid.EntryName
+
+	structure uint64
+	detail    uint64
+
+	members, beats cachedDigest
+	freshMembers   []Item
+	freshBeats     []Item
+
+	accusedBeat uint64
+	replaced    bool
+	conflicts   uint64
+	refused     uint64
+}
+
+type cachedDigest struct {
+	bytes []byte
+	at    time.Time
+	dirty bool
+}
+
+func newTable(self Member, now time.Time) *table {
+	t := &table{born: now, now: now, rows: map[ferryid.EntryName]*row{}, byTag: map[Tag]ferryid.EntryName{}}
+	t.self = Record{Tag: self.Tag(), Member: &self, Beat: 1, Status: Alive, State: Ready}
+	t.put(t.self)
+	t.freshMembers = append(t.freshMembers, encodeRecord(t.self))
+	return t
+}
+
+func encodeRecord(r Record) Item {
+	b, err := encMode.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func decodeRecord(it Item) (Record, error) {
+	var r Record
+	if err := decMode.Unmarshal(it, &r); err != nil {
+		return r, err
+	}
+	return r, r.Check()
+}
+
+// put stores a record that won, and notes what has to be computed anew.
+func (t *table) put(r Record) {
+	old := t.rows[r.Member.Name]
+	n := &row{Record: r, beatAt: t.now, statusAt: t.now}
+	t.beats.dirty = true
+	t.detail++
+	if old != nil && old.Tag == r.Tag && old.Status == r.Status {
+		n.statusAt = old.statusAt
+	}
+	if old == nil || old.Tag != r.Tag || old.Status != r.Status || old.State != r.State {
+		t.structure++
+		t.members.dirty = true
+	}
+	if r.Status != Alive {
+		t.members.dirty = true
+	}
+	if old != nil && old.Tag != r.Tag {
+		delete(t.byTag, old.Tag)
+	}
+	t.rows[r.Member.Name] = n
+	t.byTag[r.Tag] = r.Member.Name
+}
+
+// merge takes a record from a peer or from this process's own observation and reports whether it changed the table.
+func (t *table) merge(r Record) bool {
+	if r.Member == nil {
+		return t.mergeCompact(r)
+	}
+	if r.Member.Name == t.self.Member.Name {
+		t.mergeSelf(r)
+		return false
+	}
+	old := t.rows[r.Member.Name]
+	if old == nil {
+		return t.insert(r)
+	}
+	if old.Tag != r.Tag {
+		if !r.Member.newer(*old.Member) {
+			return false
+		}
+		t.put(r)
+		return true
+	}
+	if r.Member.newer(*old.Member) {
+		m := *r.Member
+		old.Member = &m
+		t.members.dirty = true
+		t.structure++
+		t.detail++
+		if !r.supersedes(old.Record) {
+			return true
+		}
+	}
+	if !r.supersedes(old.Record) {
+		return false
+	}
+	r.Member = old.Member
+	t.put(r)
+	return true
+}
+
+func (t *table) mergeCompact(r Record) bool {
+	name, ok := t.byTag[r.Tag]
+	if !ok {
+		return false
+	}
+	r.Member = t.rows[name].Member
+	return t.merge(r)
+}
+
+// insert takes a record of an entry not known before; a record about to be forgotten is not learned again.
+func (t *table) insert(r Record) bool {
+	if r.gone() && r.Until < t.now.Add(tombstoneGrace).Unix() {
+		return false
+	}
+	if len(t.rows) >= maxMembers && !t.evictGone() {
+		t.refused++
+		return false
+	}
+	t.put(r)
+	return true
+}
+
+func (t *table) evictGone() bool {
+	var oldest *row
+	for _, r := range t.rows {
+		if r.gone() && (oldest == nil || r.Until < oldest.Until) {
+			oldest = r
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	t.remove(oldest)
+	return true
+}
+
+func (t *table) remove(r *row) {
+	delete(t.rows, r.Member.Name)
+	delete(t.byTag, r.Tag)
+	t.members.dirty, t.beats.dirty = true, true
+	t.structure++
+	t.detail++
+}
+
+// mergeSelf judges what others say of this process: an accusation is refuted, a later incarnation replaces it.
+func (t *table) mergeSelf(r Record) {
+	if r.Tag == t.self.Tag {
+		if r.Status != Alive && t.self.Status != Left && r.Beat >= t.self.Beat {
+			t.accusedBeat = max(t.accusedBeat, r.Beat)
+		}
+		return
+	}
+	if !r.Member.newer(*t.self.Member) {
+		return
+	}
+	if t.now.Sub(t.born) > startGrace {
+		t.replaced = true
+		return
+	}
+	t.conflicts++
+	m := *t.self.Member
+	m.Started = r.Member.Started
+	m.Started.Logical++
+	t.self.Member = &m
+	t.announce(true)
+}
+
+// announce raises the own heartbeat count and queues the own record, whole if others may not know it.
+func (t *table) announce(whole bool) {
+	t.self.Beat++
+	t.put(t.self)
+	r := t.self
+	if whole {
+		t.freshMembers = append(t.freshMembers, encodeRecord(r))
+		return
+	}
+	r.Member = nil
+	t.freshBeats = append(t.freshBeats, encodeRecord(r))
+}
+
+// judge changes the status of another member by this process's own observation and queues it for the others.
+func (t *table) judge(name ferryid.EntryName, s Status) {
+	old := t.rows[name]
+	if old == nil || name == t.self.Member.Name {
+		return
+	}
+	r := old.Record
+	r.Status = s
+	r.Until = t.now.Add(tombstoneFor).Unix()
+	if !r.supersedes(old.Record) {
+		return
+	}
+	t.put(r)
+	r.Member = nil
+	t.freshMembers = append(t.freshMembers, encodeRecord(r))
+}
+
+// expire turns suspects and members without a refresh into dead ones, and forgets old records.
+func (t *table) expire(suspectFor, refreshWithin time.Duration) {
+	for name, r := range t.rows {
+		switch {
+		case name == t.self.Member.Name:
+		case r.gone() && t.now.Unix() >= r.Until:
+			t.remove(r)
+		case r.Status == Suspect && t.now.Sub(r.statusAt) >= suspectFor:
+			t.judge(name, Dead)
+		case r.Status == Alive && t.now.Sub(r.beatAt) >= refreshWithin:
+			t.judge(name, Suspect)
+		}
+	}
+}
+
+// shift moves what was last heard forward by the time in which this process did not run.
+func (t *table) shift(d time.Duration) {
+	for _, r := range t.rows {
+		r.beatAt = r.beatAt.Add(d)
+		r.statusAt = r.statusAt.Add(d)
+	}
+}
+
+func (t *table) live() int {
+	n := 0
+	for _, r := range t.rows {
+		if !r.gone() {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *table) snapshot() Members {
+	ms := Members{At: t.now, Self: t.self.Member.Name, List: make([]MemberInfo, 0, len(t.rows))}
+	for _, r := range t.rows {
+		ms.List = append(ms.List, MemberInfo{Member: *r.Member, State: r.State, Status: r.Status, Beat: r.Beat, Load: r.Load})
+	}
+	slices.SortFunc(ms.List, func(a, b MemberInfo) int { return cmp.Compare(a.Name, b.Name) })
+	return ms
+}
+
+// spread reports whether the record takes part in digests; one about to be forgotten does not.
+func (t *table) spread(r *row) bool {
+	return !r.gone() || r.Until >= t.now.Add(tombstoneGrace).Unix()
+}
+
+func memberPair(r *row) pair {
+	v := mix(uint64(r.Tag)) ^ uint64(r.State)<<8 ^ uint64(r.Status) ^ uint64(r.Member.Started.Micros)<<16
+	if r.Status != Alive {
+		v ^= r.Beat << 32
+	}
+	return pairOf(string(r.Member.Name), v)
+}
+
+func beatPair(r *row) pair {
+	return pairOf(string(r.Member.Name), uint64(r.Tag)^mix(r.Beat))
+}
+
+func (t *table) digest(c *cachedDigest, of func(*row) pair, in func(*row) bool) []byte {
+	if !c.dirty && c.bytes != nil && t.now.Sub(c.at) < digestMaxAge {
+		return c.bytes
+	}
+	ps := make([]pair, 0, len(t.rows))
+	for _, r := range t.rows {
+		if in(r) {
+			ps = append(ps, of(r))
+		}
+	}
+	*c = cachedDigest{bytes: encodePairs(ps), at: t.now}
+	return c.bytes
+}
+
+func (t *table) missing(remote []byte, of func(*row) pair, in func(*row) bool, encode func(Record) Item) []Item {
+	has := decodePairs(remote)
+	var out []Item
+	for _, r := range t.rows {
+		if in(r) && !has[of(r)] {
+			out = append(out, encode(r.Record))
+		}
+	}
+	slices.SortFunc(out, func(a, b Item) int { return slices.Compare(a, b) })
+	return out
+}
+
+func (t *table) apply(it Item) (bool, error) {
+	r, err := decodeRecord(it)
+	if err != nil {
+		return false, err
+	}
+	return t.merge(r), nil
+}
+
+func alive(r *row) bool { return r.Status == Alive }
+
+func compact(r Record) Item {
+	r.Member = nil
+	return encodeRecord(r)
+}
+
+// topics returns the two topics of the membership: who is there, and their heartbeat counts with loads.
+func (t *table) topics() []Topic {
+	return []Topic{
+		{
+			Name:    topicMembers,
+			Digest:  func() []byte { return t.digest(&t.members, memberPair, t.spread) },
+			Missing: func(d []byte) []Item { return t.missing(d, memberPair, t.spread, encodeRecord) },
+			Apply:   t.apply,
+			Fresh:   func() []Item { return takeItems(&t.freshMembers) },
+		},
+		{
+			Name:     topicBeats,
+			Digest:   func() []byte { return t.digest(&t.beats, beatPair, alive) },
+			Missing:  func(d []byte) []Item { return t.missing(d, beatPair, alive, compact) },
+			Apply:    t.apply,
+			Fresh:    func() []Item { return takeItems(&t.freshBeats) },
+			Volatile: true,
+		},
+	}
+}
+
+func takeItems(from *[]Item) []Item {
+	out := *from
+	*from = nil
+	return out
+}
