--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -151,8 +151,9 @@
 // run generates the answer, over as many grants as the queue takes and gives back, and closes tokens.
 func (st *stream) run(ctx context.Context) error {
 	defer close(st.tokens)
+	job := st.job
 	for {
-		err := st.runGrant(ctx)
+		err := st.runGrant(ctx, &job)
 		if !errors.Is(err, errPreempted) {
 			return err
 		}
@@ -160,12 +161,12 @@
 		if err := st.grant.Resume(ctx); err != nil {
 			return err
 		}
-		st.job.Resume = st.texts
+		job.Resume = st.texts
 	}
 }
 
 // runGrant generates until the answer ends or the grant is taken back.
-func (st *stream) runGrant(ctx context.Context) error {
+func (st *stream) runGrant(ctx context.Context, job *ferrypipeline.Job) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
@@ -175,14 +176,14 @@
 		case <-ctx.Done():
 		}
 	}()
-	res, err := st.server.Models.Run(ctx, st.caller.doc, st.job, func(t ferrypipeline.Token) error {
+	res, err := st.server.Models.Run(ctx, st.caller.doc, *job, func(t ferrypipeline.Token) error {
 		select {
 		case st.tokens <- t:
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
 		st.texts = append(st.texts, t.Text)
-		st.job.Epoch = max(st.job.Epoch, t.Epoch)
+		job.Epoch = max(job.Epoch, t.Epoch)
 		st.grant.Progress(ferryid.Tokens(len(st.texts)))
 		return nil
 	})
--- a/ferryd/ferrycaller/request.go
+++ b/ferryd/ferrycaller/request.go
@@ -152,17 +152,19 @@
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(s.Clock.Now().Add(s.Limits.BodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = c.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = c.SetReadDeadline(time.Time{})
+		return b, nil
+	}
+	// The deadline stays, so that net/http does not wait for the rest of the body before it answers.
+	w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, tooLarge(limit)
 	}
-	if err != nil {
-		p := ferryoutcome.New(ferryoutcome.KindTimeout, ferryoutcome.NotRun, "The body did not arrive within %s; send it faster.", s.Limits.BodyTimeout)
-		p.Status = http.StatusRequestTimeout
-		return nil, p
-	}
-	return b, nil
+	p := ferryoutcome.New(ferryoutcome.KindTimeout, ferryoutcome.NotRun, "The body did not arrive within %s; send it faster.", s.Limits.BodyTimeout)
+	p.Status = http.StatusRequestTimeout
+	return nil, p
 }
 
 func tooLarge(limit int64) *ferryoutcome.Problem {
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -8,7 +8,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"cactusferry.dev/ferry/ferryengine"
-	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryroute"
 	"cactusferry.dev/ferry/ferryservice"
 )
@@ -28,15 +27,11 @@
 	if err != nil {
 		return merry.Prepend(err, "callers' listener")
 	}
-	peerKeys, err := n.loadPair(n.cfg.Peers.TLS)
-	if err != nil {
-		return merry.Prepend(err, "peers' listener")
-	}
 	callers, err := listen(n.cfg.Callers.Listen, callerKeys)
 	if err != nil {
 		return err
 	}
-	peers, err := listen(n.cfg.Peers.Listen, peerKeys)
+	peers, err := listen(n.cfg.Peers.Listen, n.peerKeys)
 	if err != nil {
 		_ = callers.Close()
 		return err
@@ -50,6 +45,8 @@
 // duties starts each duty on a goroutine of its own.
 func (n *Node) duties(ctx context.Context, fail func(error)) {
 	go n.follow(ctx)
+	go n.publishDocuments(ctx)
+	go func() { fail(n.peer.Run(ctx)) }()
 	go func() { fail(n.watcher.Run(ctx)) }()
 	go func() { fail(n.claims.Run(ctx)) }()
 	go n.every(ctx, listInterval, n.readInstances)
@@ -96,14 +93,8 @@
 		n.log.Debug().Err(err).Msg("no instance list")
 		return
 	}
-	live := 0
-	for _, in := range list {
-		if in.Role == ferryplatform.RoleEntry && in.State == ferryplatform.StateLive {
-			live++
-		}
-	}
 	n.list.Store(&list)
-	n.services.setInstances(list, live)
+	n.services.setInstances(list)
 }
 
 // readLoads asks every engine for its load report.
--- a/ferryd/ferrynode/leave.go
+++ b/ferryd/ferrynode/leave.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferryd/ferryoperator"
 )
 
+const leaveTimeout = 2 * time.Second
+
 // markLeaving keeps new work from an upstream that said itself that it leaves.
 func (n *Node) markLeaving(s ferryid.ServiceName, u ferryid.UpstreamName) {
 	n.setLeaving(s, u, true)
@@ -30,9 +34,18 @@
 	return true
 }
 
-func (n *Node) leaveSteering() {}
+// leaveSteering tells the other entries to send no new callers here.
+func (n *Node) leaveSteering() {
+	n.peer.SetState(ferrypeer.Draining, ferrypeer.Load{})
+}
 
-func (n *Node) finish(context.Context) error {
+// finish says goodbye to the peers once nothing is open.
+func (n *Node) finish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := n.peer.Leave(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("peers were not told")
+	}
 	n.log.Info().Msg("stopped")
 	return nil
 }
--- a/ferryd/ferrynode/listen.go
+++ b/ferryd/ferrynode/listen.go
@@ -47,6 +47,7 @@
 	m := chi.NewRouter()
 	m.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.Handle("/metrics", n.metrics.handler)
+	m.Handle("/peer", n.peer.Handler())
 	n.operators.Mount(m)
 	return &http.Server{
 		Handler:           m,
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -17,10 +17,12 @@
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplain"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferrystream"
 	"cactusferry.dev/ferryd/ferrycaller"
+	"cactusferry.dev/ferryd/ferrykeys"
 	"cactusferry.dev/ferryd/ferryoperator"
 	"cactusferry.dev/ferryd/ferrysettings"
 )
@@ -76,6 +78,8 @@
 	engines   *ferryengine.Client
 	plain     *ferryplain.Client
 	claims    *ferryclaim.Claims
+	peer      *ferrypeer.Node
+	peerKeys  *ferrykeys.Pair
 	callers   *ferrycaller.Server
 	operators *ferryoperator.Server
 }
@@ -103,7 +107,7 @@
 	if err := n.newServers(); err != nil {
 		return nil, err
 	}
-	return n, nil
+	return n, n.newOverlay()
 }
 
 func (n *Node) newServers() error {
@@ -116,7 +120,9 @@
 	if err != nil {
 		return err
 	}
-	n.claims = ferryclaim.New(ferryclaim.Config{Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock})
+	n.claims = ferryclaim.New(ferryclaim.Config{
+		Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock, Asker: asker{n}, Live: n.liveIncarnations,
+	})
 	n.callers = &ferrycaller.Server{
 		Clock: n.clock, Log: n.log, Events: n.events, Documents: n.services, Plain: n.plain, Claims: n.claims, Sealer: sealer,
 		Upstreams: plainUpstreams{services: n.services, clock: n.clock, leaving: n.markLeaving},
--- /dev/null
+++ b/ferryd/ferrynode/overlay.go
@@ -0,0 +1,181 @@
+package ferrynode
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"cactusferry.dev/ferry/ferryclaim"
+	"cactusferry.dev/ferry/ferrydocument"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+// The topics and requests that entries exchange.
+const (
+	topicDocuments ferrypeer.TopicName = "documents"
+
+	askClaim ferrypeer.AskKind = 1
+)
+
+// newOverlay makes this process's part in the overlay.
+func (n *Node) newOverlay() error {
+	cfg := ferrypeer.Config{
+		Self: ferrypeer.Member{
+			Name: n.cfg.Name, Incarnation: n.self, FailureDomain: n.cfg.FailureDomain,
+			PeerAddress: n.cfg.Peers.Advertise, CallerAddress: n.cfg.Callers.Advertise,
+		},
+		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: peerSecret(n.cfg.Keys.SealKeys()[0]),
+		Log: n.log, Events: n.events,
+		Topics:    []ferrypeer.Topic{documentTopic(n.holder)},
+		Handlers:  map[ferrypeer.AskKind]ferrypeer.Handler{askClaim: n.answerClaim},
+		OnMembers: n.onMembers,
+	}
+	pair, err := n.loadPair(n.cfg.Peers.TLS)
+	if err != nil {
+		return merry.Prepend(err, "peers' keys")
+	}
+	if pair != nil {
+		cfg.TLS = pair.Client()
+	}
+	n.peerKeys = pair
+	n.peer = ferrypeer.New(cfg)
+	return nil
+}
+
+// peerSecret is what entries prove to each other, made from the key they share.
+func peerSecret(key []byte) []byte {
+	sum := sha256.Sum256(append([]byte("cactusferry peers "), key...))
+	return sum[:]
+}
+
+// cachedList gives the overlay the list that this process read last, so that it costs no call of its own.
+type cachedList struct{ node *Node }
+
+// Instances returns the last list.
+func (c cachedList) Instances(context.Context) (ferryplatform.Instances, error) {
+	list := c.node.list.Load()
+	if list == nil {
+		return nil, fmt.Errorf("no instance list has been read yet")
+	}
+	return *list, nil
+}
+
+// onMembers takes a new membership.
+func (n *Node) onMembers(ms ferrypeer.Members) {
+	live := len(ms.Live())
+	n.services.setLive(live)
+	n.watcher.SetLive(live)
+}
+
+// documentTopic spreads the documents in force; a change is pulled once, since documents are large.
+func documentTopic(h *ferrydocument.Holder) ferrypeer.Topic {
+	return ferrypeer.Topic{
+		Name:    topicDocuments,
+		Digest:  func() []byte { return encode(h.Digest()) },
+		Missing: func(digest []byte) []ferrypeer.Item { return missingDocuments(h, digest) },
+		Apply:   func(it ferrypeer.Item) (bool, error) { return applyDocument(h, it) },
+	}
+}
+
+func encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func missingDocuments(h *ferrydocument.Holder, digest []byte) []ferrypeer.Item {
+	var d ferrydocument.Digest
+	if err := cbor.Unmarshal(digest, &d); err != nil {
+		d = nil
+	}
+	var items []ferrypeer.Item
+	for _, a := range h.Missing(d) {
+		items = append(items, encode(a))
+	}
+	return items
+}
+
+func applyDocument(h *ferrydocument.Holder, it ferrypeer.Item) (bool, error) {
+	var a ferryservice.Accepted
+	if err := cbor.Unmarshal(it, &a); err != nil {
+		return false, err
+	}
+	switch h.Offer(a, "peer") {
+	case ferrydocument.Taken:
+		return true, nil
+	case ferrydocument.Invalid:
+		return false, fmt.Errorf("document of %q does not pass its checks", a.Service)
+	}
+	return false, nil
+}
+
+// publishDocuments tells the peers of each document that comes into force here.
+func (n *Node) publishDocuments(ctx context.Context) {
+	sub := n.holder.Subscribe()
+	defer sub.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.Ready():
+			sub.Take()
+			n.peer.Publish(topicDocuments)
+		}
+	}
+}
+
+// memberOf finds the live member of an incarnation.
+func (n *Node) memberOf(id ferryid.Incarnation) (ferrypeer.MemberInfo, bool) {
+	for _, m := range n.peer.Members().List {
+		if m.Incarnation == id {
+			return m, true
+		}
+	}
+	return ferrypeer.MemberInfo{}, false
+}
+
+// asker asks other incarnations about claims, over the overlay.
+type asker struct{ node *Node }
+
+// Ask returns what the incarnation knows of a claim.
+func (a asker) Ask(ctx context.Context, id ferryid.Incarnation, q ferryclaim.Question) (ferryclaim.Answer, error) {
+	m, ok := a.node.memberOf(id)
+	if !ok {
+		return ferryclaim.Answer{}, fmt.Errorf("incarnation %s is not a member", id)
+	}
+	b, err := a.node.peer.Ask(ctx, m.Name, id, askClaim, encode(q))
+	if err != nil {
+		return ferryclaim.Answer{}, err
+	}
+	var answer ferryclaim.Answer
+	if err := cbor.Unmarshal(b, &answer); err != nil {
+		return ferryclaim.Answer{}, merry.Prepend(err, "answer about a claim")
+	}
+	return answer, nil
+}
+
+// answerClaim answers a peer about one of this process's claims.
+func (n *Node) answerClaim(_ context.Context, _ ferrypeer.Member, body []byte) ([]byte, error) {
+	var q ferryclaim.Question
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, merry.Prepend(err, "question about a claim")
+	}
+	return encode(n.claims.Answer(q)), nil
+}
+
+// liveIncarnations are the entries among which a claim's heir is looked for.
+func (n *Node) liveIncarnations() []ferryid.Incarnation {
+	var out []ferryid.Incarnation
+	for _, m := range n.peer.Members().Live() {
+		out = append(out, m.Incarnation)
+	}
+	return out
+}
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -113,12 +113,25 @@
 	s.snap.Store(&next)
 }
 
-// setInstances takes a new instance list and the number of live entries.
-func (s *services) setInstances(list ferryplatform.Instances, live int) {
+// setInstances takes a new instance list.
+func (s *services) setInstances(list ferryplatform.Instances) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list = list
-	s.live = max(1, live)
+	for _, sv := range s.named {
+		s.refresh(sv)
+	}
+}
+
+// setLive takes the number of entries that share the upstreams.
+func (s *services) setLive(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n = max(1, n)
+	if s.live == n {
+		return
+	}
+	s.live = n
 	for _, sv := range s.named {
 		s.refresh(sv)
 	}
--- a/ferryd/ferrynode/status.go
+++ b/ferryd/ferrynode/status.go
@@ -45,6 +45,7 @@
 	Name        ferryid.EntryName
 	PeerAddress string
 	State       string
+	Status      string
 }
 
 func (n *Node) status() Status {
@@ -60,6 +61,9 @@
 	for _, sv := range n.services.all() {
 		s.Services = append(s.Services, ServiceStatus{Service: sv.name, Queue: sv.admission.Snapshot(), Upstreams: sv.table.Snapshot().All()})
 	}
+	for _, name := range n.peer.Links() {
+		s.Peers = append(s.Peers, string(name))
+	}
 	s.Entries = n.entryStatus()
 	return s
 }
--- a/ferryd/ferrynode/steer.go
+++ b/ferryd/ferrynode/steer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"cactusferry.dev/ferry/ferryid"
-	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryservice"
 	"cactusferry.dev/ferryd/ferrycaller"
 )
@@ -14,45 +13,36 @@
 // steer answers which entries a customer should use.
 func (n *Node) steer(d *ferryservice.Document, _ ferryservice.Customer) ferrycaller.EntriesAnswer {
 	a := ferrycaller.EntriesAnswer{Service: d.Service, LifetimeSeconds: int(steerLifetime / time.Second)}
-	for _, in := range n.entries() {
-		a.Entries = append(a.Entries, ferrycaller.EntryAddress{Name: ferryid.EntryName(in.Name), Address: in.Address, FailureDomain: in.FailureDomain})
-	}
-	return a
-}
-
-// entries are the live entries of the instance list.
-func (n *Node) entries() ferryplatform.Instances {
-	var out ferryplatform.Instances
-	if list := n.list.Load(); list != nil {
-		for _, in := range *list {
-			if in.Role == ferryplatform.RoleEntry && in.State == ferryplatform.StateLive {
-				out = append(out, in)
-			}
+	for _, m := range n.peer.Members().List {
+		if m.Usable() {
+			a.Entries = append(a.Entries, ferrycaller.EntryAddress{Name: m.Name, Address: m.CallerAddress, FailureDomain: m.FailureDomain})
 		}
 	}
-	return out
+	return a
 }
 
+// otherEntries are the callers' addresses of the entries that take calls.
 func (n *Node) otherEntries() []string {
 	var out []string
-	for _, in := range n.entries() {
-		if in.Name != string(n.cfg.Name) {
-			out = append(out, in.Address)
+	for _, m := range n.peer.Members().List {
+		if m.Usable() && m.Name != n.cfg.Name {
+			out = append(out, m.CallerAddress)
 		}
 	}
 	return out
 }
 
 func (n *Node) entryStatus() []EntryStatus {
-	var out []EntryStatus
-	for _, in := range n.entries() {
-		out = append(out, EntryStatus{Name: ferryid.EntryName(in.Name), PeerAddress: in.PeerAddress, State: string(in.State)})
+	out := []EntryStatus{}
+	for _, m := range n.peer.Members().List {
+		out = append(out, EntryStatus{Name: m.Name, PeerAddress: m.PeerAddress, State: m.State.String(), Status: m.Status.String()})
 	}
 	return out
 }
 
-func (n *Node) addressOf(ferryid.Incarnation) (string, bool) {
-	return "", false
+func (n *Node) addressOf(id ferryid.Incarnation) (string, bool) {
+	m, ok := n.memberOf(id)
+	return m.CallerAddress, ok && m.CallerAddress != ""
 }
 
 func (n *Node) allow(*ferryservice.Document, ferryservice.Customer, float64) (time.Duration, bool) {
