--- a/ferry/ferrydocument/apply.go
+++ b/ferry/ferrydocument/apply.go
@@ -17,6 +17,8 @@
 // applyPatience bounds the time spent on resolving a lost answer.
 const applyPatience = 15 * time.Second
 
+var errPatience = errors.New("no answer within " + applyPatience.String())
+
 // Apply makes a text the next version of its service document by a conditional update.
 //
 // It returns a *ferrytoml.FaultsError, a *RequestError, a *LostRaceError, a *ForkError, an *ApplyIDReusedError, an
@@ -57,17 +59,25 @@
 	if err := checkRequest(req); err != nil {
 		return endApply{err: err}
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, clock, applyPatience)
-	defer cancel()
-	core := newApplyCore(req, clock.Now().UTC())
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := clock.AfterFunc(applyPatience, func() { cancel(errPatience) })
+	defer limit.Stop()
+	from := clock.Now()
+	core := newApplyCore(req, from.UTC())
 	action := core.next(applyStarted{})
 	for {
 		if end, ok := action.(endApply); ok {
 			return end.prepend("apply document")
 		}
 		action = core.next(perform(ctx, store, clock, req.Service, action))
-		if _, ended := action.(endApply); !ended && ctx.Err() != nil {
-			action = core.next(applyExpired{ctx.Err()})
+		if _, ended := action.(endApply); ended {
+			continue
+		}
+		if clock.Since(from) >= applyPatience {
+			action = core.next(applyExpired{errPatience})
+		} else if ctx.Err() != nil {
+			action = core.next(applyExpired{context.Cause(ctx)})
 		}
 	}
 }
--- a/ferry/ferryplatform/call.go
+++ b/ferry/ferryplatform/call.go
@@ -12,8 +12,6 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -80,7 +78,7 @@
 		return reply{}, err
 	}
 	c.calls[in.kind].Add(1)
-	ctx, cancel := clockwork.WithTimeout(ctx, c.clock, c.timeout+in.wait)
+	ctx, cancel := withTimeout(ctx, c.clock, c.timeout+in.wait)
 	defer cancel()
 	var sent atomic.Bool
 	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
@@ -91,6 +89,9 @@
 	res, err := c.http.Do(req)
 	if err != nil {
 		c.down.Store(true)
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		return reply{}, broken(in, sent.Load(), err)
 	}
 	defer res.Body.Close()
