--- a/ferry/ferrydocument/applycore.go
+++ b/ferry/ferrydocument/applycore.go
@@ -295,7 +295,7 @@
 }
 
 func (c *applyCore) unresolved(err error) applyAction {
-	return endApply{err: &UnresolvedError{ApplyID: c.req.ApplyID, Command: c.req.command(), Err: err}}
+	return endApply{err: &UnresolvedError{ApplyID: c.req.ApplyID, Command: c.req.Command("FILE"), Err: err}}
 }
 
 func (c *applyCore) lost() applyAction {
--- a/ferry/ferrydocument/request.go
+++ b/ferry/ferrydocument/request.go
@@ -82,9 +82,13 @@
 	return nil
 }
 
-// command is the command that settles an unresolved request.
-func (r ApplyRequest) command() string {
-	return fmt.Sprintf("ferryctl apply FILE --base %d --apply-id %s --operator %s", r.BaseGeneration, r.ApplyID, quote(r.Operator))
+// Command is the ferryctl command that settles the request if its outcome is not known, with the file that it came from.
+func (r ApplyRequest) Command(file string) string {
+	command := fmt.Sprintf("ferryctl apply %s --base %d --apply-id %s --operator %s", quote(file), r.BaseGeneration, quote(r.ApplyID), quote(r.Operator))
+	for _, s := range r.Supersedes {
+		command += " --supersedes " + quote(s)
+	}
+	return command
 }
 
 // quote quotes an argument for a POSIX shell.
--- a/ferry/ferryplatform/client_test.go
+++ b/ferry/ferryplatform/client_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -90,11 +89,9 @@
 }
 
 func TestClientWithoutConnectionSentNothing(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, l.Close())
-	c := ferryplatform.New(ferryplatform.ClientConfig{URL: "http://" + l.Addr().String()})
-	_, err = c.Put(t.Context(), "services", "a", 3, []byte("x"))
+	// Nothing listens on port 1, and the system never gives it away.
+	c := ferryplatform.New(ferryplatform.ClientConfig{URL: "http://127.0.0.1:1"})
+	_, err := c.Put(t.Context(), "services", "a", 3, []byte("x"))
 	assert.Equal(t, verdict(err), "Unavailable")
 	assert.Assert(t, !c.Up())
 }
--- a/ferryctl/doc.go
+++ b/ferryctl/doc.go
@@ -1,2 +1,2 @@
-// Command ferryctl is described in its --help.
+// Command ferryctl is the operators' command: it changes service documents and shows what the entries do.
 package main
