--- a/ferrystand/ferrystandengine/chain.go
+++ b/ferrystand/ferrystandengine/chain.go
@@ -206,7 +206,7 @@
 	f := ru.e.currentFaults()
 	if at(f.DieAtPosition, it.Position) && f.DieWhen == DieInLine {
 		ru.out.half(it)
-		ru.e.dieNow()
+		return ru.e.dieNow()
 	}
 	if f.LateFromOldEpoch && it.Epoch > 1 {
 		old := *it
--- /dev/null
+++ b/ferrystand/ferrystandengine/dispatch_test.go
@@ -0,0 +1,153 @@
+package ferrystandengine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrypipeline"
+)
+
+// cutter is a proxy that passes so many bytes of a connection's request and of its answer, and then closes it.
+type cutter struct {
+	ln      net.Listener
+	to      string
+	request int64
+	answer  int64
+	// sound is the number of the first connection that is not cut.
+	sound int64
+	conns atomic.Int64
+}
+
+func newCutter(tb testing.TB, to string, request, answer, sound int64) *cutter {
+	tb.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+	c := &cutter{ln: ln, to: to, request: request, answer: answer, sound: sound}
+	go c.serve()
+	tb.Cleanup(func() { _ = ln.Close() })
+	return c
+}
+
+func (c *cutter) serve() {
+	for {
+		conn, err := c.ln.Accept()
+		if err != nil {
+			return
+		}
+		request, answer := c.request, c.answer
+		if c.conns.Add(1) > c.sound {
+			request, answer = -1, -1
+		}
+		go pass(conn, c.to, request, answer)
+	}
+}
+
+func pass(in net.Conn, to string, request, answer int64) {
+	defer in.Close()
+	out, err := net.Dial("tcp", to)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	done := make(chan struct{}, 2)
+	go copyAtMost(out, in, request, done)
+	go copyAtMost(in, out, answer, done)
+	<-done
+}
+
+func copyAtMost(to io.Writer, from io.Reader, n int64, done chan<- struct{}) {
+	if n >= 0 {
+		_, _ = io.CopyN(to, from, n)
+	} else {
+		_, _ = io.Copy(to, from)
+	}
+	done <- struct{}{}
+}
+
+// dispatch runs one job on one engine behind a cutter and returns what was said of it and what ran.
+func dispatch(tb testing.TB, request, answer, sound int64) (outcome ferryoutcome.Outcome, ran int) {
+	tb.Helper()
+	c := &chain{}
+	st := c.add(tb, ferryid.LayerRange{To: testLayers}, clockwork.NewRealClock())
+	proxy := newCutter(tb, st.Address, request, answer, sound)
+	clock := clockwork.NewRealClock()
+	pool, err := ferrypipeline.NewPool(ferrypipeline.PlannerConfig{
+		Layers:     testLayers,
+		Candidates: ferrypipeline.Candidates{{Name: "e", Address: proxy.ln.Addr().String(), Layers: st.Layers}},
+	}, []ferrypipeline.Load{{Rate: 1}}, clock)
+	assert.NilError(tb, err)
+	r := &ferrypipeline.Runner{
+		Engines: ferryengine.New(ferryengine.ClientConfig{}), Picker: pool, Clock: clock,
+		Core: ferrypipeline.CoreConfig{MaxEpochs: 1},
+	}
+	_, err = r.Run(context.Background(), ferrypipeline.Job{Stream: "s", Prompt: "p", MaxTokens: 2}, func(ferrypipeline.Token) error { return nil })
+	r.Wait()
+	if err == nil {
+		return "", len(c.engines[0].Records("s"))
+	}
+	return ferryoutcome.Of(err), len(c.engines[0].Records("s"))
+}
+
+// A dispatch is cut at every byte of its request and its answer: NotRun and Ran are true, and nothing is Unknown while the engine can be asked.
+func TestOutcomeAtEveryByte(t *testing.T) {
+	count := map[ferryoutcome.Outcome]int{}
+	try := func(request, answer int64) {
+		outcome, ran := dispatch(t, request, answer, 1)
+		count[outcome]++
+		switch outcome {
+		case ferryoutcome.NotRun:
+			assert.Equal(t, ran, 0, "NotRun, cut after %d and %d bytes", request, answer)
+		case ferryoutcome.Ran, "":
+			assert.Assert(t, ran > 0, "%s, cut after %d and %d bytes", outcome, request, answer)
+		default:
+			t.Errorf("%s, cut after %d and %d bytes", outcome, request, answer)
+		}
+	}
+	for n := int64(0); n < 420; n += 7 {
+		try(n, -1)
+	}
+	for n := int64(0); n < 520; n += 7 {
+		try(-1, n)
+	}
+	assert.Assert(t, count[ferryoutcome.NotRun] > 0 && count[ferryoutcome.Ran] > 0, "%v", count)
+	assert.Equal(t, count[ferryoutcome.Unknown], 0)
+	t.Logf("outcomes %v", count)
+}
+
+// Where the cancel is cut off as well, Unknown is allowed, and NotRun and Ran are still true.
+func TestOutcomeWithoutAnAnswerToCancel(t *testing.T) {
+	count := map[ferryoutcome.Outcome]int{}
+	for n := int64(0); n < 420; n += 35 {
+		outcome, ran := dispatch(t, n, 0, 1<<30)
+		count[outcome]++
+		assert.Assert(t, outcome != ferryoutcome.NotRun || ran == 0)
+		assert.Assert(t, outcome != ferryoutcome.Ran || ran > 0)
+	}
+	t.Logf("outcomes %v", count)
+}
+
+// Nothing listens: no byte was written, so nothing ran.
+func TestNoConnectionIsNotRun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	req := ferryengine.RunRequest{
+		Stream: "s", Epoch: 1, MaxTokens: 1,
+		Stages: ferryengine.Stages{{Address: address, Layers: ferryid.LayerRange{To: 1}}},
+	}
+	_, err = ferryengine.New(ferryengine.ClientConfig{}).Run(context.Background(), req)
+	var dispatchErr *ferryengine.DispatchError
+	assert.Assert(t, errors.As(err, &dispatchErr))
+	assert.Equal(t, dispatchErr.Outcome(), ferryoutcome.NotRun)
+}
--- a/ferrystand/ferrystandengine/engine.go
+++ b/ferrystand/ferrystandengine/engine.go
@@ -84,6 +84,7 @@
 	records     recordLog
 	cache       *prefixCache
 	reports     reports
+	silent      chan struct{}
 }
 
 // New returns an engine that runs until Close.
@@ -97,6 +98,7 @@
 		sched:  newScheduler(cfg.Clock, cfg.Slots),
 		stop:   stop,
 		layers: cfg.Layers,
+		silent: make(chan struct{}),
 	}
 	e.reset()
 	e.routes()
@@ -142,6 +144,11 @@
 	e.leaving = true
 }
 
+// WentSilent receives while a run of the engine hangs in silence.
+func (e *Engine) WentSilent() <-chan struct{} {
+	return e.silent
+}
+
 // Incarnation identifies the engine's present run.
 func (e *Engine) Incarnation() ferryid.Incarnation {
 	e.mu.Lock()
@@ -168,28 +175,40 @@
 	life, silent := e.life, e.faults.Silent
 	e.mu.Unlock()
 	admin := r.URL.Path == "/admin/faults" || r.URL.Path == "/admin/records"
-	if life.Err() != nil && !admin {
-		panic(http.ErrAbortHandler)
-	}
 	if silent && !admin {
-		hang(r.Context(), life)
+		e.hang(r.Context(), life)
+	}
+	if !admin && (silent || life.Err() != nil) {
+		abort(w)
+		return
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(life, cancel)()
 	e.mux.ServeHTTP(w, r.WithContext(ctx))
-	if life.Err() != nil && !admin {
-		panic(http.ErrAbortHandler)
-	}
 }
 
 // hang holds a connection without a byte until the other side gives up or the engine dies.
-func hang(ctx, life context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-life.Done():
+func (e *Engine) hang(ctx, life context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-life.Done():
+			return
+		case e.silent <- struct{}{}:
+			// A reader waits for the silence; it may need to hear of it more than once.
+		}
+	}
+}
+
+// abort closes the connection at once, without an end of the answer and without reading the rest of the request.
+func abort(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
+	_ = conn.Close()
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, v interface{ Check() error }) bool {
--- a/ferrystand/ferrystandengine/engine_test.go
+++ b/ferrystand/ferrystandengine/engine_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryengine"
@@ -31,13 +32,13 @@
 	c := &chain{}
 	for i := range n {
 		layers := ferryid.LayerRange{From: ferryid.Layer(i * testLayers / n), To: ferryid.Layer((i + 1) * testLayers / n)}
-		c.add(tb, layers)
+		c.add(tb, layers, clockwork.NewRealClock())
 	}
 	return c
 }
 
-func (c *chain) add(tb testing.TB, layers ferryid.LayerRange) ferryengine.Stage {
-	e := ferrystandengine.New(ferrystandengine.Config{Name: "engine", Layers: layers, Slots: 256})
+func (c *chain) add(tb testing.TB, layers ferryid.LayerRange, clock clockwork.Clock) ferryengine.Stage {
+	e := ferrystandengine.New(ferrystandengine.Config{Name: "engine", Layers: layers, Slots: 256, Clock: clock})
 	srv := httptest.NewServer(e)
 	tb.Cleanup(func() {
 		e.Close()
--- a/ferrystand/ferrystandengine/fault.go
+++ b/ferrystand/ferrystandengine/fault.go
@@ -1,6 +1,7 @@
 package ferrystandengine
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -60,6 +61,8 @@
 	return time.Duration(f.DelayMS) * time.Millisecond
 }
 
+var errDied = errors.New("the engine died")
+
 func at(p *ferryid.Position, now ferryid.Position) bool {
 	return p != nil && *p == now
 }
@@ -90,10 +93,10 @@
 }
 
 // dieNow breaks all connections as a killed process does.
-func (e *Engine) dieNow() {
+func (e *Engine) dieNow() error {
 	e.Kill()
 	if e.cfg.OnDie != nil {
 		e.cfg.OnDie()
 	}
-	panic(http.ErrAbortHandler)
+	return errDied
 }
--- a/ferrystand/ferrystandengine/run.go
+++ b/ferrystand/ferrystandengine/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -54,15 +55,21 @@
 	defer ru.forget()
 	ru.out = newItemWriter(e, w, rc)
 	defer ru.out.beat(ctx)()
+	// A cancelled run must not wait for the stage before it to send something.
+	defer context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Now()) })()
 	err = ru.serve()
 	var silent *silence
-	switch {
-	case errors.As(err, &silent):
+	if errors.As(err, &silent) {
 		ru.out.hush()
-		hang(r.Context(), e.lifetime())
-	case err != nil:
-		panic(http.ErrAbortHandler)
+		e.hang(r.Context(), e.lifetime())
+	}
+	if err != nil {
+		ru.out.hush()
+		abort(w)
+		return
 	}
+	// The server can't end a full-duplex exchange whose request it has not read to its end.
+	_, _ = io.Copy(io.Discard, r.Body)
 }
 
 func (e *Engine) lifetime() context.Context {
@@ -169,7 +176,7 @@
 		return &silence{}
 	}
 	if at(f.DieAtPosition, p) && f.DieWhen == DieBeforeApply {
-		ru.e.dieNow()
+		return ru.e.dieNow()
 	}
 	if err := ru.e.sched.step(ru.ctx, ru.req.Priority, ru.cost(f, from, len(states))); err != nil {
 		return err
@@ -190,7 +197,7 @@
 		return err
 	}
 	if at(f.DieAtPosition, p) && f.DieWhen == DieAfterApply {
-		ru.e.dieNow()
+		return ru.e.dieNow()
 	}
 	return nil
 }
@@ -211,7 +218,7 @@
 	}
 	e.records.add(step{
 		Stream: ru.req.Stream, Epoch: ru.req.Epoch, From: from, N: n,
-		Layers: ru.layers, AtNanos: e.clock.Now().UnixNano(),
+		Layers: ru.layers, AtNanos: time.Now().UnixNano(),
 	})
 	if st.epoch == ru.req.Epoch {
 		st.ran = true
