--- a/ferrystand/ferrystandengine/pipeline_test.go
+++ b/ferrystand/ferrystandengine/pipeline_test.go
@@ -60,11 +60,14 @@
 	return f
 }
 
+func (f *fleet) job() ferrypipeline.Job {
+	return ferrypipeline.Job{Service: "herd-llm", Stream: "s", Customer: "c", Prompt: cutPrompt, MaxTokens: cutTokens, Seed: cutSeed}
+}
+
 // run runs the job and returns what the caller got, in the order it came.
 func (f *fleet) run(ctx context.Context) ([]ferrypipeline.Token, ferrypipeline.Result, error) {
 	var got []ferrypipeline.Token
-	job := ferrypipeline.Job{Service: "herd-llm", Stream: "s", Customer: "c", Prompt: cutPrompt, MaxTokens: cutTokens, Seed: cutSeed}
-	res, err := f.runner.Run(ctx, job, func(t ferrypipeline.Token) error {
+	res, err := f.runner.Run(ctx, f.job(), func(t ferrypipeline.Token) error {
 		got = append(got, t)
 		if f.emit != nil {
 			f.emit(t)
