--- a/ferry/ferryengine/stream.go
+++ b/ferry/ferryengine/stream.go
@@ -15,10 +15,11 @@
 }
 
 type runStream struct {
-	call  *call
-	body  io.ReadCloser
-	lines *LineReader
-	ended atomic.Bool
+	call    *call
+	body    io.ReadCloser
+	lines   *LineReader
+	decoder ItemDecoder
+	ended   atomic.Bool
 }
 
 // Next waits for the next item.
@@ -38,7 +39,7 @@
 		if len(line) == 0 {
 			continue
 		}
-		it, err := DecodeItem(line)
+		it, err := s.decoder.Decode(line)
 		if err != nil {
 			return Item{}, s.call.answered(err)
 		}
--- a/ferry/ferrypipeline/planner.go
+++ b/ferry/ferrypipeline/planner.go
@@ -42,19 +42,26 @@
 // edge is a candidate's use between two layer boundaries.
 type edge struct {
 	candidate int
-	from      int
-	to        int
 	share     float64
 }
 
+// group is the edges between the same boundaries in one failure domain, of which only the quickest matters.
+type group struct {
+	from   int
+	to     int
+	domain int
+	edges  []edge
+}
+
 // label is the best chain up to a boundary that ends in one failure domain.
 type label struct {
 	score float64
 	worst float64
 	sum   float64
 	link  float64
-	edge  int
-	prev  int
+	// candidate is the last of the chain, or noPlan.
+	candidate int
+	prev      int
 }
 
 // Planner chooses among candidates that change seldom; it is for one goroutine at a time.
@@ -64,11 +71,13 @@
 	domainOf   []int
 	domains    int
 	boundaries []ferryid.Layer
-	edges      []edge
+	groups     []group
 	link       [maxDomains][maxDomains]float64
 	fixed      [][]int
 	labels     []label
-	chain      []int
+	// chain is the candidates chosen and cuts the layer at which each ends.
+	chain []int
+	cuts  []ferryid.Layer
 }
 
 // NewPlanner prepares the choice among the candidates.
@@ -119,7 +128,7 @@
 	return chain, true
 }
 
-// cut finds the layer boundaries and the edges between them, those that end earlier first.
+// cut finds the layer boundaries and the groups of edges between them, those that end earlier first.
 func (p *Planner) cut() {
 	set := map[ferryid.Layer]bool{0: true, p.layers: true}
 	for _, c := range p.candidates {
@@ -139,17 +148,22 @@
 
 func (p *Planner) edgesBetween(from, to int) {
 	r := ferryid.LayerRange{From: p.boundaries[from], To: p.boundaries[to]}
-	for i, c := range p.candidates {
-		if c.Layers.From <= r.From && r.To <= c.Layers.To {
-			share := float64(r.Len()) / float64(c.Layers.Len())
-			p.edges = append(p.edges, edge{candidate: i, from: from, to: to, share: share})
+	for d := range p.domains {
+		g := group{from: from, to: to, domain: d}
+		for i, c := range p.candidates {
+			if p.domainOf[i] == d && c.Layers.From <= r.From && r.To <= c.Layers.To {
+				g.edges = append(g.edges, edge{candidate: i, share: float64(r.Len()) / float64(c.Layers.Len())})
+			}
+		}
+		if len(g.edges) > 0 {
+			p.groups = append(p.groups, g)
 		}
 	}
 }
 
 // Choose writes the best plan for a job of so many tokens into plan, reusing its stages; loads and excluded run parallel to the candidates.
 func (p *Planner) Choose(loads []Load, excluded []bool, tokens ferryid.Tokens, plan *Plan) error {
-	p.chain = p.chain[:0]
+	p.chain, p.cuts = p.chain[:0], p.cuts[:0]
 	found := false
 	if len(p.fixed) > 0 {
 		found = p.chooseFixed(loads, excluded, tokens)
@@ -173,50 +187,64 @@
 	return n
 }
 
-func usable(l Load, excluded []bool, i int) bool {
+func usable(l *Load, excluded []bool, i int) bool {
 	return !l.Avoid && l.Rate > 0 && (excluded == nil || !excluded[i])
 }
 
 // seconds is how long the candidate takes until it has done its work and this job's share.
-func seconds(l Load, share float64, tokens ferryid.Tokens) float64 {
+func seconds(l *Load, share float64, tokens ferryid.Tokens) float64 {
 	return (float64(l.Outstanding) + float64(tokens)*share) / float64(l.Rate)
 }
 
 // chooseChain goes over the boundaries from layer 0 and keeps the best chain to each boundary and last failure domain.
 func (p *Planner) chooseChain(loads []Load, excluded []bool, tokens ferryid.Tokens) bool {
 	for i := range p.labels {
-		p.labels[i] = label{score: math.Inf(1), edge: noPlan}
+		p.labels[i] = label{score: math.Inf(1), candidate: noPlan}
 	}
-	for ei := range p.edges {
-		e := &p.edges[ei]
-		l := loads[e.candidate]
-		if !usable(l, excluded, e.candidate) {
+	for gi := range p.groups {
+		g := &p.groups[gi]
+		own, candidate := quickest(g.edges, loads, excluded, tokens)
+		if candidate == noPlan {
 			continue
 		}
-		own := seconds(l, e.share, tokens)
-		d := p.domainOf[e.candidate]
-		at := &p.labels[e.to*p.domains+d]
-		if e.from == 0 {
-			p.improve(at, label{worst: own, sum: own, edge: ei, prev: startOfChain}, tokens)
+		at := &p.labels[g.to*p.domains+g.domain]
+		if g.from == 0 {
+			at.improve(label{worst: own, sum: own, candidate: candidate, prev: startOfChain}, tokens)
 			continue
 		}
 		for pd := range p.domains {
-			prev := e.from*p.domains + pd
-			b := &p.labels[prev]
-			if b.edge == noPlan {
-				continue
+			prev := g.from*p.domains + pd
+			if b := &p.labels[prev]; b.candidate != noPlan {
+				at.improve(label{
+					worst: max(b.worst, own), sum: b.sum + own, link: b.link + p.link[pd][g.domain],
+					candidate: candidate, prev: prev,
+				}, tokens)
 			}
-			next := label{worst: max(b.worst, own), sum: b.sum + own, link: b.link + p.link[pd][d], edge: ei, prev: prev}
-			p.improve(at, next, tokens)
 		}
 	}
 	return p.trace()
 }
 
-func (p *Planner) improve(at *label, l label, tokens ferryid.Tokens) {
-	l.score = l.worst + sumWeight*l.sum + float64(tokens)*l.link
-	if l.score < at.score {
-		*at = l
+// quickest returns the candidate of a group that is done first.
+func quickest(edges []edge, loads []Load, excluded []bool, tokens ferryid.Tokens) (own float64, candidate int) {
+	own, candidate = math.Inf(1), noPlan
+	for i := range edges {
+		e := &edges[i]
+		l := &loads[e.candidate]
+		if !usable(l, excluded, e.candidate) {
+			continue
+		}
+		if s := seconds(l, e.share, tokens); s < own {
+			own, candidate = s, e.candidate
+		}
+	}
+	return own, candidate
+}
+
+func (l *label) improve(next label, tokens ferryid.Tokens) {
+	next.score = next.worst + sumWeight*next.sum + float64(tokens)*next.link
+	if next.score < l.score {
+		*l = next
 	}
 }
 
@@ -225,7 +253,7 @@
 	last := (len(p.boundaries) - 1) * p.domains
 	best := noPlan
 	for d := range p.domains {
-		if p.labels[last+d].edge != noPlan && (best == noPlan || p.labels[last+d].score < p.labels[best].score) {
+		if p.labels[last+d].candidate != noPlan && (best == noPlan || p.labels[last+d].score < p.labels[best].score) {
 			best = last + d
 		}
 	}
@@ -233,12 +261,28 @@
 		return false
 	}
 	for i := best; i != startOfChain; i = p.labels[i].prev {
-		p.chain = append(p.chain, p.edges[p.labels[i].edge].candidate)
+		p.chain = append(p.chain, p.labels[i].candidate)
+		p.cuts = append(p.cuts, p.boundaries[i/p.domains])
 	}
 	slices.Reverse(p.chain)
+	slices.Reverse(p.cuts)
+	p.merge()
 	return true
 }
 
+// merge leaves each candidate in the chain once: one that comes again holds all layers between, too.
+func (p *Planner) merge() {
+	for i := 0; i < len(p.chain); i++ {
+		for j := len(p.chain) - 1; j > i; j-- {
+			if p.chain[j] == p.chain[i] {
+				p.cuts = slices.Delete(p.cuts, i, j)
+				p.chain = slices.Delete(p.chain, i, j)
+				break
+			}
+		}
+	}
+}
+
 func (p *Planner) chooseFixed(loads []Load, excluded []bool, tokens ferryid.Tokens) bool {
 	best := math.Inf(1)
 	for _, chain := range p.fixed {
@@ -246,6 +290,10 @@
 		if ok && score < best {
 			best = score
 			p.chain = append(p.chain[:0], chain...)
+			p.cuts = p.cuts[:0]
+			for _, c := range chain {
+				p.cuts = append(p.cuts, min(p.candidates[c].Layers.To, p.layers))
+			}
 		}
 	}
 	return !math.IsInf(best, 1)
@@ -256,10 +304,10 @@
 	next := ferryid.Layer(0)
 	for i, c := range chain {
 		held := p.candidates[c].Layers
-		if !usable(loads[c], excluded, c) || held.From > next || held.To <= next {
+		if !usable(&loads[c], excluded, c) || held.From > next || held.To <= next {
 			return 0, false
 		}
-		own := seconds(loads[c], float64(held.To-next)/float64(held.Len()), tokens)
+		own := seconds(&loads[c], float64(held.To-next)/float64(held.Len()), tokens)
 		worst = max(worst, own)
 		sum += own
 		if i > 0 {
@@ -277,9 +325,9 @@
 	next := ferryid.Layer(0)
 	for i, ci := range p.chain {
 		c := &p.candidates[ci]
-		to := min(c.Layers.To, p.layers)
+		to := p.cuts[i]
 		if i+1 < len(p.chain) {
-			to = p.split(ci, p.chain[i+1], next, loads, tokens)
+			to = p.split(i, next, loads, tokens)
 		}
 		plan.Stages = append(plan.Stages, Stage{
 			Name: c.Name, Address: c.Address, Incarnation: c.Incarnation, Domain: c.Domain,
@@ -295,19 +343,16 @@
 	}
 }
 
-// split is the layer at which a stage that begins at from hands over to the next.
-func (p *Planner) split(a, b int, from ferryid.Layer, loads []Load, tokens ferryid.Tokens) ferryid.Layer {
+// split is the layer at which the chain's stage i, which begins at from, hands over to the next, that both may hold.
+func (p *Planner) split(i int, from ferryid.Layer, loads []Load, tokens ferryid.Tokens) ferryid.Layer {
+	a, b := p.chain[i], p.chain[i+1]
 	ca, cb := p.candidates[a].Layers, p.candidates[b].Layers
-	lo, hi := max(cb.From, from+1), min(ca.To, cb.To-1, p.layers-1)
-	if lo >= hi {
-		return min(ca.To, hi)
-	}
-	end := min(cb.To, p.layers)
-	best, at := math.Inf(1), lo
-	for l := lo; l <= hi; l++ {
+	end := p.cuts[i+1]
+	best, at := math.Inf(1), p.cuts[i]
+	for l := max(cb.From, from+1); l <= min(ca.To, end-1); l++ {
 		worst := max(
-			seconds(loads[a], float64(l-from)/float64(ca.Len()), tokens),
-			seconds(loads[b], float64(end-l)/float64(cb.Len()), tokens),
+			seconds(&loads[a], float64(l-from)/float64(ca.Len()), tokens),
+			seconds(&loads[b], float64(end-l)/float64(cb.Len()), tokens),
 		)
 		if worst < best {
 			best, at = worst, l
--- a/ferry/ferrypipeline/trace_test.go
+++ b/ferry/ferrypipeline/trace_test.go
@@ -34,7 +34,7 @@
 	assert.NilError(f, err)
 	f.Add(string(b))
 	f.Add("{}\n{\"Kind\":\"Planned\",\"Plan\":{}}\n")
-	f.Fuzz(func(t *testing.T, s string) {
+	f.Fuzz(func(_ *testing.T, s string) {
 		trace, err := ferrypipeline.DecodeTrace(strings.NewReader(s))
 		if err != nil {
 			return
