Random faults on all engines at once; two faults found and mended

Found by TestRandomFaults, both seen failing first: 1. a run hung: net/http waits for its write of the request, which waited for activations that the dead connection would never ask for. A cancel's answer now names the incarnation and proves nothing unless it is the one that was asked to run; an engine that may have forgotten a stream answers 404.

--- a/ferry/ferryengine/client.go
+++ b/ferry/ferryengine/client.go
@@ -64,8 +64,8 @@
 	return c.Forward(ctx, req, nil)
 }
 
-// Forward is Run from one stage to the next: the body goes on after the request's line with activations.
-func (c *Client) Forward(ctx context.Context, req RunRequest, activations io.Reader) (Stream, error) {
+// Forward is Run from one stage to the next: the body goes on after the request's line with activations, which are closed when the connection ends.
+func (c *Client) Forward(ctx context.Context, req RunRequest, activations io.ReadCloser) (Stream, error) {
 	if err := req.Check(); err != nil {
 		return nil, &DispatchError{Upstream: "", Phase: ferryoutcome.PhaseNotConnected, Err: err}
 	}
@@ -79,6 +79,11 @@
 	}
 	idle := c.idle + time.Duration(len(req.Stages)-1)*stageAllowance
 	cl := c.begin(ctx, req.Stages[0].Address, idle)
+	if activations != nil {
+		// The transport waits for its write of the request even when the connection is gone.
+		cl.onClose = func() { _ = activations.Close() }
+		context.AfterFunc(cl.ctx, cl.onClose)
+	}
 	resp, err := cl.send(http.MethodPost, "/v1/stages/run", body)
 	if err != nil {
 		cl.end()
@@ -182,6 +187,7 @@
 	before   int64
 	gotConn  bool
 	answerOK bool
+	onClose  func()
 }
 
 func (c *Client) begin(ctx context.Context, address string, idle time.Duration) *call {
@@ -211,6 +217,7 @@
 			cl.conn, _ = info.Conn.(*meteredConn)
 			if cl.conn != nil {
 				cl.before = cl.conn.count()
+				cl.conn.notify(cl.onClose)
 			}
 		},
 		GotFirstResponseByte: func() {
--- a/ferry/ferryengine/load.go
+++ b/ferry/ferryengine/load.go
@@ -133,9 +133,10 @@
 	Epoch ferryid.Epoch `json:"Epoch"`
 }
 
-// CancelResult says whether the engine ever ran a layer of the stream at the cancelled epochs.
+// CancelResult says whether this incarnation of the engine ever ran a layer of the stream at the cancelled epochs.
 type CancelResult struct {
-	Ran bool `json:"Ran"`
+	Incarnation ferryid.Incarnation `json:"Incarnation"`
+	Ran         bool                `json:"Ran"`
 }
 
 // Check accepts every result.
--- a/ferry/ferryengine/transport.go
+++ b/ferry/ferryengine/transport.go
@@ -21,6 +21,34 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	closed  bool
+	onClose func()
+}
+
+// Close closes the connection and tells the call that uses it.
+func (c *meteredConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	f := c.onClose
+	c.onClose = nil
+	c.mu.Unlock()
+	if f != nil {
+		f()
+	}
+	return c.Conn.Close()
+}
+
+// notify sets what to call once when the connection is closed, at once if it is already.
+func (c *meteredConn) notify(f func()) {
+	c.mu.Lock()
+	if !c.closed {
+		c.onClose = f
+		f = nil
+	}
+	c.mu.Unlock()
+	if f != nil {
+		f()
+	}
 }
 
 // Write hands bytes to the connection unless it is sealed.
--- a/ferry/ferrypipeline/runner.go
+++ b/ferry/ferrypipeline/runner.go
@@ -255,7 +255,9 @@
 			defer stop()
 			answer, err := s.r.Engines.Cancel(ctx, st.Address, s.job.Stream, a.Epoch)
 			if i == 0 {
-				s.post(CancelAnswered{Epoch: a.Epoch, Known: err == nil, Ran: answer.Ran})
+				// Only the incarnation that was asked to run can say that nothing ran.
+				same := st.Incarnation != "" && st.Incarnation == answer.Incarnation
+				s.post(CancelAnswered{Epoch: a.Epoch, Known: err == nil && (answer.Ran || same), Ran: answer.Ran})
 			}
 		}()
 	}
--- a/ferrystand/ferrystandengine/dispatch_test.go
+++ b/ferrystand/ferrystandengine/dispatch_test.go
@@ -83,7 +83,7 @@
 	clock := clockwork.NewRealClock()
 	pool, err := ferrypipeline.NewPool(ferrypipeline.PlannerConfig{
 		Layers:     testLayers,
-		Candidates: ferrypipeline.Candidates{{Name: "e", Address: proxy.ln.Addr().String(), Layers: st.Layers}},
+		Candidates: ferrypipeline.Candidates{{Name: "e", Address: proxy.ln.Addr().String(), Layers: st.Layers, Incarnation: c.engines[0].Incarnation()}},
 	}, []ferrypipeline.Load{{Rate: 1}}, clock)
 	assert.NilError(tb, err)
 	r := &ferrypipeline.Runner{
--- a/ferrystand/ferrystandengine/fault.go
+++ b/ferrystand/ferrystandengine/fault.go
@@ -74,6 +74,7 @@
 	e.faults = f
 	if f.Empty {
 		e.streams = newStreams()
+		e.streams.forgot = true
 	}
 }
 
--- /dev/null
+++ b/ferrystand/ferrystandengine/job_test.go
@@ -0,0 +1,226 @@
+package ferrystandengine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrypipeline"
+	"cactusferry.dev/ferry/ferrystream"
+	"cactusferry.dev/ferrystand/ferrystandengine"
+)
+
+const randomRuns = 60
+
+// Eight kinds of engines in one chain, with speeds and links a hundredfold apart.
+func TestEightKinds(t *testing.T) {
+	c := &chain{}
+	var plan ferrypipeline.Plan
+	plan.Layers = testLayers
+	next := ferryid.Layer(0)
+	for i, rate := range []ferryid.TokensPerSecond{100, 10000, 200, 5000, 400, 2500, 800, 1200} {
+		layers := ferryid.LayerRange{From: next, To: next + 1}
+		if i%2 == 0 {
+			layers.To++
+		}
+		next = layers.To
+		st := c.add(t, layers, clockwork.NewRealClock())
+		c.engines[i].SetFaults(ferrystandengine.Faults{TokensPerSecond: rate, DelayMS: i % 3 * 2})
+		plan.Stages = append(plan.Stages, ferrypipeline.Stage{Name: ferryid.UpstreamName(fmt.Sprintf("e%d", i)), Address: st.Address, Layers: layers})
+	}
+	f := &fleet{chain: *c}
+	f.runner = &ferrypipeline.Runner{Engines: ferryengine.New(ferryengine.ClientConfig{}), Picker: fixedPlan{plan}, Clock: clockwork.NewRealClock()}
+	got, _, err := f.run(context.Background())
+	assert.NilError(t, err)
+	f.verify(t, got)
+}
+
+type fixedPlan struct{ plan ferrypipeline.Plan }
+
+func (p fixedPlan) Pick(*ferrypipeline.Job, []ferryid.UpstreamName) (ferrypipeline.Plan, error) {
+	return p.plan, nil
+}
+
+func (fixedPlan) Done(ferrypipeline.Plan, ferryid.Tokens) {}
+
+// Both engines of a stage die in mid-stream; the stream waits for one that joins and goes on there.
+func TestRunnerJoins(t *testing.T) {
+	f := newFleet(t, clockwork.NewRealClock())
+	f.engines[1].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
+	f.engines[4].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
+	f.runner.Trace = func(_ time.Time, m ferrypipeline.Message) {
+		if _, ok := m.(ferrypipeline.NoPlan); !ok {
+			return
+		}
+		st := f.add(t, f.stages[1].Layers, clockwork.NewRealClock())
+		f.cfg.Candidates = append(f.cfg.Candidates, ferrypipeline.Candidate{Name: "joined", Address: st.Address, Layers: st.Layers, Domain: "ruse-a"})
+		assert.NilError(t, f.pool.Set(f.cfg, append(f.pool.Loads(), ferrypipeline.Load{Rate: 2000})))
+		f.pool.Avoid("e1-0", true)
+		f.pool.Avoid("e1-1", true)
+	}
+	got, res, err := f.run(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, res.Epochs, 3)
+	f.verify(t, got)
+}
+
+// The caller's connection breaks and it goes on at another entry, which knows the epoch of its token, an older one or none.
+func TestResumeAtAnotherEntry(t *testing.T) {
+	want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
+	for _, tt := range []struct {
+		name   string
+		epoch  ferryid.Epoch
+		resume int
+	}{
+		{"with the text it has", 1, 3},
+		{"with nothing, compared at the seam", 1, 0},
+		{"after epochs that it has not heard of", 0, 3},
+	} {
+		f := newFleet(t, clockwork.NewRealClock())
+		token := ferrystream.Resume{Customer: "c", Service: "s", Stream: "s", Epoch: 1}
+		var first []ferrypipeline.Token
+		_, err := f.runner.Run(context.Background(), f.job(), func(tok ferrypipeline.Token) error {
+			if len(first) == 3 {
+				return errors.New("the caller is gone")
+			}
+			first = append(first, tok)
+			token.Next, token.History = tok.Position+1, token.History.Add(tok.Text)
+			return nil
+		})
+		assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.Ran)
+		f.runner.Wait()
+
+		job := f.job()
+		job.Epoch, job.Resume = tt.epoch, want[:tt.resume]
+		seam := ferrystream.NewSeam(token)
+		text := want[:3:3]
+		_, err = f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
+			if tt.resume > 0 {
+				text = append(text, tok.Text)
+				return nil
+			}
+			fresh, err := seam.Add(tok)
+			if fresh {
+				text = append(text, tok.Text)
+			}
+			return err
+		})
+		assert.NilError(t, err, tt.name)
+		assert.DeepEqual(t, text, want)
+	}
+}
+
+// The deadline strikes in mid-stream: the caller keeps what it has and is told that it ran.
+func TestDeadline(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := newFleet(t, clock)
+	f.engines[2].SetFaults(ferrystandengine.Faults{SilentAtPosition: position(2)})
+	job := f.job()
+	job.Deadline = clock.Now().Add(time.Second)
+	n := 0
+	_, err := f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
+		if n++; tok.Position == 1 {
+			<-f.engines[2].WentSilent()
+			clock.Advance(time.Second)
+		}
+		return nil
+	})
+	var p *ferryoutcome.Problem
+	assert.Assert(t, errors.As(err, &p))
+	assert.Equal(t, p.Kind, ferryoutcome.KindTimeout)
+	assert.Equal(t, p.Outcome, ferryoutcome.Ran)
+	assert.Equal(t, n, 2)
+	f.runner.Wait()
+}
+
+// Retries that bring no token are charged to the shared budget.
+func TestRetryBudget(t *testing.T) {
+	f := newFleet(t, clockwork.NewRealClock())
+	f.runner.Budget = ferrypipeline.NewRetryBudget(0.5, 1)
+	f.engines[0].Leave()
+	_, res, err := f.run(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, res.Epochs, 2)
+	_, _, err = f.run(context.Background())
+	assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.NotRun, "%v", err)
+	var spent *ferrypipeline.BudgetError
+	assert.Assert(t, errors.As(err, &spent))
+}
+
+func randomFaults(r *rand.Rand) ferrystandengine.Faults {
+	p := position(r.IntN(cutTokens))
+	switch r.IntN(9) {
+	case 0:
+		return ferrystandengine.Faults{DieAtPosition: p}
+	case 1:
+		return ferrystandengine.Faults{DieAtPosition: p, DieWhen: ferrystandengine.DieAfterApply}
+	case 2:
+		return ferrystandengine.Faults{DieAtPosition: p, DieWhen: ferrystandengine.DieInLine}
+	case 3:
+		return ferrystandengine.Faults{EmptyAtPosition: p}
+	case 4:
+		return ferrystandengine.Faults{Duplicate: true, LateFromOldEpoch: true}
+	case 5:
+		return ferrystandengine.Faults{Leaving: true}
+	case 6:
+		return ferrystandengine.Faults{Duplicate: true, DelayMS: 1, DieAtPosition: p}
+	}
+	return ferrystandengine.Faults{}
+}
+
+// restartAll brings every engine back empty, as new incarnations.
+func (f *fleet) restartAll(tb testing.TB) {
+	for i, e := range f.engines {
+		e.Restart()
+		f.cfg.Candidates[i].Incarnation = e.Incarnation()
+	}
+	assert.NilError(tb, f.pool.Set(f.cfg, f.pool.Loads()))
+}
+
+// Every engine draws a fault, so several strike together or one after the other, and all come back empty when none is left: whole and right, or failed with a true outcome.
+func TestRandomFaults(t *testing.T) {
+	count := map[ferryoutcome.Outcome]int{}
+	for seed := range uint64(randomRuns) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		f := newFleet(t, clockwork.NewRealClock())
+		f.runner.Trace = func(_ time.Time, m ferrypipeline.Message) {
+			if _, ok := m.(ferrypipeline.NoPlan); ok {
+				f.restartAll(t)
+			}
+		}
+		for _, e := range f.engines {
+			e.SetFaults(randomFaults(r))
+		}
+		got, _, err := f.run(context.Background())
+		if err == nil {
+			count["whole"]++
+			f.verify(t, got)
+			continue
+		}
+		outcome := ferryoutcome.Of(err)
+		count[outcome]++
+		generated := 0
+		for _, a := range f.records() {
+			if !a.Prefill {
+				generated++
+			}
+		}
+		assert.Assert(t, outcome != ferryoutcome.NotRun || generated == 0, "seed %d: %v", seed, err)
+		assert.Assert(t, outcome != ferryoutcome.Ran || generated > 0, "seed %d: %v", seed, err)
+		want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
+		for i, tok := range got {
+			assert.Equal(t, tok.Text, want[i], "seed %d", seed)
+		}
+	}
+	assert.Assert(t, count["whole"] > randomRuns/2, "%v", count)
+	t.Logf("outcomes %v", count)
+}
--- a/ferrystand/ferrystandengine/pipeline_test.go
+++ b/ferrystand/ferrystandengine/pipeline_test.go
@@ -29,6 +29,7 @@
 // fleet is two engines for each of three parts of the layers, and a runner over them.
 type fleet struct {
 	chain
+	cfg    ferrypipeline.PlannerConfig
 	pool   *ferrypipeline.Pool
 	runner *ferrypipeline.Runner
 	emit   func(ferrypipeline.Token)
@@ -53,7 +54,7 @@
 	}
 	pool, err := ferrypipeline.NewPool(cfg, loads, clock)
 	assert.NilError(tb, err)
-	f.pool = pool
+	f.pool, f.cfg = pool, cfg
 	f.runner = &ferrypipeline.Runner{
 		Engines: ferryengine.New(ferryengine.ClientConfig{Clock: clock}), Picker: pool, Clock: clock, Core: ferrypipeline.CoreConfig{ImportFrom: cutImports},
 	}
--- a/ferrystand/ferrystandengine/stream.go
+++ b/ferrystand/ferrystandengine/stream.go
@@ -37,6 +37,8 @@
 type streams struct {
 	byID  map[ferryid.StreamID]*stream
 	order []ferryid.StreamID
+	// forgot says that a stream has given way, so an unknown one may have run here.
+	forgot bool
 }
 
 func newStreams() streams {
@@ -51,6 +53,7 @@
 	if len(ss.order) >= maxStreams {
 		delete(ss.byID, ss.order[0])
 		ss.order = ss.order[1:]
+		ss.forgot = true
 	}
 	st = &stream{}
 	ss.byID[id] = st
@@ -69,6 +72,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if _, ok := e.streams.byID[streamID(r)]; !ok && e.streams.forgot {
+		ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.Unknown, "the stream may have been forgotten").Write(w)
+		return
+	}
 	st := e.streams.get(streamID(r))
 	ignored := e.faults.LateFromOldEpoch && st.cancel != nil
 	if st.epoch <= req.Epoch && !ignored {
@@ -77,7 +84,7 @@
 			st.cancel()
 		}
 	}
-	writeJSON(w, ferryengine.CancelResult{Ran: st.ran || ignored})
+	writeJSON(w, ferryengine.CancelResult{Incarnation: e.incarnation, Ran: st.ran || ignored})
 }
 
 type cancelRequest ferryengine.CancelRequest
