ferrybench policy and weigh: both policies on a virtual clock, FIFO and random kept as baseline

Change: workloads in TOML with a seed and a fault schedule (all faults reported at once, fuzzed), fake runners with continuous batching, slots, prompt reading and prefix memory, pipelines of stages, reports late by a delay; the cores of ferryqueue and ferryroute as they are; reports as text, JSON and plots; a table of the stated targets; 'weigh' compares variants. In the cores: a Dispatch times a stream from its first token on (a prompt read from memory made sound runners look slow), Resumed items are never refused for want of room, SetShare and Slots give an entry its part of each upstream's slots.

--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 
 test: lint vet build race
 
+bench: build
+	$(BIN)/ferrybench policy --out out
+
 clean:
 	rm -rf $(BIN) out
--- a/ferry/ferryqueue/item.go
+++ b/ferry/ferryqueue/item.go
@@ -8,6 +8,7 @@
 )
 
 // Item is one call that asks to run; its work is predicted from Prompt and MaxTokens if Predicted is zero.
+// One that is Resumed has already run in part, and is never refused for want of room.
 type Item struct {
 	ID        ferryid.RequestID    `json:"ID"`
 	Customer  ferryid.CustomerName `json:"Customer"`
@@ -17,6 +18,7 @@
 	MaxTokens ferryid.Tokens       `json:"MaxTokens"`
 	Deadline  time.Time            `json:"Deadline"`
 	Arrived   time.Time            `json:"Arrived"`
+	Resumed   bool                 `json:"Resumed,omitempty"`
 }
 
 // Refusal says why an item will not run and when its caller should come back.
--- a/ferry/ferryqueue/preempt.go
+++ b/ferry/ferryqueue/preempt.go
@@ -102,7 +102,7 @@
 	e.preempted++
 	e.done = e.tokens
 	e.Predicted = max(1, e.Predicted-e.tokens)
-	q.counts.Preempted++
+	q.counts.Requeued++
 	q.counts.Thrown += ferryid.Tokens(rebuildCost * float64(e.tokens))
 	e.lane.addFront(e.flow, e)
 	q.hold(e.Customer).waiting++
--- a/ferry/ferryqueue/queue.go
+++ b/ferry/ferryqueue/queue.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// Counts are the sums of a queue since its start; Thrown is work done twice because of preemption.
+// Counts are the sums of a queue since its start; Thrown is work done twice because a running item was cancelled and requeued.
 type Counts struct {
 	Enqueued     uint64         `json:"Enqueued"`
 	Started      uint64         `json:"Started"`
@@ -69,7 +69,7 @@
 	Evicted      uint64         `json:"Evicted"`
 	Expired      uint64         `json:"Expired"`
 	Reclassified uint64         `json:"Reclassified"`
-	Preempted    uint64         `json:"Preempted"`
+	Requeued     uint64         `json:"Requeued"`
 	Served       ferryid.Tokens `json:"Served"`
 	Thrown       ferryid.Tokens `json:"Thrown"`
 }
@@ -139,7 +139,7 @@
 		q.counts.Refused++
 		return r
 	}
-	if q.waiting >= q.cfg.Length {
+	if q.waiting >= q.cfg.Length && !it.Resumed {
 		if r := q.makeRoom(&it, l, now); r != nil {
 			q.counts.Refused++
 			return r
--- a/ferry/ferryqueue/refuse.go
+++ b/ferry/ferryqueue/refuse.go
@@ -23,7 +23,7 @@
 	if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
 		return q.refuse(it, l, now, ferryoutcome.KindTimeout, "the call came after its own deadline")
 	}
-	if q.cfg.Policy == ferryservice.QueueFifo {
+	if q.cfg.Policy == ferryservice.QueueFifo || it.Resumed {
 		return nil
 	}
 	wait, own := q.predictWait(it.Customer, l)
--- a/ferry/ferryroute/choose.go
+++ b/ferry/ferryroute/choose.go
@@ -23,6 +23,8 @@
 const (
 	// CostFinish is the time until the call would be finished: its share of the rate, and the wait for a slot.
 	CostFinish Cost = "Finish"
+	// CostCredit is CostFinish, but the wait for a slot is that for this entry's own part of the slots.
+	CostCredit Cost = "Credit"
 	// CostWork is the outstanding work over the rate.
 	CostWork Cost = "Work"
 )
@@ -171,8 +173,12 @@
 	}
 	c := backlogWeight * float64(outstanding) / rate
 	c += float64(w.Predicted) * float64(min(running+1, r.slots)) / rate
-	if over := running + 1 - r.slots; over > 0 {
-		c += float64(over) * float64(outstanding) / float64(running) / rate
+	over := running + 1 - r.slots
+	if s.opts.Cost == CostCredit {
+		over = int(r.load.ownRunning.Load()) + 1 - r.credit
+	}
+	if over > 0 {
+		c += float64(over) * float64(outstanding+int64(w.Predicted)) / float64(running+1) / rate * float64(r.slots)
 	}
 	return c
 }
--- a/ferry/ferryroute/dispatch.go
+++ b/ferry/ferryroute/dispatch.go
@@ -45,12 +45,14 @@
 	return &Dispatch{table: t, up: u, left: predicted, total: predicted, since: now}
 }
 
-// Progress tells how many tokens the call has produced so far; a call that outgrows its prediction counts as half done.
+// Progress tells how many tokens the call has produced so far, from the first on, which ends the reading of its prompt.
+// A call that outgrows its prediction counts as half done.
 func (d *Dispatch) Progress(n ferryid.Tokens, now time.Time) {
 	if d == nil || d.ended || n <= d.produced {
 		return
 	}
 	step := n - d.produced
+	first := d.produced == 0
 	d.produced = n
 	if n > d.total {
 		d.total = 2 * n
@@ -58,6 +60,10 @@
 	} else {
 		d.setLeft(max(0, d.left-step))
 	}
+	if first {
+		d.from, d.since = n, now
+		return
+	}
 	if now.Sub(d.since) < observeEvery {
 		return
 	}
--- a/ferry/ferryroute/table.go
+++ b/ferry/ferryroute/table.go
@@ -18,6 +18,8 @@
 	policy    ferryservice.RoutePolicy
 	opts      Options
 	upstreams []*upstream
+	entry     int
+	entries   int
 	byName    map[ferryid.UpstreamName]*upstream
 	snap      atomic.Pointer[Snapshot]
 	refused   ReportCounts
@@ -36,7 +38,7 @@
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
-	t := &Table{opts: opts, policy: ferryservice.RouteLeast, byName: map[ferryid.UpstreamName]*upstream{}}
+	t := &Table{entries: 1, opts: opts, policy: ferryservice.RouteLeast, byName: map[ferryid.UpstreamName]*upstream{}}
 	t.publish()
 	return t
 }
@@ -85,6 +87,24 @@
 	u.row.load.rateBits.Store(math.Float64bits(r * float64(max(1, u.row.slots))))
 }
 
+// SetShare tells that this entry is the one of the given index, from 0, among so many that share the upstreams.
+func (t *Table) SetShare(index, entries int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entry, t.entries = index, max(1, entries)
+	t.publish()
+}
+
+// credit is this entry's part of an upstream's slots; over all entries the parts add up to the slots.
+func (t *Table) credit(u *upstream) int {
+	n := u.row.slots / t.entries
+	place := (t.entry + int(u.row.seed%uint64(t.entries))) % t.entries
+	if place < u.row.slots%t.entries {
+		n++
+	}
+	return n
+}
+
 // SetLeaving marks an upstream as leaving or not, whoever said so.
 func (t *Table) SetLeaving(name ferryid.UpstreamName, leaving bool) {
 	t.mu.Lock()
@@ -123,6 +143,7 @@
 	for _, u := range t.upstreams {
 		r := u.row
 		r.state = u.state()
+		r.credit = t.credit(u)
 		s.rows = append(s.rows, r)
 	}
 	t.snap.Store(s)
--- /dev/null
+++ b/ferrybench/ferryworkload/unit.go
@@ -0,0 +1,118 @@
+package ferryworkload
+
+import (
+	"fmt"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryroute"
+)
+
+// Unit is what a call is sent to: a runner with the whole model, or a pipeline of runners with a range of layers each.
+type Unit struct {
+	Name       ferryid.UpstreamName
+	Rate       float64
+	StreamRate float64
+	Slots      int
+	Prefixes   int
+	Stages     int
+}
+
+// UnitList works the units out; a pipeline is as fast as its slowest stage and adds every stage's time to each token.
+func (w *Workload) UnitList() []Unit {
+	var all []Runner
+	for _, r := range w.Runners {
+		for range r.Count {
+			all = append(all, r)
+		}
+	}
+	if len(w.Layout.Stages) == 0 {
+		return single(all)
+	}
+	var out []Unit
+	stride := coprimeStride(len(all))
+	at := 0
+	for i, n := range w.Layout.Stages {
+		stages := make([]Runner, 0, n)
+		for range n {
+			stages = append(stages, all[at])
+			at = (at + stride) % len(all)
+		}
+		out = append(out, w.Layout.unit(i, stages))
+	}
+	return out
+}
+
+// coprimeStride mixes the groups of runners over the pipelines.
+func coprimeStride(n int) int {
+	for s := n/3 + 1; ; s++ {
+		if gcd(s, n) == 1 {
+			return s
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func single(all []Runner) []Unit {
+	var out []Unit
+	for i, r := range all {
+		out = append(out, Unit{
+			Name: ferryid.UpstreamName(fmt.Sprintf("%s-%02d", r.Name, i)),
+			Rate: r.Rate, StreamRate: r.StreamRate, Slots: r.Slots, Prefixes: r.Prefixes, Stages: 1,
+		})
+	}
+	return out
+}
+
+func (l Layout) unit(i int, stages []Runner) Unit {
+	rates := make([]ferryid.TokensPerSecond, 0, len(stages))
+	for _, s := range stages {
+		rates = append(rates, ferryid.TokensPerSecond(s.Rate))
+	}
+	if l.Equal {
+		for j := range rates {
+			rates[j] = 1
+		}
+	}
+	u := Unit{Name: ferryid.UpstreamName(fmt.Sprintf("pipeline-%02d", i)), Stages: len(stages)}
+	perToken := 0.0
+	for j, r := range ferryroute.SplitLayers(l.Layers, rates) {
+		part := float64(r.Len()) / float64(l.Layers)
+		if part == 0 {
+			continue
+		}
+		rate := stages[j].Rate / part
+		if u.Rate == 0 || rate < u.Rate {
+			u.Rate = rate
+		}
+		perToken += part/stages[j].StreamRate + time.Duration(l.LinkDelay).Seconds()
+		u.Slots += stages[j].Slots
+		u.Prefixes += stages[j].Prefixes
+	}
+	u.StreamRate = 1 / perToken
+	return u
+}
+
+// Bound is the most work a second that all units can do, in tokens/s.
+func (w *Workload) Bound() float64 {
+	sum := 0.0
+	for _, u := range w.UnitList() {
+		sum += min(u.Rate, float64(u.Slots)*u.StreamRate)
+	}
+	return sum
+}
+
+// IdealBound is the bound of the same runners with no loss to stages that wait for slower ones.
+func (w *Workload) IdealBound() float64 {
+	sum := 0.0
+	for _, r := range w.Runners {
+		sum += float64(r.Count) * r.Rate
+	}
+	return sum
+}
--- /dev/null
+++ b/ferrybench/ferryworkload/workload.go
@@ -0,0 +1,304 @@
+package ferryworkload
+
+import (
+	"fmt"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryroute"
+	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrytoml"
+)
+
+const (
+	maxDuration = 24 * time.Hour
+	maxEntries  = 1000
+	maxRunners  = 10000
+	maxLoad     = 100
+	maxTokens   = 1_000_000
+	maxRequests = 20_000_000
+)
+
+// Duration is a time.Duration written as text such as "1m30s".
+type Duration = ferryservice.Duration
+
+// Workload is one experiment's input.
+type Workload struct {
+	Name        string               `toml:"Name" json:"Name"`
+	Seed        uint64               `toml:"Seed" json:"Seed"`
+	Duration    Duration             `toml:"Duration" json:"Duration"`
+	Warmup      Duration             `toml:"Warmup" json:"Warmup"`
+	Entries     int                  `toml:"Entries" json:"Entries"`
+	QueueLength int                  `toml:"QueueLength" json:"QueueLength"`
+	Prediction  Prediction           `toml:"Prediction" json:"Prediction"`
+	Route       ferryroute.Options   `toml:"Route" json:"Route"`
+	Retry       Retry                `toml:"Retry" json:"Retry"`
+	Reports     Reports              `toml:"Reports" json:"Reports"`
+	Layout      Layout               `toml:"Layout" json:"Layout"`
+	Runners     Runners              `toml:"Runners" json:"Runners"`
+	Classes     ferryservice.Classes `toml:"Classes" json:"Classes"`
+	Customers   Customers            `toml:"Customers" json:"Customers"`
+	Kinds       Kinds                `toml:"Kinds" json:"Kinds"`
+	Phases      Phases               `toml:"Phases" json:"Phases"`
+	Faults      Faults               `toml:"Faults" json:"Faults"`
+}
+
+// Prediction names where predicted lengths come from.
+type Prediction string
+
+// The predictions; Learned is the product's, the others show what wrong ones cost.
+const (
+	PredictLearned Prediction = "Learned"
+	PredictExact   Prediction = "Exact"
+	PredictNone    Prediction = "None"
+)
+
+// Retry says how callers come back after a refusal.
+type Retry struct {
+	Attempts int      `toml:"Attempts" json:"Attempts"`
+	Patience Duration `toml:"Patience" json:"Patience"`
+	Share    float64  `toml:"Share" json:"Share"`
+}
+
+// Reports says how often runners report their load and how late it arrives; Every 0 means never.
+type Reports struct {
+	Every Duration `toml:"Every" json:"Every"`
+	Delay Duration `toml:"Delay" json:"Delay"`
+}
+
+// Layout says how runners form pipelines; without stages each runner holds the whole model.
+type Layout struct {
+	Layers    ferryid.Layer `toml:"Layers" json:"Layers"`
+	Stages    []int         `toml:"Stages" json:"Stages"`
+	Equal     bool          `toml:"Equal" json:"Equal"`
+	LinkDelay Duration      `toml:"LinkDelay" json:"LinkDelay"`
+}
+
+// Runner is a group of equal runners; Rate is for the whole model with all slots busy, StreamRate bounds one stream.
+type Runner struct {
+	Name       string  `toml:"Name" json:"Name"`
+	Count      int     `toml:"Count" json:"Count"`
+	Rate       float64 `toml:"Rate" json:"Rate"`
+	StreamRate float64 `toml:"StreamRate" json:"StreamRate"`
+	Slots      int     `toml:"Slots" json:"Slots"`
+	Prefixes   int     `toml:"Prefixes" json:"Prefixes"`
+}
+
+// Runners are the groups of runners.
+type Runners []Runner
+
+// Customer is one customer; Load is its part of the arrivals, Share its part of the service.
+type Customer struct {
+	Name  ferryid.CustomerName `toml:"Name" json:"Name"`
+	Share float64              `toml:"Share" json:"Share"`
+	Load  float64              `toml:"Load" json:"Load"`
+}
+
+// Customers are the customers of a workload.
+type Customers []Customer
+
+// Kind is one kind of call; lengths are drawn from a log-normal distribution with the given median.
+type Kind struct {
+	Name       string         `toml:"Name" json:"Name"`
+	Weight     float64        `toml:"Weight" json:"Weight"`
+	Prompt     ferryid.Tokens `toml:"Prompt" json:"Prompt"`
+	Shared     ferryid.Tokens `toml:"Shared" json:"Shared"`
+	Prefixes   int            `toml:"Prefixes" json:"Prefixes"`
+	Tokens     ferryid.Tokens `toml:"Tokens" json:"Tokens"`
+	Spread     float64        `toml:"Spread" json:"Spread"`
+	MaxTokens  ferryid.Tokens `toml:"MaxTokens" json:"MaxTokens"`
+	Deadline   Duration       `toml:"Deadline" json:"Deadline"`
+	Straggler  bool           `toml:"Straggler" json:"Straggler"`
+	Repeatable bool           `toml:"Repeatable" json:"Repeatable"`
+}
+
+// Kinds are the kinds of calls of a workload.
+type Kinds []Kind
+
+// Phase sets the load from its time on, as a share of the capacity, reached in a straight line over Ramp.
+type Phase struct {
+	At   Duration `toml:"At" json:"At"`
+	Load float64  `toml:"Load" json:"Load"`
+	Ramp Duration `toml:"Ramp" json:"Ramp"`
+}
+
+// Phases are the phases of a workload in order of time.
+type Phases []Phase
+
+// FaultKind names what happens to runners or entries.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	FaultKill      FaultKind = "Kill"
+	FaultSlow      FaultKind = "Slow"
+	FaultHeal      FaultKind = "Heal"
+	FaultKillEntry FaultKind = "KillEntry"
+)
+
+// Fault happens at a time to Count runners or entries, from the index First on.
+type Fault struct {
+	At     Duration  `toml:"At" json:"At"`
+	Kind   FaultKind `toml:"Kind" json:"Kind"`
+	First  int       `toml:"First" json:"First"`
+	Count  int       `toml:"Count" json:"Count"`
+	Factor float64   `toml:"Factor" json:"Factor"`
+}
+
+// Faults are the faults of a workload.
+type Faults []Fault
+
+// Decode reads a workload and returns a *ferrytoml.FaultsError with all its faults.
+func Decode(name string, data []byte) (*Workload, error) {
+	w := &Workload{Entries: 1, QueueLength: 4000, Prediction: PredictLearned}
+	if err := ferrytoml.Decode(name, data, w); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// Check records every fault of the workload.
+func (w *Workload) Check(c *ferrytoml.Check) {
+	inRange(c, "Duration", time.Duration(w.Duration).Seconds(), 1, maxDuration.Seconds())
+	inRange(c, "Warmup", time.Duration(w.Warmup).Seconds(), 0, time.Duration(w.Duration).Seconds())
+	inRange(c, "Entries", float64(w.Entries), 1, maxEntries)
+	inRange(c, "QueueLength", float64(w.QueueLength), 1, 1e6)
+	inRange(c, "Retry.Attempts", float64(w.Retry.Attempts), 0, 100)
+	inRange(c, "Retry.Share", w.Retry.Share, 0, 1)
+	if w.Name == "" {
+		c.Fault("Name", "must not be empty")
+	}
+	switch w.Prediction {
+	case PredictLearned, PredictExact, PredictNone:
+	default:
+		c.Fault("Prediction", "must be Learned, Exact or None, is %q", w.Prediction)
+	}
+	w.Runners.check(c)
+	w.Layout.check(c, w.Runners)
+	w.Customers.check(c)
+	w.Kinds.check(c)
+	w.Phases.check(c)
+	w.Faults.check(c, w)
+	if n := w.expected(); n > maxRequests {
+		c.Fault("Duration", "makes about %.0f requests, more than %d", n, maxRequests)
+	}
+}
+
+// inRange also refuses NaN.
+func inRange(c *ferrytoml.Check, field string, v, least, most float64) {
+	if !(v >= least && v <= most) {
+		c.Fault(field, "must be from %v to %v, is %v", least, most, v)
+	}
+}
+
+func (rs Runners) check(c *ferrytoml.Check) {
+	if len(rs) == 0 {
+		c.Fault("Runners", "must have at least one group")
+	}
+	for i, r := range rs {
+		f := fmt.Sprintf("Runners[%d].", i)
+		inRange(c, f+"Count", float64(r.Count), 1, maxRunners)
+		inRange(c, f+"Rate", r.Rate, 1e-3, 1e9)
+		inRange(c, f+"StreamRate", r.StreamRate, 1e-3, 1e9)
+		inRange(c, f+"Slots", float64(r.Slots), 1, 1e5)
+		inRange(c, f+"Prefixes", float64(r.Prefixes), 0, 1e6)
+	}
+}
+
+// Count is the number of runners in all groups.
+func (rs Runners) Count() int {
+	n := 0
+	for _, r := range rs {
+		n += r.Count
+	}
+	return n
+}
+
+func (l Layout) check(c *ferrytoml.Check, rs Runners) {
+	inRange(c, "Layout.LinkDelay", time.Duration(l.LinkDelay).Seconds(), 0, 10)
+	n := 0
+	for i, s := range l.Stages {
+		f := fmt.Sprintf("Layout.Stages[%d]", i)
+		inRange(c, f, float64(s), 1, 64)
+		if s > int(l.Layers) {
+			c.Fault(f, "has more stages than the model has layers")
+		}
+		n += s
+	}
+	if len(l.Stages) > 0 && n != rs.Count() {
+		c.Fault("Layout.Stages", "add up to %d, there are %d runners", n, rs.Count())
+	}
+}
+
+func (cs Customers) check(c *ferrytoml.Check) {
+	if len(cs) == 0 {
+		c.Fault("Customers", "must have at least one")
+	}
+	for i, cu := range cs {
+		f := fmt.Sprintf("Customers[%d].", i)
+		if err := ferryid.CheckName(string(cu.Name)); err != nil {
+			c.Fault(f+"Name", "%s", err)
+		}
+		inRange(c, f+"Share", cu.Share, 1e-6, 1e6)
+		inRange(c, f+"Load", cu.Load, 0, 1e6)
+	}
+}
+
+func (ks Kinds) check(c *ferrytoml.Check) {
+	if len(ks) == 0 {
+		c.Fault("Kinds", "must have at least one")
+	}
+	for i, k := range ks {
+		f := fmt.Sprintf("Kinds[%d].", i)
+		inRange(c, f+"Weight", k.Weight, 1e-9, 1e6)
+		inRange(c, f+"Prompt", float64(k.Prompt), 0, maxTokens)
+		inRange(c, f+"Shared", float64(k.Shared), 0, float64(k.Prompt))
+		inRange(c, f+"Tokens", float64(k.Tokens), 1, maxTokens)
+		inRange(c, f+"MaxTokens", float64(k.MaxTokens), 0, maxTokens)
+		inRange(c, f+"Spread", k.Spread, 0, 3)
+		inRange(c, f+"Prefixes", float64(k.Prefixes), 0, 1e6)
+		inRange(c, f+"Deadline", time.Duration(k.Deadline).Seconds(), 0, maxDuration.Seconds())
+	}
+}
+
+func (ps Phases) check(c *ferrytoml.Check) {
+	if len(ps) == 0 {
+		c.Fault("Phases", "must have at least one")
+	}
+	for i, p := range ps {
+		f := fmt.Sprintf("Phases[%d].", i)
+		inRange(c, f+"Load", p.Load, 0, maxLoad)
+		inRange(c, f+"Ramp", time.Duration(p.Ramp).Seconds(), 0, maxDuration.Seconds())
+		if i > 0 && p.At <= ps[i-1].At {
+			c.Fault(f+"At", "must be later than that of the phase before")
+		}
+	}
+}
+
+func (fs Faults) check(c *ferrytoml.Check, w *Workload) {
+	for i, x := range fs {
+		f := fmt.Sprintf("Faults[%d].", i)
+		inRange(c, f+"At", time.Duration(x.At).Seconds(), 0, time.Duration(w.Duration).Seconds())
+		most := w.Units()
+		switch x.Kind {
+		case FaultKill, FaultHeal:
+		case FaultKillEntry:
+			most = w.Entries
+		case FaultSlow:
+			inRange(c, f+"Factor", x.Factor, 1e-3, 1)
+		default:
+			c.Fault(f+"Kind", "must be Kill, Slow, Heal or KillEntry, is %q", x.Kind)
+		}
+		if x.First < 0 || x.Count < 1 || x.First+x.Count > most {
+			c.Fault(f+"Count", "must name 1 or more of the %d there are, from First on", most)
+		}
+	}
+}
+
+// Units is the number of pipelines, or of runners where each holds the whole model.
+func (w *Workload) Units() int {
+	if len(w.Layout.Stages) > 0 {
+		return len(w.Layout.Stages)
+	}
+	return w.Runners.Count()
+}
--- /dev/null
+++ b/ferrybench/point.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferrybench/ferryexperiment"
+	"cactusferry.dev/ferrybench/ferryworkload"
+)
+
+// point is one of the numbered demands on the policy, measured with one workload.
+type point struct {
+	number   int
+	workload string
+	measure  func(*ferryworkload.Workload, ferryexperiment.Policy) (measures, *ferryexperiment.Result)
+}
+
+// measure is one figure of one run.
+type measure struct {
+	name   string
+	unit   string
+	target target
+	value  float64
+}
+
+type measures []measure
+
+var points = []point{
+	{1, "holding", measureHolding},
+	{2, "crest", measureCrest},
+	{3, "pipelines", measurePipelines},
+	{3, "affinity", measureAffinity},
+	{4, "recovery", measureRecovery},
+	{4, "slow", measureSlow},
+	{5, "fairness", measureFairness},
+	{6, "entries", measureEntries},
+}
+
+// measurePoint runs both policies on the same arrivals.
+func measurePoint(p point) ([]figure, []*ferryexperiment.Result, error) {
+	w, err := readWorkload(p.workload)
+	if err != nil {
+		return nil, nil, err
+	}
+	base, baseResult := p.measure(w, ferryexperiment.Baseline)
+	now, nowResult := p.measure(w, ferryexperiment.Now)
+	var out []figure
+	for i, m := range now {
+		out = append(out, figure{
+			Point: strconv.Itoa(p.number), Measure: m.name, Unit: m.unit, Target: m.target,
+			Baseline: base[i].value, Now: m.value, Met: m.target.met(m.value), Workload: p.workload, Seed: w.Seed,
+		})
+	}
+	return out, []*ferryexperiment.Result{baseResult, nowResult}, nil
+}
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(1, b)) }
+
+func share(a, b int) float64 { return float64(a) / float64(max(1, b)) }
+
+func served(s *ferryexperiment.Second) float64  { return s.Served }
+func inTime(s *ferryexperiment.Second) float64  { return s.InTime }
+func offered(s *ferryexperiment.Second) float64 { return s.Offered }
+
+// without returns the arrivals that are not stragglers.
+func without(as []ferryworkload.Arrival) []ferryworkload.Arrival {
+	var out []ferryworkload.Arrival
+	for _, a := range as {
+		if !a.Kind.Straggler {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func measureHolding(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	as := w.Arrivals()
+	r := ferryexperiment.Run(w, as, p)
+	alone := ferryexperiment.Run(w, without(as), p)
+	short, long := r.Kind("question"), r.Kind("robot-log")
+	unfinished := long.Offered - long.InTime - long.Late
+	return measures{
+		{"short work's p99 wait for the first token beside stragglers, over that without them", "x", atMost(1.5), ratio(short.First.P99, alone.Kind("question").First.P99)},
+		{"slowest straggler over its unloaded time", "x", atMost(3), long.Stretch},
+		{"stragglers not finished", "calls", atMost(0), float64(unfinished)},
+		{"work thrown away", "of work", atMost(0.02), float64(r.Queue.Thrown) / float64(max(1, r.Queue.Served))},
+	}, r
+}
+
+// The crest of the workload: its rise is over at crestFrom and it falls at crestTo.
+const (
+	crestRise = 60 * time.Second
+	crestFrom = 61 * time.Second
+	crestTo   = 90 * time.Second
+)
+
+func measureCrest(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	r := ferryexperiment.Run(w, w.Arrivals(), p)
+	g := &r.All
+	return measures{
+		{"admitted work that meets its deadline", "of admitted", atLeast(0.95), share(g.InTime, g.Admitted)},
+		{"first token p95 of admitted work, from the try that was admitted", "s", atMost(1.6), g.FirstTry.P95.Seconds()},
+		{"first token p95 of admitted work, from the first try", "s", target{}, g.First.P95.Seconds()},
+		{"between tokens p95", "ms", atMost(46), g.Between.P95.Seconds() * 1000},
+		{"goodput from the end of the rise to the fall", "of capacity", atLeast(0.95), r.Mean(crestFrom, crestTo, inTime) / r.Bound},
+		{"refusals within 100 ms", "of refusals", atLeast(1), 1 - share(r.LateRefusals, r.Refusals)},
+		{"tries for each call", "x", target{}, 1 + share(r.Refusals, g.Offered)},
+		{"least admitted share of a customer over its fair part", "x", target{}, leastFair(w, r)},
+	}, r
+}
+
+// leastFair is the work in time of the customer that got least for its share, over what its share stands for.
+func leastFair(w *ferryworkload.Workload, r *ferryexperiment.Result) float64 {
+	sum, shares := 0.0, 0.0
+	for _, c := range w.Customers {
+		sum += r.Customer(c.Name).Work
+		shares += c.Share
+	}
+	least := math.Inf(1)
+	for _, c := range w.Customers {
+		least = min(least, r.Customer(c.Name).Work/sum/(c.Share/shares))
+	}
+	return least
+}
+
+func measurePipelines(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	r := ferryexperiment.Run(w, w.Arrivals(), p)
+	from, to := time.Duration(w.Warmup), time.Duration(w.Duration)
+	equal := *w
+	equal.Layout.Equal = true
+	return measures{
+		{"throughput of pipelines of 2 to 8 stages over the bound", "of bound", atLeast(0.95), r.Mean(from, to, served) / r.Bound},
+		{"bound with layers placed by rate, over the runners' summed rate", "of sum", target{}, w.Bound() / w.IdealBound()},
+		{"bound with layers split equally, over the runners' summed rate", "of sum", target{}, equal.Bound() / w.IdealBound()},
+	}, r
+}
+
+func measureAffinity(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	as := w.Arrivals()
+	with := ferryexperiment.Run(w, as, p)
+	plain := *w
+	plain.Route.Affinity = false
+	off := ferryexperiment.Run(&plain, as, p)
+	return measures{
+		{"answers with prefix affinity over those without it", "x", target{}, share(with.All.InTime, off.All.InTime)},
+		{"first token p95 with prefix affinity over that without it", "x", target{}, ratio(with.All.First.P95, off.All.First.P95)},
+	}, with
+}
+
+// recoverWithin is the time in which throughput must be back.
+const recoverWithin = 5
+
+func measureRecovery(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	r := ferryexperiment.Run(w, w.Arrivals(), p)
+	at := func(i int) time.Duration { return time.Duration(w.Faults[i].At) }
+	last := len(w.Faults) - 1
+	return measures{
+		{"back above 90% of the new bound or of the load after 1 runner died", "s", atMost(recoverWithin), recovery(r, at(0))},
+		{"the same after a third of the runners died", "s", atMost(recoverWithin), recovery(r, at(1))},
+		{"the same after an entry died", "s", atMost(recoverWithin), recovery(r, at(last))},
+		{"streams lost", "calls", atMost(0), float64(r.All.Failed)},
+	}, r
+}
+
+// recovery is the time from a fault until throughput stays, in the mean of 5 s, above 90% of what can be had.
+func recovery(r *ferryexperiment.Result, fault time.Duration) float64 {
+	const window = 5 * time.Second
+	load := r.Mean(fault-20*time.Second, fault, offered)
+	for t := fault; t < fault+40*time.Second; t += time.Second {
+		bound := r.Mean(t+time.Second, t+2*time.Second, func(s *ferryexperiment.Second) float64 { return s.Bound })
+		if r.Mean(t, t+window, served) >= 0.9*min(load, bound) {
+			return (t - fault).Seconds()
+		}
+	}
+	return math.Inf(1)
+}
+
+func measureSlow(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	as := w.Arrivals()
+	r := ferryexperiment.Run(w, as, p)
+	healthy := *w
+	healthy.Faults = nil
+	before := ferryexperiment.Run(&healthy, as, p)
+	f := w.Faults[0]
+	worst, wrong := 0.0, 0
+	units := w.UnitList()
+	for i, u := range units {
+		found, ok := r.SlowFound[string(u.Name)]
+		switch {
+		case i >= f.First && i < f.First+f.Count && !ok:
+			worst = math.Inf(1)
+		case i >= f.First && i < f.First+f.Count:
+			worst = max(worst, (found - time.Duration(f.At)).Seconds())
+		case ok:
+			wrong++
+		}
+	}
+	return measures{
+		{"all slow runners found", "s", atMost(recoverWithin), worst},
+		{"sound runners taken for slow", "runners", atMost(0), float64(wrong)},
+		{"answer p99 with slow runners over that without", "x", target{}, ratio(r.All.Answer.P99, before.All.Answer.P99)},
+	}, r
+}
+
+// hog is the customer that sends ten times its share.
+const (
+	hog       ferryid.CustomerName = "parlour-1"
+	hogFactor                      = 10
+)
+
+func measureFairness(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	even := ferryexperiment.Run(w, w.Arrivals(), p)
+	loud := withHog(w)
+	r := ferryexperiment.Run(loud, loud.Arrivals(), p)
+	wait, answer, first := 0.0, 0.0, 0.0
+	inTime := 1.0
+	for _, c := range w.Customers {
+		if c.Name == hog {
+			continue
+		}
+		a, b := even.Customer(c.Name), r.Customer(c.Name)
+		answer = max(answer, ratio(b.Answer.P99, a.Answer.P99))
+		first = max(first, ratio(b.First.P99, a.First.P99))
+		wait = max(wait, b.Wait.P99.Seconds())
+		inTime = min(inTime, share(b.InTime, b.Offered))
+	}
+	from, to := time.Duration(w.Warmup), time.Duration(w.Duration)
+	return measures{
+		{"worst move of another customer's p99 answer time", "x", atMost(1.1), answer},
+		{"worst move of another customer's p99 first token", "x", target{}, first},
+		{"worst p99 wait for a slot of another customer", "s", target{}, wait},
+		{"least share of another customer's calls in time", "of calls", target{}, inTime},
+		{"throughput, as a check that unused shares are used", "of bound", target{}, r.Mean(from, to, served) / r.Bound},
+	}, r
+}
+
+func withHog(w *ferryworkload.Workload) *ferryworkload.Workload {
+	loud := *w
+	loud.Customers = append(ferryworkload.Customers{}, w.Customers...)
+	before, after := 0.0, 0.0
+	for i := range loud.Customers {
+		c := &loud.Customers[i]
+		before += c.Load
+		if c.Name == hog {
+			c.Load *= hogFactor
+		}
+		after += c.Load
+	}
+	loud.Phases = append(ferryworkload.Phases{}, w.Phases...)
+	for i := range loud.Phases {
+		loud.Phases[i].Load *= after / before
+	}
+	return &loud
+}
+
+func measureEntries(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
+	as := w.Arrivals()
+	r := ferryexperiment.Run(w, as, p)
+	one := *w
+	one.Entries = 1
+	one.Reports.Every = 0
+	knows := ferryexperiment.Run(&one, as, p)
+	from, to := time.Duration(w.Warmup), time.Duration(w.Duration)
+	return measures{
+		{"throughput of nine entries over that of one that knows all", "x", atLeast(0.97), r.Mean(from, to, served) / knows.Mean(from, to, served)},
+		{"throughput of nine entries", "of bound", target{}, r.Mean(from, to, served) / r.Bound},
+		{fmt.Sprintf("first token p95 of %d entries over that of one", w.Entries), "x", target{}, ratio(r.All.First.P95, knows.All.First.P95)},
+	}, r
+}
--- /dev/null
+++ b/ferrybench/policy.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jessevdk/go-flags"
+
+	"cactusferry.dev/ferrybench/ferryexperiment"
+	"cactusferry.dev/ferrybench/ferryreport"
+)
+
+func init() { subcommands = append(subcommands, addPolicy) }
+
+// policyCommand measures both policies.
+type policyCommand struct {
+	Points    []int    `long:"point" description:"only the point of this number; may be given again"`
+	Workloads []string `long:"workload" description:"run this workload instead: a file, or the name of one that comes with ferrybench"`
+	Out       string   `long:"out" default:"out" description:"directory for the JSON reports and plots; empty for none"`
+}
+
+func addPolicy(p *flags.Parser) error {
+	_, err := p.AddCommand("policy", "measure the queueing and routing policies on a virtual clock",
+		`Drives the cores that ferryd uses with generated arrivals and fake runners, FIFO and random choice (the baseline) and the
+present policy in turn on the same arrivals, and prints a table of the stated targets. It opens no connection.
+
+Examples:
+  ferrybench policy                          all points
+  ferrybench policy --point 1 --point 5      two of them
+  ferrybench policy --workload stoyanovi     one workload, with its times by kind of call and customer
+  ferrybench policy --workload ./mine.toml --out /tmp/out`, &policyCommand{})
+	return err
+}
+
+// Execute is called by go-flags.
+func (c *policyCommand) Execute([]string) error {
+	if len(c.Workloads) > 0 {
+		return c.runWorkloads()
+	}
+	var all []figure
+	for _, p := range points {
+		if len(c.Points) > 0 && !slices.Contains(c.Points, p.number) {
+			continue
+		}
+		fs, rs, err := measurePoint(p)
+		if err != nil {
+			return err
+		}
+		all = append(all, fs...)
+		if err := c.save(p.workload, rs); err != nil {
+			return err
+		}
+	}
+	return writeTable(os.Stdout, all)
+}
+
+func (c *policyCommand) runWorkloads() error {
+	for _, name := range c.Workloads {
+		w, err := readWorkload(name)
+		if err != nil {
+			return err
+		}
+		as := w.Arrivals()
+		var rs []*ferryexperiment.Result
+		for _, p := range []ferryexperiment.Policy{ferryexperiment.Baseline, ferryexperiment.Now} {
+			r := ferryexperiment.Run(w, as, p)
+			rs = append(rs, r)
+			if err := ferryreport.WriteText(os.Stdout, r); err != nil {
+				return merry.Prepend(err, "print report")
+			}
+		}
+		if err := c.save(w.Name, rs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *policyCommand) save(name string, rs []*ferryexperiment.Result) error {
+	if c.Out == "" {
+		return nil
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return merry.Prepend(err, "make directory for reports")
+	}
+	for _, r := range rs {
+		if err := ferryreport.WriteJSON(filepath.Join(c.Out, fmt.Sprintf("%s-%s.json", name, r.Policy.Name)), r); err != nil {
+			return merry.Prepend(err, "write report")
+		}
+	}
+	return merry.Prepend(ferryreport.Plot(c.Out, name, rs), "draw plots")
+}
--- /dev/null
+++ b/ferrybench/weigh.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cactusferry.dev/ferry/ferryroute"
+	"cactusferry.dev/ferrybench/ferryexperiment"
+	"cactusferry.dev/ferrybench/ferryworkload"
+)
+
+func init() { subcommands = append(subcommands, addWeigh) }
+
+// weighCommand compares ways that were weighed for the present policy.
+type weighCommand struct{}
+
+func addWeigh(p *flags.Parser) error {
+	_, err := p.AddCommand("weigh", "compare the ways weighed for the present policy",
+		`Runs variants of the present policy on the same arrivals, one table for each question: predictions, costs, choices,
+waiting list, prefix affinity, and what nine entries know of each other. docs/design/0004 discusses them.
+
+Example:
+  ferrybench weigh`, &weighCommand{})
+	return err
+}
+
+// variant is one way to do it.
+type variant struct {
+	name   string
+	change func(*ferryworkload.Workload, *ferryexperiment.Policy)
+}
+
+func routed(o ferryroute.Options) func(*ferryworkload.Workload, *ferryexperiment.Policy) {
+	return func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) { w.Route = o }
+}
+
+func predicted(p ferryworkload.Prediction) func(*ferryworkload.Workload, *ferryexperiment.Policy) {
+	return func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) { w.Prediction = p }
+}
+
+// summarised lets entries tell each other what they have outstanding, five times a second and 300 ms late.
+func summarised(o ferryroute.Options) func(*ferryworkload.Workload, *ferryexperiment.Policy) {
+	return func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) {
+		w.Route = o
+		w.Reports.Every = ferryworkload.Duration(200 * time.Millisecond)
+		w.Reports.Delay = ferryworkload.Duration(300 * time.Millisecond)
+	}
+}
+
+func alone(w *ferryworkload.Workload, _ *ferryexperiment.Policy) {
+	w.Entries = 1
+	w.Reports.Every = 0
+}
+
+func listed(_ *ferryworkload.Workload, p *ferryexperiment.Policy) { p.WaitingList = true }
+
+func unchanged(*ferryworkload.Workload, *ferryexperiment.Policy) {}
+
+var questions = []struct {
+	title    string
+	workload string
+	variants []variant
+}{
+	{"What wrong predictions cost", "holding", []variant{
+		{"learned", unchanged},
+		{"exact", predicted(ferryworkload.PredictExact)},
+		{"none: all work predicted as one token", predicted(ferryworkload.PredictNone)},
+	}},
+	{"How a runner's load is weighed", "holding", []variant{
+		{"expected finish", routed(ferryroute.Options{Cost: ferryroute.CostFinish})},
+		{"own part of the slots", routed(ferryroute.Options{Cost: ferryroute.CostCredit})},
+		{"outstanding work over rate", routed(ferryroute.Options{Cost: ferryroute.CostWork})},
+		{"expected finish, two choices", routed(ferryroute.Options{Cost: ferryroute.CostFinish, Choices: 2})},
+		{"outstanding work, two choices", routed(ferryroute.Options{Cost: ferryroute.CostWork, Choices: 2})},
+	}},
+	{"What becomes of refused work at the crest", "crest", []variant{
+		{"retry-after", unchanged},
+		{"waiting list with a place", listed},
+		{"no retries", func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) { w.Retry.Attempts = 0 }},
+	}},
+	{"Prefix affinity", "affinity", []variant{
+		{"off", routed(ferryroute.Options{})},
+		{"on", routed(ferryroute.Options{Affinity: true})},
+	}},
+	{"Prefix affinity in the Inkwell day", "inkwell", []variant{
+		{"off", routed(ferryroute.Options{})},
+		{"on", routed(ferryroute.Options{Affinity: true})},
+	}},
+	{"What nine entries know of each other", "entries", []variant{
+		{"one entry that knows all", alone},
+		{"expected finish, reports 2 s late", routed(ferryroute.Options{Cost: ferryroute.CostFinish})},
+		{"expected finish, own work only", routed(ferryroute.Options{Cost: ferryroute.CostFinish, IgnoreReports: true})},
+		{"expected finish, two choices", routed(ferryroute.Options{Cost: ferryroute.CostFinish, Choices: 2})},
+		{"outstanding work, two choices", routed(ferryroute.Options{Cost: ferryroute.CostWork, Choices: 2})},
+		{"outstanding work, full scan", routed(ferryroute.Options{Cost: ferryroute.CostWork})},
+		{"peers' summaries 300 ms late", summarised(ferryroute.Options{Cost: ferryroute.CostFinish})},
+		{"peers' summaries, two choices", summarised(ferryroute.Options{Cost: ferryroute.CostFinish, Choices: 2})},
+		{"own part of the slots, reports 2 s late", routed(ferryroute.Options{Cost: ferryroute.CostCredit})},
+		{"own part of the slots, own work only", routed(ferryroute.Options{Cost: ferryroute.CostCredit, IgnoreReports: true})},
+		{"own part of the slots, peers' summaries", summarised(ferryroute.Options{Cost: ferryroute.CostCredit})},
+	}},
+}
+
+// Execute is called by go-flags.
+func (c *weighCommand) Execute([]string) error {
+	for _, q := range questions {
+		if err := weigh(os.Stdout, q.title, q.workload, q.variants); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func weigh(out io.Writer, title, workload string, vs []variant) error {
+	base, err := readWorkload(workload)
+	if err != nil {
+		return err
+	}
+	as := base.Arrivals()
+	fmt.Fprintf(out, "%s (workload %s, seed %d)\n\n", title, workload, base.Seed)
+	tw := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(tw, "| way\t| served, of bound\t| in time, of offered\t| first token p95\t| p99\t| answer p99\t| work done twice\t|")
+	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for _, v := range vs {
+		w, p := *base, ferryexperiment.Now
+		v.change(&w, &p)
+		r := ferryexperiment.Run(&w, as, p)
+		g := &r.All
+		fmt.Fprintf(tw, "| %s\t| %.3f\t| %.3f\t| %.2f s\t| %.2f s\t| %.1f s\t| %.2f%%\t|\n", v.name,
+			r.Mean(time.Duration(w.Warmup), time.Duration(w.Duration), served)/r.Bound, share(g.InTime, g.Offered),
+			g.First.P95.Seconds(), g.First.P99.Seconds(), g.Answer.P99.Seconds(), 100*float64(r.Queue.Thrown)/float64(max(1, r.Queue.Served)))
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out)
+	return err
+}
