--- a/ferry/ferryroute/bench_test.go
+++ b/ferry/ferryroute/bench_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestChooseAllocatesNothing(t *testing.T) {
-	tb := table(48, Options{Affinity: true})
+	tb := table(48, Options{})
 	s, w, r := tb.Snapshot(), &Work{Predicted: 100, Prefix: 3}, Rand(1)
 	assert.Equal(t, testing.AllocsPerRun(1000, func() { Choose(s, w, &r) }), 0.0)
 }
@@ -23,8 +23,8 @@
 	}{
 		{"Random", ferryservice.RouteRandom, Options{}},
 		{"TwoChoices", ferryservice.RouteLeast, Options{Choices: 2}},
-		{"Scan", ferryservice.RouteLeast, Options{}},
-		{"ScanAffinity", ferryservice.RouteLeast, Options{Affinity: true}},
+		{"Scan", ferryservice.RouteLeast, Options{NoAffinity: true}},
+		{"ScanAffinity", ferryservice.RouteLeast, Options{}},
 	} {
 		b.Run(bb.name, func(b *testing.B) {
 			tb := NewTable(bb.opts)
--- a/ferry/ferryroute/choose.go
+++ b/ferry/ferryroute/choose.go
@@ -21,10 +21,10 @@
 
 // The costs; the first is the default.
 const (
-	// CostFinish is the time until the call would be finished: its share of the rate, and the wait for a slot.
+	// CostFinish is the time until the call would be finished: its share of the rate, and the wait for one of this entry's slots.
 	CostFinish Cost = "Finish"
-	// CostCredit is CostFinish, but the wait for a slot is that for this entry's own part of the slots.
-	CostCredit Cost = "Credit"
+	// CostShared is CostFinish, but the wait is that for any entry's slot, as far as late reports tell.
+	CostShared Cost = "Shared"
 	// CostWork is the outstanding work over the rate.
 	CostWork Cost = "Work"
 )
@@ -34,7 +34,8 @@
 	Cost          Cost `toml:"Cost" json:"Cost"`
 	Choices       int  `toml:"Choices" json:"Choices"`
 	IgnoreReports bool `toml:"IgnoreReports" json:"IgnoreReports"`
-	Affinity      bool `toml:"Affinity" json:"Affinity"`
+	RawReports    bool `toml:"RawReports" json:"RawReports"`
+	NoAffinity    bool `toml:"NoAffinity" json:"NoAffinity"`
 }
 
 // Work is what a choice has to know of a call; Avoid names upstreams that have already failed it.
@@ -138,7 +139,7 @@
 		if c < least {
 			best, least = i, c
 		}
-		if !s.opts.Affinity || w.Prefix == 0 {
+		if s.opts.NoAffinity || w.Prefix == 0 {
 			continue
 		}
 		if h := mix(u.seed ^ w.Prefix); home < 0 || h > top {
@@ -173,9 +174,9 @@
 	}
 	c := backlogWeight * float64(outstanding) / rate
 	c += float64(w.Predicted) * float64(min(running+1, r.slots)) / rate
-	over := running + 1 - r.slots
-	if s.opts.Cost == CostCredit {
-		over = int(r.load.ownRunning.Load()) + 1 - r.credit
+	over := int(r.load.ownRunning.Load()) + 1 - r.credit
+	if s.opts.Cost == CostShared {
+		over = running + 1 - r.slots
 	}
 	if over > 0 {
 		c += float64(over) * float64(outstanding+int64(w.Predicted)) / float64(running+1) / rate * float64(r.slots)
--- a/ferry/ferryroute/oracle_test.go
+++ b/ferry/ferryroute/oracle_test.go
@@ -23,7 +23,7 @@
 // TestTableAgainstOracle checks that outstanding work adds up and that no leaving or avoided upstream is chosen.
 func TestTableAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		opts := Options{Choices: rapid.IntRange(0, 3).Draw(t, "choices"), Affinity: rapid.Bool().Draw(t, "affinity")}
+		opts := Options{Choices: rapid.IntRange(0, 3).Draw(t, "choices"), NoAffinity: rapid.Bool().Draw(t, "plain")}
 		tb := NewTable(opts)
 		d := document(5)
 		d.Policy.Route = rapid.SampledFrom([]ferryservice.RoutePolicy{ferryservice.RouteLeast, ferryservice.RouteRandom}).Draw(t, "policy")
--- a/ferry/ferryroute/report.go
+++ b/ferry/ferryroute/report.go
@@ -15,7 +15,9 @@
 	// maxReportSkew is how far in the future a report may be dated, for clocks that differ.
 	maxReportSkew = time.Second
 	// maxReportAge is the age from which a report says nothing any more.
-	maxReportAge  = 30 * time.Second
+	maxReportAge = 30 * time.Second
+	// reportWeight is the weight of one report in what other entries have in the long run.
+	reportWeight  = 0.05
 	historySize   = 64
 	historyPeriod = 100 * time.Millisecond
 )
@@ -69,11 +71,22 @@
 	}
 	u.reported = r.At
 	own, running := u.history.at(r.At)
-	u.row.load.others.Store(max(0, int64(r.OutstandingTokens)-own))
-	u.row.load.othersRunning.Store(int32(max(0, int64(r.RunningStreams)-running)))
+	u.smooth(max(0, r.OutstandingTokens-float64(own)), max(0, r.RunningStreams-float64(running)), t.opts.RawReports)
+	u.row.load.others.Store(int64(u.others))
+	u.row.load.othersRunning.Store(int32(math.Round(u.othersRunning)))
 	return nil
 }
 
+// smooth keeps what other entries have here in the long run; a choice by their load of some seconds ago would herd.
+func (u *upstream) smooth(tokens, streams float64, raw bool) {
+	w := reportWeight
+	if raw || !u.heard {
+		w, u.heard = 1, true
+	}
+	u.others += w * (tokens - u.others)
+	u.othersRunning += w * (streams - u.othersRunning)
+}
+
 // RefusedReports returns the counts of refused reports.
 func (t *Table) RefusedReports() ReportCounts {
 	t.mu.Lock()
--- a/ferry/ferryroute/table.go
+++ b/ferry/ferryroute/table.go
@@ -27,13 +27,16 @@
 
 // upstream is the state of one upstream; row.load in it is shared with the snapshots.
 type upstream struct {
-	row      row
-	nominal  float64
-	speed    speed
-	health   health
-	leaving  bool
-	reported time.Time
-	history  history
+	row           row
+	nominal       float64
+	speed         speed
+	health        health
+	leaving       bool
+	reported      time.Time
+	others        float64
+	othersRunning float64
+	heard         bool
+	history       history
 }
 
 // NewTable returns an empty table.
--- a/ferry/ferryroute/table_test.go
+++ b/ferry/ferryroute/table_test.go
@@ -207,7 +207,7 @@
 }
 
 func TestAffinityGivesWayToLoad(t *testing.T) {
-	tb := table(6, Options{Affinity: true})
+	tb := table(6, Options{})
 	r := Rand(1)
 	w := &Work{Predicted: 100, Prefix: 42}
 	s := tb.Snapshot()
@@ -241,3 +241,46 @@
 		assert.Equal(t, fmt.Sprint(SplitLayers(tt.layers, tt.rates)), tt.want)
 	}
 }
+
+func TestPartsOfTheSlotsAddUp(t *testing.T) {
+	for _, entries := range []int{1, 2, 3, 7, 9, 50} {
+		sum := 0
+		for i := range entries {
+			tb := table(6, Options{})
+			tb.SetShare(i, entries)
+			sum += tb.Snapshot().Slots()
+		}
+		assert.Equal(t, sum, 6*8, "%d entries", entries)
+	}
+}
+
+func TestOwnPartOfTheSlotsIsUsedFirst(t *testing.T) {
+	tb := table(6, Options{})
+	tb.SetShare(0, 4)
+	r := Rand(1)
+	for range 12 {
+		s := tb.Snapshot()
+		tb.Start(s.At(Choose(s, &Work{Predicted: 100}, &r)).Name, 100, start)
+	}
+	for _, c := range tb.Snapshot().All() {
+		assert.Equal(t, c.Running, 2, "%s", c.Name)
+	}
+}
+
+func TestReportsOfOthersAreSmoothed(t *testing.T) {
+	tb := table(1, Options{})
+	others := func() int { return int(tb.Snapshot().At(0).Outstanding) }
+	at := start
+	report := func(n float64) {
+		at = at.Add(time.Second)
+		assert.NilError(t, tb.Report(Report{Upstream: "u0", OutstandingTokens: n, At: at}, at))
+	}
+	report(1000)
+	assert.Equal(t, others(), 1000)
+	report(0)
+	assert.Assert(t, others() >= 900, "one report moved the view to %d", others())
+	for range 200 {
+		report(0)
+	}
+	assert.Equal(t, others(), 0)
+}
--- a/ferrybench/point.go
+++ b/ferrybench/point.go
@@ -142,7 +142,7 @@
 	as := w.Arrivals()
 	with := ferryexperiment.Run(w, as, p)
 	plain := *w
-	plain.Route.Affinity = false
+	plain.Route.NoAffinity = true
 	off := ferryexperiment.Run(&plain, as, p)
 	return measures{
 		{"answers with prefix affinity over those without it", "x", target{}, share(with.All.InTime, off.All.InTime)},
--- a/ferrybench/weigh.go
+++ b/ferrybench/weigh.go
@@ -72,11 +72,10 @@
 		{"none: all work predicted as one token", predicted(ferryworkload.PredictNone)},
 	}},
 	{"How a runner's load is weighed", "holding", []variant{
-		{"expected finish", routed(ferryroute.Options{Cost: ferryroute.CostFinish})},
-		{"own part of the slots", routed(ferryroute.Options{Cost: ferryroute.CostCredit})},
-		{"outstanding work over rate", routed(ferryroute.Options{Cost: ferryroute.CostWork})},
+		{"expected finish", unchanged},
+		{"outstanding work over rate", routed(ferryroute.Options{Cost: ferryroute.CostWork, RawReports: true})},
 		{"expected finish, two choices", routed(ferryroute.Options{Cost: ferryroute.CostFinish, Choices: 2})},
-		{"outstanding work, two choices", routed(ferryroute.Options{Cost: ferryroute.CostWork, Choices: 2})},
+		{"outstanding work, two choices", routed(ferryroute.Options{Cost: ferryroute.CostWork, RawReports: true, Choices: 2})},
 	}},
 	{"What becomes of refused work at the crest", "crest", []variant{
 		{"retry-after", unchanged},
@@ -84,26 +83,43 @@
 		{"no retries", func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) { w.Retry.Attempts = 0 }},
 	}},
 	{"Prefix affinity", "affinity", []variant{
-		{"off", routed(ferryroute.Options{})},
-		{"on", routed(ferryroute.Options{Affinity: true})},
+		{"off", routed(ferryroute.Options{NoAffinity: true})},
+		{"on", unchanged},
 	}},
 	{"Prefix affinity in the Inkwell day", "inkwell", []variant{
-		{"off", routed(ferryroute.Options{})},
-		{"on", routed(ferryroute.Options{Affinity: true})},
-	}},
-	{"What nine entries know of each other", "entries", []variant{
-		{"one entry that knows all", alone},
-		{"expected finish, reports 2 s late", routed(ferryroute.Options{Cost: ferryroute.CostFinish})},
-		{"expected finish, own work only", routed(ferryroute.Options{Cost: ferryroute.CostFinish, IgnoreReports: true})},
-		{"expected finish, two choices", routed(ferryroute.Options{Cost: ferryroute.CostFinish, Choices: 2})},
-		{"outstanding work, two choices", routed(ferryroute.Options{Cost: ferryroute.CostWork, Choices: 2})},
-		{"outstanding work, full scan", routed(ferryroute.Options{Cost: ferryroute.CostWork})},
-		{"peers' summaries 300 ms late", summarised(ferryroute.Options{Cost: ferryroute.CostFinish})},
-		{"peers' summaries, two choices", summarised(ferryroute.Options{Cost: ferryroute.CostFinish, Choices: 2})},
-		{"own part of the slots, reports 2 s late", routed(ferryroute.Options{Cost: ferryroute.CostCredit})},
-		{"own part of the slots, own work only", routed(ferryroute.Options{Cost: ferryroute.CostCredit, IgnoreReports: true})},
-		{"own part of the slots, peers' summaries", summarised(ferryroute.Options{Cost: ferryroute.CostCredit})},
+		{"off", routed(ferryroute.Options{NoAffinity: true})},
+		{"on", unchanged},
 	}},
+	{"What nine entries know of each other, saturated", "entries", entryVariants},
+	{"What nine entries know of each other, at 70% load", "entries", at(0.7, entryVariants)},
+}
+
+var entryVariants = []variant{
+	{"one entry that knows all", alone},
+	{"own part of the slots, smoothed reports 2 s late", unchanged},
+	{"own part of the slots, raw reports 2 s late", routed(ferryroute.Options{RawReports: true})},
+	{"own part of the slots, own work only", routed(ferryroute.Options{IgnoreReports: true})},
+	{"own part of the slots, peers' summaries 300 ms late", summarised(ferryroute.Options{RawReports: true})},
+	{"any slot, smoothed reports 2 s late", routed(ferryroute.Options{Cost: ferryroute.CostShared})},
+	{"any slot, raw reports 2 s late", routed(ferryroute.Options{Cost: ferryroute.CostShared, RawReports: true})},
+	{"any slot, own work only", routed(ferryroute.Options{Cost: ferryroute.CostShared, IgnoreReports: true})},
+	{"any slot, two choices", routed(ferryroute.Options{Cost: ferryroute.CostShared, RawReports: true, Choices: 2})},
+	{"any slot, peers' summaries 300 ms late", summarised(ferryroute.Options{RawReports: true, Cost: ferryroute.CostShared})},
+	{"any slot, peers' summaries, two choices", summarised(ferryroute.Options{Cost: ferryroute.CostShared, RawReports: true, Choices: 2})},
+	{"outstanding work, full scan", routed(ferryroute.Options{Cost: ferryroute.CostWork, RawReports: true})},
+	{"outstanding work, two choices", routed(ferryroute.Options{Cost: ferryroute.CostWork, RawReports: true, Choices: 2})},
+}
+
+// at changes the load of a workload with one phase.
+func at(load float64, vs []variant) []variant {
+	var out []variant
+	for _, v := range vs {
+		out = append(out, variant{v.name, func(w *ferryworkload.Workload, p *ferryexperiment.Policy) {
+			v.change(w, p)
+			w.Phases = ferryworkload.Phases{{Load: load}}
+		}})
+	}
+	return out
 }
 
 // Execute is called by go-flags.
@@ -121,7 +137,9 @@
 	if err != nil {
 		return err
 	}
-	as := base.Arrivals()
+	first := *base
+	vs[0].change(&first, &ferryexperiment.Policy{})
+	as := first.Arrivals()
 	fmt.Fprintf(out, "%s (workload %s, seed %d)\n\n", title, workload, base.Seed)
 	tw := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
 	fmt.Fprintln(tw, "| way\t| served, of bound\t| in time, of offered\t| first token p95\t| p99\t| answer p99\t| work done twice\t|")
