ferrybench: results are recorded from samples, for live loads as well

Cause: the load command needs the same groups, histograms and reports as the experiments. Change: Sample and Result.Offer, Refuse, Serve, Record and Close are exported; the experiment's own parts stay apart. Conclusion: no behaviour changed.

--- a/ferrybench/ferryexperiment/entry.go
+++ b/ferrybench/ferryexperiment/entry.go
@@ -62,15 +62,15 @@
 func (e *entry) predict(w *ferryworkload.Workload, c *call) ferryid.Tokens {
 	switch w.Prediction {
 	case ferryworkload.PredictExact:
-		return c.arrival.Tokens
+		return c.Arrival.Tokens
 	case ferryworkload.PredictNone:
 		return 1
 	}
-	return e.predictor.Predict(c.arrival.Customer, c.arrival.Prompt, c.arrival.Kind.MaxTokens)
+	return e.predictor.Predict(c.Arrival.Customer, c.Arrival.Prompt, c.Arrival.Kind.MaxTokens)
 }
 
 func (e *entry) submit(s *simulation, c *call) {
-	c.entry, c.submitted = e, s.now
+	c.entry, c.Submitted = e, s.now
 	c.attempts++
 	if c.predicted == 0 {
 		c.predicted = e.predict(s.w, c)
@@ -82,7 +82,6 @@
 	if c.attempts == 1 {
 		e.budget.FirstTry()
 	}
-	c.queued = true
 	e.calls[c.id] = c
 	e.pump(s)
 }
@@ -90,7 +89,7 @@
 func (e *entry) item(s *simulation, c *call) ferryqueue.Item {
 	it := ferryqueue.Item{
 		ID:        c.id,
-		Customer:  c.arrival.Customer,
+		Customer:  c.Arrival.Customer,
 		Predicted: max(1, c.predicted-ferryid.Tokens(c.produced)),
 		Arrived:   s.time(),
 		Resumed:   c.produced > 0,
@@ -108,16 +107,14 @@
 		for _, r := range e.queue.Dropped() {
 			c := e.calls[r.Item.ID]
 			delete(e.calls, r.Item.ID)
-			c.queued = false
 			s.refused(c, &r)
 		}
 		if !ok {
 			return
 		}
 		c := e.calls[it.ID]
-		c.queued = false
-		if !c.started {
-			c.started, c.admitted = true, s.now
+		if !c.Started {
+			c.Started, c.Admitted = true, s.now
 		}
 		c.class = it.Class
 		e.send(s, c)
@@ -126,14 +123,14 @@
 
 // send tries units until one takes the call; a connection that is refused means that nothing ran.
 func (e *entry) send(s *simulation, c *call) {
-	w := &ferryroute.Work{Predicted: ferryid.Tokens(c.left()), Prefix: c.arrival.Prefix}
+	w := &ferryroute.Work{Predicted: ferryid.Tokens(c.left()), Prefix: c.Arrival.Prefix}
 	for {
 		snap := e.table.Snapshot()
 		i := ferryroute.Choose(snap, w, &e.rand)
 		if i < 0 {
 			e.queue.Cancel(c.id)
 			delete(e.calls, c.id)
-			s.finish(c, outcomeFailed)
+			s.finish(c, Failed)
 			return
 		}
 		name := snap.At(i).Name
@@ -181,7 +178,6 @@
 	s.takeOff(c)
 	c.dispatch.Cancel(s.time())
 	e.queue.Requeue(c.id, s.time())
-	c.queued = true
 	c.resumes++
 	e.pump(s)
 }
@@ -192,15 +188,14 @@
 		c := e.list[0]
 		if d := c.deadline(); d > 0 && s.now > d {
 			e.list = e.list[1:]
-			s.finish(c, outcomeRefused)
+			s.finish(c, Refused)
 			continue
 		}
-		c.entry, c.submitted = e, s.now
+		c.entry, c.Submitted = e, s.now
 		if e.queue.Enqueue(e.item(s, c), s.time()) != nil {
 			return
 		}
 		e.list = e.list[1:]
-		c.queued = true
 		e.calls[c.id] = c
 		e.pump(s)
 	}
@@ -215,9 +210,9 @@
 
 func (e *entry) done(s *simulation, c *call) {
 	delete(e.calls, c.id)
-	c.dispatch.Finish(c.arrival.Tokens, s.time())
-	e.queue.Done(c.id, c.arrival.Tokens, s.time())
-	e.predictor.Learn(c.arrival.Customer, c.arrival.Prompt, c.arrival.Tokens)
+	c.dispatch.Finish(c.Arrival.Tokens, s.time())
+	e.queue.Done(c.id, c.Arrival.Tokens, s.time())
+	e.predictor.Learn(c.Arrival.Customer, c.Arrival.Prompt, c.Arrival.Tokens)
 	e.pump(s)
 }
 
@@ -225,14 +220,13 @@
 func (e *entry) broken(s *simulation, c *call) {
 	c.dispatch.Fail(ferryroute.FailureConnection, s.time())
 	e.setCapacity()
-	if !c.arrival.Kind.Repeatable || !e.budgeted(c) {
+	if !c.Arrival.Kind.Repeatable || !e.budgeted(c) {
 		delete(e.calls, c.id)
 		e.queue.Cancel(c.id)
-		s.finish(c, outcomeFailed)
+		s.finish(c, Failed)
 		return
 	}
 	c.resumes++
-	c.queued = true
 	e.queue.Requeue(c.id, s.time())
 }
 
--- a/ferrybench/ferryexperiment/result.go
+++ b/ferrybench/ferryexperiment/result.go
@@ -1,14 +1,12 @@
 package ferryexperiment
 
 import (
-	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryqueue"
-	"cactusferry.dev/ferry/ferryroute"
 	"cactusferry.dev/ferrybench/ferryworkload"
 )
 
@@ -93,13 +91,13 @@
 	SlowFound      map[string]time.Duration `json:"SlowFound"`
 	Queue          ferryqueue.Counts        `json:"Queue"`
 	warmup         time.Duration
-	until          time.Duration
 	kinds          map[string]*Group
 	customers      map[ferryid.CustomerName]*Group
 }
 
-func newResult(w *ferryworkload.Workload, p Policy) *Result {
-	r := &Result{Workload: w.Name, Policy: p, Seed: w.Seed, Bound: w.Bound(), warmup: time.Duration(w.Warmup), until: time.Duration(w.Duration)}
+// NewResult returns an empty result for the workload.
+func NewResult(w *ferryworkload.Workload, p Policy) *Result {
+	r := &Result{Workload: w.Name, Policy: p, Seed: w.Seed, Bound: w.Bound(), warmup: time.Duration(w.Warmup)}
 	r.All.Name = "all"
 	r.SlowFound = map[string]time.Duration{}
 	r.kinds, r.customers = map[string]*Group{}, map[ferryid.CustomerName]*Group{}
@@ -124,120 +122,93 @@
 	return &r.Seconds[i]
 }
 
-func (r *Result) groups(c *call) []*Group {
-	return []*Group{&r.All, r.kinds[c.arrival.Kind.Name], r.customers[c.arrival.Customer]}
-}
-
-func (r *Result) offered(c *call) {
-	r.second(c.arrival.At).Offered += c.arrival.Work()
-	if c.arrival.At < r.warmup {
+// Offer counts an intended arrival.
+func (r *Result) Offer(a *ferryworkload.Arrival) {
+	r.second(a.At).Offered += a.Work()
+	if a.At < r.warmup {
 		return
 	}
-	for _, g := range r.groups(c) {
+	for _, g := range r.groups(a) {
 		g.Offered++
 	}
 }
 
-func (r *Result) served(now time.Duration, work float64) {
+func (r *Result) groups(a *ferryworkload.Arrival) []*Group {
+	return []*Group{&r.All, r.kinds[a.Kind.Name], r.customers[a.Customer]}
+}
+
+// Serve counts work done in a second; work in time is counted again by Record.
+func (r *Result) Serve(now time.Duration, work float64) {
 	r.second(now).Served += work
 }
 
-func (r *Result) refusal(s *simulation, c *call) {
-	if c.arrival.At < r.warmup {
+// Refuse counts a refusal of a try that was submitted some time before.
+func (r *Result) Refuse(a *ferryworkload.Arrival, after time.Duration) {
+	if a.At < r.warmup {
 		return
 	}
 	r.Refusals++
-	if s.now-c.submitted > earlyRefusal {
+	if after > earlyRefusal {
 		r.LateRefusals++
 	}
 }
 
-func (r *Result) ended(s *simulation, c *call) {
-	r.Resumes += c.resumes
-	if c.outcome == outcomeInTime {
-		for _, p := range c.trace {
+// Record counts the end of a call.
+func (r *Result) Record(x *Sample) {
+	if x.Outcome == InTime {
+		for _, p := range x.pieces {
 			r.Seconds[p.second].InTime += float64(p.work)
 		}
 	}
-	if c.arrival.At < r.warmup {
+	if x.Arrival.At < r.warmup {
 		return
 	}
-	for _, g := range r.groups(c) {
-		g.ended(s, c)
+	for _, g := range r.groups(x.Arrival) {
+		g.record(x)
 	}
-	if c.hasFirst && !c.arrival.Kind.Straggler {
-		r.second(c.arrival.At).firsts.add(c.first - c.arrival.At)
+	if x.First > 0 && !x.Arrival.Kind.Straggler {
+		r.second(x.Arrival.At).firsts.add(x.First - x.Arrival.At)
 	}
 }
 
-func (g *Group) ended(s *simulation, c *call) {
-	switch c.outcome {
-	case outcomeInTime:
+func (g *Group) record(x *Sample) {
+	switch x.Outcome {
+	case InTime:
 		g.InTime++
-		g.Work += c.arrival.Work()
-	case outcomeLate:
+		g.Work += x.Arrival.Work()
+	case Late:
 		g.Late++
-	case outcomeRefused:
+	case Refused:
 		g.Refused++
-	case outcomeExpired:
+	case Expired:
 		g.Expired++
-	case outcomeFailed:
+	case Failed:
 		g.Failed++
 	}
-	if !c.started {
+	if !x.Started {
 		return
 	}
 	g.Admitted++
-	g.Wait.add(c.admitted - c.arrival.At)
-	if c.hasFirst {
-		g.First.add(c.first - c.arrival.At)
-		g.FirstTry.add(c.first - c.submitted)
+	g.Wait.add(x.Admitted - x.Arrival.At)
+	if x.First > 0 {
+		g.First.add(x.First - x.Arrival.At)
+		g.FirstTry.add(x.First - x.Submitted)
 	}
-	if c.outcome != outcomeInTime && c.outcome != outcomeLate {
+	if x.Outcome != InTime && x.Outcome != Late {
 		return
 	}
-	took := s.now - c.arrival.At
+	took := x.End - x.Arrival.At
 	g.Answer.add(took)
-	if c.arrival.Tokens > 1 {
-		g.Between.add((s.now - c.first) / time.Duration(c.arrival.Tokens-1))
+	if x.Arrival.Tokens > 1 {
+		g.Between.add((x.End - x.First) / time.Duration(x.Arrival.Tokens-1))
 	}
-	g.Stretch = max(g.Stretch, took.Seconds()/s.unloaded(c).Seconds())
-}
-
-// unloaded is how long the call takes alone on the mean runner.
-func (s *simulation) unloaded(c *call) time.Duration {
-	sum := 0.0
-	for _, u := range s.units {
-		sum += u.spec.StreamRate
+	if x.Unloaded > 0 {
+		g.Stretch = max(g.Stretch, took.Seconds()/x.Unloaded.Seconds())
 	}
-	return time.Duration(c.arrival.Work() / (sum / float64(len(s.units))) * float64(time.Second))
 }
 
-func (r *Result) sample(s *simulation) {
-	x := r.second(s.now - 1)
-	for _, e := range s.entries {
-		x.Waiting += e.queue.Waiting()
-		r.noteSlow(s, e)
-	}
-	for _, u := range s.units {
-		n, _ := u.outstanding()
-		x.Outstanding = append(x.Outstanding, n)
-		if u.alive {
-			x.Bound += u.factor * min(u.spec.Rate, float64(u.spec.Slots)*u.spec.StreamRate)
-		}
-	}
-}
-
-// noteSlow keeps when each upstream was first taken out for slowness by any entry.
-func (r *Result) noteSlow(s *simulation, e *entry) {
-	for _, c := range e.table.Snapshot().All() {
-		if _, ok := r.SlowFound[string(c.Name)]; !ok && c.State == ferryroute.StateSlow {
-			r.SlowFound[string(c.Name)] = s.now
-		}
-	}
-}
-
-func (r *Result) close(s *simulation) {
+// Close works out the quantiles after the last call.
+func (r *Result) Close() {
 	all := append(append([]*Group{&r.All}, r.Kinds...), r.Customers...)
 	for _, g := range all {
 		for _, t := range []*Times{&g.Wait, &g.First, &g.FirstTry, &g.Answer, &g.Between} {
@@ -248,19 +219,6 @@
 		r.Seconds[i].firsts.close()
 		r.Seconds[i].FirstP99 = r.Seconds[i].firsts.P99
 	}
-	for _, e := range s.entries {
-		n := e.queue.Counts()
-		r.Queue.Enqueued += n.Enqueued
-		r.Queue.Started += n.Started
-		r.Queue.Finished += n.Finished
-		r.Queue.Refused += n.Refused
-		r.Queue.Evicted += n.Evicted
-		r.Queue.Expired += n.Expired
-		r.Queue.Reclassified += n.Reclassified
-		r.Queue.Requeued += n.Requeued
-		r.Queue.Served += n.Served
-		r.Queue.Thrown += n.Thrown
-	}
 }
 
 // Mean is the mean of a figure of the seconds from one time to another, in tokens/s.
@@ -282,12 +240,3 @@
 func (r *Result) Customer(name ferryid.CustomerName) *Group {
 	return r.customers[name]
 }
-
-func sortedIDs(m map[ferryid.RequestID]*call) []ferryid.RequestID {
-	ids := make([]ferryid.RequestID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/ferrybench/ferryexperiment/simulation.go
+++ b/ferrybench/ferryexperiment/simulation.go
@@ -49,7 +49,7 @@
 
 // Run plays the arrivals with the policy until all calls have ended.
 func Run(w *ferryworkload.Workload, arrivals []ferryworkload.Arrival, p Policy) *Result {
-	s := &simulation{w: w, policy: p, result: newResult(w, p)}
+	s := &simulation{w: w, policy: p, result: NewResult(w, p)}
 	for i, u := range w.UnitList() {
 		s.units = append(s.units, &unit{spec: u, index: i, alive: true, factor: 1})
 	}
@@ -62,17 +62,17 @@
 		s.now = e.at
 		s.handle(e.do)
 	}
-	s.result.close(s)
+	s.close()
 	return s.result
 }
 
 func (s *simulation) schedule(arrivals []ferryworkload.Arrival) {
 	s.open = len(arrivals)
 	for i := range arrivals {
-		c := &call{arrival: &arrivals[i], id: ferryid.RequestID(fmt.Sprintf("%08d", i))}
+		c := &call{Sample: Sample{Arrival: &arrivals[i]}, id: ferryid.RequestID(fmt.Sprintf("%08d", i))}
 		c.entry = s.entries[(i*7919)%len(s.entries)]
 		s.after(arrivals[i].At, submit{call: c})
-		s.result.offered(c)
+		s.result.Offer(c.Arrival)
 	}
 	for i := range s.w.Faults {
 		s.after(time.Duration(s.w.Faults[i].At), fault{index: i})
@@ -98,7 +98,7 @@
 		}
 		s.again(tickEvery, a)
 	case sample:
-		s.result.sample(s)
+		s.sample()
 		s.again(sampleEvery, a)
 	case gather:
 		s.gather()
@@ -180,17 +180,17 @@
 	u.advance(s.now)
 	j := u.jobs[0]
 	c := j.call
-	s.result.served(s.now, j.step)
-	c.serve(s.now, j.step)
+	s.result.Serve(s.now, j.step)
+	c.Serve(s.now, j.step)
 	if j.prefill {
 		j.prefill = false
-		if !c.hasFirst {
-			c.hasFirst, c.first = true, s.now
+		if c.First == 0 {
+			c.First = s.now
 		}
 	} else {
 		c.produced += j.step
 	}
-	left := float64(c.arrival.Tokens) - c.produced
+	left := float64(c.Arrival.Tokens) - c.produced
 	if left <= 0 {
 		s.takeOff(c)
 		c.entry.done(s, c)
@@ -204,36 +204,39 @@
 	c.entry.progress(s, c)
 }
 
-func (s *simulation) inTime(c *call) outcome {
+func (s *simulation) inTime(c *call) Outcome {
 	if d := c.deadline(); d > 0 && s.now > d {
-		return outcomeLate
+		return Late
 	}
-	return outcomeInTime
+	return InTime
 }
 
-func (s *simulation) finish(c *call, o outcome) {
-	c.outcome = o
+func (s *simulation) finish(c *call, o Outcome) {
+	c.Outcome, c.End = o, s.now
 	s.open--
-	s.result.ended(s, c)
+	s.result.Resumes += c.resumes
+	c.Unloaded = s.unloaded(c)
+	s.result.Record(&c.Sample)
+	c.pieces = nil
 }
 
 // refused sends a call's caller away, to come back when it was told to if it still cares.
 func (s *simulation) refused(c *call, r *ferryqueue.Refusal) {
-	s.result.refusal(s, c)
+	s.result.Refuse(c.Arrival, s.now-c.Submitted)
 	if s.policy.WaitingList && c.deadline() > s.now {
 		c.entry.list = append(c.entry.list, c)
 		return
 	}
 	back := s.now + r.RetryAfter
-	if c.attempts <= s.w.Retry.Attempts && back < c.arrival.At+time.Duration(s.w.Retry.Patience) {
+	if c.attempts <= s.w.Retry.Attempts && back < c.Arrival.At+time.Duration(s.w.Retry.Patience) {
 		s.after(r.RetryAfter, submit{call: c})
 		return
 	}
 	if c.deadline() > 0 && s.now >= c.deadline() {
-		s.finish(c, outcomeExpired)
+		s.finish(c, Expired)
 		return
 	}
-	s.finish(c, outcomeRefused)
+	s.finish(c, Refused)
 }
 
 func (s *simulation) fault(f ferryworkload.Fault) {
@@ -285,12 +288,11 @@
 			s.takeOff(c)
 			c.resumes++
 		}
-		c.queued = false
-		if c.produced == 0 || c.arrival.Kind.Repeatable {
+		if c.produced == 0 || c.Arrival.Kind.Repeatable {
 			s.after(noticeEntryLoss, submit{call: c})
 			continue
 		}
-		s.finish(c, outcomeFailed)
+		s.finish(c, Failed)
 	}
 	for _, c := range e.list {
 		s.after(noticeEntryLoss, submit{call: c})
--- a/ferrybench/ferryexperiment/simulation_test.go
+++ b/ferrybench/ferryexperiment/simulation_test.go
@@ -49,7 +49,7 @@
 	u := &unit{spec: ferryworkload.Unit{Rate: 100, StreamRate: 40, Slots: 4}, alive: true, factor: 1}
 	s := &simulation{w: small()}
 	for _, want := range []float64{40, 40, 100.0 / 3, 25, 25} {
-		s.begin(u, &call{arrival: &ferryworkload.Arrival{Kind: &s.w.Kinds[0], Tokens: 10}}, 0)
+		s.begin(u, &call{Sample: Sample{Arrival: &ferryworkload.Arrival{Kind: &s.w.Kinds[0], Tokens: 10}}}, 0)
 		assert.Equal(t, u.speed(), want)
 	}
 	assert.Equal(t, len(u.queue), 1)
@@ -59,7 +59,7 @@
 	u := &unit{spec: ferryworkload.Unit{Prefixes: 2}}
 	k := &ferryworkload.Kind{Shared: 80}
 	read := func(p uint64) int {
-		return int(u.unread(&call{arrival: &ferryworkload.Arrival{Kind: k, Prompt: 100, Prefix: p}}))
+		return int(u.unread(&call{Sample: Sample{Arrival: &ferryworkload.Arrival{Kind: k, Prompt: 100, Prefix: p}}}))
 	}
 	got := []int{read(1), read(1), read(2), read(3), read(1), read(3)}
 	assert.DeepEqual(t, got, []int{100, 20, 100, 100, 100, 20})
--- a/ferrybench/ferryexperiment/unit.go
+++ b/ferrybench/ferryexperiment/unit.go
@@ -103,15 +103,15 @@
 
 // unread is how much of the history has to be read, less the prompt prefix the unit still holds.
 func (u *unit) unread(c *call) ferryid.Tokens {
-	n := c.arrival.Prompt + ferryid.Tokens(c.produced)
-	if u.spec.Prefixes == 0 || c.arrival.Prefix == 0 {
+	n := c.Arrival.Prompt + ferryid.Tokens(c.produced)
+	if u.spec.Prefixes == 0 || c.Arrival.Prefix == 0 {
 		return n
 	}
-	p := c.arrival.Prefix
+	p := c.Arrival.Prefix
 	i := slices.Index(u.prefixes, p)
 	if i >= 0 {
 		u.prefixes = slices.Delete(u.prefixes, i, i+1)
-		n -= c.arrival.Kind.Shared
+		n -= c.Arrival.Kind.Shared
 	} else if len(u.prefixes) >= u.spec.Prefixes {
 		u.prefixes = u.prefixes[1:]
 	}
