ferrybench load: open loop over HTTP against live entries

Proved by breaking on purpose: cut stream taken as whole: TestCutStreamsAreUnknown fails; steering answer not kept: fails. Conclusion: not yet run against the product.

--- /dev/null
+++ b/ferrybench/ferryload/load_test.go
@@ -0,0 +1,135 @@
+package ferryload
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferrybench/ferryworkload"
+)
+
+// fakeEntry answers as an entry does, and refuses the first try of each refused prompt length.
+type fakeEntry struct {
+	mu       sync.Mutex
+	asked    int
+	keys     map[string]int
+	idem     map[string]int
+	refusals int
+	cut      bool
+	address  string
+}
+
+func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.keys[r.Header.Get("Authorization")]++
+	f.mu.Unlock()
+	switch {
+	case r.URL.Path == "/v1/entries":
+		f.mu.Lock()
+		f.asked++
+		f.mu.Unlock()
+		fmt.Fprintf(w, `{"Entries":[{"Name":"a","Address":%q}],"Lifetime":"1h"}`, f.address)
+	case strings.HasPrefix(r.URL.Path, "/v1/services/"):
+		f.mu.Lock()
+		f.idem[r.Header.Get("Idempotency-Key")]++
+		f.mu.Unlock()
+		fmt.Fprint(w, "ok")
+	case f.refuse():
+		ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "full").Write(w)
+	case f.cut:
+		fmt.Fprint(w, "data: {\"x\":1}\n\n")
+	default:
+		fmt.Fprint(w, ": ping\n\ndata: {\"x\":1}\n\ndata: {\"x\":2}\n\ndata: [DONE]\n\n")
+	}
+}
+
+func (f *fakeEntry) refuse() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refusals--
+	return f.refusals >= 0
+}
+
+func loaded(t *testing.T, f *fakeEntry, kinds ferryworkload.Kinds) *Summary {
+	t.Helper()
+	f.keys, f.idem = map[string]int{}, map[string]int{}
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	f.address = strings.TrimPrefix(srv.URL, "http://")
+	w := &ferryworkload.Workload{
+		Name: "t", Kinds: kinds, Duration: ferryworkload.Duration(time.Second),
+		Runners:   ferryworkload.Runners{{Name: "a", Count: 1, Rate: 1, StreamRate: 1, Slots: 1}},
+		Customers: ferryworkload.Customers{{Name: "c", Share: 1, Load: 1}},
+	}
+	var as []ferryworkload.Arrival
+	for i := range 10 {
+		as = append(as, ferryworkload.Arrival{Customer: "c", Kind: &w.Kinds[i%len(w.Kinds)], Prompt: 3, Tokens: 2})
+	}
+	cfg := Config{
+		Entries: []string{f.address}, Model: "m", Plain: "p", Keys: map[ferryid.CustomerName]string{"c": "secret"},
+		MaxOpen: 10, Clock: clockwork.NewFakeClock(), Client: srv.Client(),
+	}
+	return Run(context.Background(), cfg, w, as)
+}
+
+func TestRunStreamsAndPlainCalls(t *testing.T) {
+	f := &fakeEntry{}
+	s := loaded(t, f, ferryworkload.Kinds{{Name: "q", Repeatable: true}, {Name: "set", Method: "POST", Path: "/set"}})
+	assert.Equal(t, s.Result.All.InTime, 10)
+	assert.Equal(t, s.Unknown+s.Unsent, 0)
+	assert.Equal(t, f.asked, 2)
+	assert.Equal(t, f.keys["Bearer secret"], 12)
+	assert.Equal(t, len(f.idem), 5)
+	assert.Equal(t, f.idem[""], 0)
+}
+
+func TestRefusalsAreCountedAsNotRun(t *testing.T) {
+	s := loaded(t, &fakeEntry{refusals: 4}, ferryworkload.Kinds{{Name: "q", Repeatable: true}})
+	assert.Equal(t, s.Result.All.Refused, 4)
+	assert.Equal(t, s.Result.All.InTime, 6)
+	assert.Equal(t, s.Unknown, 0)
+}
+
+func TestCutStreamsAreUnknown(t *testing.T) {
+	s := loaded(t, &fakeEntry{cut: true}, ferryworkload.Kinds{{Name: "q", Repeatable: true}})
+	assert.Equal(t, s.Result.All.Failed, 10)
+	assert.Equal(t, s.Unknown, 10)
+}
+
+// FuzzDecodeSteering checks that no answer makes the decoder panic or name an entry without address.
+func FuzzDecodeSteering(f *testing.F) {
+	f.Add([]byte(`{"Entries":[{"Address":"127.0.0.1:1"}],"Lifetime":"1m"}`))
+	f.Add([]byte(`{"Entries":[{}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := DecodeSteering(b)
+		if err == nil && (len(s.Entries) == 0 || s.Entries[0].Address == "" || s.lifetime() <= 0) {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+func TestSteeringAnswerIsKeptForItsLifetime(t *testing.T) {
+	f := &fakeEntry{keys: map[string]int{}, idem: map[string]int{}}
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	f.address = strings.TrimPrefix(srv.URL, "http://")
+	clock := clockwork.NewFakeClock()
+	e := newEntries(Config{Entries: []string{f.address}, Clock: clock, Client: srv.Client()})
+	for range 5 {
+		assert.Equal(t, e.address(context.Background(), "c", "m"), f.address)
+	}
+	assert.Equal(t, f.asked, 1)
+	clock.Advance(time.Hour + time.Second)
+	e.address(context.Background(), "c", "m")
+	assert.Equal(t, f.asked, 2)
+}
--- a/ferrybench/ferryworkload/workload.go
+++ b/ferrybench/ferryworkload/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"cactusferry.dev/ferry/ferryid"
@@ -98,6 +99,7 @@
 type Customers []Customer
 
 // Kind is one kind of call; lengths are drawn from a log-normal distribution with the given median.
+// One with a Path is a call to the plain service when the workload is played against live entries.
 type Kind struct {
 	Name       string         `toml:"Name" json:"Name"`
 	Weight     float64        `toml:"Weight" json:"Weight"`
@@ -110,6 +112,8 @@
 	Deadline   Duration       `toml:"Deadline" json:"Deadline"`
 	Straggler  bool           `toml:"Straggler" json:"Straggler"`
 	Repeatable bool           `toml:"Repeatable" json:"Repeatable"`
+	Method     string         `toml:"Method" json:"Method,omitempty"`
+	Path       string         `toml:"Path" json:"Path,omitempty"`
 }
 
 // Kinds are the kinds of calls of a workload.
@@ -257,6 +261,12 @@
 		inRange(c, f+"MaxTokens", float64(k.MaxTokens), 0, maxTokens)
 		inRange(c, f+"Spread", k.Spread, 0, 3)
 		inRange(c, f+"Prefixes", float64(k.Prefixes), 0, 1e6)
+		if k.Path != "" && !strings.HasPrefix(k.Path, "/") {
+			c.Fault(f+"Path", "must start with /, is %q", k.Path)
+		}
+		if (k.Path == "") != (k.Method == "") {
+			c.Fault(f+"Method", "must be given with Path, and only then")
+		}
 		inRange(c, f+"Deadline", time.Duration(k.Deadline).Seconds(), 0, maxDuration.Seconds())
 	}
 }
