--- a/ferry/ferryroute/choose.go
+++ b/ferry/ferryroute/choose.go
@@ -35,7 +35,6 @@
 	Choices       int  `toml:"Choices" json:"Choices"`
 	IgnoreReports bool `toml:"IgnoreReports" json:"IgnoreReports"`
 	RawReports    bool `toml:"RawReports" json:"RawReports"`
-	StatedSlots   bool `toml:"StatedSlots" json:"StatedSlots"`
 	NoAffinity    bool `toml:"NoAffinity" json:"NoAffinity"`
 }
 
--- a/ferry/ferryroute/health.go
+++ b/ferry/ferryroute/health.go
@@ -86,11 +86,6 @@
 	defer t.mu.Unlock()
 	u.speed.observe(float64(n) / d.Seconds())
 	u.setRate()
-	k := float64(u.row.load.running())
-	u.curve.observe(k, d.Seconds()/float64(n))
-	if u.curve.adjust(k, u.row.slots, now) {
-		t.publish()
-	}
 	if u.health.state != "" && u.health.state != StateProbing {
 		return
 	}
--- a/ferry/ferryroute/table.go
+++ b/ferry/ferryroute/table.go
@@ -31,7 +31,6 @@
 	nominal       float64
 	speed         speed
 	health        health
-	curve         curve
 	leaving       bool
 	reported      time.Time
 	others        float64
@@ -99,15 +98,11 @@
 	t.publish()
 }
 
-// credit is this entry's part of an upstream's slots; over all entries that see the same slots the parts add up to them.
+// credit is this entry's part of an upstream's slots; over all entries the parts add up to the slots.
 func (t *Table) credit(u *upstream) int {
-	slots := u.row.slots
-	if !t.opts.StatedSlots {
-		slots = u.curve.slots(slots)
-	}
-	n := slots / t.entries
+	n := u.row.slots / t.entries
 	place := (t.entry + int(u.row.seed%uint64(t.entries))) % t.entries
-	if place < slots%t.entries {
+	if place < u.row.slots%t.entries {
 		n++
 	}
 	return n
--- a/ferrybench/weigh.go
+++ b/ferrybench/weigh.go
@@ -52,18 +52,6 @@
 	}
 }
 
-// loud has one customer send ten times its share to runners of the given curve.
-func loud(o ferryroute.Options, c ferryworkload.Curve) func(*ferryworkload.Workload, *ferryexperiment.Policy) {
-	return func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) {
-		*w = *withHog(w)
-		w.Route = o
-		w.Runners = append(ferryworkload.Runners{}, w.Runners...)
-		for i := range w.Runners {
-			w.Runners[i].Curve = c
-		}
-	}
-}
-
 func alone(w *ferryworkload.Workload, _ *ferryexperiment.Policy) {
 	w.Entries = 1
 	w.Reports.Every = 0
@@ -94,12 +82,6 @@
 		{"waiting list with a place", listed},
 		{"no retries", func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) { w.Retry.Attempts = 0 }},
 	}},
-	{"Whether streams are limited below the stated slots, one customer at ten times its share", "fairness", []variant{
-		{"limited, runners with a knee", loud(ferryroute.Options{}, ferryworkload.CurveKnee)},
-		{"stated slots, runners with a knee", loud(ferryroute.Options{StatedSlots: true}, ferryworkload.CurveKnee)},
-		{"limited, each stream adds the same time", loud(ferryroute.Options{}, ferryworkload.CurveLine)},
-		{"stated slots, each stream adds the same time", loud(ferryroute.Options{StatedSlots: true}, ferryworkload.CurveLine)},
-	}},
 	{"Prefix affinity", "affinity", []variant{
 		{"off", routed(ferryroute.Options{NoAffinity: true})},
 		{"on", unchanged},
