--- a/ferry/ferryroute/table.go
+++ b/ferry/ferryroute/table.go
@@ -18,6 +18,8 @@
 	policy    ferryservice.RoutePolicy
 	opts      Options
 	upstreams []*upstream
+	entry     int
+	entries   int
 	byName    map[ferryid.UpstreamName]*upstream
 	snap      atomic.Pointer[Snapshot]
 	refused   ReportCounts
@@ -25,18 +27,21 @@
 
 // upstream is the state of one upstream; row.load in it is shared with the snapshots.
 type upstream struct {
-	row      row
-	nominal  float64
-	speed    speed
-	health   health
-	leaving  bool
-	reported time.Time
-	history  history
+	row           row
+	nominal       float64
+	speed         speed
+	health        health
+	leaving       bool
+	reported      time.Time
+	others        float64
+	othersRunning float64
+	heard         bool
+	history       history
 }
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
-	t := &Table{opts: opts, policy: ferryservice.RouteLeast, byName: map[ferryid.UpstreamName]*upstream{}}
+	t := &Table{entries: 1, opts: opts, policy: ferryservice.RouteLeast, byName: map[ferryid.UpstreamName]*upstream{}}
 	t.publish()
 	return t
 }
@@ -85,6 +90,24 @@
 	u.row.load.rateBits.Store(math.Float64bits(r * float64(max(1, u.row.slots))))
 }
 
+// SetShare tells that this entry is the one of the given index, from 0, among so many that share the upstreams.
+func (t *Table) SetShare(index, entries int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entry, t.entries = index, max(1, entries)
+	t.publish()
+}
+
+// credit is this entry's part of an upstream's slots; over all entries the parts add up to the slots.
+func (t *Table) credit(u *upstream) int {
+	n := u.row.slots / t.entries
+	place := (t.entry + int(u.row.seed%uint64(t.entries))) % t.entries
+	if place < u.row.slots%t.entries {
+		n++
+	}
+	return n
+}
+
 // SetLeaving marks an upstream as leaving or not, whoever said so.
 func (t *Table) SetLeaving(name ferryid.UpstreamName, leaving bool) {
 	t.mu.Lock()
@@ -123,6 +146,7 @@
 	for _, u := range t.upstreams {
 		r := u.row
 		r.state = u.state()
+		r.credit = t.credit(u)
 		s.rows = append(s.rows, r)
 	}
 	t.snap.Store(s)
