--- /dev/null
+++ b/ferry/ferryclaim/replay.go
@@ -0,0 +1,78 @@
+package ferryclaim
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+)
+
+const (
+	platformRetryAfter = 5 * time.Second
+	progressRetryAfter = time.Second
+)
+
+// Replay is the error for a call that has finished before; it carries the recorded outcome and the response if that was kept.
+type Replay struct {
+	Outcome ferryoutcome.Outcome
+	Status  int
+	Header  http.Header
+	Body    []byte
+	// Whole is false if the response was too large to be kept, or never came.
+	Whole bool
+}
+
+func (r *Replay) Error() string {
+	return fmt.Sprintf("the call has finished before with outcome %s and status %d", r.Outcome, r.Status)
+}
+
+// ElsewhereError says that only another incarnation may run the ticket, so that the call can be passed on to it.
+type ElsewhereError struct {
+	Incarnation ferryid.Incarnation
+}
+
+func (e *ElsewhereError) Error() string {
+	return "the ticket is for incarnation " + string(e.Incarnation)
+}
+
+func replayOf(res Result) error {
+	return &Replay{Outcome: res.Outcome, Status: res.Status, Header: res.Header, Body: res.Body, Whole: res.Whole}
+}
+
+func inProgress() error {
+	return ferryoutcome.New(ferryoutcome.KindConflict, ferryoutcome.Unknown,
+		"a call with this key or ticket is in progress").After(progressRetryAfter)
+}
+
+func keyReused() error {
+	return ferryoutcome.New(ferryoutcome.KindKeyReused, ferryoutcome.NotRun,
+		"the key or ticket was used for another method, path or body; this call was not run")
+}
+
+func platformDown(err error) error {
+	return ferryoutcome.New(ferryoutcome.KindPlatformDown, ferryoutcome.NotRun,
+		"the key can't be claimed while the platform is away; this call was not run, "+
+			"and earlier calls with the key were not looked up: retry with the same key").
+		After(platformRetryAfter).Because(err)
+}
+
+func holderGone(r Ref) error {
+	return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.Unknown,
+		"the entry that had the call, %s, does not answer; it may have run and will not be run again", r.By)
+}
+
+func draining() error {
+	return ferryoutcome.New(ferryoutcome.KindDraining, ferryoutcome.NotRun, "this entry is stopping")
+}
+
+func lostRight() error {
+	return ferryoutcome.New(ferryoutcome.KindConflict, ferryoutcome.NotRun,
+		"the claim was given up before anything was sent; retry with the same key").After(progressRetryAfter)
+}
+
+func notNow(err error) error {
+	return ferryoutcome.New(ferryoutcome.KindTimeout, ferryoutcome.NotRun,
+		"the key could not be claimed in time; this call was not run").After(progressRetryAfter).Because(err)
+}
--- /dev/null
+++ b/ferry/ferryclaim/runner.go
@@ -0,0 +1,157 @@
+package ferryclaim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferryplatform"
+)
+
+const (
+	slotRing   = 256
+	maxWaiting = 1024
+)
+
+// slotRunner is the duty that alone owns one slot's core: it makes the core's calls to the platform one at a time.
+type slotRunner struct {
+	core   *slot
+	store  ferryplatform.Store
+	clock  clockwork.Clock
+	window time.Duration
+	// claims is bounded; when it is full, callers wait until their deadline.
+	claims chan request
+	// must holds outcomes and releases, at most one for each claim that was granted.
+	mu    sync.Mutex
+	must  []request
+	ready chan struct{}
+}
+
+func newSlotRunner(cfg Config, name string) *slotRunner {
+	return &slotRunner{
+		core: newSlot(name, cfg.Self), store: cfg.Store, clock: cfg.Clock, window: cfg.Window,
+		claims: make(chan request, slotRing), ready: make(chan struct{}, 1),
+	}
+}
+
+func (s *slotRunner) post(ctx context.Context, r request) bool {
+	select {
+	case s.claims <- r:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *slotRunner) postAlways(r request) {
+	s.mu.Lock()
+	s.must = append(s.must, r)
+	s.mu.Unlock()
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (s *slotRunner) flush(ctx context.Context) error {
+	done := make(chan struct{})
+	s.postAlways(request{op: opBarrier, reply: func(verdict) { close(done) }})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *slotRunner) run(ctx context.Context) {
+	for s.gather(ctx) {
+		for ctx.Err() == nil {
+			s.drain()
+			now := s.clock.Now()
+			a, out := s.core.next(now)
+			deliver(out)
+			if a == nil {
+				break
+			}
+			ans := s.do(ctx, a)
+			deliver(s.core.done(s.clock.Now(), a, ans))
+		}
+	}
+}
+
+func deliver(out []decided) {
+	for _, d := range out {
+		if d.req.reply != nil {
+			d.req.reply(d.v)
+		}
+	}
+}
+
+// gather waits for something to do and returns false when the context is done.
+func (s *slotRunner) gather(ctx context.Context) bool {
+	var retry <-chan time.Time
+	if s.core.idle() {
+		retry = nil
+	} else {
+		retry = s.clock.After(max(0, s.core.notBefore.Sub(s.clock.Now())))
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-retry:
+		return true
+	case <-s.ready:
+	case r := <-s.claims:
+		s.core.submit(r)
+	}
+	if s.window > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-s.clock.After(s.window):
+		}
+	}
+	return true
+}
+
+// drain moves everything that waits into the core, outcomes and releases first.
+func (s *slotRunner) drain() {
+	s.mu.Lock()
+	must := s.must
+	s.must = nil
+	s.mu.Unlock()
+	for _, r := range must {
+		s.core.submit(r)
+	}
+	for len(s.claims) > 0 && len(s.core.waiting) < maxWaiting {
+		s.core.submit(<-s.claims)
+	}
+}
+
+func (s *slotRunner) do(ctx context.Context, a action) answer {
+	var ans answer
+	switch a := a.(type) {
+	case getTail:
+		ans.object, ans.err = s.store.Get(ctx, ObjectKindSlot, s.core.name)
+	case getSegment:
+		ans.object, ans.err = s.store.Get(ctx, ObjectKindSegment, a.ref.Name)
+	case putTail:
+		ans.version, ans.err = s.store.Put(ctx, ObjectKindSlot, s.core.name, a.expected, a.value)
+	case putSegment:
+		ans.version, ans.err = s.store.Put(ctx, ObjectKindSegment, a.name, ferryplatform.NoVersion, a.value)
+	case deleteSegment:
+		ans.err = s.deleteSegment(ctx, a.name)
+	}
+	return ans
+}
+
+func (s *slotRunner) deleteSegment(ctx context.Context, name string) error {
+	o, err := s.store.Get(ctx, ObjectKindSegment, name)
+	if err != nil {
+		return err
+	}
+	return s.store.Delete(ctx, ObjectKindSegment, name, o.Version)
+}
