--- a/ferry/ferryclaim/claim.go
+++ b/ferry/ferryclaim/claim.go
@@ -74,7 +74,7 @@
 	Status  int                  `cbor:"2,keyasint,omitempty"`
 	Header  http.Header          `cbor:"3,keyasint,omitempty"`
 	Body    []byte               `cbor:"4,keyasint,omitempty"`
-	// Whole is false if the response was too large to be kept.
+	// Whole says that Status, Header and Body are the whole response; it is false if that was too large to be kept.
 	Whole bool `cbor:"5,keyasint,omitempty"`
 }
 
@@ -110,13 +110,13 @@
 
 // Record is one key in the journal.
 type Record struct {
-	Key   Digest
-	Body  Digest
-	Ref   Ref
-	State State
+	Key   Digest `cbor:"1,keyasint"`
+	Body  Digest `cbor:"2,keyasint"`
+	Ref   Ref    `cbor:"3,keyasint"`
+	State State  `cbor:"4,keyasint"`
 	// Until is when the key is no longer recognised, in Unix seconds.
-	Until  int64
-	Result Result
+	Until  int64  `cbor:"5,keyasint"`
+	Result Result `cbor:"6,keyasint"`
 }
 
 func (r Record) expired(now time.Time) bool {
--- a/ferry/ferryclaim/claims.go
+++ b/ferry/ferryclaim/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -14,7 +13,7 @@
 )
 
 const (
-	defaultSlots     = 64
+	defaultSlots     = 16
 	defaultRetention = 24 * time.Hour
 	maxHeirsAsked    = 3
 	purgeInterval    = time.Minute
@@ -29,9 +28,11 @@
 	Clock clockwork.Clock
 	// Asker reaches other incarnations; without one every other incarnation counts as gone.
 	Asker Asker
-	// Live lists the live entries, among which heirs are looked for.
+	// Forwarder reaches the owners of slots; without one every entry writes for itself.
+	Forwarder Forwarder
+	// Live lists the live entries, this one included, among which heirs and owners of slots are found.
 	Live func() []ferryid.Incarnation
-	// Slots is the number of journal objects and must be the same in all entries, 64 if 0.
+	// Slots is the number of journal objects and must be the same in all entries, 16 if 0.
 	Slots int
 	// Window is how long a slot waits for more claims before it writes.
 	Window time.Duration
@@ -55,7 +56,7 @@
 	}
 	c := &Claims{cfg: cfg, table: newTable(cfg.Self), tickets: Tickets{cfg.Seal}}
 	for i := range cfg.Slots {
-		c.slots = append(c.slots, newSlotRunner(cfg, fmt.Sprintf("%04d", i)))
+		c.slots = append(c.slots, newSlotRunner(cfg, i))
 	}
 	return c
 }
--- a/ferry/ferryclaim/claims_rapid_test.go
+++ b/ferry/ferryclaim/claims_rapid_test.go
@@ -27,6 +27,12 @@
 		return faults.Draw(rt, "fault")
 	}
 	entry := rapid.IntRange(0, 2)
+	w.owners = func(t *try) *node {
+		if rapid.Bool().Draw(rt, "owner") {
+			return t.at
+		}
+		return w.entries[entry.Draw(rt, "owner")]
+	}
 	var tickets []Ticket
 	// A caller with a stale answer may still come to an entry that has handed over.
 	anyNode := func(rt *rapid.T) *node { return w.all[incarnation(rapid.IntRange(1, w.born).Draw(rt, "incarnation"))] }
@@ -99,6 +105,7 @@
 			}
 		},
 	})
+	w.owners = nil
 	w.settleAll()
 	checkRetries(rt, w, tickets)
 }
--- /dev/null
+++ b/ferry/ferryclaim/claims_test.go
@@ -0,0 +1,181 @@
+package ferryclaim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferryplatform/ferryplatformtest"
+)
+
+// fleet is a few entries over one platform, joined by direct calls.
+type fleet struct {
+	clock    *clockwork.FakeClock
+	platform *ferryplatformtest.Fake
+	claims   map[ferryid.Incarnation]*Claims
+	forwards atomic.Int32
+}
+
+// Ask implements Asker.
+func (f *fleet) Ask(_ context.Context, id ferryid.Incarnation, q Question) (Answer, error) {
+	c, ok := f.claims[id]
+	if !ok {
+		return Answer{}, errLost
+	}
+	return c.Answer(q), nil
+}
+
+// Forward implements Forwarder; every fifth answer is lost.
+func (f *fleet) Forward(ctx context.Context, id ferryid.Incarnation, ws []Write) ([]Decision, error) {
+	c, ok := f.claims[id]
+	if !ok {
+		return nil, errLost
+	}
+	ds, err := c.Write(ctx, ws)
+	if f.forwards.Add(1)%5 == 0 {
+		return nil, errLost
+	}
+	return ds, err
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	f := &fleet{clock: clock, platform: ferryplatformtest.New(clock), claims: map[ferryid.Incarnation]*Claims{}}
+	seal, err := NewSeal(make([]byte, 32))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range n {
+		id := incarnation(i + 1)
+		live := func() []ferryid.Incarnation { return []ferryid.Incarnation{"i1", "i2", "i3"}[:n] }
+		c := New(Config{Self: id, Store: f.platform, Seal: seal, Clock: clock, Asker: f, Forwarder: f, Live: live, Slots: 4})
+		f.claims[id] = c
+	}
+	for _, c := range f.claims {
+		wg.Go(func() { _ = c.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return f
+}
+
+// until moves the clock until the function returns.
+func (f *fleet) until(fn func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		fn()
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			f.clock.Advance(time.Millisecond)
+			runtime.Gosched()
+		}
+	}
+}
+
+func call(key string) Call {
+	return Call{Customer: "c", Service: "s", Key: key, Digest: DigestOf([]byte("one"))}
+}
+
+func TestOneOfManyConcurrentCallsRuns(t *testing.T) {
+	f := newFleet(t, 3)
+	f.platform.SetFaults(ferryplatformtest.Faults{LoseAnswers: 3, LateEffectMS: 20})
+	var ran, not atomic.Int32
+	f.until(func() {
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Go(func() {
+				c := f.claims[incarnation(i%3+1)]
+				cl, err := c.Begin(t.Context(), call(fmt.Sprintf("k%d", i/6)))
+				if err != nil {
+					not.Add(1)
+					return
+				}
+				if cl.Dispatching() == nil {
+					ran.Add(1)
+					cl.Finish(t.Context(), Result{Outcome: ferryoutcome.Ran, Status: 200, Whole: true, Body: []byte("fed")})
+				}
+			})
+		}
+		wg.Wait()
+	})
+	assert.Equal(t, ran.Load(), int32(10))
+	f.until(func() {
+		for _, c := range f.claims {
+			assert.Check(t, c.Flush(t.Context()))
+			_, err := c.Begin(t.Context(), call("k0"))
+			var rep *Replay
+			assert.Check(t, errors.As(err, &rep), "%v", err)
+			assert.Check(t, rep != nil && rep.Whole && string(rep.Body) == "fed")
+		}
+	})
+}
+
+func TestPlatformDownRefusesKeysAndLetsTicketsRun(t *testing.T) {
+	f := newFleet(t, 1)
+	f.platform.SetFaults(ferryplatformtest.Faults{Outage: true})
+	c := f.claims["i1"]
+	_, err := c.Begin(t.Context(), call("a"))
+	var p *ferryoutcome.Problem
+	assert.Assert(t, errors.As(err, &p))
+	assert.Equal(t, p.Kind, ferryoutcome.KindPlatformDown)
+	assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
+	assert.Equal(t, p.RetryAfter, platformRetryAfter)
+
+	tk, err := c.IssueTicket("c", "s")
+	assert.NilError(t, err)
+	byTicket := Call{Customer: "c", Service: "s", Ticket: tk, Digest: DigestOf([]byte("one"))}
+	cl, err := c.Begin(t.Context(), byTicket)
+	assert.NilError(t, err)
+	assert.NilError(t, cl.Dispatching())
+	cl.Finish(t.Context(), Result{Outcome: ferryoutcome.Ran, Status: 204, Whole: true})
+	_, err = c.Begin(t.Context(), byTicket)
+	var rep *Replay
+	assert.Assert(t, errors.As(err, &rep))
+	assert.Equal(t, rep.Status, 204)
+}
+
+func TestHandOverNamesOneHeirOnly(t *testing.T) {
+	f := newFleet(t, 3)
+	sealed, err := f.claims["i1"].HandOver("i2")
+	assert.NilError(t, err)
+	_, err = f.claims["i1"].HandOver("i3")
+	var he *HeirError
+	assert.Assert(t, errors.As(err, &he))
+	assert.ErrorContains(t, f.claims["i3"].TakeOver(sealed), "hand-over is for i2")
+	assert.NilError(t, f.claims["i2"].TakeOver(sealed))
+	assert.NilError(t, f.claims["i2"].TakeOver(sealed))
+}
+
+func TestCallerThatGivesUpIsNotRun(t *testing.T) {
+	f := newFleet(t, 2)
+	f.platform.SetFaults(ferryplatformtest.Faults{DelayMS: 1000})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := f.claims["i1"].Begin(ctx, call("a"))
+	assert.Equal(t, outcomeOf(err), ferryoutcome.NotRun)
+	f.platform.SetFaults(ferryplatformtest.Faults{})
+	f.until(func() {
+		cl, err := f.claims["i2"].Begin(t.Context(), call("a"))
+		if assert.Check(t, err) {
+			assert.Check(t, cl.Dispatching())
+		}
+	})
+}
--- a/ferry/ferryclaim/held.go
+++ b/ferry/ferryclaim/held.go
@@ -26,13 +26,12 @@
 	return lostRight()
 }
 
-// Finish records what came of the call; it does not wait for the platform, and a result that says NotRun releases the claim.
+// Finish records what came of the call, with the response if it is Whole and small; it does not wait for the platform, and NotRun releases the claim.
 func (cl *Claim) Finish(ctx context.Context, res Result) {
 	if res.Outcome == ferryoutcome.NotRun {
 		cl.Release(ctx)
 		return
 	}
-	res.Whole = res.Status != 0
 	o, ok := cl.c.table.finish(cl.ref, res.kept(), cl.c.cfg.Clock.Now())
 	if ok && !o.Ticket {
 		cl.c.write(finishRequest(o))
--- a/ferry/ferryclaim/request.go
+++ b/ferry/ferryclaim/request.go
@@ -2,28 +2,30 @@
 
 import "cactusferry.dev/ferry/ferryplatform"
 
-// opKind is what a request asks of a slot's journal.
-type opKind uint8
+// Op is what a Write asks of a slot's journal.
+type Op uint8
 
 const (
-	opClaim   opKind = iota // write the record if the key is free
-	opRelease               // give the claim back
-	opFinish                // record the outcome
-	opLook                  // read the record as it is on the platform now
-	opBarrier               // wait until everything submitted before is written
+	opClaim   Op = iota // write the record if the key is free
+	opRelease           // give the claim back
+	opFinish            // record the outcome
+	opLook              // read the record as it is on the platform now
+	opBarrier           // wait until everything submitted before is written
 )
 
 // request is one message to a slot.
 type request struct {
-	op  opKind
+	op  Op
 	rec Record
 	// replaces is another incarnation's claim that may be taken over, because it was revoked.
 	replaces Ref
 	// fresh is true once the slot was read after the request came.
 	fresh bool
 	// sent is true once the record was in a write that may have landed.
-	sent  bool
-	reply func(verdict)
+	sent bool
+	// passed is true if the request came from another entry, or was passed to one in vain.
+	passed bool
+	reply  func(verdict)
 }
 
 func (r request) needsAnswer() bool {
--- a/ferry/ferryclaim/runner.go
+++ b/ferry/ferryclaim/runner.go
@@ -2,25 +2,32 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 )
 
 const (
 	slotRing   = 256
 	maxWaiting = 1024
+	// platformTimeout ends one call; a write that it ends is repeated until its outcome is known.
+	platformTimeout = 2 * time.Second
 )
 
 // slotRunner is the duty that alone owns one slot's core: it makes the core's calls to the platform one at a time.
 type slotRunner struct {
-	core   *slot
-	store  ferryplatform.Store
-	clock  clockwork.Clock
-	window time.Duration
+	core    *slot
+	index   int
+	owner   func() ferryid.Incarnation
+	forward Forwarder
+	store   ferryplatform.Store
+	clock   clockwork.Clock
+	window  time.Duration
 	// claims is bounded; when it is full, callers wait until their deadline.
 	claims chan request
 	// must holds outcomes and releases, at most one for each claim that was granted.
@@ -29,9 +36,16 @@
 	ready chan struct{}
 }
 
-func newSlotRunner(cfg Config, name string) *slotRunner {
+func newSlotRunner(cfg Config, index int) *slotRunner {
+	name := fmt.Sprintf("%04d", index)
+	owner := func() ferryid.Incarnation {
+		if cfg.Live == nil {
+			return cfg.Self
+		}
+		return ownerOf(name, cfg.Live())
+	}
 	return &slotRunner{
-		core: newSlot(name, cfg.Self), store: cfg.Store, clock: cfg.Clock, window: cfg.Window,
+		core: newSlot(name, cfg.Self), index: index, owner: owner, forward: cfg.Forwarder, store: cfg.Store, clock: cfg.Clock, window: cfg.Window,
 		claims: make(chan request, slotRing), ready: make(chan struct{}, 1),
 	}
 }
@@ -70,6 +84,9 @@
 	for s.gather(ctx) {
 		for ctx.Err() == nil {
 			s.drain()
+			if s.pass(ctx) {
+				continue
+			}
 			now := s.clock.Now()
 			a, out := s.core.next(now)
 			deliver(out)
@@ -133,6 +150,8 @@
 
 func (s *slotRunner) do(ctx context.Context, a action) answer {
 	var ans answer
+	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, platformTimeout)
+	defer cancel()
 	switch a := a.(type) {
 	case getTail:
 		ans.object, ans.err = s.store.Get(ctx, ObjectKindSlot, s.core.name)
--- a/ferry/ferryclaim/segment.go
+++ b/ferry/ferryclaim/segment.go
@@ -1,8 +1,9 @@
 package ferryclaim
 
 import (
+	"encoding/binary"
+	"encoding/hex"
 	"errors"
-	"fmt"
 	"time"
 
 	"cactusferry.dev/ferry/ferryplatform"
@@ -10,10 +11,19 @@
 
 // startSealing begins to move records out of a tail that has grown large, or to merge small segments; it reports whether there is a segment to write.
 func (s *slot) startSealing(now time.Time) bool {
-	if small := s.smallSegments(); len(small) >= mergeSegments {
-		return s.startMerge(now, small)
+	if now.After(s.mergeAfter) {
+		for level := range uint8(topLevel) {
+			small := s.segmentsAt(level)
+			if len(small) < mergeSegments {
+				continue
+			}
+			if s.startMerge(now, small, level+1) {
+				return true
+			}
+			s.mergeAfter = now.Add(mergeRetry)
+		}
 	}
-	if s.size < sealBytes {
+	if s.size-s.listed < sealBytes {
 		return false
 	}
 	var live []Record
@@ -25,17 +35,17 @@
 	return s.newSegment(live, 0, nil)
 }
 
-func (s *slot) smallSegments() []segmentRef {
+func (s *slot) segmentsAt(level uint8) []segmentRef {
 	var out []segmentRef
 	for _, ref := range s.tail.segments {
-		if ref.Level == 0 {
+		if ref.Level == level {
 			out = append(out, ref)
 		}
 	}
 	return out
 }
 
-func (s *slot) startMerge(now time.Time, small []segmentRef) bool {
+func (s *slot) startMerge(now time.Time, small []segmentRef, level uint8) bool {
 	inTail := map[Digest]bool{}
 	for _, r := range s.tail.records {
 		inTail[r.Key] = true
@@ -51,7 +61,7 @@
 			}
 		}
 	}
-	return s.newSegment(live, 1, replaces)
+	return s.newSegment(live, level, replaces)
 }
 
 func (s *slot) newSegment(records []Record, level uint8, replaces map[string]bool) bool {
@@ -63,7 +73,7 @@
 		return false
 	}
 	s.serial++
-	ref := segmentRef{Name: fmt.Sprintf("%s.%s.%d", s.name, s.self, s.serial), Level: level}
+	ref := segmentRef{Name: s.segmentName(), Level: level}
 	keys := make([]Digest, 0, len(records))
 	for _, r := range records {
 		ref.Newest = max(ref.Newest, r.Until)
@@ -73,6 +83,12 @@
 	return true
 }
 
+// segmentName is unique to this slot, incarnation and serial, and short since the tail lists it.
+func (s *slot) segmentName() string {
+	d := DigestOf([]byte(s.name), []byte(s.self), binary.BigEndian.AppendUint64(nil, s.serial))
+	return s.name + "." + hex.EncodeToString(d[:])
+}
+
 func (s *slot) putSegment(now time.Time, ans answer) []decided {
 	var conflict *ferryplatform.ConflictError
 	switch {
--- a/ferry/ferryclaim/slot.go
+++ b/ferry/ferryclaim/slot.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	sealBytes      = 16 << 10
-	mergeSegments  = 16
+	sealBytes      = 4 << 10
+	mergeSegments  = 12
+	topLevel       = 2
+	mergeRetry     = time.Minute
+	listedBytes    = 50 // of one segment in the tail
 	maxBatch       = 128
 	minBackoff     = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
@@ -46,6 +49,7 @@
 	loaded  bool
 	tail    journal
 	size    int
+	listed  int
 	records map[Digest]Record
 	segKeys map[string][]Digest
 	missing []segmentRef
@@ -55,9 +59,10 @@
 	sealing *sealing
 	garbage []string
 
-	notBefore time.Time
-	backoff   time.Duration
-	down      error
+	mergeAfter time.Time
+	notBefore  time.Time
+	backoff    time.Duration
+	down       error
 }
 
 func newSlot(name string, self ferryid.Incarnation) *slot {
@@ -218,6 +223,7 @@
 	s.version = v
 	s.tail = j
 	s.size = size
+	s.listed = listedBytes * len(j.segments)
 	s.missing = nil
 	named := map[string]bool{}
 	for _, ref := range j.segments {
@@ -300,6 +306,7 @@
 	s.version = v
 	s.tail = f.next
 	s.size = len(f.put.value)
+	s.listed = listedBytes * len(s.tail.segments)
 	s.applyTail()
 	s.finishSealing(now)
 	for _, name := range f.dropped {
--- a/ferry/ferryclaim/ticket.go
+++ b/ferry/ferryclaim/ticket.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return "", merry.Prepend(err, "encode ticket")
 	}
-	return base64.RawURLEncoding.EncodeToString(ts.seal.seal(ticketPurpose, b)), nil
+	return encodeSealed(ts, b), nil
 }
 
 // Open returns the ticket that the text carries, or an error if it is forged or damaged.
@@ -75,3 +75,7 @@
 	}
 	return t, t.check()
 }
+
+func encodeSealed(ts Tickets, plain []byte) string {
+	return base64.RawURLEncoding.EncodeToString(ts.seal.seal(ticketPurpose, plain))
+}
--- a/ferry/ferryclaim/world_test.go
+++ b/ferry/ferryclaim/world_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
@@ -22,6 +24,7 @@
 	tainted  map[string]bool        // a dead incarnation alone knew what became of it
 	tries    []*try
 	failures []string
+	owners   func(*try) *node
 }
 
 type execution struct {
@@ -43,6 +46,8 @@
 	answer  Answer
 	askErr  error
 	verdict verdict
+	// passedTo is the entry that writes for the try's own, as the owner of the slot.
+	passedTo *node
 }
 
 // node is one entry incarnation.
@@ -120,10 +125,27 @@
 	case submitStep:
 		r := st.req
 		r.reply = func(v verdict) { w.settle(t, r, v) }
-		t.at.slot.submit(r)
+		t.passedTo = w.owner(t)
+		t.passedTo.slot.submit(r)
 	}
 }
 
+// writeItself gives up on the slot's owner, which may still write later.
+func (w *world) writeItself(t *try, r request) {
+	t.passedTo = t.at
+	w.tainted[t.op] = true
+	r.sent = true
+	r.reply = func(v verdict) { w.settle(t, r, v) }
+	t.at.slot.submit(r)
+}
+
+func (w *world) owner(t *try) *node {
+	if w.owners == nil {
+		return t.at
+	}
+	return w.owners(t)
+}
+
 func (w *world) settle(t *try, r request, v verdict) {
 	st, waiting := t.wait.(submitStep)
 	if !t.done && waiting && st.req.op == r.op && st.req.rec.Ref == r.rec.Ref {
@@ -162,6 +184,10 @@
 	case submitStep:
 		if v := t.verdict; v != nil {
 			w.take(t, t.a.onVerdict(v, w.now))
+			return
+		}
+		if t.passedTo != t.at && (lose || t.passedTo.dead) {
+			w.writeItself(t, st.req)
 		}
 	case askStep:
 		if t.asked {
@@ -252,7 +278,7 @@
 			return len(out) > 0
 		}
 		n.under = a
-		r := slotRunner{core: n.slot, store: w.store}
+		r := slotRunner{core: n.slot, store: w.store, clock: clockwork.NewFakeClock()}
 		n.ans = r.do(context.Background(), a)
 		return true
 	}
