One set of operators' types for ferryd and ferryctl

Cause: ferryoperator had written the apply, drain and status types a second time. Excluded: keeping both in step by tests. Change: ferryd uses ferryadmin, ferrydocument's decoding and its status codes; the status shows links, queue and upstreams. Before: PEERS 0 in ferryctl status. Conclusion: an answer's shape is changed in one place.

--- a/ferry/ferryadmin/status.go
+++ b/ferry/ferryadmin/status.go
@@ -1,9 +1,9 @@
 package ferryadmin
 
 import (
-	"encoding/json"
-
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryqueue"
+	"cactusferry.dev/ferry/ferryroute"
 	"cactusferry.dev/ferry/ferryservice"
 	"cactusferry.dev/ferry/ferrytoml"
 )
@@ -30,6 +30,15 @@
 	Name        ferryid.EntryName `json:"Name"`
 	PeerAddress string            `json:"PeerAddress"`
 	State       string            `json:"State"`
+	// Status is whether the other one holds it alive.
+	Status string `json:"Status"`
+}
+
+// ServiceStatus is one service's load at an entry.
+type ServiceStatus struct {
+	Service   ferryid.ServiceName   `json:"Service"`
+	Queue     ferryqueue.Snapshot   `json:"Queue"`
+	Upstreams ferryroute.Candidates `json:"Upstreams"`
 }
 
 // Status is the answer of GET /admin/status.
@@ -38,8 +47,9 @@
 	Incarnation   ferryid.Incarnation `json:"Incarnation"`
 	FailureDomain ferryid.DomainName  `json:"FailureDomain"`
 	State         EntryState          `json:"State"`
-	Peers         []json.RawMessage   `json:"Peers"`
+	Peers         []ferryid.EntryName `json:"Peers"`
 	Documents     []DocumentStatus    `json:"Documents"`
+	Services      []ServiceStatus     `json:"Services,omitempty"`
 	OpenStreams   int                 `json:"OpenStreams"`
 	OpenCalls     int                 `json:"OpenCalls"`
 	// PlatformCalls counts the entry's calls to the platform since its start, by kind.
--- a/ferryctl/main_test.go
+++ b/ferryctl/main_test.go
@@ -95,7 +95,7 @@
 	for i, e := range entries {
 		e.status = ferryadmin.Status{
 			Entry: ferryid.EntryName(e.name), FailureDomain: "ruse-a", State: ferryadmin.StateReady,
-			Peers: make([]json.RawMessage, 0), Documents: []ferryadmin.DocumentStatus{{Service: "parlour-api", Generation: ferryid.Generation(7 - i), Hash: "0123456789abcdef"}},
+			Documents:   []ferryadmin.DocumentStatus{{Service: "parlour-api", Generation: ferryid.Generation(7 - i), Hash: "0123456789abcdef"}},
 			OpenStreams: 3, PlatformCalls: map[string]int64{"Get": 2, "Watch": 5}, PlatformUp: i == 0, Entries: rows,
 		}
 		e.events = ferryevent.Events{
--- a/ferryd/ferrynode/leave.go
+++ b/ferryd/ferrynode/leave.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
+	"cactusferry.dev/ferry/ferryadmin"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
-	"cactusferry.dev/ferryd/ferryoperator"
 )
 
 const leaveTimeout = 2 * time.Second
@@ -18,7 +18,7 @@
 }
 
 // leave carries out an operator's mark.
-func (n *Node) leave(req ferryoperator.LeaveRequest) error {
+func (n *Node) leave(req ferryadmin.DrainRequest) error {
 	if !n.setLeaving(req.Service, req.Upstream, req.Leaving) {
 		return fmt.Errorf("there is no upstream %q of service %q", req.Upstream, req.Service)
 	}
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -134,8 +134,8 @@
 		Steer:     n.steer, Allow: n.allow, AddressOf: n.addressOf, Refuse: n.refuse,
 	}
 	n.operators = &ferryoperator.Server{
-		Token: n.cfg.Keys.OperatorToken, Log: n.log, Events: n.events, Documents: documents{n},
-		Status: func() any { return n.status() }, Leave: n.leave, Claim: n.claim, SetLevel: zerolog.SetGlobalLevel,
+		Token: n.cfg.Keys.OperatorToken, Log: n.log, Events: n.events, Documents: n.holder, Store: n.platform,
+		Status: n.status, Leave: n.leave, Claim: n.claim, SetLevel: zerolog.SetGlobalLevel,
 	}
 	return nil
 }
--- a/ferryd/ferrynode/steer.go
+++ b/ferryd/ferrynode/steer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactusferry.dev/ferry/ferryadmin"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryservice"
 	"cactusferry.dev/ferryd/ferrycaller"
@@ -32,10 +33,10 @@
 	return out
 }
 
-func (n *Node) entryStatus() []EntryStatus {
-	out := []EntryStatus{}
+func (n *Node) entryStatus() []ferryadmin.EntryStatus {
+	out := []ferryadmin.EntryStatus{}
 	for _, m := range n.peer.Members().List {
-		out = append(out, EntryStatus{Name: m.Name, PeerAddress: m.PeerAddress, State: m.State.String(), Status: m.Status.String()})
+		out = append(out, ferryadmin.EntryStatus{Name: m.Name, PeerAddress: m.PeerAddress, State: m.State.String(), Status: m.Status.String()})
 	}
 	return out
 }
--- a/ferryd/ferryoperator/server.go
+++ b/ferryd/ferryoperator/server.go
@@ -12,49 +12,26 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 
+	"cactusferry.dev/ferry/ferryadmin"
+	"cactusferry.dev/ferry/ferrydocument"
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryservice"
 )
 
 const bodyBytes = 1 << 20
 
-// Documents accepts and gives service documents.
-type Documents interface {
-	// Apply accepts a document or returns one of ferrydocument's errors.
-	Apply(ctx context.Context, req ApplyRequest) (ferryservice.Accepted, error)
-	// Accepted returns what is in force here.
-	Accepted(name ferryid.ServiceName) (ferryservice.Accepted, bool)
-	// All returns everything in force here.
-	All() []ferryservice.Accepted
-}
-
-// ApplyRequest asks for a changed document.
-type ApplyRequest struct {
-	Service        ferryid.ServiceName `json:"-"`
-	Source         string              `json:"Source"`
-	BaseGeneration ferryid.Generation  `json:"BaseGeneration"`
-	Operator       string              `json:"Operator"`
-	ApplyID        string              `json:"ApplyID"`
-}
-
-// LeaveRequest marks an upstream as leaving, or takes the mark back.
-type LeaveRequest struct {
-	Service  ferryid.ServiceName  `json:"Service"`
-	Upstream ferryid.UpstreamName `json:"Upstream"`
-	Operator string               `json:"Operator"`
-	Leaving  bool                 `json:"Leaving"`
-}
-
 // Server answers operators.
 type Server struct {
 	Token     string
 	Log       zerolog.Logger
 	Events    *ferryevent.Log
-	Documents Documents
-	Status    func() any
-	Leave     func(LeaveRequest) error
+	Documents *ferrydocument.Holder
+	Store     ferryplatform.Store
+	Status    func() ferryadmin.Status
+	Leave     func(ferryadmin.DrainRequest) error
 	Claim     func(ctx context.Context, service ferryid.ServiceName, key string) (any, error)
 	SetLevel  func(zerolog.Level)
 }
@@ -65,7 +42,7 @@
 		m.Use(s.authenticate)
 		m.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Status()) })
 		m.Get("/events", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Events.Events()) })
-		m.Get("/documents", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Documents.All()) })
+		m.Get("/documents", s.documents)
 		m.Get("/documents/{service}", s.document)
 		m.Post("/documents/{service}", s.apply)
 		m.Post("/drain", s.leave)
@@ -108,16 +85,24 @@
 
 func (s *Server) document(w http.ResponseWriter, r *http.Request) {
 	name := chi.URLParam(r, "service")
-	a, ok := s.Documents.Accepted(ferryid.ServiceName(name))
+	f, ok := s.Documents.Get(ferryid.ServiceName(name))
 	if !ok {
 		ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "There is no service %.80q here.", name).Write(w)
 		return
 	}
-	writeJSON(w, http.StatusOK, a)
+	writeJSON(w, http.StatusOK, f.Accepted)
+}
+
+func (s *Server) documents(w http.ResponseWriter, _ *http.Request) {
+	list := []ferryservice.Accepted{}
+	for _, f := range s.Documents.All() {
+		list = append(list, f.Accepted)
+	}
+	writeJSON(w, http.StatusOK, list)
 }
 
 func (s *Server) leave(w http.ResponseWriter, r *http.Request) {
-	var req LeaveRequest
+	var req ferryadmin.DrainRequest
 	if p := readJSON(w, r, &req); p != nil {
 		p.Write(w)
 		return
--- a/ferrystand/ferrydemo/demo.go
+++ b/ferrystand/ferrydemo/demo.go
@@ -136,8 +136,8 @@
 	for _, e := range f.Entries {
 		err := ferryprocess.Poll(ctx, func(ctx context.Context) error {
 			s, err := f.Status(ctx, e)
-			if err == nil && len(s.Entries) < len(f.Entries) {
-				err = fmt.Errorf("%s knows %d of %d entries", e.Name, len(s.Entries), len(f.Entries))
+			if err == nil && (len(s.Entries) < len(f.Entries) || len(s.Peers) == 0) {
+				err = fmt.Errorf("%s knows %d of %d entries and has %d links", e.Name, len(s.Entries), len(f.Entries), len(s.Peers))
 			}
 			return err
 		})
@@ -154,6 +154,7 @@
 	State       string
 	OpenStreams int
 	OpenCalls   int
+	Peers       []string
 	Entries     []struct {
 		Name   string
 		State  string
