--- /dev/null
+++ b/ferrystand/ferryproof/load.go
@@ -0,0 +1,135 @@
+package ferryproof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferrystand/ferrydemo"
+)
+
+const retryPause = 100 * time.Millisecond
+
+// tally counts how the calls of a load ended.
+type tally struct {
+	mu      sync.Mutex
+	whole   int
+	resumed int
+	refused int
+	wrong   []string
+}
+
+func (t *tally) add(f func(*tally)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(t)
+}
+
+func (t *tally) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprintf("%d whole answers, %d resumes, %d refusals as NotRun, %d wrong", t.whole, t.resumed, t.refused, len(t.wrong))
+}
+
+// err is the first thing that was wrong, if any.
+func (t *tally) err() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.wrong) == 0 {
+		return nil
+	}
+	return errors.New(t.wrong[0])
+}
+
+// streams runs callers that ask for one completion after another until the context of the load ends; those begun are finished.
+func (w *world) streams(load, ctx context.Context, callers, tokens int, t *tally) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; load.Err() == nil; n++ {
+				w.stream(ctx, i+n, fmt.Sprintf("caller %d asks question %d", i, n), tokens, t)
+			}
+		})
+	}
+	return &wg
+}
+
+// stream asks for one completion and resumes it at the next entry until it is whole, as a careful caller does.
+func (w *world) stream(ctx context.Context, at int, prompt string, tokens int, t *tally) {
+	seed := uint64(at)
+	body := ferrydemo.CompletionBody(prompt, tokens, seed)
+	want := strings.Join(ferryengine.Reference(seed, prompt, tokens, ferrydemo.Layers), "")
+	var text strings.Builder
+	last := ""
+	for try := 0; ctx.Err() == nil; try++ {
+		c := ferrydemo.Caller{Entry: w.Entries[(at+try)%len(w.Entries)].Callers, Key: ferrydemo.CustomerKey}
+		err := c.Stream(ctx, body, last, func(p ferrydemo.Chunk) {
+			text.WriteString(p.Text)
+			last = p.ID
+		})
+		if err == nil {
+			break
+		}
+		t.add(func(t *tally) { count(t, err, last) })
+		time.Sleep(retryPause)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	t.add(func(t *tally) {
+		if text.String() == want {
+			t.whole++
+			return
+		}
+		t.wrong = append(t.wrong, fmt.Sprintf("prompt %q: the text must be %q, is %q", prompt, want, text.String()))
+	})
+}
+
+func count(t *tally, err error, last string) {
+	var s *ferrydemo.StatusError
+	if errors.As(err, &s) && s.Header.Get("Outcome") == "NotRun" {
+		t.refused++
+		return
+	}
+	if last != "" {
+		t.resumed++
+	}
+}
+
+// plainCall is one call to the plain service and what the caller was told.
+type plainCall struct {
+	key     string
+	status  int
+	outcome string
+	err     error
+}
+
+// post sends one change under a key to an entry.
+func (w *world) post(ctx context.Context, entry int, key string) plainCall {
+	c := ferrydemo.Caller{Entry: w.Entries[entry%len(w.Entries)].Callers, Key: ferrydemo.CustomerKey}
+	header := http.Header{"Idempotency-Key": {key}}
+	status, h, _, err := c.Do(ctx, http.MethodPost, "/v1/services/"+ferrydemo.PlainService+"/rations/417", `{"Kilograms":2}`, header)
+	out := plainCall{key: key, status: status, err: err}
+	if h != nil {
+		out.outcome = h.Get("Outcome")
+	}
+	return out
+}
+
+// runs counts how often the plain service ran each key.
+func (w *world) runs(ctx context.Context) (map[string]int, error) {
+	var records []struct{ IdempotencyKey string }
+	if err := w.GetJSON(ctx, "http://"+w.Plain+"/admin/records", &records); err != nil {
+		return nil, err
+	}
+	out := map[string]int{}
+	for _, r := range records {
+		out[r.IdempotencyKey]++
+	}
+	return out, nil
+}
