Stand-in engine keeps answering while it drains; jobs checked first

Cause: a leaving engine has to say so itself; a closed listener only refuses connections. Change: on SIGTERM the engine answers 503, Outcome NotRun, until its last stream is over. A job that no engine could be asked to run is refused before any plan. The oracle counts plans given back.

--- a/ferry/ferrypipeline/core_test.go
+++ b/ferry/ferrypipeline/core_test.go
@@ -45,6 +45,7 @@
 	asking  bool
 	waiting bool
 	plans   int
+	held    int
 	end     *ferrypipeline.Finish
 }
 
@@ -102,6 +103,7 @@
 		s.epochs[a.Epoch].over = true
 		s.epochs[a.Epoch].asked = true
 	case ferrypipeline.Release:
+		s.held--
 		if s.current != nil {
 			s.current.over = true
 		}
@@ -115,6 +117,7 @@
 
 // checkEnd compares the outcome with the truth: NotRun only if nothing ran, Unknown only if something is truly unknown.
 func (s *sim) checkEnd(f ferrypipeline.Finish) {
+	assert.Equal(s.t, s.held, 0, "plans not given back")
 	if f.Err == nil {
 		assert.Equal(s.t, len(s.got), simTokens, "a short answer that claims to be whole")
 		return
@@ -157,6 +160,7 @@
 			return
 		}
 		s.plans++
+		s.held++
 		s.send(ferrypipeline.Planned{Plan: simPlan(s.plans)})
 		return
 	case s.moving != 0:
--- a/ferry/ferrypipeline/job.go
+++ b/ferry/ferrypipeline/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrystream"
 )
@@ -27,6 +28,15 @@
 	Epoch ferryid.Epoch
 }
 
+// Check returns a *ferryengine.FieldError for a job that no engine could be asked to run.
+func (j *Job) Check() error {
+	probe := ferryengine.RunRequest{
+		Stream: j.Stream, Epoch: 1, Prompt: j.Prompt, Generated: j.Resume, MaxTokens: j.MaxTokens,
+		Stages: ferryengine.Stages{{Address: "any", Layers: ferryid.LayerRange{To: 1}}},
+	}
+	return probe.Check()
+}
+
 // Picker chooses plans and keeps account of the work given out; it is used by many jobs at once.
 type Picker interface {
 	// Pick chooses a plan without the excluded engines and counts its work as outstanding.
--- a/ferry/ferrypipeline/planner_test.go
+++ b/ferry/ferrypipeline/planner_test.go
@@ -246,3 +246,39 @@
 	b.ReportMetric(placed, "placed-tokens/s")
 	b.ReportMetric(equal, "equal-tokens/s")
 }
+
+// What a token pays for links when they are weighed and when not, over chains of eight stages in three failure domains.
+func BenchmarkLinks(b *testing.B) {
+	cfg, loads := fleet48()
+	for pair := range cfg.Links {
+		cfg.Links[pair] = 5 * time.Millisecond
+	}
+	blind := cfg
+	blind.Links = nil
+	for _, tt := range []struct {
+		name string
+		cfg  ferrypipeline.PlannerConfig
+	}{{"Weighed", cfg}, {"Blind", blind}} {
+		b.Run(tt.name, func(b *testing.B) {
+			p, err := ferrypipeline.NewPlanner(tt.cfg)
+			assert.NilError(b, err)
+			r := rand.New(rand.NewPCG(7, 8))
+			var plan ferrypipeline.Plan
+			var paid time.Duration
+			n := 0
+			for b.Loop() {
+				for i := range loads {
+					loads[i] = ferrypipeline.Load{Rate: ferryid.TokensPerSecond(100 + r.IntN(5000)), Outstanding: ferryid.Tokens(r.IntN(500))}
+				}
+				if err := p.Choose(loads, nil, 200, &plan); err != nil {
+					b.Fatal(err)
+				}
+				for i := 1; i < len(plan.Stages); i++ {
+					paid += cfg.Links[[2]ferryid.DomainName{plan.Stages[i-1].Domain, plan.Stages[i].Domain}]
+				}
+				n++
+			}
+			b.ReportMetric(paid.Seconds()*1e3/float64(n), "ms-of-links/token")
+		})
+	}
+}
--- a/ferry/ferrypipeline/runner.go
+++ b/ferry/ferrypipeline/runner.go
@@ -52,6 +52,9 @@
 
 // Run runs a job to its end and calls emit with each token once and in order; an error is a *ferryoutcome.Problem whose outcome says whether anything ran.
 func (r *Runner) Run(ctx context.Context, job Job, emit func(Token) error) (Result, error) {
+	if err := job.Check(); err != nil {
+		return Result{}, ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%v", err)
+	}
 	s := &session{
 		r: r, ctx: ctx, job: &job, emit: emit,
 		core: NewCore(&job, r.Core), messages: make(chan Message, messageRing), done: make(chan struct{}),
--- a/ferrystand/engine.go
+++ b/ferrystand/engine.go
@@ -24,16 +24,14 @@
 
 const (
 	engineRegisterTimeout = 5 * time.Second
+	engineDrainPoll       = 50 * time.Millisecond
 	engineExitDied        = 3
 )
 
-const engineHelp = `Runs one stand-in model engine that holds a range of layers. It registers itself in the platform's
-instance list, prints "ready ADDRESS" once it listens, and on SIGTERM marks itself leaving, finishes its
-streams and exits 0.
+const engineHelp = `Runs one stand-in model engine that holds a range of layers. It registers itself in the platform's instance list, prints "ready ADDRESS" once it listens, and on SIGTERM marks itself leaving, finishes its streams and exits 0.
 
 Example:
-  ferrystand engine --name=ruse-1 --listen=127.0.0.1:9101 --domain=ruse-a --service=herd-llm \
-      --layers=0:16 --tokens-per-second=400 --slots=16 --platform=http://127.0.0.1:9000`
+  ferrystand engine --name=ruse-1 --domain=ruse-a --service=herd-llm --layers=0:16 --platform=http://127.0.0.1:9000`
 
 type engineCommand struct {
 	Name            string  `long:"name" required:"yes" description:"name of the engine, as in the service document"`
@@ -89,6 +87,10 @@
 	if err := c.register(e, layers, address, ferryplatform.StateLeaving); err != nil {
 		fmt.Fprintln(os.Stderr, "ferrystand engine:", err)
 	}
+	// The engine answers "leaving" to new work until its last stream is over.
+	for e.Running() > 0 {
+		time.Sleep(engineDrainPoll)
+	}
 	return srv.Shutdown(context.Background())
 }
 
--- a/ferrystand/ferrystandengine/job_test.go
+++ b/ferrystand/ferrystandengine/job_test.go
@@ -224,3 +224,20 @@
 	assert.Assert(t, count["whole"] > randomRuns/2, "%v", count)
 	t.Logf("outcomes %v", count)
 }
+
+func TestJobThatNoEngineCouldRun(t *testing.T) {
+	f := newFleet(t, clockwork.NewRealClock())
+	for _, change := range []func(j *ferrypipeline.Job){
+		func(j *ferrypipeline.Job) { j.MaxTokens = 0 },
+		func(j *ferrypipeline.Job) { j.Stream = "" },
+		func(j *ferrypipeline.Job) { j.Resume = make([]string, cutTokens+1) },
+	} {
+		job := f.job()
+		change(&job)
+		_, err := f.runner.Run(context.Background(), job, nil)
+		var p *ferryoutcome.Problem
+		assert.Assert(t, errors.As(err, &p))
+		assert.Equal(t, p.Kind, ferryoutcome.KindBadRequest)
+		assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
+	}
+}
--- a/ferrystand/ferrystandengine/load.go
+++ b/ferrystand/ferrystandengine/load.go
@@ -58,3 +58,10 @@
 	e.mu.Unlock()
 	writeJSON(w, l)
 }
+
+// Running is the number of streams that run now.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load().RunningStreams
+}
