--- a/ferrystand/ferryproof/load.go
+++ b/ferrystand/ferryproof/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferrystand/ferrydemo"
 )
 
@@ -22,6 +24,7 @@
 	resumed int
 	refused int
 	wrong   []string
+	why     map[string]int
 }
 
 func (t *tally) add(f func(*tally)) {
@@ -33,7 +36,7 @@
 func (t *tally) String() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return fmt.Sprintf("%d whole answers, %d resumes, %d refusals as NotRun, %d wrong", t.whole, t.resumed, t.refused, len(t.wrong))
+	return fmt.Sprintf("%d whole answers, %d resumes, %d refusals as NotRun %v, %d wrong", t.whole, t.resumed, t.refused, t.why, len(t.wrong))
 }
 
 // err is the first thing that was wrong, if any.
@@ -90,10 +93,23 @@
 	})
 }
 
+// problemText is the kind and the sentence of a problem.
+func problemText(body string) string {
+	var p ferryoutcome.Problem
+	if err := json.Unmarshal([]byte(body), &p); err != nil {
+		return body
+	}
+	return fmt.Sprintf("%s: %s", p.Kind, p.Detail)
+}
+
 func count(t *tally, err error, last string) {
 	var s *ferrydemo.StatusError
 	if errors.As(err, &s) && s.Header.Get("Outcome") == "NotRun" {
 		t.refused++
+		if t.why == nil {
+			t.why = map[string]int{}
+		}
+		t.why[problemText(s.Body)]++
 		return
 	}
 	if last != "" {
@@ -106,6 +122,7 @@
 	key     string
 	status  int
 	outcome string
+	detail  string
 	err     error
 }
 
@@ -113,8 +130,11 @@
 func (w *world) post(ctx context.Context, entry int, key string) plainCall {
 	c := ferrydemo.Caller{Entry: w.Entries[entry%len(w.Entries)].Callers, Key: ferrydemo.CustomerKey}
 	header := http.Header{"Idempotency-Key": {key}}
-	status, h, _, err := c.Do(ctx, http.MethodPost, "/v1/services/"+ferrydemo.PlainService+"/rations/417", `{"Kilograms":2}`, header)
+	status, h, body, err := c.Do(ctx, http.MethodPost, "/v1/services/"+ferrydemo.PlainService+"/rations/417", `{"Kilograms":2}`, header)
 	out := plainCall{key: key, status: status, err: err}
+	if status >= http.StatusBadRequest {
+		out.detail = problemText(body)
+	}
 	if h != nil {
 		out.outcome = h.Get("Outcome")
 	}
--- a/ferrystand/ferryproof/plain.go
+++ b/ferrystand/ferryproof/plain.go
@@ -56,7 +56,7 @@
 		if c.err != nil {
 			told = "no answer"
 		}
-		counts[told]++
+		counts[told+" "+c.detail]++
 		n := runs[c.key]
 		switch {
 		case n > 1:
@@ -134,7 +134,7 @@
 				ran++
 				counts["Ran"]++
 			default:
-				counts[c.outcome]++
+				counts[c.outcome+" "+c.detail]++
 				if c.outcome == "NotRun" {
 					notRun++
 				}
