A failed engine is put aside for all streams; the platform's budget is the fleet's

Excluded: a larger retry budget, which would repeat the same finding more often. Change: a failed, silent or dead stage is reported to the table and the pool at once and comes back through probing; the setting Platform.CallsPerSecond is the fleet's (default 400) and each entry takes its share of the live count. Conclusion: both are feedback that the parts had and the daemon did not pass on.

--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -3,10 +3,6 @@
 import (
 	"context"
 
-	"github.com/jonboulle/clockwork"
-
-	"cactusferry.dev/ferry/ferryengine"
-	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypipeline"
@@ -24,14 +20,19 @@
 	runner *ferrypipeline.Runner
 }
 
-func newModel(d *ferryservice.Document, table *ferryroute.Table, engines *ferryengine.Client, clock clockwork.Clock, events *ferryevent.Log) (*model, error) {
+func (s *services) newModel(d *ferryservice.Document, table *ferryroute.Table) (*model, error) {
 	cfg, loads := planner(d, table)
-	pool, err := ferrypipeline.NewPool(cfg, loads, clock)
+	pool, err := ferrypipeline.NewPool(cfg, loads, s.clock)
 	if err != nil {
 		return nil, err
 	}
+	engines := &observedEngines{
+		Client: s.engines, clock: s.clock, table: table,
+		avoid:   func(name ferryid.UpstreamName) { pool.Avoid(name, true) },
+		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
+	}
 	return &model{pool: pool, runner: &ferrypipeline.Runner{
-		Engines: engines, Picker: pool, Clock: clock, Log: events,
+		Engines: engines, Picker: pool, Clock: s.clock, Log: s.events,
 		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, retryBurst),
 	}}, nil
 }
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -30,7 +30,6 @@
 const (
 	eventRing      = 8192
 	resumeLifetime = time.Hour
-	platformBurst  = 20
 	// callersBodyBytes bounds a body whose service, and so whose own limit, is not known yet.
 	callersBodyBytes = 64 << 20
 )
@@ -97,12 +96,13 @@
 	}
 	n.platform = ferryplatform.New(ferryplatform.ClientConfig{
 		URL: cfg.Platform.URL, Clock: clock, Timeout: time.Duration(cfg.Platform.Timeout),
-		Budget: ferryplatform.Budget{PerSecond: cfg.Platform.CallsPerSecond, Burst: platformBurst},
+		Budget: platformBudget(cfg.Platform.CallsPerSecond, 1),
 	})
 	n.holder = ferrydocument.NewHolder(clock, n.events)
 	n.watcher = ferrydocument.NewWatcher(ferrydocument.WatcherConfig{Store: n.platform, Holder: n.holder, Clock: clock, Seed: uint64(clock.Now().UnixNano())})
 	n.engines = ferryengine.New(ferryengine.ClientConfig{Clock: clock})
 	n.services = newServices(clock, n.engines, n.events)
+	n.services.leaving = n.markLeaving
 	n.plain = ferryplain.New(ferryplain.ClientConfig{Clock: clock})
 	if err := n.newServers(); err != nil {
 		return nil, err
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -71,6 +71,13 @@
 	live := len(ms.Live())
 	n.services.setLive(live)
 	n.watcher.SetLive(live)
+	n.platform.SetBudget(platformBudget(n.cfg.Platform.CallsPerSecond, live))
+}
+
+// platformBudget is one entry's share of the calls that the whole fleet may make.
+func platformBudget(fleet float64, live int) ferryplatform.Budget {
+	share := fleet / float64(max(1, live))
+	return ferryplatform.Budget{PerSecond: share, Burst: max(1, int(share))}
 }
 
 // documentTopic spreads the documents in force; a change is pulled once, since documents are large.
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -45,6 +45,8 @@
 type services struct {
 	clock   clockwork.Clock
 	engines *ferryengine.Client
+	// leaving is told of engines that say themselves that they leave.
+	leaving func(ferryid.ServiceName, ferryid.UpstreamName)
 	events  *ferryevent.Log
 	mu      sync.Mutex
 	named   map[ferryid.ServiceName]*service
@@ -158,7 +160,7 @@
 		}
 		return
 	}
-	md, err := newModel(d, sv.table, s.engines, s.clock, s.events)
+	md, err := s.newModel(d, sv.table)
 	if err != nil {
 		s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		return
--- a/ferryd/ferrysettings/section.go
+++ b/ferryd/ferrysettings/section.go
@@ -13,7 +13,7 @@
 // The defaults and bounds of the smaller sections.
 const (
 	defaultPlatformTimeout = 2 * time.Second
-	defaultCallsPerSecond  = 20
+	defaultCallsPerSecond  = 400
 	maxCallsPerSecond      = 2000
 	sealKeyBytes           = 32
 	defaultLogLevel        = "info"
@@ -26,7 +26,7 @@
 type Platform struct {
 	URL            string   `toml:"URL" long:"url" env:"URL" description:"address of the object API, such as http://10.0.0.1:9000"`
 	Timeout        Duration `toml:"Timeout" long:"timeout" env:"TIMEOUT" description:"time for one call, default 2s"`
-	CallsPerSecond float64  `toml:"CallsPerSecond" long:"calls-per-second" env:"CALLS_PER_SECOND" description:"calls to the platform a second at most, default 20"`
+	CallsPerSecond float64  `toml:"CallsPerSecond" long:"calls-per-second" env:"CALLS_PER_SECOND" description:"calls a second that all entries together may make to the platform, default 400"`
 }
 
 func (s *Platform) setDefaults() {
