--- a/ferrybench/ferryexperiment/unit.go
+++ b/ferrybench/ferryexperiment/unit.go
@@ -67,7 +67,13 @@
 
 // speed is what each running stream gets, in tokens/s.
 func (u *unit) speed() float64 {
-	return u.factor * min(u.spec.StreamRate, u.spec.Rate/float64(max(1, len(u.jobs))))
+	k := float64(max(1, len(u.jobs)))
+	alone := u.spec.StreamRate
+	if u.spec.Curve == ferryworkload.CurveLine {
+		perStream := max(0, 1/u.spec.Rate-1/(alone*float64(u.spec.Slots)))
+		return u.factor / (1/alone + k*perStream)
+	}
+	return u.factor * min(alone, u.spec.Rate/k)
 }
 
 func (u *unit) advance(now time.Duration) {
--- a/ferrybench/ferryworkload/unit.go
+++ b/ferrybench/ferryworkload/unit.go
@@ -16,6 +16,7 @@
 	Slots      int
 	Prefixes   int
 	Stages     int
+	Curve      Curve
 }
 
 // UnitList works the units out; a pipeline is as fast as its slowest stage and adds every stage's time to each token.
@@ -64,7 +65,7 @@
 	for i, r := range all {
 		out = append(out, Unit{
 			Name: ferryid.UpstreamName(fmt.Sprintf("%s-%02d", r.Name, i)),
-			Rate: r.Rate, StreamRate: r.StreamRate, Slots: r.Slots, Prefixes: r.Prefixes, Stages: 1,
+			Rate: r.Rate, StreamRate: r.StreamRate, Slots: r.Slots, Prefixes: r.Prefixes, Stages: 1, Curve: r.Curve,
 		})
 	}
 	return out
--- a/ferrybench/ferryworkload/workload.go
+++ b/ferrybench/ferryworkload/workload.go
@@ -83,8 +83,18 @@
 	StreamRate float64 `toml:"StreamRate" json:"StreamRate"`
 	Slots      int     `toml:"Slots" json:"Slots"`
 	Prefixes   int     `toml:"Prefixes" json:"Prefixes"`
+	Curve      Curve   `toml:"Curve" json:"Curve"`
 }
 
+// Curve names how a runner's streams slow each other down.
+type Curve string
+
+// The curves: with Knee streams run at their own rate until the runner's is used up, with Line each adds the same time.
+const (
+	CurveKnee Curve = "Knee"
+	CurveLine Curve = "Line"
+)
+
 // Runners are the groups of runners.
 type Runners []Runner
 
@@ -206,6 +216,11 @@
 		inRange(c, f+"StreamRate", r.StreamRate, 1e-3, 1e9)
 		inRange(c, f+"Slots", float64(r.Slots), 1, 1e5)
 		inRange(c, f+"Prefixes", float64(r.Prefixes), 0, 1e6)
+		switch r.Curve {
+		case "", CurveKnee, CurveLine:
+		default:
+			c.Fault(f+"Curve", "must be Knee or Line, is %q", r.Curve)
+		}
 	}
 }
 
--- a/ferrybench/point.go
+++ b/ferrybench/point.go
@@ -215,28 +215,42 @@
 	even := ferryexperiment.Run(w, w.Arrivals(), p)
 	loud := withHog(w)
 	r := ferryexperiment.Run(loud, loud.Arrivals(), p)
-	wait, answer, first := 0.0, 0.0, 0.0
-	inTime := 1.0
+	full := *w
+	full.Phases = ferryworkload.Phases{{Load: 1}}
+	fullEven := ferryexperiment.Run(&full, full.Arrivals(), p)
+	fullLoud := withHog(&full)
+	fullRun := ferryexperiment.Run(fullLoud, fullLoud.Arrivals(), p)
+	wait, inTime := 0.0, 1.0
 	for _, c := range w.Customers {
-		if c.Name == hog {
-			continue
+		if c.Name != hog {
+			g := r.Customer(c.Name)
+			wait = max(wait, g.Wait.P99.Seconds())
+			inTime = min(inTime, share(g.InTime, g.Offered))
 		}
-		a, b := even.Customer(c.Name), r.Customer(c.Name)
-		answer = max(answer, ratio(b.Answer.P99, a.Answer.P99))
-		first = max(first, ratio(b.First.P99, a.First.P99))
-		wait = max(wait, b.Wait.P99.Seconds())
-		inTime = min(inTime, share(b.InTime, b.Offered))
 	}
 	from, to := time.Duration(w.Warmup), time.Duration(w.Duration)
 	return measures{
-		{"worst move of another customer's p99 answer time", "x", atMost(1.1), answer},
-		{"worst move of another customer's p99 first token", "x", target{}, first},
-		{"worst p99 wait for a slot of another customer", "s", target{}, wait},
-		{"least share of another customer's calls in time", "of calls", target{}, inTime},
+		{"worst move of another's p99 answer time, all others at 80% of their shares", "x", atMost(1.1), move(w, even, r, answerP99)},
+		{"worst move of another's p99 answer time, all others at their shares", "x", atMost(1.1), move(w, fullEven, fullRun, answerP99)},
+		{"worst p99 wait for a slot of another customer, at 80%", "s", target{}, wait},
+		{"least share of another customer's calls in time, at 80%", "of calls", target{}, inTime},
 		{"throughput, as a check that unused shares are used", "of bound", target{}, r.Mean(from, to, served) / r.Bound},
 	}, r
 }
 
+func answerP99(g *ferryexperiment.Group) time.Duration { return g.Answer.P99 }
+
+// move is the worst ratio of a figure of any customer but the hog.
+func move(w *ferryworkload.Workload, a, b *ferryexperiment.Result, figure func(*ferryexperiment.Group) time.Duration) float64 {
+	worst := 0.0
+	for _, c := range w.Customers {
+		if c.Name != hog {
+			worst = max(worst, ratio(figure(b.Customer(c.Name)), figure(a.Customer(c.Name))))
+		}
+	}
+	return worst
+}
+
 func withHog(w *ferryworkload.Workload) *ferryworkload.Workload {
 	loud := *w
 	loud.Customers = append(ferryworkload.Customers{}, w.Customers...)
--- a/ferrybench/weigh.go
+++ b/ferrybench/weigh.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// loud has one customer send ten times its share to runners of the given curve.
+func loud(c ferryworkload.Curve) func(*ferryworkload.Workload, *ferryexperiment.Policy) {
+	return func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) {
+		*w = *withHog(w)
+		w.Runners = append(ferryworkload.Runners{}, w.Runners...)
+		for i := range w.Runners {
+			w.Runners[i].Curve = c
+		}
+	}
+}
+
 func alone(w *ferryworkload.Workload, _ *ferryexperiment.Policy) {
 	w.Entries = 1
 	w.Reports.Every = 0
@@ -82,6 +93,10 @@
 		{"waiting list with a place", listed},
 		{"no retries", func(w *ferryworkload.Workload, _ *ferryexperiment.Policy) { w.Retry.Attempts = 0 }},
 	}},
+	{"Runners that slow down along a line instead of a knee, one customer at ten times its share", "fairness", []variant{
+		{"knee", loud(ferryworkload.CurveKnee)},
+		{"line", loud(ferryworkload.CurveLine)},
+	}},
 	{"Prefix affinity", "affinity", []variant{
 		{"off", routed(ferryroute.Options{NoAffinity: true})},
 		{"on", unchanged},
