--- /dev/null
+++ b/ferry/ferrypeer/faults_test.go
@@ -0,0 +1,297 @@
+package ferrypeer_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferrypeertest"
+)
+
+const healWithin = 2 * time.Minute
+
+type number uint32
+
+func (n number) Check() error {
+	if n > 1<<30 {
+		return fmt.Errorf("%d is too large", n)
+	}
+	return nil
+}
+
+// generation is a document's stand-in: the higher one wins and is offered by digest.
+type generation struct{ n uint64 }
+
+func (g *generation) topic() ferrypeer.Topic {
+	encode := func() []byte { return binary.BigEndian.AppendUint64(nil, g.n) }
+	return ferrypeer.Topic{
+		Name:   "documents",
+		Digest: encode,
+		Missing: func(d []byte) []ferrypeer.Item {
+			if len(d) == 8 && binary.BigEndian.Uint64(d) >= g.n {
+				return nil
+			}
+			return []ferrypeer.Item{encode()}
+		},
+		Apply: func(it ferrypeer.Item) (bool, error) {
+			if len(it) != 8 {
+				return false, fmt.Errorf("generation of %d bytes", len(it))
+			}
+			n := binary.BigEndian.Uint64(it)
+			changed := n > g.n
+			g.n = max(g.n, n)
+			return changed, nil
+		},
+	}
+}
+
+// world is a fleet under faults, and the oracle of what has to come out.
+type world struct {
+	*ferrypeertest.Fleet
+	latest      map[ferryid.EntryName]*ferrypeer.Latest[number]
+	documents   map[ferryid.EntryName]*generation
+	incarnation map[ferryid.EntryName]int
+	ghosts      []*ferrypeertest.Core
+	newest      uint64
+	wrote       map[string]number
+}
+
+func newWorld(n int) *world {
+	w := &world{
+		Fleet: ferrypeertest.New(start), latest: map[ferryid.EntryName]*ferrypeer.Latest[number]{},
+		documents: map[ferryid.EntryName]*generation{}, incarnation: map[ferryid.EntryName]int{}, wrote: map[string]number{},
+	}
+	w.ListLag = time.Minute
+	for i := range n {
+		w.start(entry(i), i)
+	}
+	w.Run(10 * time.Second)
+	return w
+}
+
+func entry(i int) ferryid.EntryName { return ferryid.EntryName(fmt.Sprintf("entry-%02d", i)) }
+
+func (w *world) start(name ferryid.EntryName, i int) *ferrypeertest.Core {
+	w.incarnation[name]++
+	m := w.MemberOf(string(name), fmt.Sprintf("domain-%d", i%3), w.incarnation[name])
+	l := ferrypeer.NewLatest[number](ferrypeer.LatestConfig{Name: "drains", Self: name, Size: 100, Clock: w.Clock, Events: w.Events})
+	g := &generation{}
+	w.latest[name], w.documents[name] = l, g
+	c := w.Add(m, []string{"entry-00:7400", "entry-01:7400"}, []ferrypeer.Topic{l.Topic(), g.topic()})
+	l.Notify(func(t ferrypeer.TopicName) { c.Step(ferrypeer.Published{Topic: t}) })
+	return c
+}
+
+func (w *world) publish(name ferryid.EntryName) {
+	w.newest++
+	w.documents[name].n = w.newest
+	w.Core(name).Step(ferrypeer.Published{Topic: "documents"})
+}
+
+// settled says what is still wrong once faults have ceased.
+func (w *world) settled() string {
+	if s := converged(w.Fleet); s != "" {
+		return s
+	}
+	first := slices.Sorted(maps.Keys(w.Cores()))[0]
+	for name := range w.Cores() {
+		if w.documents[name].n != w.documents[first].n {
+			return fmt.Sprintf("%s holds document %d, %s holds %d", name, w.documents[name].n, first, w.documents[first].n)
+		}
+		if a, b := fmt.Sprint(w.latest[name].All()), fmt.Sprint(w.latest[first].All()); a != b {
+			return fmt.Sprintf("%s holds %s\n%s holds %s", name, a, first, b)
+		}
+	}
+	return ""
+}
+
+func (w *world) names() []ferryid.EntryName {
+	return slices.Sorted(maps.Keys(w.Cores()))
+}
+
+func pick(rt *rapid.T, w *world) ferryid.EntryName {
+	return rapid.SampledFrom(w.names()).Draw(rt, "entry")
+}
+
+// restart brings a name back; its old process crashed, or was only frozen and wakes later.
+func (w *world) restart(name ferryid.EntryName, i int, frozen bool) {
+	if c := w.Core(name); c != nil && frozen {
+		w.Freeze(name)
+		w.ghosts = append(w.ghosts, c)
+	} else {
+		w.Crash(name)
+	}
+	w.start(name, i)
+}
+
+func TestFaultsCeaseAndAllConverges(t *testing.T) {
+	const n = 9
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(n)
+		last := map[ferryid.EntryName]uint64{}
+		rt.Repeat(map[string]func(*rapid.T){
+			"crash": func(rt *rapid.T) {
+				if len(w.Cores()) > 2 {
+					w.Crash(pick(rt, w))
+				}
+			},
+			"leave": func(rt *rapid.T) {
+				if len(w.Cores()) > 2 {
+					w.Leave(pick(rt, w))
+				}
+			},
+			"restart": func(rt *rapid.T) {
+				i := rapid.IntRange(0, n-1).Draw(rt, "i")
+				delete(last, entry(i))
+				w.restart(entry(i), i, rapid.Bool().Draw(rt, "frozen"))
+			},
+			"reuse": func(rt *rapid.T) {
+				i := rapid.IntRange(0, n-1).Draw(rt, "i")
+				w.Crash(entry(i))
+				w.Crash(entry(i + n))
+				w.start(entry(i+n), i)
+				delete(last, entry(i+n))
+			},
+			"freeze":  func(rt *rapid.T) { w.Freeze(pick(rt, w)) },
+			"thaw":    func(rt *rapid.T) { w.Thaw(pick(rt, w)) },
+			"silence": func(rt *rapid.T) { w.Silence(pick(rt, w), rapid.IntRange(0, 20).Draw(rt, "link")) },
+			"cut": func(rt *rapid.T) {
+				w.Cut(1, ferryid.DomainName(fmt.Sprintf("domain-%d", rapid.IntRange(0, 2).Draw(rt, "domain"))))
+			},
+			"heal":    func(*rapid.T) { w.Heal() },
+			"publish": func(rt *rapid.T) { w.publish(pick(rt, w)) },
+			"set": func(rt *rapid.T) {
+				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key")
+				w.latest[pick(rt, w)].Set(key, number(rapid.IntRange(0, 99).Draw(rt, "value")), time.Hour)
+			},
+			"run": func(rt *rapid.T) { w.Run(time.Duration(rapid.IntRange(1, 60).Draw(rt, "seconds")) * time.Second) },
+			"": func(rt *rapid.T) {
+				w.Run(200 * time.Millisecond)
+				for name, c := range w.Cores() {
+					if len(c.Overlay.Links()) > ferrypeer.MaxLinks {
+						rt.Fatalf("%s has %d links", name, len(c.Overlay.Links()))
+					}
+					if w.documents[name].n < last[name] {
+						rt.Fatalf("%s went back to document %d", name, w.documents[name].n)
+					}
+					last[name] = w.documents[name].n
+				}
+			},
+		})
+		w.Heal()
+		for _, name := range w.names() {
+			w.Thaw(name)
+		}
+		for _, g := range w.ghosts {
+			if w.Core(g.Member.Name) != nil {
+				g.Thaw()
+			}
+		}
+		if _, ok := w.RunUntil(time.Second, healWithin, func() bool { return w.settled() == "" }); !ok {
+			rt.Fatal(w.settled())
+		}
+		w.Run(time.Minute)
+		if s := w.settled(); s != "" {
+			rt.Fatalf("a minute later: %s", s)
+		}
+	})
+}
+
+func TestGhostOfAnOldIncarnation(t *testing.T) {
+	w := newWorld(9)
+	old, oldLatest, oldDocument := w.Core("entry-03"), w.latest["entry-03"], w.documents["entry-03"]
+	w.restart("entry-03", 3, true)
+	w.Run(30 * time.Second)
+	oldLatest.Set("a", 66, time.Hour)
+	oldDocument.n = 66
+	old.Thaw()
+	old.Step(ferrypeer.Published{Topic: "documents"})
+	w.Run(30 * time.Second)
+	assert.Equal(t, w.settled(), "")
+	assert.Assert(t, old.Replaced)
+	_, found := w.latest["entry-00"].Get("a")
+	assert.Assert(t, !found, "an old incarnation's entry was taken")
+	assert.Equal(t, w.documents["entry-00"].n, uint64(0))
+}
+
+func TestRestartWithAClockBehind(t *testing.T) {
+	w := newWorld(9)
+	w.Crash("entry-03")
+	m := w.MemberOf("entry-03", "domain-0", 2)
+	m.Started.Micros -= time.Hour.Microseconds()
+	w.documents["entry-03"] = &generation{}
+	w.Add(m, []string{"entry-00:7400"}, []ferrypeer.Topic{w.latest["entry-03"].Topic(), w.documents["entry-03"].topic()})
+	_, ok := w.RunUntil(time.Second, 20*time.Second, func() bool { return w.settled() == "" })
+	assert.Assert(t, ok, w.settled())
+}
+
+func TestAddressReusedByAnother(t *testing.T) {
+	w := newWorld(9)
+	w.Crash("entry-03")
+	m := w.MemberOf("entry-99", "domain-0", 1)
+	m.PeerAddress = "entry-03:7400"
+	l := ferrypeer.NewLatest[number](ferrypeer.LatestConfig{Name: "drains", Self: m.Name, Size: 100, Clock: w.Clock, Events: w.Events})
+	w.latest[m.Name], w.documents[m.Name] = l, &generation{}
+	w.Add(m, []string{"entry-00:7400"}, []ferrypeer.Topic{l.Topic(), w.documents[m.Name].topic()})
+	_, ok := w.RunUntil(time.Second, 30*time.Second, func() bool { return w.settled() == "" })
+	assert.Assert(t, ok, w.settled())
+	for name, c := range w.Cores() {
+		got, _ := c.Overlay.Members().Get("entry-03")
+		assert.Assert(t, got.Status != ferrypeer.Alive, "%s still holds entry-03", name)
+	}
+}
+
+func TestSilentLinkIsReplaced(t *testing.T) {
+	w := newWorld(9)
+	peer := w.Silence("entry-04", 2)
+	w.Run(15 * time.Second)
+	assert.Equal(t, w.settled(), "")
+	silent := string(ferrypeer.CloseSilent)
+	assert.Assert(t, w.Core("entry-04").Overlay.Counts()[silent]+w.Core(peer).Overlay.Counts()[silent] > 0)
+	assert.Assert(t, slices.Contains(w.Core("entry-04").Overlay.Links(), peer))
+	for name, c := range w.Cores() {
+		for _, m := range c.Overlay.Members().List {
+			assert.Equal(t, m.Status, ferrypeer.Alive, "%s holds %s", name, m.Name)
+		}
+	}
+}
+
+func TestDomainCutForMinutes(t *testing.T) {
+	w := newWorld(9)
+	w.Cut(1, "domain-1")
+	w.Run(5 * time.Minute)
+	for name, c := range w.Cores() {
+		want := 6
+		if c.Member.FailureDomain == "domain-1" {
+			want = 3
+		}
+		assert.Equal(t, len(c.Overlay.Members().Live()), want, "%s", name)
+	}
+	w.publish("entry-00")
+	w.Heal()
+	took, ok := w.RunUntil(100*time.Millisecond, 30*time.Second, func() bool { return w.settled() == "" })
+	assert.Assert(t, ok, w.settled())
+	t.Logf("joined again after %s", took)
+}
+
+func TestFrozenProcessAccusesNobody(t *testing.T) {
+	w := newWorld(9)
+	w.Freeze("entry-05")
+	w.Run(20 * time.Second)
+	w.Thaw("entry-05")
+	_, ok := w.RunUntil(100*time.Millisecond, 20*time.Second, func() bool { return w.settled() == "" })
+	assert.Assert(t, ok, w.settled())
+	for name, c := range w.Cores() {
+		if name != "entry-05" {
+			assert.Equal(t, c.Overlay.Counts()["Refutations"], uint64(0), "%s had to refute", name)
+		}
+	}
+}
--- a/ferry/ferrypeer/link.go
+++ b/ferry/ferrypeer/link.go
@@ -32,6 +32,7 @@
 	id         LinkID
 	peer       Member
 	dialled    bool
+	verified   bool
 	topics     []TopicName
 	up         time.Time
 	heard      time.Time
@@ -81,6 +82,9 @@
 		o.refuse(l, reason)
 		return
 	}
+	if o.table.joined.IsZero() {
+		o.table.joined = o.now
+	}
 	o.links[l.id] = l
 	o.byName[l.peer.Name] = l
 	o.chooseDirty = true
@@ -375,6 +379,9 @@
 	}
 	o.probeAt = o.now.Add(every/2 + o.jitter(every, o.probes))
 	targets := o.probeTargets()
+	if d, ok := o.verify(); ok {
+		targets = []Dial{d}
+	}
 	if len(targets) == 0 {
 		return
 	}
@@ -384,6 +391,19 @@
 	}
 }
 
+// verify returns a dial to the address of a peer that dialled us, once for each link: an earlier incarnation that was paused can dial, but a later one answers at its address.
+func (o *Overlay) verify() (Dial, bool) {
+	for _, id := range o.linkIDs() {
+		l := o.links[id]
+		if l.dialled || l.verified || o.now.Sub(l.up) < shortLived {
+			continue
+		}
+		l.verified = true
+		return Dial{Key: "verify " + string(l.peer.Name), Expect: l.peer.Name, Address: l.peer.PeerAddress}, true
+	}
+	return Dial{}, false
+}
+
 func (o *Overlay) probeTargets() []Dial {
 	live := map[string]bool{o.cfg.Self.PeerAddress: true}
 	gone := map[ferryid.EntryName]time.Time{}
--- a/ferry/ferrypeer/table.go
+++ b/ferry/ferrypeer/table.go
@@ -14,7 +14,7 @@
 	tombstoneFor   = 10 * time.Minute
 	tombstoneGrace = time.Minute
 	digestMaxAge   = 10 * time.Second
-	startGrace     = time.Minute
+	joinGrace      = 5 * time.Second
 
 	topicMembers TopicName = "members"
 	topicBeats   TopicName = "beats"
@@ -72,11 +72,12 @@
 
 // table is the membership as one process holds it; merging records in any order ends in the same table.
 type table struct {
-	self  Record
-	born  time.Time
-	now   time.Time
-	rows  map[ferryid.EntryName]*row
-	byTag map[Tag]ferryid.EntryName
+	self Record
+	now  time.Time
+	// joined is when the first link came up.
+	joined time.Time
+	rows   map[ferryid.EntryName]*row
+	byTag  map[Tag]ferryid.EntryName
 
 	structure uint64
 	detail    uint64
@@ -98,7 +99,7 @@
 }
 
 func newTable(self Member, now time.Time) *table {
-	t := &table{born: now, now: now, rows: map[ferryid.EntryName]*row{}, byTag: map[Tag]ferryid.EntryName{}}
+	t := &table{now: now, rows: map[ferryid.EntryName]*row{}, byTag: map[Tag]ferryid.EntryName{}}
 	t.self = Record{Tag: self.Tag(), Member: &self, Beat: 1, Status: Alive, State: Ready}
 	t.put(t.self)
 	t.freshMembers = append(t.freshMembers, encodeRecord(t.self))
@@ -226,7 +227,7 @@
 	t.detail++
 }
 
-// mergeSelf judges what others say of this process: an accusation is refuted, a later incarnation replaces it.
+// mergeSelf judges what others say of this process: an accusation is refuted, a later incarnation replaces it, and an earlier one whose clock was ahead is passed while joining.
 func (t *table) mergeSelf(r Record) {
 	if r.Tag == t.self.Tag {
 		if r.Status != Alive && t.self.Status != Left && r.Beat >= t.self.Beat {
@@ -237,7 +238,7 @@
 	if !r.Member.newer(*t.self.Member) {
 		return
 	}
-	if t.now.Sub(t.born) > startGrace {
+	if !t.joined.IsZero() && t.now.Sub(t.joined) > joinGrace {
 		t.replaced = true
 		return
 	}
--- a/ferry/ferrypeertest/fault.go
+++ b/ferry/ferrypeertest/fault.go
@@ -48,10 +48,13 @@
 
 // Thaw lets a frozen core run on.
 func (f *Fleet) Thaw(name ferryid.EntryName) {
-	c := f.cores[name]
-	if c == nil || !c.frozen {
-		return
+	if c := f.cores[name]; c != nil {
+		c.Thaw()
 	}
+}
+
+// Thaw lets the core run on, also if another has taken its name meanwhile.
+func (c *Core) Thaw() {
 	c.frozen = false
 	waiting := c.waiting
 	c.waiting = nil
--- /dev/null
+++ b/ferry/ferrysteer/doc.go
@@ -0,0 +1,2 @@
+// Package ferrysteer computes which entries a customer's callers are told to use.
+package ferrysteer
