Steering, duties and load reports over the overlay

Cause: every entry read every engine's load and the whole instance list each second, which grows with entries times engines, and callers were given all entries in one order. Excluded: a second timer for the first state (Ready is told at once instead; before that the demo was answered with no entries for a second). Change: two entries chosen by rendezvous read each engine's load and spread it as a volatile topic; two entries of each failure domain watch and read the list, the others in turn at 10 reads a second together; ferrysteer answers callers. Before: 27 load reads a second for 9 engines at 3 entries. After: 18, and 2 an engine at any size; make demo exit 0.

--- a/ferryd/ferrycaller/server.go
+++ b/ferryd/ferrycaller/server.go
@@ -20,6 +20,7 @@
 	"cactusferry.dev/ferry/ferryqueue"
 	"cactusferry.dev/ferry/ferryroute"
 	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrysteer"
 	"cactusferry.dev/ferry/ferrystream"
 )
 
@@ -57,17 +58,10 @@
 // EntriesAnswer tells a caller which entries to use, the best first, and for how long.
 type EntriesAnswer struct {
 	Service         ferryid.ServiceName
-	Entries         []EntryAddress
+	Entries         []ferrysteer.Target
 	LifetimeSeconds int
 }
 
-// EntryAddress is one entry that a caller may use.
-type EntryAddress struct {
-	Name          ferryid.EntryName
-	Address       string
-	FailureDomain ferryid.DomainName
-}
-
 // Server answers callers.
 type Server struct {
 	Clock     clockwork.Clock
@@ -82,7 +76,7 @@
 	Limits    Limits
 	Advertise string
 	// Steer chooses the entries that a customer should use.
-	Steer func(d *ferryservice.Document, cu ferryservice.Customer) EntriesAnswer
+	Steer func(d *ferryservice.Document, cu ferryservice.Customer, id ferryid.RequestID) EntriesAnswer
 	// Allow takes calls from a customer's limit, and says when to come back if there is none left.
 	Allow func(d *ferryservice.Document, cu ferryservice.Customer, n float64) (time.Duration, bool)
 	// AddressOf finds the callers' address of another incarnation.
@@ -127,7 +121,7 @@
 		s.fail(w, r, p)
 		return
 	}
-	writeJSON(w, s.Steer(c.doc, c.customer))
+	writeJSON(w, s.Steer(c.doc, c.customer, c.id))
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -115,7 +115,7 @@
 		Clock: clock, Log: zerolog.Nop(), Events: ferryevent.NewLog(clock, "test", 100), Documents: f, Upstreams: f, Models: f,
 		Claims: claims, Sealer: sealer, Plain: ferryplain.New(ferryplain.ClientConfig{}),
 		Limits: Limits{BodyTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, BodyBytes: 4000},
-		Steer: func(d *ferryservice.Document, _ ferryservice.Customer) EntriesAnswer {
+		Steer: func(d *ferryservice.Document, _ ferryservice.Customer, _ ferryid.RequestID) EntriesAnswer {
 			return EntriesAnswer{Service: d.Service}
 		},
 		Allow:     func(*ferryservice.Document, ferryservice.Customer, float64) (time.Duration, bool) { return 0, true },
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -7,18 +7,22 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"cactusferry.dev/ferry/ferryengine"
-	"cactusferry.dev/ferry/ferryroute"
+	"cactusferry.dev/ferry/ferryduty"
 	"cactusferry.dev/ferry/ferryservice"
 )
 
 const (
 	listInterval   = time.Second
-	loadInterval   = time.Second
 	tickInterval   = 500 * time.Millisecond
 	readyInterval  = 50 * time.Millisecond
-	loadTimeout    = 900 * time.Millisecond
+	tellInterval   = time.Second
 	intervalJitter = 0.2
+	// listReaders is how many entries of each failure domain read the instance list every second.
+	listReaders = 2
+	// slowListPerSecond bounds the reads of all other entries together.
+	slowListPerSecond = 10
+	// watchers is how many entries of each failure domain watch the object API.
+	watchers = 2
 )
 
 // serve opens the listeners.
@@ -50,6 +54,7 @@
 	go func() { fail(n.watcher.Run(ctx)) }()
 	go func() { fail(n.claims.Run(ctx)) }()
 	go n.every(ctx, listInterval, n.readInstances)
+	go n.every(ctx, tellInterval, n.tellLoad)
 	go n.every(ctx, loadInterval, n.readLoads)
 	go n.every(ctx, tickInterval, func(context.Context) { n.services.tick(n.clock.Now()) })
 	go n.becomeReady(ctx)
@@ -86,8 +91,21 @@
 	}
 }
 
+// listDue spares the platform: a few entries of each failure domain read the list every second, the others in turn.
+func (n *Node) listDue() bool {
+	ms := n.peer.Members()
+	live := len(ms.Live())
+	if live <= slowListPerSecond || n.list.Load() == nil || ferryduty.HoldsInDomain(ms, dutyList, listReaders) {
+		return true
+	}
+	return rand.IntN(live) < slowListPerSecond
+}
+
 // readInstances takes a new instance list; without one the last stays in use.
 func (n *Node) readInstances(ctx context.Context) {
+	if !n.listDue() {
+		return
+	}
 	list, err := n.platform.Instances(ctx)
 	if err != nil {
 		n.log.Debug().Err(err).Msg("no instance list")
@@ -96,35 +114,3 @@
 	n.list.Store(&list)
 	n.services.setInstances(list)
 }
-
-// readLoads asks every engine for its load report.
-func (n *Node) readLoads(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	for _, sv := range n.services.all() {
-		if sv.doc.Load().Kind != ferryservice.KindModel {
-			continue
-		}
-		for _, c := range sv.table.Snapshot().All() {
-			go n.readLoad(ctx, sv, c)
-		}
-	}
-	<-ctx.Done()
-}
-
-func (n *Node) readLoad(ctx context.Context, sv *service, c ferryroute.Candidate) {
-	l, err := n.engines.Load(ctx, c.Address)
-	if err != nil {
-		return
-	}
-	if l.State == ferryengine.StateLeaving {
-		n.markLeaving(sv.name, c.Name)
-	}
-	err = sv.table.Report(ferryroute.Report{
-		Upstream: c.Name, RunningStreams: float64(l.RunningStreams), OutstandingTokens: float64(l.OutstandingTokens),
-		TokensPerSecond: float64(l.TokensPerSecond), At: l.At,
-	}, n.clock.Now())
-	if err != nil {
-		n.log.Debug().Err(err).Msg("load report")
-	}
-}
--- a/ferryd/ferrynode/leave.go
+++ b/ferryd/ferrynode/leave.go
@@ -36,6 +36,7 @@
 
 // leaveSteering tells the other entries to send no new callers here.
 func (n *Node) leaveSteering() {
+	n.stopping.Store(true)
 	n.peer.SetState(ferrypeer.Draining, ferrypeer.Load{})
 }
 
--- /dev/null
+++ b/ferryd/ferrynode/load.go
@@ -0,0 +1,126 @@
+package ferrynode
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"cactusferry.dev/ferry/ferryduty"
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferryroute"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+const (
+	topicLoads ferrypeer.TopicName = "loads"
+
+	loadInterval = time.Second
+	loadTimeout  = 900 * time.Millisecond
+	loadTTL      = 10 * time.Second
+	maxLoads     = 8192
+	// loadReaders is how many entries ask each engine for its load; the others hear of it from them.
+	loadReaders = 2
+	permille    = 1000
+)
+
+// engineLoad is one engine's load report as entries pass it on.
+type engineLoad struct {
+	Service     ferryid.ServiceName  `cbor:"1,keyasint"`
+	Upstream    ferryid.UpstreamName `cbor:"2,keyasint"`
+	Running     int                  `cbor:"3,keyasint"`
+	Outstanding ferryid.Tokens       `cbor:"4,keyasint"`
+	Rate        float64              `cbor:"5,keyasint"`
+	At          time.Time            `cbor:"6,keyasint"`
+}
+
+// Check returns an error for names that no engine can have; numbers are checked by the table that takes them.
+func (l engineLoad) Check() error {
+	if err := ferryid.CheckName(string(l.Service)); err != nil {
+		return fmt.Errorf("load report's service: %w", err)
+	}
+	if err := ferryid.CheckName(string(l.Upstream)); err != nil {
+		return fmt.Errorf("load report's upstream: %w", err)
+	}
+	if math.IsNaN(l.Rate) {
+		return fmt.Errorf("load report's rate is not a number")
+	}
+	return nil
+}
+
+func (l engineLoad) key() string {
+	return string(l.Service) + "/" + string(l.Upstream)
+}
+
+// readLoads asks the engines that this entry reads for the others, and takes what the others have read.
+func (n *Node) readLoads(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	ms := n.peer.Members()
+	for _, sv := range n.services.all() {
+		if sv.doc.Load().Kind != ferryservice.KindModel {
+			continue
+		}
+		for _, c := range sv.table.Snapshot().All() {
+			duty := ferryduty.Duty("load " + string(sv.name) + "/" + string(c.Name))
+			if len(ms.List) == 0 || ferryduty.Holds(ms, duty, loadReaders) {
+				go n.readLoad(ctx, sv, c)
+			}
+		}
+	}
+	n.takeLoads()
+	<-ctx.Done()
+}
+
+func (n *Node) readLoad(ctx context.Context, sv *service, c ferryroute.Candidate) {
+	l, err := n.engines.Load(ctx, c.Address)
+	if err != nil {
+		return
+	}
+	if l.State == ferryengine.StateLeaving {
+		n.markLeaving(sv.name, c.Name)
+	}
+	report := engineLoad{
+		Service: sv.name, Upstream: c.Name, Running: l.RunningStreams, Outstanding: l.OutstandingTokens,
+		Rate: float64(l.TokensPerSecond), At: l.At,
+	}
+	n.loads.Set(report.key(), report, loadTTL)
+}
+
+// takeLoads gives every known report to the tables, which refuse the bad ones and count them.
+func (n *Node) takeLoads() {
+	now := n.clock.Now()
+	for _, e := range n.loads.All() {
+		l := e.Value
+		sv, ok := n.services.get(l.Service)
+		if !ok {
+			continue
+		}
+		err := sv.table.Report(ferryroute.Report{
+			Upstream: l.Upstream, RunningStreams: float64(l.Running), OutstandingTokens: float64(l.Outstanding),
+			TokensPerSecond: l.Rate, At: l.At,
+		}, now)
+		if err != nil {
+			n.log.Debug().Err(err).Msg("load report")
+		}
+	}
+}
+
+// tellLoad tells the other entries how busy this one is.
+func (n *Node) tellLoad(context.Context) {
+	running, capacity := 0, 0
+	for _, sv := range n.services.all() {
+		q := sv.admission.Snapshot()
+		running += q.Running + q.Waiting
+		capacity += q.Capacity
+	}
+	streams, _ := n.callers.Open()
+	state := ferrypeer.Ready
+	if n.state() != StateReady || n.stopping.Load() {
+		state = ferrypeer.Draining
+	}
+	share := min(math.MaxUint16, running*permille/max(1, capacity))
+	n.peer.SetState(state, ferrypeer.Load{Permille: uint16(share), Streams: uint32(streams)})
+}
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -67,6 +67,7 @@
 	self      ferryid.Incarnation
 	started   time.Time
 	current   atomic.Int32
+	stopping  atomic.Bool
 	events    *ferryevent.Log
 	list      atomic.Pointer[ferryplatform.Instances]
 	metrics   *metrics
@@ -78,6 +79,7 @@
 	plain     *ferryplain.Client
 	claims    *ferryclaim.Claims
 	peer      *ferrypeer.Node
+	loads     *ferrypeer.Latest[engineLoad]
 	peerKeys  *ferrykeys.Pair
 	callers   *ferrycaller.Server
 	operators *ferryoperator.Server
@@ -104,6 +106,9 @@
 	n.services = newServices(clock, n.engines, n.events)
 	n.services.leaving = n.markLeaving
 	n.plain = ferryplain.New(ferryplain.ClientConfig{Clock: clock})
+	n.loads = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
+		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
+	})
 	if err := n.newServers(); err != nil {
 		return nil, err
 	}
@@ -148,6 +153,7 @@
 	if n.current.Swap(int32(s)) != int32(s) {
 		n.events.Add("State", string(n.cfg.Name), "%s", s)
 		n.log.Info().Str("State", s.String()).Msg("state")
+		n.tellLoad(context.Background())
 	}
 }
 
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -10,6 +10,7 @@
 
 	"cactusferry.dev/ferry/ferryclaim"
 	"cactusferry.dev/ferry/ferrydocument"
+	"cactusferry.dev/ferry/ferryduty"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplatform"
@@ -21,6 +22,9 @@
 	topicDocuments ferrypeer.TopicName = "documents"
 
 	askClaim ferrypeer.AskKind = 1
+
+	dutyWatch ferryduty.Duty = "watch"
+	dutyList  ferryduty.Duty = "list"
 )
 
 // newOverlay makes this process's part in the overlay.
@@ -32,7 +36,7 @@
 		},
 		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: peerSecret(n.cfg.Keys.SealKeys()[0]),
 		Log: n.log, Events: n.events,
-		Topics:    []ferrypeer.Topic{documentTopic(n.holder)},
+		Topics:    []ferrypeer.Topic{documentTopic(n.holder), n.loads.Topic()},
 		Handlers:  map[ferrypeer.AskKind]ferrypeer.Handler{askClaim: n.answerClaim},
 		OnMembers: n.onMembers,
 	}
@@ -45,6 +49,7 @@
 	}
 	n.peerKeys = pair
 	n.peer = ferrypeer.New(cfg)
+	n.loads.Notify(n.peer.Publish)
 	return nil
 }
 
@@ -71,12 +76,13 @@
 	live := len(ms.Live())
 	n.services.setLive(live)
 	n.watcher.SetLive(live)
+	n.watcher.Watching(live <= 1 || ferryduty.HoldsInDomain(ms, dutyWatch, watchers))
 	n.platform.SetBudget(platformBudget(n.cfg.Platform.CallsPerSecond, live))
 }
 
 // platformBudget is one entry's share of the calls that the whole fleet may make.
 func platformBudget(fleet float64, live int) ferryplatform.Budget {
-	share := fleet / float64(max(1, live))
+	share := float64(ferryduty.Share(ferryduty.PerSecond(fleet), live))
 	return ferryplatform.Budget{PerSecond: share, Burst: max(1, int(share))}
 }
 
--- a/ferryd/ferrynode/steer.go
+++ b/ferryd/ferrynode/steer.go
@@ -6,20 +6,18 @@
 	"cactusferry.dev/ferry/ferryadmin"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrysteer"
 	"cactusferry.dev/ferryd/ferrycaller"
 )
 
-const steerLifetime = 30 * time.Second
-
 // steer answers which entries a customer should use.
-func (n *Node) steer(d *ferryservice.Document, _ ferryservice.Customer) ferrycaller.EntriesAnswer {
-	a := ferrycaller.EntriesAnswer{Service: d.Service, LifetimeSeconds: int(steerLifetime / time.Second)}
-	for _, m := range n.peer.Members().List {
-		if m.Usable() {
-			a.Entries = append(a.Entries, ferrycaller.EntryAddress{Name: m.Name, Address: m.CallerAddress, FailureDomain: m.FailureDomain})
-		}
+func (n *Node) steer(d *ferryservice.Document, cu ferryservice.Customer, id ferryid.RequestID) ferrycaller.EntriesAnswer {
+	shares := 0.0
+	for _, c := range d.Customers {
+		shares += c.Share
 	}
-	return a
+	a := ferrysteer.Choose(n.peer.Members(), ferrysteer.Customer{Service: d.Service, Name: cu.Name, Share: cu.Share, Shares: shares}, string(id))
+	return ferrycaller.EntriesAnswer{Service: d.Service, Entries: a.Targets, LifetimeSeconds: int(a.Lifetime / time.Second)}
 }
 
 // otherEntries are the callers' addresses of the entries that take calls.
--- a/ferrystand/ferryproof/model.go
+++ b/ferrystand/ferryproof/model.go
@@ -124,7 +124,7 @@
 		defer end()
 		var t tally
 		wg := w.streams(load, ctx, loadCallers, loadTokens, &t)
-		if _, err := w.Ctl(ctx, "drain", "--service", ferrydemo.ModelService, "--operator", "morning", w.Engines[0].Name); err != nil {
+		if _, err := w.Ctl(ctx, "drain", ferrydemo.ModelService, w.Engines[0].Name, "--operator", "morning"); err != nil {
 			return err
 		}
 		if err := w.markListed(ctx, w.Engines[1]); err != nil {
