--- a/ferry/ferrypipeline/core.go
+++ b/ferry/ferrypipeline/core.go
@@ -13,7 +13,7 @@
 
 const (
 	defaultMaxEpochs   = 32
-	defaultMaxFailures = 6
+	defaultMaxFailures = 16
 	defaultMaxWaits    = 40
 	defaultImportFrom  = 256
 	waitStep           = 50 * time.Millisecond
--- a/ferry/ferrypipeline/planner_test.go
+++ b/ferry/ferrypipeline/planner_test.go
@@ -148,6 +148,31 @@
 	}
 }
 
+// An engine that failed one job is avoided by others for a while, unless nothing else holds its layers.
+func TestPoolAvoidsSuspects(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	cfg := ferrypipeline.PlannerConfig{Layers: 4, Candidates: ferrypipeline.Candidates{
+		{Name: "quick", Layers: ferryid.LayerRange{To: 4}}, {Name: "slow", Layers: ferryid.LayerRange{To: 4}},
+	}}
+	pool, err := ferrypipeline.NewPool(cfg, []ferrypipeline.Load{{Rate: 1000}, {Rate: 1}}, clock)
+	assert.NilError(t, err)
+	pick := func(exclude ...ferryid.UpstreamName) ferryid.UpstreamName {
+		plan, err := pool.Pick(&ferrypipeline.Job{MaxTokens: 10}, exclude)
+		assert.NilError(t, err)
+		defer pool.Done(plan, 0)
+		return plan.Stages[0].Name
+	}
+	assert.Equal(t, pick(), ferryid.UpstreamName("quick"))
+	assert.Equal(t, pick("quick"), ferryid.UpstreamName("slow"))
+	assert.Equal(t, pick(), ferryid.UpstreamName("slow"), "another job takes the engine that just failed")
+	assert.Equal(t, pick("slow"), ferryid.UpstreamName("quick"), "a suspect is better than none")
+	clock.Advance(time.Second)
+	assert.Equal(t, pick(), ferryid.UpstreamName("quick"))
+	assert.Equal(t, pick("quick"), ferryid.UpstreamName("slow"))
+	clock.Advance(time.Second)
+	assert.Equal(t, pick(), ferryid.UpstreamName("slow"), "the second time it is avoided for longer")
+}
+
 func TestPlace(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	for range 200 {
--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -3,12 +3,24 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"cactusferry.dev/ferry/ferryid"
 )
 
+const (
+	firstSuspicion = time.Second
+	maxSuspicion   = 10 * time.Second
+)
+
+// suspicion keeps jobs away from an engine that failed another job, longer each time until it gives a token again.
+type suspicion struct {
+	until time.Time
+	next  time.Duration
+}
+
 // Pool is a Picker over one service's engines, which counts its own dispatches as outstanding at once.
 type Pool struct {
 	clock clockwork.Clock
@@ -18,12 +30,13 @@
 	index    map[ferryid.UpstreamName]int
 	loads    []Load
 	excluded []bool
+	suspects map[ferryid.UpstreamName]suspicion
 	scratch  Plan
 }
 
 // NewPool returns a pool of the planner's candidates, with loads parallel to them.
 func NewPool(cfg PlannerConfig, loads []Load, clock clockwork.Clock) (*Pool, error) {
-	p := &Pool{clock: clock}
+	p := &Pool{clock: clock, suspects: map[ferryid.UpstreamName]suspicion{}}
 	return p, p.Set(cfg, loads)
 }
 
@@ -48,31 +61,71 @@
 	return nil
 }
 
-// Pick chooses the plan whose slowest stage is done first.
+// Pick chooses the plan whose slowest stage is done first; an engine that one job excludes is avoided by all for a while, unless there is no chain without it.
 func (p *Pool) Pick(job *Job, exclude []ferryid.UpstreamName) (Plan, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	clear(p.excluded)
-	for _, name := range exclude {
-		if i, ok := p.index[name]; ok {
-			p.excluded[i] = true
-		}
+	now := p.clock.Now()
+	if len(exclude) > 0 {
+		p.suspect(exclude[len(exclude)-1], now)
 	}
 	tokens := ferryid.Tokens(job.MaxTokens - len(job.Resume))
-	if err := p.planner.Choose(p.loads, p.excluded, tokens, &p.scratch); err != nil {
+	p.mark(exclude, now)
+	err := p.planner.Choose(p.loads, p.excluded, tokens, &p.scratch)
+	if err != nil && len(p.suspects) > 0 {
+		p.mark(exclude, time.Time{})
+		err = p.planner.Choose(p.loads, p.excluded, tokens, &p.scratch)
+	}
+	if err != nil {
 		return Plan{}, err
 	}
 	plan := p.scratch.clone()
-	plan.At = p.clock.Now()
+	plan.At = now
 	p.count(&plan, 1)
 	return plan, nil
 }
 
-// Done takes a plan's work off what is outstanding.
-func (p *Pool) Done(plan Plan, _ ferryid.Tokens) {
+func (p *Pool) suspect(name ferryid.UpstreamName, now time.Time) {
+	s := p.suspects[name]
+	if now.Before(s.until) {
+		return
+	}
+	s.next = min(maxSuspicion, max(firstSuspicion, 2*s.next))
+	s.until = now.Add(s.next)
+	p.suspects[name] = s
+}
+
+// mark sets what may not be used: the job's own exclusions and, unless now is zero, the suspects.
+func (p *Pool) mark(exclude []ferryid.UpstreamName, now time.Time) {
+	clear(p.excluded)
+	for _, name := range exclude {
+		if i, ok := p.index[name]; ok {
+			p.excluded[i] = true
+		}
+	}
+	if now.IsZero() {
+		return
+	}
+	for name, s := range p.suspects {
+		if i, ok := p.index[name]; ok && now.Before(s.until) {
+			p.excluded[i] = true
+		}
+	}
+}
+
+// Done takes a plan's work off what is outstanding; engines that gave tokens are suspects no more.
+func (p *Pool) Done(plan Plan, tokens ferryid.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.count(&plan, -1)
+	if tokens == 0 || len(p.suspects) == 0 {
+		return
+	}
+	for _, s := range plan.Stages {
+		if old, ok := p.suspects[s.Name]; ok && !plan.At.Before(old.until) {
+			delete(p.suspects, s.Name)
+		}
+	}
 }
 
 func (p *Pool) count(plan *Plan, sign float64) {
