--- a/ferry/ferrypipeline/bench_test.go
+++ b/ferry/ferrypipeline/bench_test.go
@@ -69,7 +69,7 @@
 	buf := make([]byte, 0, 4096)
 	actions := make([]ferrypipeline.Action, 0, 8)
 	b.ReportAllocs()
-	n := 0
+	n, written := 0, 0
 	for b.Loop() {
 		core := ferrypipeline.NewCore(&job, ferrypipeline.CoreConfig{})
 		core.Step(ferrypipeline.Begin{}, time.Time{}, nil)
@@ -94,6 +94,7 @@
 					out, _ = a.Add(emit.Token, out[:0])
 					for _, t := range out {
 						buf = compose.Token(buf[:0], t)
+						written += len(buf)
 						n++
 					}
 				}
@@ -101,6 +102,8 @@
 		}
 	}
 	b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "tokens/s")
+	b.ReportMetric(float64(len(lines))/relayTokens, "B-in/token")
+	b.ReportMetric(float64(written)/float64(n), "B-out/token")
 }
 
 type onePlan struct{ plan ferrypipeline.Plan }
