Merge config and path; settings report the file's and the checks' faults together

Cause: a type fault in a settings file hid every other one (seen in faults.golden: 1 line of 9). Change: ferrytoml.Join; engines set aside by the pool itself now, so the daemon's own copy of that is taken out and only what says that it leaves is noted. Before: 1 fault. After: 9 faults in one run.

--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -27,8 +27,7 @@
 		return nil, err
 	}
 	engines := &observedEngines{
-		Client: s.engines, clock: s.clock, table: table,
-		avoid:   func(name ferryid.UpstreamName) { pool.Avoid(name, true) },
+		Client: s.engines, table: table,
 		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
 	}
 	return &model{pool: pool, runner: &ferrypipeline.Runner{
--- a/ferryd/ferrysettings/settings_test.go
+++ b/ferryd/ferrysettings/settings_test.go
@@ -66,10 +66,8 @@
 Level = "loud"
 `
 	s, err := Decode("entry.toml", []byte(bad))
-	if err == nil {
-		s.SetDefaults()
-		err = s.Validate("entry.toml", []byte(bad))
-	}
+	s.SetDefaults()
+	err = ferrytoml.Join(err, s.Validate("entry.toml", []byte(bad)))
 	var faults *ferrytoml.FaultsError
 	assert.Assert(t, errors.As(err, &faults))
 	golden.Assert(t, err.Error()+"\n", "faults.golden")
