--- a/ferry/ferrytoml/toml.go
+++ b/ferry/ferrytoml/toml.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"errors"
 	"fmt"
 	"reflect"
 	"slices"
