Leaving marks spread over the overlay

Excluded: writing marks to the platform, which must not be needed. Change: marks are a topic in which the last writer wins; the source that set one takes it back, operators any. The list's and the upstreams' own marks go the same way, for entries that read the list seldom. Before: 94 new streams after 5 s.

--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -55,6 +55,7 @@
 	go func() { fail(n.claims.Run(ctx)) }()
 	go n.every(ctx, listInterval, n.readInstances)
 	go n.every(ctx, tellInterval, n.tellLoad)
+	go n.every(ctx, leaveInterval, n.takeMarks)
 	go n.every(ctx, loadInterval, n.readLoads)
 	go n.every(ctx, tickInterval, func(context.Context) { n.services.tick(n.clock.Now()) })
 	go n.becomeReady(ctx)
@@ -113,4 +114,5 @@
 	}
 	n.list.Store(&list)
 	n.services.setInstances(list)
+	n.markListed(list)
 }
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -79,9 +79,7 @@
 	if err != nil {
 		return
 	}
-	if l.State == ferryengine.StateLeaving {
-		n.markLeaving(sv.name, c.Name)
-	}
+	n.mark(leaveMark{Service: sv.name, Upstream: c.Name, Leaving: l.State == ferryengine.StateLeaving, Source: leaveUpstream})
 	report := engineLoad{
 		Service: sv.name, Upstream: c.Name, Running: l.RunningStreams, Outstanding: l.OutstandingTokens,
 		Rate: float64(l.TokensPerSecond), At: l.At,
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -80,6 +80,7 @@
 	claims    *ferryclaim.Claims
 	peer      *ferrypeer.Node
 	loads     *ferrypeer.Latest[engineLoad]
+	marks     *ferrypeer.Latest[leaveMark]
 	peerKeys  *ferrykeys.Pair
 	callers   *ferrycaller.Server
 	operators *ferryoperator.Server
@@ -109,6 +110,9 @@
 	n.loads = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
 		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
 	})
+	n.marks = ferrypeer.NewLatest[leaveMark](ferrypeer.LatestConfig{
+		Name: topicLeaving, Self: cfg.Name, Size: maxLeaveMarks, Clock: clock, Events: n.events,
+	})
 	if err := n.newServers(); err != nil {
 		return nil, err
 	}
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -52,6 +53,7 @@
 	named   map[ferryid.ServiceName]*service
 	snap    atomic.Pointer[map[ferryid.ServiceName]*service]
 	list    ferryplatform.Instances
+	marks   map[string]bool
 	live    int
 }
 
@@ -125,6 +127,19 @@
 	}
 }
 
+// setMarks takes the leaving marks, by service and upstream.
+func (s *services) setMarks(marks map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if maps.Equal(s.marks, marks) {
+		return
+	}
+	s.marks = marks
+	for _, sv := range s.named {
+		s.refresh(sv)
+	}
+}
+
 // setLive takes the number of entries that share the upstreams.
 func (s *services) setLive(n int) {
 	s.mu.Lock()
@@ -143,6 +158,11 @@
 func (s *services) refresh(sv *service) {
 	d := *sv.accepted
 	d.Upstreams = merged(sv.accepted, s.list)
+	for i, u := range d.Upstreams {
+		if leaving, ok := s.marks[leaveKey(d.Service, u.Name)]; ok {
+			d.Upstreams[i].Leaving = leaving
+		}
+	}
 	sv.doc.Store(&d)
 	sv.table.SetDocument(&d)
 	sv.admission.SetDocument(&d)
--- a/ferryd/ferrysettings/listener.go
+++ b/ferryd/ferrysettings/listener.go
@@ -68,7 +68,9 @@
 
 func (s Callers) check(c *ferrytoml.Check) {
 	checkAddress(c, "Callers.Listen", s.Listen)
-	checkAddress(c, "Callers.Advertise", s.Advertise)
+	if s.Advertise != s.Listen {
+		checkAddress(c, "Callers.Advertise", s.Advertise)
+	}
 	if s.HeaderBytes < 1024 || s.HeaderBytes > maxHeaderBytes {
 		c.Fault("Callers.HeaderBytes", "must be from 1024 to %d, is %d", maxHeaderBytes, s.HeaderBytes)
 	}
@@ -94,7 +96,9 @@
 
 func (s Peers) check(c *ferrytoml.Check) {
 	checkAddress(c, "Peers.Listen", s.Listen)
-	checkAddress(c, "Peers.Advertise", s.Advertise)
+	if s.Advertise != s.Listen {
+		checkAddress(c, "Peers.Advertise", s.Advertise)
+	}
 	for _, a := range s.Seeds {
 		checkAddress(c, "Peers.Seeds", a)
 	}
