--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES  := $(foreach m,$(MODULES),./$(m)/...)
 BIN       := bin
 
-.PHONY: build tools fmt lint vet test race demo bench proof capacity fuzz clean
+.PHONY: build readme tools fmt lint vet test race demo bench proof capacity fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ $(foreach m,ferryd ferryctl ferrystand ferrybench,./$(m))
@@ -28,7 +28,11 @@
 race:
 	$(GO) test -race $(PACKAGES)
 
-test: lint vet build race
+# The commands that README names must exist.
+readme:
+	bash .ci/readme
+
+test: lint vet build readme race
 
 bench: build
 	$(BIN)/ferrybench policy --out out
@@ -37,5 +41,18 @@
 demo: build
 	$(BIN)/ferrystand demo --programs $(BIN)
 
+# Brings failures about in real processes and checks the promises and the stated times.
+proof: build
+	$(BIN)/ferrystand proof --programs $(BIN)
+
+# Runs each fuzzer for FUZZTIME.
+FUZZTIME ?= 10s
+fuzz:
+	@for p in $$($(GO) list $(PACKAGES)); do \
+		for f in $$($(GO) test -list '^Fuzz' $$p | grep ^Fuzz); do \
+			echo "$$p $$f"; $(GO) test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZTIME) $$p || exit 1; \
+		done; \
+	done
+
 clean:
 	rm -rf $(BIN) out
