--- a/ferry/ferrydocument/holder.go
+++ b/ferry/ferrydocument/holder.go
@@ -112,7 +112,7 @@
 		h.report(v, a, hash, source)
 		return v
 	}
-	d, err := checked(a)
+	d, err := a.Checked()
 	if err != nil {
 		h.alarm(EventInvalid, a, hash, source, err.Error())
 		return Invalid
@@ -127,13 +127,6 @@
 		a.Source == held.Source && slices.Equal(a.Supersedes, held.Supersedes)
 }
 
-func checked(a ferryservice.Accepted) (ferryservice.Document, error) {
-	if err := a.Check(); err != nil {
-		return ferryservice.Document{}, err
-	}
-	return a.Document()
-}
-
 // take publishes a document unless another came first in the meantime.
 func (h *Holder) take(f *InForce) Verdict {
 	h.mu.Lock()
--- a/ferry/ferryservice/accepted.go
+++ b/ferry/ferryservice/accepted.go
@@ -139,17 +139,23 @@
 
 // Check returns an error unless the envelope and the document in it are sound.
 func (a Accepted) Check() error {
+	_, err := a.Checked()
+	return err
+}
+
+// Checked checks the envelope and the text, and returns the decoded document.
+func (a Accepted) Checked() (Document, error) {
 	if err := a.checkEnvelope(); err != nil {
-		return err
+		return Document{}, err
 	}
 	d, err := a.Document()
 	if err != nil {
-		return fmt.Errorf("accepted document %q: %w", a.Service, err)
+		return Document{}, fmt.Errorf("accepted document %q: %w", a.Service, err)
 	}
 	if d.Service != a.Service {
-		return fmt.Errorf("accepted document %q: its text is of service %q", a.Service, d.Service)
+		return Document{}, fmt.Errorf("accepted document %q: its text is of service %q", a.Service, d.Service)
 	}
-	return nil
+	return d, nil
 }
 
 func (a Accepted) checkEnvelope() error {
