--- a/ferry/ferrydocument/backoff.go
+++ b/ferry/ferrydocument/backoff.go
@@ -9,7 +9,7 @@
 	// fleetRetriesPerSecond is the rate of retries of the whole fleet in an outage, whatever its size.
 	fleetRetriesPerSecond = 20
 	minBackoff            = 500 * time.Millisecond
-	maxBackoff            = 30 * time.Second
+	maxBackoff            = 2 * time.Second
 	maxDoublings          = 4
 )
 
