Stages say what they measured; slow engines and links are found

Change: the end of an epoch carries each stage's accelerator time, holding time and hop time; Pool takes up rates and links from them (half weight to the newest, at least 4 tokens). Excluded: estimating a stage's speed from the whole pipeline's pace: it can't tell the slow stage from the others; measuring in each receipt: every token's receipts would differ and be decoded anew. Conclusion: found without a health check; streams already on the slow engine are not moved.

--- a/ferry/ferryengine/item.go
+++ b/ferry/ferryengine/item.go
@@ -33,6 +33,30 @@
 	Detail string      `json:"Detail,omitempty"`
 }
 
+const maxStageMicros = 1 << 50
+
+// StageTime is what one stage of an epoch measured over all its tokens.
+type StageTime struct {
+	Stage string `json:"Stage"`
+	// Steps counts the tokens generated, and Prefill the history elements rebuilt.
+	Steps   int `json:"Steps"`
+	Prefill int `json:"Prefill,omitempty"`
+	// BusyMicros is the accelerator's time for the steps that generated, without waiting.
+	BusyMicros int64 `json:"BusyMicros"`
+	// HeldMicros is the time from an activation's arrival to the token's return, and HopMicros the part of it spent on the next stage and the link to it.
+	HeldMicros int64 `json:"HeldMicros"`
+	HopMicros  int64 `json:"HopMicros"`
+}
+
+func (t *StageTime) check() error {
+	for _, n := range []int64{int64(t.Steps), int64(t.Prefill), t.BusyMicros, t.HeldMicros, t.HopMicros} {
+		if n < 0 || n > maxStageMicros {
+			return fieldError("Times", "%d is out of bounds", n)
+		}
+	}
+	return nil
+}
+
 // Item is one line of a run's answer: the start, a token, the end, or a failure; before the start no stage has run a layer of the epoch.
 type Item struct {
 	Epoch    ferryid.Epoch    `json:"Epoch"`
@@ -43,6 +67,7 @@
 	Done     bool             `json:"Done,omitempty"`
 	Reason   string           `json:"Reason,omitempty"`
 	Tokens   int              `json:"Tokens,omitempty"`
+	Times    []StageTime      `json:"Times,omitempty"`
 	Failed   *Failure         `json:"Failed,omitempty"`
 }
 
@@ -51,6 +76,14 @@
 	if it.Epoch == 0 {
 		return fieldError("Epoch", "must be at least 1")
 	}
+	if len(it.Times) > 0 && (!it.Done || len(it.Times) > maxStages) {
+		return fieldError("Times", "must come with Done, for at most %d stages", maxStages)
+	}
+	for i := range it.Times {
+		if err := it.Times[i].check(); err != nil {
+			return err
+		}
+	}
 	switch {
 	case it.Failed != nil:
 		return it.Failed.check(it)
--- a/ferry/ferrypipeline/action.go
+++ b/ferry/ferrypipeline/action.go
@@ -37,10 +37,11 @@
 	Plan  Plan
 }
 
-// Release says that a plan is over.
+// Release says that a plan is over, with what its stages measured if it came to its end.
 type Release struct {
 	Plan   Plan
 	Tokens ferryid.Tokens
+	Times  []ferryengine.StageTime
 }
 
 // Wait asks for a Woke after the delay.
--- a/ferry/ferrypipeline/core.go
+++ b/ferry/ferrypipeline/core.go
@@ -256,7 +256,7 @@
 	}
 	c.result.Reason = it.Reason
 	c.phase = phaseFinished
-	out = append(out, Release{Plan: c.plan, Tokens: ferryid.Tokens(c.accepted)})
+	out = append(out, Release{Plan: c.plan, Tokens: ferryid.Tokens(c.accepted), Times: it.Times})
 	return append(out, Finish{Result: c.result})
 }
 
--- a/ferry/ferrypipeline/job.go
+++ b/ferry/ferrypipeline/job.go
@@ -45,6 +45,11 @@
 	Done(plan Plan, tokens ferryid.Tokens)
 }
 
+// Observer is a Picker that learns from what a plan's stages measured.
+type Observer interface {
+	Observe(plan Plan, times []ferryengine.StageTime)
+}
+
 // Result says how a job went.
 type Result struct {
 	// Tokens counts the tokens given to the caller.
--- a/ferry/ferrypipeline/planner.go
+++ b/ferry/ferrypipeline/planner.go
@@ -70,6 +70,7 @@
 	candidates Candidates
 	domainOf   []int
 	domains    int
+	names      map[ferryid.DomainName]int
 	boundaries []ferryid.Layer
 	groups     []group
 	link       [maxDomains][maxDomains]float64
@@ -82,8 +83,8 @@
 
 // NewPlanner prepares the choice among the candidates.
 func NewPlanner(cfg PlannerConfig) (*Planner, error) {
-	p := &Planner{layers: cfg.Layers, candidates: cfg.Candidates}
 	names := map[ferryid.DomainName]int{}
+	p := &Planner{layers: cfg.Layers, candidates: cfg.Candidates, names: names}
 	index := map[ferryid.UpstreamName]int{}
 	for i, c := range cfg.Candidates {
 		if _, ok := names[c.Domain]; !ok {
@@ -360,3 +361,25 @@
 	}
 	return at
 }
+
+// observeLink takes up a measured link time.
+func (p *Planner) observeLink(from, to ferryid.DomainName, d time.Duration) {
+	a, okA := p.names[from]
+	b, okB := p.names[to]
+	if okA && okB {
+		p.link[a][b] = smooth(p.link[a][b], d.Seconds())
+	}
+}
+
+// takeLinks keeps the measured links of the planner before, for failure domains that both know.
+func (p *Planner) takeLinks(old *Planner) {
+	for from, a := range p.names {
+		for to, b := range p.names {
+			oldA, okA := old.names[from]
+			oldB, okB := old.names[to]
+			if okA && okB {
+				p.link[a][b] = old.link[oldA][oldB]
+			}
+		}
+	}
+}
--- a/ferry/ferrypipeline/planner_test.go
+++ b/ferry/ferrypipeline/planner_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypipeline"
 	"cactusferry.dev/ferry/ferryservice"
@@ -173,6 +174,32 @@
 	assert.Equal(t, pick(), ferryid.UpstreamName("slow"), "the second time it is avoided for longer")
 }
 
+// Measured links turn the choice; a measurement that can't be right changes nothing.
+func TestPoolLearnsLinks(t *testing.T) {
+	cfg := ferrypipeline.PlannerConfig{Layers: 4, Candidates: ferrypipeline.Candidates{
+		{Name: "a", Address: "a", Domain: "x", Layers: ferryid.LayerRange{To: 2}},
+		{Name: "b", Address: "b", Domain: "y", Layers: ferryid.LayerRange{From: 2, To: 4}},
+		{Name: "c", Address: "c", Domain: "z", Layers: ferryid.LayerRange{From: 2, To: 4}},
+	}}
+	pool, err := ferrypipeline.NewPool(cfg, []ferrypipeline.Load{{Rate: 100}, {Rate: 101}, {Rate: 100}}, clockwork.NewFakeClock())
+	assert.NilError(t, err)
+	pick := func() ferrypipeline.Plan {
+		plan, err := pool.Pick(&ferrypipeline.Job{MaxTokens: 10}, nil)
+		assert.NilError(t, err)
+		pool.Done(plan, 10)
+		return plan
+	}
+	plan := pick()
+	assert.Equal(t, plan.Stages[1].Name, ferryid.UpstreamName("b"))
+	pool.Observe(plan, []ferryengine.StageTime{{Stage: "a", Steps: 10, HopMicros: 1e9}, {Stage: "another", Steps: 10}})
+	pool.Observe(plan, []ferryengine.StageTime{{Stage: "a", Steps: 10, HopMicros: 1e9}})
+	assert.Equal(t, pick().Stages[1].Name, ferryid.UpstreamName("b"))
+	pool.Observe(plan, []ferryengine.StageTime{{Stage: "a", Steps: 10, HopMicros: 300000, HeldMicros: 400000}, {Stage: "b", Steps: 10, HeldMicros: 100000}})
+	assert.Equal(t, pick().Stages[1].Name, ferryid.UpstreamName("c"))
+	assert.NilError(t, pool.Set(cfg, pool.Loads()))
+	assert.Equal(t, pick().Stages[1].Name, ferryid.UpstreamName("c"), "a new list of engines forgot the links")
+}
+
 func TestPlace(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	for range 200 {
--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -7,12 +7,16 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryid"
 )
 
 const (
-	firstSuspicion = time.Second
-	maxSuspicion   = 10 * time.Second
+	// observeWeight is the weight of the newest measurement, and minObserveSteps the tokens it takes to count.
+	observeWeight   = 0.5
+	minObserveSteps = 4
+	firstSuspicion  = time.Second
+	maxSuspicion    = 10 * time.Second
 )
 
 // suspicion keeps jobs away from an engine that failed another job, longer each time until it gives a token again.
@@ -40,7 +44,7 @@
 	return p, p.Set(cfg, loads)
 }
 
-// Set replaces the candidates; work given to those that stay remains outstanding.
+// Set replaces the candidates; work given to those that stay remains outstanding, and measured links remain.
 func (p *Pool) Set(cfg PlannerConfig, loads []Load) error {
 	planner, err := NewPlanner(cfg)
 	if err != nil {
@@ -48,6 +52,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.planner != nil {
+		planner.takeLinks(p.planner)
+	}
 	index := map[ferryid.UpstreamName]int{}
 	loads = slices.Clone(loads)
 	for i, c := range cfg.Candidates {
@@ -152,3 +159,31 @@
 	defer p.mu.Unlock()
 	return slices.Clone(p.loads)
 }
+
+// Observe takes up the measured rates of a plan's engines and the time of the links between them; a measurement that can't be right changes nothing.
+func (p *Pool) Observe(plan Plan, times []ferryengine.StageTime) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(times) != len(plan.Stages) {
+		return
+	}
+	for i := range times {
+		t, s := &times[i], &plan.Stages[i]
+		if t.Stage != s.Address || t.Steps < minObserveSteps {
+			return
+		}
+		if j, ok := p.index[s.Name]; ok && t.BusyMicros > 0 {
+			rate := float64(t.Steps) * s.Share / (float64(t.BusyMicros) / 1e6)
+			p.loads[j].Rate = ferryid.TokensPerSecond(smooth(float64(p.loads[j].Rate), rate))
+		}
+		if i > 0 {
+			before := &times[i-1]
+			link := time.Duration(max(0, before.HopMicros-t.HeldMicros)) * time.Microsecond / time.Duration(t.Steps)
+			p.planner.observeLink(plan.Stages[i-1].Domain, s.Domain, link)
+		}
+	}
+}
+
+func smooth(old, measured float64) float64 {
+	return (1-observeWeight)*old + observeWeight*measured
+}
--- a/ferry/ferrypipeline/runner.go
+++ b/ferry/ferrypipeline/runner.go
@@ -142,6 +142,9 @@
 		s.cancel(a)
 	case Release:
 		s.r.Picker.Done(a.Plan, a.Tokens)
+		if o, ok := s.r.Picker.(Observer); ok && len(a.Times) > 0 {
+			o.Observe(a.Plan, a.Times)
+		}
 	case Wait:
 		s.r.Clock.AfterFunc(a.Delay, func() { s.post(Woke{}) })
 	case Finish:
--- a/ferrystand/ferrystandengine/chain.go
+++ b/ferrystand/ferrystandengine/chain.go
@@ -96,14 +96,27 @@
 	_ = h.stream.Close()
 }
 
-// finish ends the chain's input and waits for its end, so that the connection can be used again.
-func (h *hop) finish() {
+// finish ends the chain's input and waits for its end, so that the connection can be used again; it returns what the later stages measured.
+func (h *hop) finish() []ferryengine.StageTime {
 	_ = h.w.Close()
 	for in := range h.items {
 		if in.err != nil || in.item.Done || in.item.Failed != nil {
-			return
+			return in.item.Times
 		}
 	}
+	return nil
+}
+
+// end ends the epoch here and in the later stages.
+func (ru *run) end() error {
+	it := ferryengine.Item{Epoch: ru.req.Epoch, Done: true, Reason: "length", Times: []ferryengine.StageTime{ru.time}}
+	if ru.drives() {
+		it.Tokens = ru.req.MaxTokens - len(ru.req.Generated)
+	}
+	if ru.next != nil {
+		it.Times = append(it.Times, ru.next.finish()...)
+	}
+	return ru.out.send(&it, 0)
 }
 
 // drive begins each token: it feeds the history and then every token that comes back.
@@ -119,11 +132,7 @@
 		}
 		states = append(states[:0], ferryengine.TokenElement(req.Seed, p+1, text))
 	}
-	if ru.next != nil {
-		ru.next.finish()
-	}
-	end := ferryengine.Item{Epoch: req.Epoch, Done: true, Reason: "length", Tokens: req.MaxTokens - len(req.Generated)}
-	return ru.out.send(&end, 0)
+	return ru.end()
 }
 
 // history is the elements not in the KV cache yet, up to the one that yields the next token.
@@ -149,10 +158,7 @@
 	for {
 		line, err := ru.lines.Next()
 		if errors.Is(err, io.EOF) {
-			if ru.next != nil {
-				ru.next.finish()
-			}
-			return ru.out.send(&ferryengine.Item{Epoch: ru.req.Epoch, Done: true, Reason: "length"}, 0)
+			return ru.end()
 		}
 		if err != nil {
 			return err
@@ -171,6 +177,8 @@
 // step takes elements through this stage and the rest of the chain and sends the token up; an empty text means that the epoch has failed.
 func (ru *run) step(from ferryid.Position, states []uint64) (string, error) {
 	p := from + ferryid.Position(len(states)-1)
+	began := ru.e.clock.Now()
+	defer func() { ru.time.HeldMicros += ru.e.clock.Since(began).Microseconds() }()
 	err := ru.apply(from, states)
 	if errors.Is(err, errEmpty) {
 		return "", ru.fail(ru.receipt.Stage, ferryengine.FailureEmpty, err.Error())
@@ -186,6 +194,7 @@
 	if err != nil {
 		return "", err
 	}
+	sent := ru.e.clock.Now()
 	if _, err := ru.next.w.Write(append(line, '\n')); err != nil {
 		return "", ru.fail(ru.next.stage, ferryengine.FailureDied, err.Error())
 	}
@@ -195,6 +204,7 @@
 			return "", ru.out.send(&ferryengine.Item{Epoch: ru.req.Epoch, Failed: failed}, 0)
 		}
 		if it.Epoch == ru.req.Epoch && it.Position == p && it.Text != "" {
+			ru.time.HopMicros += ru.e.clock.Since(sent).Microseconds()
 			return it.Text, ru.answer(&it)
 		}
 	}
--- a/ferrystand/ferrystandengine/job_test.go
+++ b/ferrystand/ferrystandengine/job_test.go
@@ -241,3 +241,24 @@
 		assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
 	}
 }
+
+// An engine that is a hundred times slower than it reports is found by the time it takes for a token, and avoided.
+func TestSlowEngineIsFound(t *testing.T) {
+	f := newFleet(t, clockwork.NewRealClock())
+	for i, e := range f.engines {
+		e.SetFaults(ferrystandengine.Faults{TokensPerSecond: ferryid.TokensPerSecond(10000 - 5000*(i/cutStages))})
+	}
+	f.engines[1].SetFaults(ferrystandengine.Faults{TokensPerSecond: 100})
+	for i, want := range []ferryid.UpstreamName{"e1-0", "e1-0", "e1-1"} {
+		job := f.job()
+		job.Stream = ferryid.StreamID(fmt.Sprint(i))
+		plan, err := f.pool.Pick(&job, nil)
+		assert.NilError(t, err)
+		f.pool.Done(plan, 0)
+		assert.Equal(t, plan.Stages[1].Name, want)
+		_, err = f.runner.Run(context.Background(), job, func(ferrypipeline.Token) error { return nil })
+		assert.NilError(t, err)
+	}
+	f.runner.Wait()
+	assert.Assert(t, f.pool.Loads()[1].Rate < 500)
+}
--- a/ferrystand/ferrystandengine/run.go
+++ b/ferrystand/ferrystandengine/run.go
@@ -28,6 +28,7 @@
 	next    *hop
 	receipt ferryengine.Receipt
 	kv      []uint64
+	time    ferryengine.StageTime
 }
 
 func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
@@ -48,6 +49,7 @@
 	defer cancel()
 	ru := &run{e: e, ctx: ctx, req: req, layers: req.Stages[0].Layers, lines: lines}
 	ru.receipt = ferryengine.Receipt{Stage: req.Stages[0].Address, Layers: ru.layers}
+	ru.time.Stage = ru.receipt.Stage
 	if p := ru.accept(cancel); p != nil {
 		p.Write(w)
 		return
@@ -178,9 +180,15 @@
 	if at(f.DieAtPosition, p) && f.DieWhen == DieBeforeApply {
 		return ru.e.dieNow()
 	}
-	if err := ru.e.sched.step(ru.ctx, ru.req.Priority, ru.cost(f, from, len(states))); err != nil {
+	cost := ru.cost(f, from, len(states))
+	if err := ru.e.sched.step(ru.ctx, ru.req.Priority, cost); err != nil {
 		return err
 	}
+	if len(states) == 1 && from > 0 {
+		ru.time.Steps++
+		ru.time.BusyMicros += cost.Microseconds()
+	}
+	ru.time.Prefill += len(states) - 1
 	for i, x := range states {
 		base := len(ru.kv) - ru.layers.Len()
 		for l := ru.layers.From; l < ru.layers.To; l++ {
