Moving on from a leaving engine is not a retry

Cause: a planned stop must cut no request; with the retry budget spent by jobs that an engine refused because it is leaving, others would be refused. Change: an epoch refused as Draining is not charged. A job's room for tokens starts at 128, not at its MaxTokens. A stream's first resume token needs no epoch. Conclusion: drains don't use up the budget; failures still do.

--- a/ferry/ferrypipeline/core.go
+++ b/ferry/ferrypipeline/core.go
@@ -19,6 +19,8 @@
 	waitStep           = 50 * time.Millisecond
 	maxWait            = 500 * time.Millisecond
 	retryAfter         = time.Second
+	// firstTokens is the room for tokens that a job begins with.
+	firstTokens = 128
 )
 
 // CoreConfig bounds what a job may cost; zero values choose the defaults.
@@ -73,12 +75,14 @@
 	generated []string
 	ready     bool
 	accepted  int
-	failures  int
-	waits     int
-	exclude   []ferryid.UpstreamName
-	evidence  evidence
-	result    Result
-	err       *ferryoutcome.Problem
+	// drained says that the present epoch was refused by an engine that is leaving, which is no fault and not charged as a retry.
+	drained  bool
+	failures int
+	waits    int
+	exclude  []ferryid.UpstreamName
+	evidence evidence
+	result   Result
+	err      *ferryoutcome.Problem
 }
 
 // NewCore returns the core of one job.
@@ -86,7 +90,7 @@
 	cfg.setDefaults()
 	return &Core{
 		cfg: cfg, job: job, epoch: job.Epoch,
-		generated: append(make([]string, 0, max(job.MaxTokens, len(job.Resume))), job.Resume...),
+		generated: append(make([]string, 0, max(min(job.MaxTokens, firstTokens), len(job.Resume))), job.Resume...),
 		evidence:  evidence{maybe: map[ferryid.Epoch]bool{}, asked: map[ferryid.Epoch]bool{}},
 	}
 }
@@ -173,6 +177,7 @@
 	c.ready = false
 	c.withKV = withKV
 	c.accepted = 0
+	c.drained = false
 	c.result.Epochs++
 	if withKV {
 		c.result.Imported++
@@ -273,6 +278,7 @@
 	}
 	blame := f.Stage
 	emptied := f.Kind == ferryengine.FailureEmpty
+	c.drained = f.Kind == ferryengine.FailureDraining
 	if emptied && c.withKV && c.accepted == 0 {
 		blame = ""
 	}
@@ -290,6 +296,7 @@
 	}
 	var silent *ferryengine.SilentError
 	c.movable = !errors.As(m.Err, &silent)
+	c.drained = m.Refused == ferryoutcome.KindDraining
 	blame := c.plan.Stages[0].Address
 	if m.Refused == ferryoutcome.KindConflict {
 		// Another entry ran this stream at higher epochs: go above them.
@@ -313,7 +320,7 @@
 		p := ferryoutcome.New(ferryoutcome.KindUpstreamFailed, "", "the engines failed after %d tokens, on %d pipelines", c.result.Tokens, c.result.Epochs)
 		return c.finish(p.Because(err), out)
 	}
-	return c.ask(c.accepted == 0, out)
+	return c.ask(c.accepted == 0 && !c.drained, out)
 }
 
 // close gives the plan back and, unless nothing of the epoch ran, cancels it.
--- a/ferry/ferrystream/seal.go
+++ b/ferry/ferrystream/seal.go
@@ -117,6 +117,7 @@
 
 // Stream returns the sealer for one stream's tokens, which has a key of its own, so that a counter is a safe nonce.
 func (s *Sealer) Stream(r Resume) (*StreamSealer, error) {
+	r.Epoch = max(1, r.Epoch)
 	if err := r.Check(); err != nil {
 		return nil, err
 	}
