Measured engine rates outlive the regular refresh

Cause: the half-second refresh gave the pool the document's rates again and again, over what it had measured. Excluded: a refresh on changes only, since engines put aside must come back by time. Change: the pool is set when the engines change, and measured rates of those that stay are carried over; otherwise only who is avoided is told. Before: measured rates lasted 0.5 s.

--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
@@ -16,6 +17,8 @@
 
 // model is what a service of kind Model needs to run completions.
 type model struct {
+	// cfg is what the pool was last given; it belongs to the registry's lock.
+	cfg    ferrypipeline.PlannerConfig
 	pool   *ferrypipeline.Pool
 	runner *ferrypipeline.Runner
 }
@@ -30,15 +33,35 @@
 		Client: s.engines, table: table,
 		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
 	}
-	return &model{pool: pool, runner: &ferrypipeline.Runner{
+	return &model{cfg: cfg, pool: pool, runner: &ferrypipeline.Runner{
 		Engines: engines, Picker: pool, Clock: s.clock, Log: s.events,
 		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, retryBurst),
 	}}, nil
 }
 
-// set gives the pool a changed document and what is known of the engines now.
+// set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
 func (m *model) set(d *ferryservice.Document, table *ferryroute.Table) error {
-	return m.pool.Set(planner(d, table))
+	cfg, loads := planner(d, table)
+	if reflect.DeepEqual(cfg, m.cfg) {
+		for i, c := range cfg.Candidates {
+			m.pool.Avoid(c.Name, loads[i].Avoid)
+		}
+		return nil
+	}
+	measured := map[ferryid.UpstreamName]ferryid.TokensPerSecond{}
+	for i, l := range m.pool.Loads() {
+		measured[m.cfg.Candidates[i].Name] = l.Rate
+	}
+	for i, c := range cfg.Candidates {
+		if rate, ok := measured[c.Name]; ok {
+			loads[i].Rate = rate
+		}
+	}
+	if err := m.pool.Set(cfg, loads); err != nil {
+		return err
+	}
+	m.cfg = cfg
+	return nil
 }
 
 // planner describes the engines to the pool; an engine the table would not choose gets no new work.
