--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -38,6 +38,7 @@
 	job    ferrypipeline.Job
 	grant  *ferryqueue.Grant
 	resume *ferrystream.Resume
+	timed  *streamMetrics
 	tokens chan ferrypipeline.Token
 	texts  []string
 	result ferrypipeline.Result
@@ -49,6 +50,7 @@
 		s.fail(w, r, p)
 		return
 	}
+	arrived := s.Clock.Now()
 	st, p := s.openStream(w, r, chat)
 	if p != nil {
 		s.fail(w, r, p)
@@ -63,6 +65,7 @@
 		return
 	}
 	st.grant = grant
+	st.timed = s.Metrics.stream(st.job.Service, arrived)
 	defer func() { grant.Done(ferryid.Tokens(len(st.texts))) }()
 	s.Events.Add("StreamStarted", string(st.job.Stream), "customer %s, request %s", st.caller.customer.Name, st.caller.id)
 	ended := make(chan error, 1)
@@ -183,6 +186,7 @@
 			return context.Cause(ctx)
 		}
 		st.texts = append(st.texts, t.Text)
+		st.timed.token(st.server.Clock.Now())
 		job.Epoch = max(job.Epoch, t.Epoch)
 		st.grant.Progress(ferryid.Tokens(len(st.texts)))
 		return nil
--- a/ferryd/ferrycaller/plain.go
+++ b/ferryd/ferrycaller/plain.go
@@ -24,6 +24,7 @@
 
 // service handles every call to a plain service.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	began := s.Clock.Now()
 	c, p := s.authenticate(r, chi.URLParam(r, "service"), ferryservice.KindPlain)
 	if p != nil {
 		s.fail(w, r, p)
@@ -64,6 +65,7 @@
 		s.fail(w, r, p)
 		return
 	}
+	s.Metrics.answered(c.doc.Service, answer.Status, s.Clock.Since(began))
 	s.writeAnswer(w, answer)
 }
 
--- a/ferryd/ferrycaller/server.go
+++ b/ferryd/ferrycaller/server.go
@@ -67,6 +67,7 @@
 	Clock     clockwork.Clock
 	Log       zerolog.Logger
 	Events    *ferryevent.Log
+	Metrics   *Metrics
 	Documents Documents
 	Upstreams Upstreams
 	Models    Models
@@ -171,6 +172,7 @@
 
 func (s *Server) logFailure(r *http.Request, p *ferryoutcome.Problem) {
 	p.RequestID = string(requestID(r))
+	s.Metrics.failed(p)
 	e := s.Log.Info()
 	if p.Status >= http.StatusInternalServerError && p.Outcome != ferryoutcome.NotRun {
 		e = s.Log.Warn()
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryclaim"
@@ -112,7 +113,7 @@
 	claims := ferryclaim.New(ferryclaim.Config{Self: "self", Store: ferryplatformtest.New(clock), Seal: seal, Clock: clock})
 	go func() { _ = claims.Run(ctx) }()
 	s := &Server{
-		Clock: clock, Log: zerolog.Nop(), Events: ferryevent.NewLog(clock, "test", 100), Documents: f, Upstreams: f, Models: f,
+		Clock: clock, Log: zerolog.Nop(), Metrics: NewMetrics(tally.NoopScope), Events: ferryevent.NewLog(clock, "test", 100), Documents: f, Upstreams: f, Models: f,
 		Claims: claims, Sealer: sealer, Plain: ferryplain.New(ferryplain.ClientConfig{}),
 		Limits: Limits{BodyTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, BodyBytes: 4000},
 		Steer: func(d *ferryservice.Document, _ ferryservice.Customer, _ ferryid.RequestID) EntriesAnswer {
--- a/ferryd/ferrynode/metrics.go
+++ b/ferryd/ferrynode/metrics.go
@@ -1,6 +1,7 @@
 package ferrynode
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -24,8 +25,51 @@
 		Prefix:                 "ferryd",
 		CachedReporter:         r,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	return &metrics{scope: scope, closer: closer, handler: r.HTTPHandler()}
 }
+
+// sanitizer is tally's for Prometheus, but leaves the dashes and dots of names in tags' values.
+func sanitizer() *tally.SanitizeOptions {
+	opts := prometheus.DefaultSanitizerOpts
+	opts.ValueCharacters.Characters = []rune{'_', '-', '.'}
+	return &opts
+}
+
+// tellMetrics sets the gauges that nobody sets in passing.
+func (n *Node) tellMetrics(context.Context) {
+	s := n.metrics.scope
+	streams, calls := n.callers.Open()
+	s.Gauge("open_streams").Update(float64(streams))
+	s.Gauge("open_calls").Update(float64(calls))
+	s.Gauge("state").Update(float64(n.state()))
+	for kind, v := range n.platformCalls() {
+		s.Tagged(map[string]string{"kind": kind}).Gauge("platform_calls").Update(float64(v))
+	}
+	s.Gauge("platform_over_budget").Update(float64(n.platform.OverBudget()))
+	s.Gauge("members_live").Update(float64(len(n.peer.Members().Live())))
+	s.Gauge("peer_links").Update(float64(len(n.peer.Links())))
+	for name, v := range n.peer.Counts() {
+		s.Tagged(map[string]string{"name": name}).Gauge("peer_counts").Update(float64(v))
+	}
+	for _, sv := range n.services.all() {
+		n.tellServiceMetrics(sv)
+	}
+}
+
+func (n *Node) tellServiceMetrics(sv *service) {
+	s := n.metrics.scope.Tagged(map[string]string{"service": string(sv.name)})
+	q := sv.admission.Snapshot()
+	s.Gauge("queue_waiting").Update(float64(q.Waiting))
+	s.Gauge("queue_running").Update(float64(q.Running))
+	s.Gauge("queue_capacity").Update(float64(q.Capacity))
+	s.Gauge("queue_turned_away").Update(float64(q.TurnedAway))
+	if f, ok := n.holder.Get(sv.name); ok {
+		s.Gauge("document_generation").Update(float64(f.Accepted.Generation))
+	}
+	for fault, v := range sv.table.RefusedReports() {
+		s.Tagged(map[string]string{"fault": string(fault)}).Gauge("load_reports_refused").Update(float64(v))
+	}
+}
