The entry dies at any byte and the caller goes on elsewhere

Change: TestEntryDiesAtAnyByte (every 41st byte of the answer), TestCallerThatKeepsLosingItsConnection, a resume after 40 epochs that the new entry has not heard of.

--- a/ferrystand/ferrystandengine/job_test.go
+++ b/ferrystand/ferrystandengine/job_test.go
@@ -37,7 +37,7 @@
 		c.engines[i].SetFaults(ferrystandengine.Faults{TokensPerSecond: rate, DelayMS: i % 3 * 2})
 		plan.Stages = append(plan.Stages, ferrypipeline.Stage{Name: ferryid.UpstreamName(fmt.Sprintf("e%d", i)), Address: st.Address, Layers: layers})
 	}
-	f := &fleet{chain: *c}
+	f := &fleet{chain: *c, stream: "s"}
 	f.runner = &ferrypipeline.Runner{Engines: ferryengine.New(ferryengine.ClientConfig{}), Picker: fixedPlan{plan}, Clock: clockwork.NewRealClock()}
 	got, _, err := f.run(context.Background())
 	assert.NilError(t, err)
@@ -78,17 +78,20 @@
 	want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
 	for _, tt := range []struct {
 		name   string
+		before ferryid.Epoch
 		epoch  ferryid.Epoch
 		resume int
 	}{
-		{"with the text it has", 1, 3},
-		{"with nothing, compared at the seam", 1, 0},
-		{"after epochs that it has not heard of", 0, 3},
+		{"with the text it has", 0, 1, 3},
+		{"with nothing, compared at the seam", 0, 1, 0},
+		{"after epochs that it has not heard of", 40, 0, 3},
 	} {
 		f := newFleet(t, clockwork.NewRealClock())
 		token := ferrystream.Resume{Customer: "c", Service: "s", Stream: "s", Epoch: 1}
 		var first []ferrypipeline.Token
-		_, err := f.runner.Run(context.Background(), f.job(), func(tok ferrypipeline.Token) error {
+		job := f.job()
+		job.Epoch = tt.before
+		_, err := f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
 			if len(first) == 3 {
 				return errors.New("the caller is gone")
 			}
@@ -99,7 +102,6 @@
 		assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.Ran)
 		f.runner.Wait()
 
-		job := f.job()
 		job.Epoch, job.Resume = tt.epoch, want[:tt.resume]
 		seam := ferrystream.NewSeam(token)
 		text := want[:3:3]
--- a/ferrystand/ferrystandengine/pipeline_test.go
+++ b/ferrystand/ferrystandengine/pipeline_test.go
@@ -33,11 +33,12 @@
 	pool   *ferrypipeline.Pool
 	runner *ferrypipeline.Runner
 	emit   func(ferrypipeline.Token)
+	stream ferryid.StreamID
 }
 
 func newFleet(tb testing.TB, clock clockwork.Clock) *fleet {
 	tb.Helper()
-	f := &fleet{}
+	f := &fleet{stream: "s"}
 	cfg := ferrypipeline.PlannerConfig{Layers: testLayers}
 	var loads []ferrypipeline.Load
 	for replica := range 2 {
@@ -62,7 +63,7 @@
 }
 
 func (f *fleet) job() ferrypipeline.Job {
-	return ferrypipeline.Job{Service: "herd-llm", Stream: "s", Customer: "c", Prompt: cutPrompt, MaxTokens: cutTokens, Seed: cutSeed}
+	return ferrypipeline.Job{Service: "herd-llm", Stream: f.stream, Customer: "c", Prompt: cutPrompt, MaxTokens: cutTokens, Seed: cutSeed}
 }
 
 // run runs the job and returns what the caller got, in the order it came.
--- /dev/null
+++ b/ferrystand/ferrystandengine/resume_test.go
@@ -0,0 +1,132 @@
+package ferrystandengine_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypipeline"
+	"cactusferry.dev/ferry/ferrystream"
+)
+
+var errCut = errors.New("the caller's connection is cut")
+
+// entry answers one call as an entry does: it opens the event id, if there is one, and writes events until the connection is cut after some bytes.
+func (f *fleet) entry(tb testing.TB, lastEventID string, cut int) (written []byte, err error) {
+	tb.Helper()
+	sealer, err := ferrystream.NewSealer(ferrystream.SealerConfig{Keys: [][]byte{bytes.Repeat([]byte("k"), 32)}})
+	assert.NilError(tb, err)
+	request := ferrystream.RequestDigest(cutPrompt, cutTokens, cutSeed)
+	resume := ferrystream.Resume{Customer: "c", Service: "herd-llm", Stream: f.stream, Request: request, Seed: cutSeed}
+	if lastEventID != "" {
+		resume, err = sealer.Open(lastEventID, "c", "herd-llm", request)
+		assert.NilError(tb, err)
+	}
+	// The token's history begins anew, since the answer is regenerated from its first token.
+	fresh := resume
+	fresh.Next, fresh.History = 0, 0
+	ids, err := sealer.Stream(fresh)
+	assert.NilError(tb, err)
+	compose := ferrystream.NewComposer(ferrystream.ComposerConfig{ID: resume.Stream, Model: "herd-llm", Created: time.Unix(0, 0), Sealer: ids})
+	seam := ferrystream.NewSeam(resume)
+	write := func(b []byte) error {
+		room := cut - len(written)
+		written = append(written, b[:min(room, len(b))]...)
+		if room < len(b) {
+			return errCut
+		}
+		return nil
+	}
+	job := f.job()
+	job.Epoch = resume.Epoch
+	res, err := f.runner.Run(context.Background(), job, func(t ferrypipeline.Token) error {
+		needed, err := seam.Add(t)
+		if err != nil || !needed {
+			compose.Skip(t)
+			return err
+		}
+		return write(compose.Token(nil, t))
+	})
+	f.runner.Wait()
+	if err != nil {
+		return written, err
+	}
+	assert.NilError(tb, seam.End())
+	return written, write(compose.Done(nil, res.Reason))
+}
+
+// read takes whole events only, as an SSE client does, and returns the text, the last event id and whether the answer was whole.
+func read(tb testing.TB, stream []byte) (text, lastID string, whole bool) {
+	tb.Helper()
+	events := strings.Split(string(stream), "\n\n")
+	for _, event := range events[:len(events)-1] {
+		for line := range strings.Lines(event + "\n") {
+			line = strings.TrimSuffix(line, "\n")
+			if id, ok := strings.CutPrefix(line, "id: "); ok {
+				lastID = id
+			}
+			data, ok := strings.CutPrefix(line, "data: ")
+			switch {
+			case data == "[DONE]":
+				whole = true
+			case ok:
+				var chunk struct{ Choices []struct{ Text string } }
+				assert.NilError(tb, json.Unmarshal([]byte(data), &chunk))
+				text += chunk.Choices[0].Text
+			}
+		}
+	}
+	return text, lastID, whole
+}
+
+// The entry dies after any number of bytes and the caller goes on at another entry with its event id: the text is whole and right.
+func TestEntryDiesAtAnyByte(t *testing.T) {
+	want := strings.Join(ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers), "")
+	f := newFleet(t, clockwork.NewRealClock())
+	all, err := f.entry(t, "", 1<<20)
+	assert.NilError(t, err)
+	f = newFleet(t, clockwork.NewRealClock())
+	for cut := 0; cut < len(all); cut += 41 {
+		// Engines remember streams, so each run has its own.
+		f.stream = ferryid.StreamID(fmt.Sprint("s", cut))
+		first, err := f.entry(t, "", cut)
+		assert.Assert(t, err != nil)
+		text, id, whole := read(t, first)
+		assert.Assert(t, !whole)
+		second, err := f.entry(t, id, 1<<20)
+		assert.NilError(t, err, "cut after %d bytes", cut)
+		rest, _, whole := read(t, second)
+		assert.Assert(t, whole)
+		assert.Equal(t, text+rest, want, "cut after %d bytes", cut)
+	}
+}
+
+// Every connection is cut after one event; the caller gets the whole text all the same, a token at a time.
+func TestCallerThatKeepsLosingItsConnection(t *testing.T) {
+	const room = 600
+	f := newFleet(t, clockwork.NewRealClock())
+	text, id, whole := "", "", false
+	for range 2 * cutTokens {
+		stream, _ := f.entry(t, id, room)
+		more, next, done := read(t, stream)
+		text += more
+		if next != "" {
+			id = next
+		}
+		if whole = done; whole {
+			break
+		}
+	}
+	assert.Assert(t, whole)
+	assert.Equal(t, text, strings.Join(ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers), ""))
+}
