Claims: slot owners and heirs over the overlay

Cause: a planned stop forgot tickets and open claims; only a crash may leave an outcome Unknown. Excluded: writing tickets to the platform. Change: outcomes are flushed, the table goes to the heir that every entry computes, retries ask it; writes go to the slot's owner.

--- /dev/null
+++ b/ferryd/ferrynode/claim.go
@@ -0,0 +1,143 @@
+package ferrynode
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"cactusferry.dev/ferry/ferryclaim"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
+)
+
+// The requests about claims that entries send each other.
+const (
+	askClaim    ferrypeer.AskKind = 1
+	askWrites   ferrypeer.AskKind = 2
+	askTakeOver ferrypeer.AskKind = 3
+)
+
+const (
+	flushTimeout    = 5 * time.Second
+	handOverTimeout = 5 * time.Second
+	handOverPause   = 100 * time.Millisecond
+)
+
+// claimHandlers answer peers about claims.
+func (n *Node) claimHandlers() map[ferrypeer.AskKind]ferrypeer.Handler {
+	return map[ferrypeer.AskKind]ferrypeer.Handler{
+		askClaim:    n.answerClaim,
+		askWrites:   n.answerWrites,
+		askTakeOver: n.answerTakeOver,
+	}
+}
+
+// claimPeers reaches other incarnations about claims, over the overlay.
+type claimPeers struct{ node *Node }
+
+// askPeer sends a request to an incarnation and decodes its answer.
+func (c claimPeers) askPeer(ctx context.Context, id ferryid.Incarnation, kind ferrypeer.AskKind, in, out any) error {
+	m, ok := c.node.memberOf(id)
+	if !ok {
+		return fmt.Errorf("incarnation %s is not a member", id)
+	}
+	b, err := c.node.peer.Ask(ctx, m.Name, id, kind, encode(in))
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(b, out)
+}
+
+// Ask returns what the incarnation knows of a claim.
+func (c claimPeers) Ask(ctx context.Context, id ferryid.Incarnation, q ferryclaim.Question) (ferryclaim.Answer, error) {
+	var a ferryclaim.Answer
+	err := c.askPeer(ctx, id, askClaim, q, &a)
+	return a, merry.Prepend(err, "ask about a claim")
+}
+
+// Forward passes writes on to the owner of their slot.
+func (c claimPeers) Forward(ctx context.Context, owner ferryid.Incarnation, ws []ferryclaim.Write) ([]ferryclaim.Decision, error) {
+	var ds []ferryclaim.Decision
+	err := c.askPeer(ctx, owner, askWrites, ws, &ds)
+	return ds, merry.Prepend(err, "forward claims")
+}
+
+func (n *Node) answerClaim(_ context.Context, _ ferrypeer.Member, body []byte) ([]byte, error) {
+	var q ferryclaim.Question
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, merry.Prepend(err, "question about a claim")
+	}
+	return encode(n.claims.Answer(q)), nil
+}
+
+func (n *Node) answerWrites(ctx context.Context, _ ferrypeer.Member, body []byte) ([]byte, error) {
+	var ws []ferryclaim.Write
+	if err := cbor.Unmarshal(body, &ws); err != nil {
+		return nil, merry.Prepend(err, "forwarded claims")
+	}
+	ds, err := n.claims.Write(ctx, ws)
+	if err != nil {
+		return nil, err
+	}
+	return encode(ds), nil
+}
+
+func (n *Node) answerTakeOver(_ context.Context, from ferrypeer.Member, body []byte) ([]byte, error) {
+	if err := n.claims.TakeOver(body); err != nil {
+		return nil, err
+	}
+	n.events.Add("TookOver", string(from.Name), "its claims and tickets")
+	return encode(true), nil
+}
+
+// liveIncarnations are the entries among which a claim's heir and a slot's owner are looked for.
+func (n *Node) liveIncarnations() []ferryid.Incarnation {
+	var out []ferryid.Incarnation
+	for _, m := range n.peer.Members().List {
+		if m.Usable() || m.Name == n.cfg.Name {
+			out = append(out, m.Incarnation)
+		}
+	}
+	return out
+}
+
+// handOver writes what is settled to the platform and gives the rest to an heir, so that only a crash makes outcomes unknown.
+func (n *Node) handOver(ctx context.Context) error {
+	flush, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	flushed := n.claims.Flush(flush)
+	heirs := ferryclaim.HeirOrder(n.self, n.liveIncarnations())
+	if len(heirs) == 0 {
+		return merry.Prepend(flushed, "no other entry to hand over to")
+	}
+	sealed, err := n.claims.HandOver(heirs[0])
+	if err != nil {
+		return err
+	}
+	ctx, cancel = context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for {
+		err = n.deliver(ctx, heirs[0], sealed)
+		if err == nil {
+			n.events.Add("HandedOver", string(heirs[0]), "claims and tickets")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return merry.Prepend(err, "hand over to "+string(heirs[0]))
+		case <-n.clock.After(handOverPause):
+		}
+	}
+}
+
+func (n *Node) deliver(ctx context.Context, heir ferryid.Incarnation, sealed []byte) error {
+	m, ok := n.memberOf(heir)
+	if !ok {
+		return fmt.Errorf("incarnation %s is not a member", heir)
+	}
+	_, err := n.peer.Ask(ctx, m.Name, heir, askTakeOver, sealed)
+	return err
+}
--- a/ferryd/ferrynode/leave.go
+++ b/ferryd/ferrynode/leave.go
@@ -129,8 +129,11 @@
 
 const leaveTimeout = 2 * time.Second
 
-// finish says goodbye to the peers once nothing is open.
+// finish hands over and says goodbye to the peers once nothing is open.
 func (n *Node) finish(ctx context.Context) error {
+	if err := n.handOver(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("claims and tickets were not handed over; retries of them will be answered Unknown")
+	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := n.peer.Leave(ctx); err != nil {
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -130,7 +130,7 @@
 		return err
 	}
 	n.claims = ferryclaim.New(ferryclaim.Config{
-		Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock, Asker: asker{n}, Live: n.liveIncarnations,
+		Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock, Asker: claimPeers{n}, Forwarder: claimPeers{n}, Live: n.liveIncarnations,
 	})
 	n.callers = &ferrycaller.Server{
 		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.scope), Documents: n.services, Plain: n.plain, Claims: n.claims, Sealer: sealer,
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -8,7 +8,6 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"cactusferry.dev/ferry/ferryclaim"
 	"cactusferry.dev/ferry/ferrydocument"
 	"cactusferry.dev/ferry/ferryduty"
 	"cactusferry.dev/ferry/ferryid"
@@ -21,8 +20,6 @@
 const (
 	topicDocuments ferrypeer.TopicName = "documents"
 
-	askClaim ferrypeer.AskKind = 1
-
 	dutyWatch ferryduty.Duty = "watch"
 	dutyList  ferryduty.Duty = "list"
 )
@@ -37,7 +34,7 @@
 		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: peerSecret(n.cfg.Keys.SealKeys()[0]),
 		Log: n.log, Events: n.events,
 		Topics:    []ferrypeer.Topic{documentTopic(n.holder), n.loads.Topic(), n.marks.Topic()},
-		Handlers:  map[ferrypeer.AskKind]ferrypeer.Handler{askClaim: n.answerClaim},
+		Handlers:  n.claimHandlers(),
 		OnMembers: n.onMembers,
 	}
 	pair, err := n.loadPair(n.cfg.Peers.TLS)
@@ -155,41 +152,3 @@
 	}
 	return ferrypeer.MemberInfo{}, false
 }
-
-// asker asks other incarnations about claims, over the overlay.
-type asker struct{ node *Node }
-
-// Ask returns what the incarnation knows of a claim.
-func (a asker) Ask(ctx context.Context, id ferryid.Incarnation, q ferryclaim.Question) (ferryclaim.Answer, error) {
-	m, ok := a.node.memberOf(id)
-	if !ok {
-		return ferryclaim.Answer{}, fmt.Errorf("incarnation %s is not a member", id)
-	}
-	b, err := a.node.peer.Ask(ctx, m.Name, id, askClaim, encode(q))
-	if err != nil {
-		return ferryclaim.Answer{}, err
-	}
-	var answer ferryclaim.Answer
-	if err := cbor.Unmarshal(b, &answer); err != nil {
-		return ferryclaim.Answer{}, merry.Prepend(err, "answer about a claim")
-	}
-	return answer, nil
-}
-
-// answerClaim answers a peer about one of this process's claims.
-func (n *Node) answerClaim(_ context.Context, _ ferrypeer.Member, body []byte) ([]byte, error) {
-	var q ferryclaim.Question
-	if err := cbor.Unmarshal(body, &q); err != nil {
-		return nil, merry.Prepend(err, "question about a claim")
-	}
-	return encode(n.claims.Answer(q)), nil
-}
-
-// liveIncarnations are the entries among which a claim's heir is looked for.
-func (n *Node) liveIncarnations() []ferryid.Incarnation {
-	var out []ferryid.Incarnation
-	for _, m := range n.peer.Members().Live() {
-		out = append(out, m.Incarnation)
-	}
-	return out
-}
