Fleets take ports below the ephemeral range

Excluded: trying again, which would hide other causes. Change: ports from 20000 to 31999, taken in a row.

--- a/ferrystand/ferryprocess/process.go
+++ b/ferrystand/ferryprocess/process.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -186,16 +188,31 @@
 	})
 }
 
-// FreeAddresses returns loopback addresses that nothing listens on.
+// The ports that FreeAddresses chooses from lie below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// FreeAddresses returns loopback addresses that nothing listens on and no outgoing connection will take.
 func FreeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	port := firstPort + rand.IntN(lastPort-firstPort)
+	for range lastPort - firstPort {
+		if len(out) == n {
+			return out, nil
+		}
+		port++
+		if port >= lastPort {
+			port = firstPort
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, merry.Prepend(err, "find a free port")
+			continue
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		_ = l.Close()
+		out = append(out, address)
 	}
-	return out, nil
+	return nil, fmt.Errorf("only %d of %d ports are free", len(out), n)
 }
