--- /dev/null
+++ b/ferrybench/ferryrelay/doc.go
@@ -0,0 +1,2 @@
+// Package ferryrelay measures what passing tokens on costs one live ferryd.
+package ferryrelay
--- a/ferryd/ferryoperator/server.go
+++ b/ferryd/ferryoperator/server.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 	"github.com/rs/zerolog"
 
 	"cactusferry.dev/ferry/ferryadmin"
@@ -48,6 +49,7 @@
 		m.Post("/drain", s.leave)
 		m.Get("/claims", s.claim)
 		m.Put("/log-level", s.logLevel)
+		m.Mount("/debug", middleware.Profiler())
 	})
 }
 
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -59,27 +59,41 @@
 	Plains   *ferryprocess.Process
 	Engines  []*Engine
 	Entries  []*Entry
+	slots    int
 }
 
 // Config says how large a fleet is.
 type Config struct {
+	// Dir holds the programs.
 	Dir     string
 	Engines int
 	Entries int
-	Slots   int
+	// Slots is how many streams each engine runs at once, 16 if 0.
+	Slots int
+	// TokensPerSecond is the rate of every engine; if 0 they differ.
+	TokensPerSecond int
 }
 
+const defaultSlots = 16
+
 // New lays out a fleet on free loopback addresses and starts nothing.
 func New(cfg Config) (*Fleet, error) {
 	addresses, err := ferryprocess.FreeAddresses(2 + cfg.Engines + 2*cfg.Entries)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}}
+	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots}
+	if f.slots == 0 {
+		f.slots = defaultSlots
+	}
 	f.Platform, f.Plain = addresses[0], addresses[1]
 	addresses = addresses[2:]
 	for i := range cfg.Engines {
-		f.Engines = append(f.Engines, newEngine(i, addresses[i]))
+		e := newEngine(i, addresses[i])
+		if cfg.TokensPerSecond > 0 {
+			e.TokensPerSecond = cfg.TokensPerSecond
+		}
+		f.Engines = append(f.Engines, e)
 	}
 	addresses = addresses[cfg.Engines:]
 	for i := range cfg.Entries {
@@ -134,7 +148,7 @@
 func (f *Fleet) StartEngine(ctx context.Context, e *Engine) error {
 	p, err := f.StartReady(ctx, e.Name, "ferrystand", "engine", "--name", e.Name, "--listen", e.Address,
 		"--domain", e.Domain, "--service", ModelService, "--layers", fmt.Sprintf("%d:%d", e.Layers.From, e.Layers.To),
-		"--accelerator", e.Accelerator, "--tokens-per-second", fmt.Sprint(e.TokensPerSecond), "--slots", "16",
+		"--accelerator", e.Accelerator, "--tokens-per-second", fmt.Sprint(e.TokensPerSecond), "--slots", fmt.Sprint(f.slots),
 		"--platform", "http://"+f.Platform)
 	e.Process = p
 	return err
@@ -230,7 +244,7 @@
 	fmt.Fprintf(&b, "[[Classes]]\nName = \"long\"\nDeadline = \"5m\"\nPriority = 1\n\n")
 	for _, e := range f.Engines {
 		fmt.Fprintf(&b, "[[Upstreams]]\nName = %q\nAddress = %q\nFailureDomain = %q\nAccelerator = %q\n", e.Name, e.Address, e.Domain, e.Accelerator)
-		fmt.Fprintf(&b, "Layers = { From = %d, To = %d }\nTokensPerSecond = %d.0\nSlots = 16\n\n", e.Layers.From, e.Layers.To, e.TokensPerSecond)
+		fmt.Fprintf(&b, "Layers = { From = %d, To = %d }\nTokensPerSecond = %d.0\nSlots = %d\n\n", e.Layers.From, e.Layers.To, e.TokensPerSecond, f.slots)
 	}
 	return b.String() + customers()
 }
