ferrydocument: a watch notices within 30 s that the store lost what came by another way

Cause: found by the model run: a store that went back to where a watch last saw it was noticed only by the next list. Excluded: listing at every end of a watch (doubles the calls). Change: the watcher remembers the generations that the store has shown, and lists when a later one is in force and a whole watch shows nothing. The fake drops versions that no lagging watch can show, so that it doesn't grow with each write.

--- a/ferry/ferrydocument/model_test.go
+++ b/ferry/ferrydocument/model_test.go
@@ -337,7 +337,7 @@
 // heal ends all faults and lets every duty go on until nothing changes.
 func (m *model) heal(t *rapid.T) {
 	m.store.SetFaults(ferryplatformtest.Faults{})
-	// A store that went back to where a watcher had last seen it is noticed by the next list only.
+	// A store that went back and was written until its version is where a watcher was is noticed by the next list only.
 	m.clock.Advance(2 * relistInterval)
 	for _, op := range m.operators {
 		for range 20 {
--- a/ferry/ferrydocument/watchcore.go
+++ b/ferry/ferrydocument/watchcore.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryservice"
 )
@@ -75,10 +76,12 @@
 	relist   time.Duration
 	failures int
 	repairs  []repairStore
+	// seen are the generations that the store has shown.
+	seen map[ferryid.ServiceName]ferryid.Generation
 }
 
 func newWatchCore(h *Holder, rnd *rand.Rand) *watchCore {
-	return &watchCore{holder: h, rnd: rnd, live: 1}
+	return &watchCore{holder: h, rnd: rnd, live: 1, seen: map[ferryid.ServiceName]ferryid.Generation{}}
 }
 
 // next takes one message and returns the next action.
@@ -138,7 +141,7 @@
 	}
 	c.failures = 0
 	c.after = m.changes.Version
-	if c.offer(m.changes.Objects) {
+	if c.offer(m.changes.Objects) || (len(m.changes.Objects) == 0 && c.unseen()) {
 		c.listed = false
 	}
 	if len(m.changes.Objects) == 0 && m.took < watchWait/2 {
@@ -182,6 +185,7 @@
 			c.holder.events.Add(EventInvalid, o.Name, "version %d in the store: %v", o.Version, err)
 			continue
 		}
+		c.seen[a.Service] = a.Generation
 		if c.holder.Offer(a, "store") == Older {
 			back = true
 		}
@@ -189,6 +193,17 @@
 	return back
 }
 
+// unseen reports whether a document came into force by another way that the store has not shown: it may have gone back
+// to where the watch had last seen it.
+func (c *watchCore) unseen() bool {
+	for _, f := range c.holder.All() {
+		if c.seen[f.Accepted.Service] < f.Accepted.Generation {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *watchCore) storeBack(subject, format string, args ...any) {
 	c.holder.events.Add(EventStoreBack, subject, format, args...)
 }
--- a/ferry/ferryplatform/ferryplatformtest/fake.go
+++ b/ferry/ferryplatform/ferryplatformtest/fake.go
@@ -230,11 +230,23 @@
 	}
 	f.version++
 	o := ferryplatform.Object{Kind: w.key.kind, Name: w.key.name, Version: f.version, Deleted: w.deleted, Value: w.value}
-	f.objects[w.key] = append(f.objects[w.key], change{at: at, object: o})
+	f.objects[w.key] = append(f.prune(f.objects[w.key]), change{at: at, object: o})
 	f.wake()
 	return f.version, nil
 }
 
+// prune drops the versions that not even a lagging watch shows any more.
+func (f *Fake) prune(cs []change) []change {
+	horizon := f.clock.Now().Add(-millis(f.faults.WatchLagMS))
+	keep := 0
+	for i, c := range cs {
+		if !c.at.After(horizon) {
+			keep = i
+		}
+	}
+	return slices.Clone(cs[keep:])
+}
+
 func (f *Fake) latest(k objectKey) ferryplatform.Object {
 	cs := f.objects[k]
 	if len(cs) == 0 {
--- a/ferry/ferryplatform/ferryplatformtest/fake_test.go
+++ b/ferry/ferryplatform/ferryplatformtest/fake_test.go
@@ -92,3 +92,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(rows), 0)
 }
+
+func TestWatchLagShowsOlderVersionsFirst(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(start)
+	f := ferryplatformtest.New(clock)
+	f.SetFaults(ferryplatformtest.Faults{WatchLagMS: 1000})
+	v := ferryplatform.NoVersion
+	for _, text := range []string{"a", "b", "c"} {
+		var err error
+		v, err = f.Put(t.Context(), "k", "n", v, []byte(text))
+		assert.NilError(t, err)
+		clock.Advance(600 * time.Millisecond)
+	}
+	c, err := f.Watch(t.Context(), "k", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string(c.Objects[0].Value), "b")
+}
