--- a/ferry/ferrydocument/model_test.go
+++ b/ferry/ferrydocument/model_test.go
@@ -135,18 +135,18 @@
 	if rapid.IntRange(0, 19).Draw(t, "gives up") == 0 {
 		op.action = op.core.next(applyExpired{errPatience})
 	} else {
-		op.action = op.core.next(m.perform(t, op.action))
+		op.action = op.core.next(m.perform(t.Context(), op.action))
 	}
 	m.finish(op)
 }
 
-func (m *model) perform(t *rapid.T, action applyAction) applyMessage {
+func (m *model) perform(ctx context.Context, action applyAction) applyMessage {
 	switch a := action.(type) {
 	case readStore:
-		o, err := m.store.Get(t.Context(), ferryservice.ObjectKind, string(modelService))
+		o, err := m.store.Get(ctx, ferryservice.ObjectKind, string(modelService))
 		return applyRead{o, err}
 	case writeStore:
-		v, err := m.store.Put(t.Context(), ferryservice.ObjectKind, string(modelService), a.expected, a.value)
+		v, err := m.store.Put(ctx, ferryservice.ObjectKind, string(modelService), a.expected, a.value)
 		return applyWritten{v, err}
 	}
 	return applyPaused{}
@@ -174,27 +174,30 @@
 // stepWatch performs one action of an entry's watcher; a stale answer is one that was given before.
 func (m *model) stepWatch(t *rapid.T) {
 	e := m.entry(t)
-	stale := rapid.IntRange(0, 5).Draw(t, "stale") == 0
-	m.watchOnce(t, e, stale)
+	if rapid.IntRange(0, 5).Draw(t, "stale") == 0 && len(e.shown) > 0 {
+		m.watchOnce(t.Context(), e, &e.shown[rapid.IntRange(0, len(e.shown)-1).Draw(t, "answer")])
+		return
+	}
+	m.watchOnce(t.Context(), e, nil)
 }
 
-func (m *model) watchOnce(t *rapid.T, e *modelEntry, stale bool) {
+func (m *model) watchOnce(ctx context.Context, e *modelEntry, stale *ferryplatform.Changes) {
 	var msg watchMessage = watchStarted{}
 	switch a := e.action.(type) {
 	case listStore:
-		c, err := m.store.List(t.Context(), ferryservice.ObjectKind)
+		c, err := m.store.List(ctx, ferryservice.ObjectKind)
 		msg = watchListed{c, err}
 	case watchStore:
-		c, err := m.store.Watch(t.Context(), ferryservice.ObjectKind, a.after, 0)
+		c, err := m.store.Watch(ctx, ferryservice.ObjectKind, a.after, 0)
 		if err == nil {
 			e.shown = append(e.shown, c)
 		}
-		if stale && len(e.shown) > 0 {
-			c, err = e.shown[rapid.IntRange(0, len(e.shown)-1).Draw(t, "answer")], nil
+		if stale != nil {
+			c, err = *stale, nil
 		}
 		msg = watchSeen{c, err, watchWait}
 	case repairStore:
-		_, err := m.store.Put(t.Context(), ferryservice.ObjectKind, string(modelService), a.expected, encode(a.accepted))
+		_, err := m.store.Put(ctx, ferryservice.ObjectKind, string(modelService), a.expected, encode(a.accepted))
 		msg = watchRepaired{err}
 	}
 	e.action = e.watch.next(msg, m.clock.Now())
@@ -342,7 +345,7 @@
 	for _, op := range m.operators {
 		for range 20 {
 			if op.core != nil {
-				op.action = op.core.next(m.perform(t, op.action))
+				op.action = op.core.next(m.perform(t.Context(), op.action))
 				m.finish(op)
 			}
 		}
@@ -356,7 +359,7 @@
 func (m *model) spread(t *rapid.T) {
 	for range 8 {
 		for _, e := range m.entries {
-			m.watchOnce(t, e, false)
+			m.watchOnce(t.Context(), e, nil)
 			for _, o := range m.entries {
 				m.tell(e, o)
 			}
@@ -479,7 +482,7 @@
 	})
 	for range 20 {
 		if op.core != nil {
-			op.action = op.core.next(m.perform(t, op.action))
+			op.action = op.core.next(m.perform(t.Context(), op.action))
 			m.finish(op)
 		}
 	}
