ferryctl apply says to fetch the document again before the next change

Cause: a second apply of the same file names the version before the first one, and loses against oneself. Excluded: rewriting the operator's file. Conclusion: go test -race ./ferryctl passes.

--- a/ferryctl/apply.go
+++ b/ferryctl/apply.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.app.out, "accepted %s generation %d hash %.12s\n", a.Service, a.Generation, a.Hash())
+	fmt.Fprintf(c.app.out, "accepted %s generation %d hash %.12s\nfetch it again before the next change: ferryctl get %s > %s\n", a.Service, a.Generation, a.Hash(), a.Service, c.Args.File)
 	return nil
 }
 
