Per-token bookkeeping is done once a write

Cause: the profile of ferrybench relay showed 6% of the processor in telling the queue of every token and 3% in clock readings for metrics. Excluded: sending fewer event ids, since a resume must not repeat text. Change: the queue hears every 16 tokens; tokens sent together are timed together.

--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -25,6 +25,8 @@
 	// tokenBuffer bounds the tokens that wait for a slow caller; a stream whose buffer is full waits.
 	tokenBuffer       = 256
 	heartbeatInterval = 5 * time.Second
+	// progressTokens is how many tokens pass before the queue is told of them.
+	progressTokens = 16
 )
 
 // errPreempted cancels a run that has to give its slot to other work.
@@ -186,9 +188,10 @@
 			return context.Cause(ctx)
 		}
 		st.texts = append(st.texts, t.Text)
-		st.timed.token(st.server.Clock.Now())
 		job.Epoch = max(job.Epoch, t.Epoch)
-		st.grant.Progress(ferryid.Tokens(len(st.texts)))
+		if len(st.texts)%progressTokens == 0 {
+			st.grant.Progress(ferryid.Tokens(len(st.texts)))
+		}
 		return nil
 	})
 	st.result = res
@@ -256,6 +259,7 @@
 	var text strings.Builder
 	for t := range st.tokens {
 		text.WriteString(t.Text)
+		st.timed.wrote(1, st.server.Clock.Now())
 	}
 	if err := <-ended; err != nil {
 		st.server.fail(w, r, asProblem(err))
--- a/ferryd/ferrycaller/events.go
+++ b/ferryd/ferrycaller/events.go
@@ -23,9 +23,12 @@
 	server   *Server
 	composer *ferrystream.Composer
 	seam     *ferrystream.Seam
+	timed    *streamMetrics
 	buf      []byte
-	id       string
-	started  bool
+	// waiting counts the tokens in buf.
+	waiting int
+	id      string
+	started bool
 }
 
 func (st *stream) newWriter(w http.ResponseWriter, shape ferrystream.Shape) (*eventWriter, error) {
@@ -39,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &eventWriter{w: w, control: http.NewResponseController(w), server: s, id: string(st.job.Stream), buf: make([]byte, 0, eventBytes)}
+	out := &eventWriter{w: w, control: http.NewResponseController(w), server: s, timed: st.timed, id: string(st.job.Stream), buf: make([]byte, 0, eventBytes)}
 	out.composer = ferrystream.NewComposer(ferrystream.ComposerConfig{
 		Shape: shape, ID: st.job.Stream, Model: st.job.Service, Created: s.Clock.Now(), Sealer: sealer,
 	})
@@ -84,6 +87,7 @@
 	}
 	e.start()
 	e.buf = e.composer.Token(e.buf, t)
+	e.waiting++
 	return nil
 }
 
@@ -129,7 +133,12 @@
 	if len(e.buf) == 0 {
 		return nil
 	}
-	_ = e.control.SetWriteDeadline(e.server.Clock.Now().Add(e.server.Limits.WriteTimeout))
+	now := e.server.Clock.Now()
+	_ = e.control.SetWriteDeadline(now.Add(e.server.Limits.WriteTimeout))
+	if e.waiting > 0 {
+		e.timed.wrote(e.waiting, now)
+		e.waiting = 0
+	}
 	_, err := e.w.Write(e.buf)
 	e.buf = e.buf[:0]
 	if err == nil {
--- a/ferryd/ferrycaller/metrics.go
+++ b/ferryd/ferrycaller/metrics.go
@@ -64,13 +64,13 @@
 	}
 }
 
-// token counts one token; the wait for the first one is from the call's arrival.
-func (s *streamMetrics) token(now time.Time) {
-	s.tokens.Inc(1)
+// wrote counts tokens that were sent together; the wait for the first one is from the call's arrival.
+func (s *streamMetrics) wrote(n int, now time.Time) {
+	s.tokens.Inc(int64(n))
 	if s.last.IsZero() {
 		s.first.RecordDuration(now.Sub(s.began))
 	} else {
-		s.between.RecordDuration(now.Sub(s.last))
+		s.between.RecordDuration(now.Sub(s.last) / time.Duration(n))
 	}
 	s.last = now
 }
