A job in doubt waits for engines to come back

A lost request costs its caller. Change: only a job of which certainly nothing ran is refused at once; one that may have run waits as one whose caller has a part of the answer. TestRandomFaults runs each seed as a subtest and takes -random-runs (without subtests 1,500 runs used up the process's files).

--- a/ferry/ferrypipeline/core.go
+++ b/ferry/ferrypipeline/core.go
@@ -29,7 +29,7 @@
 	MaxEpochs int
 	// MaxFailures is the number of epochs without a token, one after another, that end the job.
 	MaxFailures int
-	// MaxWaits is the number of waits for engines to come back, once the caller has got a token.
+	// MaxWaits is the number of waits for engines to come back, once something of the job may have run.
 	MaxWaits int
 	// ImportFrom is the number of tokens from which a KV cache is moved and not rebuilt.
 	ImportFrom int
@@ -190,13 +190,15 @@
 	}})
 }
 
-// noPlan ends a job that nobody has run, and waits with one whose caller has a part of the answer.
+// noPlan ends a job of which certainly nothing ran, and waits with one that has begun.
 func (c *Core) noPlan(err error, out []Action) []Action {
 	if c.phase != phasePlanning {
 		return out
 	}
 	var spent *BudgetError
-	if len(c.generated) == 0 || c.waits >= c.cfg.MaxWaits || errors.As(err, &spent) {
+	known, _ := c.evidence.outcome()
+	unbegun := len(c.generated) == 0 && known == ferryoutcome.NotRun
+	if unbegun || c.waits >= c.cfg.MaxWaits || errors.As(err, &spent) {
 		p := ferryoutcome.New(ferryoutcome.KindUnavailable, "", "no engines are free to run this: %v", err)
 		return c.finish(p.After(retryAfter).Because(err), out)
 	}
--- a/ferry/ferrypipeline/trace_test.go
+++ b/ferry/ferrypipeline/trace_test.go
@@ -23,7 +23,7 @@
 		trace, err := ferrypipeline.DecodeTrace(f)
 		assert.NilError(t, err, name)
 		assert.NilError(t, f.Close())
-		out, err := trace.Replay(ferrypipeline.CoreConfig{ImportFrom: 1})
+		out, err := trace.Replay(ferrypipeline.CoreConfig{ImportFrom: 1, MaxWaits: 2})
 		assert.NilError(t, err)
 		golden.Assert(t, out, "traces/"+strings.TrimSuffix(filepath.Base(name), ".trace")+".golden")
 	}
--- a/ferrystand/ferrystandengine/job_test.go
+++ b/ferrystand/ferrystandengine/job_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -19,7 +20,7 @@
 	"cactusferry.dev/ferrystand/ferrystandengine"
 )
 
-const randomRuns = 60
+var randomRuns = flag.Int("random-runs", 60, "number of runs with random faults, each with its own seed")
 
 // Eight kinds of engines in one chain, with speeds and links a hundredfold apart.
 func TestEightKinds(t *testing.T) {
@@ -197,40 +198,45 @@
 // Every engine draws a fault, so several strike together or one after the other, and all come back empty when none is left: whole and right, or failed with a true outcome.
 func TestRandomFaults(t *testing.T) {
 	count := map[ferryoutcome.Outcome]int{}
-	for seed := range uint64(randomRuns) {
-		r := rand.New(rand.NewPCG(seed, 0))
-		f := newFleet(t, clockwork.NewRealClock())
-		f.runner.Trace = func(_ time.Time, m ferrypipeline.Message) {
-			if _, ok := m.(ferrypipeline.NoPlan); ok {
-				f.restartAll(t)
-			}
-		}
-		for _, e := range f.engines {
-			e.SetFaults(randomFaults(r))
-		}
-		got, _, err := f.run(context.Background())
-		if err == nil {
-			count["whole"]++
-			f.verify(t, got)
-			continue
-		}
-		outcome := ferryoutcome.Of(err)
-		count[outcome]++
-		generated := 0
-		for _, a := range f.records() {
-			if !a.Prefill {
-				generated++
-			}
+	for seed := range uint64(*randomRuns) {
+		// As a subtest each run gives its connections back.
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { count[randomRun(t, seed)]++ })
+	}
+	assert.Assert(t, count["whole"] > *randomRuns/2, "%v", count)
+	t.Logf("outcomes %v", count)
+}
+
+// randomRun runs one job and returns "whole" or the outcome of its failure.
+func randomRun(t *testing.T, seed uint64) ferryoutcome.Outcome {
+	r := rand.New(rand.NewPCG(seed, 0))
+	f := newFleet(t, clockwork.NewRealClock())
+	f.runner.Trace = func(_ time.Time, m ferrypipeline.Message) {
+		if _, ok := m.(ferrypipeline.NoPlan); ok {
+			f.restartAll(t)
 		}
-		assert.Assert(t, outcome != ferryoutcome.NotRun || generated == 0, "seed %d: %v", seed, err)
-		assert.Assert(t, outcome != ferryoutcome.Ran || generated > 0, "seed %d: %v", seed, err)
-		want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
-		for i, tok := range got {
-			assert.Equal(t, tok.Text, want[i], "seed %d", seed)
+	}
+	for _, e := range f.engines {
+		e.SetFaults(randomFaults(r))
+	}
+	got, _, err := f.run(context.Background())
+	if err == nil {
+		f.verify(t, got)
+		return "whole"
+	}
+	generated := 0
+	for _, a := range f.records() {
+		if !a.Prefill {
+			generated++
 		}
 	}
-	assert.Assert(t, count["whole"] > randomRuns/2, "%v", count)
-	t.Logf("outcomes %v", count)
+	outcome := ferryoutcome.Of(err)
+	assert.Assert(t, outcome != ferryoutcome.NotRun || generated == 0, "%v", err)
+	assert.Assert(t, outcome != ferryoutcome.Ran || generated > 0, "%v", err)
+	want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
+	for i, tok := range got {
+		assert.Equal(t, tok.Text, want[i])
+	}
+	return outcome
 }
 
 func TestJobThatNoEngineCouldRun(t *testing.T) {
--- a/ferrystand/ferrystandengine/trace_test.go
+++ b/ferrystand/ferrystandengine/trace_test.go
@@ -41,6 +41,7 @@
 		for i, faults := range tt.faults {
 			f.engines[i].SetFaults(faults)
 		}
+		f.runner.Core.MaxWaits = 2
 		rec := &ferrypipeline.Recorder{}
 		f.runner.Trace = rec.Add
 		got, _, _ := f.run(context.Background())
