ferrybench capacity: measure the overlay's cores and real nodes; more failure tests

Excluded: one spread item for each runner (75 bytes and its own turn; 10.4 KB/s a node at 60 items a second) in favour of one item an entry with the loads of the runners it asks; volatile topics flushed ten times a second (9.1 KB/s at 50 nodes, 7.6 flushed twice a second). A test of mine was changed for being wrong: an old incarnation now wakes 5 s after its successor started, since which of two processes started under one name within 2 s survives is not determined (one does).

--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,10 @@
 
 test: lint vet build race
 
+# capacity prints the measured points and the tables of docs/CAPACITY.md; it takes four minutes of one core.
+capacity: build
+	$(BIN)/ferrybench capacity
+	$(BIN)/ferrybench capacity --real 9 --real 30
+
 clean:
 	rm -rf $(BIN) out
--- a/ferry/ferrypeer/choose.go
+++ b/ferry/ferrypeer/choose.go
@@ -92,11 +92,13 @@
 			choose(self, own[i].name, own[j].name, chosen)
 		}
 	}
-	match(edges, n, n, extra, extra, true, func(a, b int) {
+	room := fill(n, extra)
+	match(edges, room, room, func(a, b int) {
 		choose(self, own[a].name, own[b].name, chosen)
 	})
 }
 
+// chooseBetween matches two failure domains so that each entry of both has a link, up to a threefold difference in size.
 func chooseBetween(self ferryid.EntryName, own, theirs []point, into int, chosen map[ferryid.EntryName]bool) {
 	edges := make([]edge, 0, len(own)*len(theirs))
 	for i, a := range own {
@@ -104,11 +106,16 @@
 			edges = append(edges, edge{weight: weigh(a.hash, b.hash), a: i, b: j})
 		}
 	}
-	roomOwn := into * min(maxUnequalFactor, ceilDiv(len(theirs), len(own)))
-	roomTheirs := into * min(maxUnequalFactor, ceilDiv(len(own), len(theirs)))
-	match(edges, len(own), len(theirs), roomOwn, roomTheirs, false, func(a, b int) {
-		choose(self, own[a].name, theirs[b].name, chosen)
-	})
+	take := func(a, b int) { choose(self, own[a].name, theirs[b].name, chosen) }
+	left, right := fill(len(own), into), fill(len(theirs), into)
+	match(edges, left, right, take)
+	more := into * (min(maxUnequalFactor, ceilDiv(max(len(own), len(theirs)), min(len(own), len(theirs)))) - 1)
+	if len(own) < len(theirs) {
+		left = fill(len(own), more)
+	} else {
+		right = fill(len(theirs), more)
+	}
+	match(edges, left, right, take)
 }
 
 func choose(self, a, b ferryid.EntryName, chosen map[ferryid.EntryName]bool) {
@@ -123,25 +130,20 @@
 type edge struct {
 	weight uint64
 	a, b   int
+	taken  bool
 }
 
-// match takes edges from the heaviest down while both ends have room left.
-func match(edges []edge, na, nb, roomA, roomB int, sameSide bool, take func(a, b int)) {
-	if roomA == 0 || roomB == 0 {
-		return
-	}
+// match takes edges from the heaviest down while both ends have room left, and leaves in left and right what room remains.
+func match(edges []edge, left, right []int, take func(a, b int)) {
 	slices.SortFunc(edges, func(x, y edge) int {
 		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b))
 	})
-	left := fill(na, roomA)
-	right := left
-	if !sameSide {
-		right = fill(nb, roomB)
-	}
-	for _, e := range edges {
-		if left[e.a] == 0 || right[e.b] == 0 {
+	for i := range edges {
+		e := &edges[i]
+		if e.taken || left[e.a] == 0 || right[e.b] == 0 {
 			continue
 		}
+		e.taken = true
 		left[e.a]--
 		right[e.b]--
 		take(e.a, e.b)
--- a/ferry/ferrypeer/faults_test.go
+++ b/ferry/ferrypeer/faults_test.go
@@ -190,6 +190,7 @@
 		for _, name := range w.names() {
 			w.Thaw(name)
 		}
+		w.Run(5 * time.Second)
 		for _, g := range w.ghosts {
 			if w.Core(g.Member.Name) != nil {
 				g.Thaw()
@@ -285,6 +286,10 @@
 func TestFrozenProcessAccusesNobody(t *testing.T) {
 	w := newWorld(9)
 	w.Freeze("entry-05")
+	w.Run(3900 * time.Millisecond)
+	w.Thaw("entry-05")
+	assert.Equal(t, w.Core("entry-05").Overlay.Counts()[string(ferrypeer.CloseSilent)], uint64(0), "a pause of its own was taken for silence")
+	w.Freeze("entry-05")
 	w.Run(20 * time.Second)
 	w.Thaw("entry-05")
 	_, ok := w.RunUntil(100*time.Millisecond, 20*time.Second, func() bool { return w.settled() == "" })
@@ -295,3 +300,76 @@
 		}
 	}
 }
+
+func TestFalseSuspicionIsRefuted(t *testing.T) {
+	w := newWorld(9)
+	w.Freeze("entry-05")
+	suspected := func() bool {
+		m, _ := w.Core("entry-00").Overlay.Members().Get("entry-05")
+		return m.Status == ferrypeer.Suspect
+	}
+	_, ok := w.RunUntil(100*time.Millisecond, 10*time.Second, suspected)
+	assert.Assert(t, ok, "entry-05 is not suspected")
+	w.Thaw("entry-05")
+	w.Run(5 * time.Second)
+	assert.Equal(t, w.settled(), "")
+	assert.Assert(t, w.Core("entry-05").Overlay.Counts()["Refutations"] > 0)
+	for name, c := range w.Cores() {
+		assert.Equal(t, c.Overlay.Counts()["Deaths"], uint64(0), "%s held entry-05 as dead", name)
+	}
+}
+
+// TestTwoGhostsMeetTwoSuccessors lets two old incarnations wake while each is linked with the other's successor, with no list and no seed left to show the difference.
+func TestTwoGhostsMeetTwoSuccessors(t *testing.T) {
+	w := newWorld(9)
+	w.ListLag = -1
+	for i := range 9 {
+		if i != 2 && i != 8 {
+			w.Crash(entry(i))
+		}
+	}
+	w.restart("entry-02", 2, true)
+	w.restart("entry-08", 8, true)
+	for _, g := range w.ghosts {
+		g.Thaw()
+	}
+	replaced := func() bool { return w.ghosts[0].Replaced && w.ghosts[1].Replaced }
+	_, ok := w.RunUntil(time.Second, healWithin, func() bool { return replaced() && w.settled() == "" })
+	assert.Assert(t, ok, "old incarnations replaced: %t; %s", replaced(), w.settled())
+}
+
+func TestLinksStayBoundedWhileAllJoin(t *testing.T) {
+	f := newFleet(100, 8)
+	for range 100 {
+		f.Run(100 * time.Millisecond)
+		for name, c := range f.Cores() {
+			assert.Assert(t, len(c.Overlay.Links()) <= ferrypeer.MaxLinks, "%s has %d links", name, len(c.Overlay.Links()))
+		}
+	}
+	assert.Assert(t, f.Core("entry-000").Overlay.Counts()[string(ferrypeer.CloseFull)] > 0)
+}
+
+func TestBothEndsChooseALink(t *testing.T) {
+	for _, tc := range []struct{ n, domains, most int }{{9, 3, 8}, {30, 3, 9}, {100, 1, 9}, {160, 8, 17}} {
+		t.Run(fmt.Sprintf("%d in %d", tc.n, tc.domains), func(t *testing.T) {
+			var cs []ferrypeer.Candidate
+			for i := range tc.n {
+				cs = append(cs, ferrypeer.Candidate{Name: ferryid.EntryName(fmt.Sprintf("entry-%03d", i)), FailureDomain: ferryid.DomainName(fmt.Sprint(i % tc.domains))})
+			}
+			chosen := map[ferryid.EntryName][]ferryid.EntryName{}
+			for _, c := range cs {
+				chosen[c.Name] = ferrypeer.ChooseLinks(c, cs)
+			}
+			for a, links := range chosen {
+				assert.Assert(t, len(links) <= tc.most, "%s has %d links", a, len(links))
+				domains := map[ferryid.DomainName]bool{}
+				for _, b := range links {
+					assert.Assert(t, slices.Contains(chosen[b], a), "%s chose %s, not the other way", a, b)
+					i := slices.IndexFunc(cs, func(c ferrypeer.Candidate) bool { return c.Name == b })
+					domains[cs[i].FailureDomain] = true
+				}
+				assert.Equal(t, len(domains), tc.domains, "%s reaches %d failure domains", a, len(domains))
+			}
+		})
+	}
+}
--- a/ferry/ferrypeer/hello_test.go
+++ b/ferry/ferrypeer/hello_test.go
@@ -115,3 +115,34 @@
 	s.cutOff()
 	waitFor(t, "the replay is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] == before+1 })
 }
+
+func TestFrameOfAnotherIsCutOff(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		frame func(b *realNode) []byte
+	}{
+		{"another's tag", func(*realNode) []byte { return encodeFrom(t, 1, &ferrypeer.Heartbeat{}) }},
+		{"a second hello", func(b *realNode) []byte {
+			return encodeFrom(t, b.Self().Tag(), &ferrypeer.Hello{MinVersion: 1, Purpose: ferrypeer.PurposeLink, Member: b.Self(), Nonce: make([]byte, 32)})
+		}},
+		{"a malformed item", func(b *realNode) []byte {
+			return encodeFrom(t, b.Self().Tag(), &ferrypeer.Push{Topic: "members", Items: []ferrypeer.Item{[]byte("junk")}})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := startNode(t, "entry-a", "domain-1", nil, nil)
+			tap := newTap(t, a.address)
+			b := startNode(t, "entry-b", "domain-1", []string{tap.address}, nil)
+			waitFor(t, "entry-b joined through the tap", func() bool { return sees(a, 2) && sees(b, 2) })
+			tap.inject(tc.frame(b))
+			waitFor(t, "it is counted", func() bool { return a.Counts()[string(ferrypeer.CloseMalformed)] > 0 })
+		})
+	}
+}
+
+func encodeFrom(t *testing.T, from ferrypeer.Tag, m ferrypeer.Message) []byte {
+	t.Helper()
+	frame, err := ferrypeer.Encode(from, ferryevent.Timestamp{Micros: time.Now().UnixMicro()}, m)
+	assert.NilError(t, err)
+	return frame
+}
--- a/ferry/ferrypeer/link.go
+++ b/ferry/ferrypeer/link.go
@@ -94,9 +94,12 @@
 	o.syncVolatile(l)
 }
 
-// refuse closes a new link; a peer refused for want of room first learns of others to turn to.
+// refuse closes a new link; a peer refused for want of room first learns of others to turn to, and one that a later incarnation has replaced learns of that.
 func (o *Overlay) refuse(l *link, reason CloseReason) {
 	o.count(string(reason))
+	if o.outdated(l) {
+		o.send(l, topicMembers, []Item{encodeRecord(o.table.rows[l.peer.Name].Record)}, true)
+	}
 	if reason == CloseFull {
 		items := o.topics[topicMembers].Missing(nil)
 		slices.SortFunc(items, func(a, b Item) int {
--- a/ferry/ferrypeer/overlay.go
+++ b/ferry/ferrypeer/overlay.go
@@ -62,6 +62,7 @@
 	loadAt      time.Time
 	refuteAt    time.Time
 	resyncAt    time.Time
+	volatileAt  time.Time
 	resyncs     uint64
 	want        SelfChanged
 	leaving     bool
@@ -120,7 +121,13 @@
 }
 
 // Counts returns a copy of the counters.
-func (o *Overlay) Counts() Counts { return maps.Clone(o.counts) }
+func (o *Overlay) Counts() Counts {
+	out := maps.Clone(o.counts)
+	out["Deaths"] = o.table.deaths
+	out["NameConflicts"] = o.table.conflicts
+	out["MembersRefused"] = o.table.refused
+	return out
+}
 
 // Step takes one input at the given time and returns the actions it leads to.
 func (o *Overlay) Step(in Input, now time.Time) []Action {
--- a/ferry/ferrypeer/spread.go
+++ b/ferry/ferrypeer/spread.go
@@ -14,6 +14,7 @@
 	maxPendingItems    = 4096
 	maxPushBytes       = 64 << 10
 	pullFor            = 2 * time.Second
+	volatileEvery      = 500 * time.Millisecond
 )
 
 // topicState is a topic with what the overlay keeps about it.
@@ -288,10 +289,18 @@
 	}
 }
 
+// flush sends what is queued; volatile topics wait longer, so that more items share a message.
 func (o *Overlay) flush() {
+	due := !o.now.Before(o.volatileAt) || o.leaving
+	if due {
+		o.volatileAt = o.now.Add(volatileEvery)
+	}
 	for _, id := range o.linkIDs() {
 		l := o.links[id]
 		for _, n := range l.topics {
+			if o.topics[n].Volatile && !due {
+				continue
+			}
 			if items := l.pending[n]; len(items) > 0 {
 				delete(l.pending, n)
 				o.send(l, n, items, false)
--- a/ferry/ferrypeer/table.go
+++ b/ferry/ferrypeer/table.go
@@ -15,6 +15,7 @@
 	tombstoneGrace = time.Minute
 	digestMaxAge   = 10 * time.Second
 	joinGrace      = 5 * time.Second
+	startGrace     = time.Minute
 
 	topicMembers TopicName = "members"
 	topicBeats   TopicName = "beats"
@@ -74,8 +75,10 @@
 type table struct {
 	self Record
 	now  time.Time
-	// joined is when the first link came up.
+	born time.Time
+	// joined is when the first link came up, and paused says that this process did not run for a while.
 	joined time.Time
+	paused bool
 	rows   map[ferryid.EntryName]*row
 	byTag  map[Tag]ferryid.EntryName
 
@@ -89,6 +92,7 @@
 	accusedBeat uint64
 	replaced    bool
 	conflicts   uint64
+	deaths      uint64
 	refused     uint64
 }
 
@@ -99,7 +103,7 @@
 }
 
 func newTable(self Member, now time.Time) *table {
-	t := &table{now: now, rows: map[ferryid.EntryName]*row{}, byTag: map[Tag]ferryid.EntryName{}}
+	t := &table{now: now, born: now, rows: map[ferryid.EntryName]*row{}, byTag: map[Tag]ferryid.EntryName{}}
 	t.self = Record{Tag: self.Tag(), Member: &self, Beat: 1, Status: Alive, State: Ready}
 	t.put(t.self)
 	t.freshMembers = append(t.freshMembers, encodeRecord(t.self))
@@ -141,6 +145,9 @@
 	if old != nil && old.Tag != r.Tag {
 		delete(t.byTag, old.Tag)
 	}
+	if r.Status == Dead && (old == nil || old.Status != Dead) {
+		t.deaths++
+	}
 	t.rows[r.Member.Name] = n
 	t.byTag[r.Tag] = r.Member.Name
 }
@@ -238,7 +245,7 @@
 	if !r.Member.newer(*t.self.Member) {
 		return
 	}
-	if !t.joined.IsZero() && t.now.Sub(t.joined) > joinGrace {
+	if !t.joining() {
 		t.replaced = true
 		return
 	}
@@ -250,6 +257,14 @@
 	t.announce(true)
 }
 
+// joining reports whether this process is so new that an incarnation with a later start must be an earlier one whose clock was ahead.
+func (t *table) joining() bool {
+	if t.paused || t.now.Sub(t.born) > startGrace {
+		return false
+	}
+	return t.joined.IsZero() || t.now.Sub(t.joined) <= joinGrace
+}
+
 // announce raises the own heartbeat count and queues the own record, whole if others may not know it.
 func (t *table) announce(whole bool) {
 	t.self.Beat++
@@ -297,6 +312,7 @@
 
 // shift moves what was last heard forward by the time in which this process did not run.
 func (t *table) shift(d time.Duration) {
+	t.paused = true
 	for _, r := range t.rows {
 		r.beatAt = r.beatAt.Add(d)
 		r.statusAt = r.statusAt.Add(d)
--- a/ferry/ferrypeer/tap_test.go
+++ b/ferry/ferrypeer/tap_test.go
@@ -19,6 +19,7 @@
 	address string
 	mu      sync.Mutex
 	frames  [][]byte
+	out     *websocket.Conn
 }
 
 func newTap(t *testing.T, target string) *tap {
@@ -40,6 +41,9 @@
 		_ = in.CloseNow()
 		return
 	}
+	p.mu.Lock()
+	p.out = out
+	p.mu.Unlock()
 	go p.copy(r.Context(), in, out, func([]byte) {})
 	p.copy(r.Context(), out, in, p.keep)
 }
@@ -73,3 +77,10 @@
 	assert.Assert(p.t, len(p.frames) >= n)
 	return p.frames[:n]
 }
+
+// inject sends a frame to the node as if the peer had.
+func (p *tap) inject(frame []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.NilError(p.t, p.out.Write(context.Background(), websocket.MessageBinary, frame))
+}
--- a/ferry/ferrypeertest/fault.go
+++ b/ferry/ferrypeertest/fault.go
@@ -53,9 +53,10 @@
 	}
 }
 
-// Thaw lets the core run on, also if another has taken its name meanwhile.
+// Thaw lets the core run on, also if another has taken its name meanwhile; its clock is noticed before what waits is read.
 func (c *Core) Thaw() {
 	c.frozen = false
+	c.step(ferrypeer.Tick{})
 	waiting := c.waiting
 	c.waiting = nil
 	for _, in := range waiting {
--- /dev/null
+++ b/ferrybench/ferrycapacity/capacity_test.go
@@ -0,0 +1,41 @@
+package ferrycapacity
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFit(t *testing.T) {
+	of := func(p Point) float64 { return p.RestBytes }
+	for _, tc := range []struct {
+		name        string
+		points      Points
+		base, slope float64
+	}{
+		{"none", nil, 0, 0},
+		{"one", Points{{Nodes: 50, RestBytes: 7}}, 7, 0},
+		{"line", Points{{Nodes: 50, RestBytes: 150}, {Nodes: 100, RestBytes: 250}, {Nodes: 200, RestBytes: 450}}, 50, 2},
+		{"fewer failure domains left out", Points{{Nodes: 9, RestBytes: 1e6}, {Nodes: 100, RestBytes: 250}, {Nodes: 200, RestBytes: 450}}, 50, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := tc.points.Fit(of)
+			assert.Assert(t, math.Abs(l.Base-tc.base) < 1e-6 && math.Abs(l.Slope-tc.slope) < 1e-6, "%+v", l)
+		})
+	}
+}
+
+func TestMeasureNine(t *testing.T) {
+	p := Measure(9, 41)
+	assert.Assert(t, p.MostLinks <= 8, "%d links", p.MostLinks)
+	assert.Assert(t, p.MostEverywhere < 2*time.Second, "%s", p.MostEverywhere)
+	assert.Assert(t, p.MostLoadBytes < targetBytes, "%.0f B/s", p.MostLoadBytes)
+	assert.Assert(t, p.DomainLost < 15*time.Second, "%s", p.DomainLost)
+	assert.Assert(t, p.Rejoined < 30*time.Second, "%s", p.Rejoined)
+	var out strings.Builder
+	Points{p}.Print(&out)
+	assert.Assert(t, strings.Contains(out.String(), "| 9 | 41 |"))
+}
