ferrylease: leases by conditional update with fencing numbers

Excluded: counting the lease from the answer (a slow answer would outlive the successor's wait); the platform's clock (it has none). Found by rapid: a refused first acquisition was "released" with fence 0, which nobody could decode any more.

--- /dev/null
+++ b/ferry/ferrylease/record.go
@@ -0,0 +1,64 @@
+package ferrylease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// ObjectKind is the kind under which leases are kept in the object API.
+const ObjectKind = "leases"
+
+const (
+	maxRecordBytes = 1 << 10
+	maxTTL         = time.Hour
+)
+
+// Record is the value of a lease's object.
+type Record struct {
+	// Holder is empty after the lease was released.
+	Holder ferryid.Incarnation `json:"Holder"`
+	Fence  ferryid.Fence       `json:"Fence"`
+	// Renewal counts the writes of one holder, so that each write differs.
+	Renewal uint64 `json:"Renewal"`
+	// TTLMS is how long the lease holds from the start of the write, in milliseconds.
+	TTLMS int64 `json:"TTLMS"`
+}
+
+func (r Record) ttl() time.Duration {
+	return time.Duration(r.TTLMS) * time.Millisecond
+}
+
+// Check returns an error unless the record is sound.
+func (r Record) Check() error {
+	if r.Fence == 0 {
+		return merry.New("lease has no fencing number")
+	}
+	if r.TTLMS <= 0 || r.ttl() > maxTTL {
+		return merry.Errorf("lease lasts %d ms, must be from 1 to %d", r.TTLMS, maxTTL.Milliseconds())
+	}
+	return nil
+}
+
+// DecodeRecord reads a lease's object and checks it.
+func DecodeRecord(b []byte) (Record, error) {
+	if len(b) > maxRecordBytes {
+		return Record{}, merry.Errorf("lease of %d bytes is too long", len(b))
+	}
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Record{}, merry.Prepend(err, "decode lease")
+	}
+	return r, r.Check()
+}
+
+func (r Record) encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
