Customers by index, engines by incarnation

Excluded: asking every engine at each plan. Change: handlers use the holder's index; load reports carry the incarnation to the planner.

--- a/ferryd/ferrycaller/request.go
+++ b/ferryd/ferrycaller/request.go
@@ -222,7 +222,7 @@
 	if key == "" {
 		return nil, unauthorized()
 	}
-	cu, ok := doc.Customer(key)
+	cu, ok := s.Documents.Customer(doc.Service, key)
 	if !ok {
 		return nil, unauthorized()
 	}
--- a/ferryd/ferrycaller/server.go
+++ b/ferryd/ferrycaller/server.go
@@ -27,6 +27,8 @@
 // Documents gives the documents in force.
 type Documents interface {
 	Document(name ferryid.ServiceName) (*ferryservice.Document, bool)
+	// Customer returns the customer of the service that a key belongs to.
+	Customer(name ferryid.ServiceName, key string) (ferryservice.Customer, bool)
 }
 
 // Upstreams chooses among the upstreams of plain services.
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -52,6 +52,10 @@
 	return d, ok
 }
 
+func (f *fakes) Customer(name ferryid.ServiceName, key string) (ferryservice.Customer, bool) {
+	return f.docs[name].Customer(key)
+}
+
 func (f *fakes) Choose(_ *ferryservice.Document, exclude []ferryid.UpstreamName) (ferryservice.Upstream, *ferryroute.Dispatch, bool) {
 	return ferryservice.Upstream{Name: "robots-1", Address: f.upstream}, nil, len(exclude) == 0
 }
--- a/ferryd/ferrynode/document.go
+++ b/ferryd/ferrynode/document.go
@@ -1,6 +1,27 @@
 package ferrynode
 
-import "context"
+import (
+	"context"
+
+	"cactusferry.dev/ferry/ferrydocument"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+// callerDocuments gives callers' handlers the documents with their present upstreams, and finds customers by index.
+type callerDocuments struct {
+	*services
+	holder *ferrydocument.Holder
+}
+
+// Customer returns the customer of the service that a key belongs to.
+func (d callerDocuments) Customer(name ferryid.ServiceName, key string) (ferryservice.Customer, bool) {
+	f, ok := d.holder.Get(name)
+	if !ok {
+		return ferryservice.Customer{}, false
+	}
+	return f.Customer(key)
+}
 
 // follow puts each document that comes into force to use.
 func (n *Node) follow(ctx context.Context) {
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -34,6 +34,7 @@
 	Outstanding ferryid.Tokens       `cbor:"4,keyasint"`
 	Rate        float64              `cbor:"5,keyasint"`
 	At          time.Time            `cbor:"6,keyasint"`
+	Incarnation ferryid.Incarnation  `cbor:"7,keyasint,omitempty"`
 }
 
 // Check returns an error for names that no engine can have; numbers are checked by the table that takes them.
@@ -82,7 +83,7 @@
 	n.mark(leaveMark{Service: sv.name, Upstream: c.Name, Leaving: l.State == ferryengine.StateLeaving, Source: leaveUpstream})
 	report := engineLoad{
 		Service: sv.name, Upstream: c.Name, Running: l.RunningStreams, Outstanding: l.OutstandingTokens,
-		Rate: float64(l.TokensPerSecond), At: l.At,
+		Rate: float64(l.TokensPerSecond), At: l.At, Incarnation: l.Incarnation,
 	}
 	n.loads.Set(report.key(), report, loadTTL)
 }
@@ -90,8 +91,10 @@
 // takeLoads gives every known report to the tables, which refuse the bad ones and count them.
 func (n *Node) takeLoads() {
 	now := n.clock.Now()
+	incarnations := map[string]ferryid.Incarnation{}
 	for _, e := range n.loads.All() {
 		l := e.Value
+		incarnations[l.key()] = l.Incarnation
 		sv, ok := n.services.get(l.Service)
 		if !ok {
 			continue
@@ -104,6 +107,7 @@
 			n.log.Debug().Err(err).Msg("load report")
 		}
 	}
+	n.services.setIncarnations(incarnations)
 }
 
 // tellLoad tells the other entries how busy this one is.
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -24,7 +24,7 @@
 }
 
 func (s *services) newModel(d *ferryservice.Document, table *ferryroute.Table) (*model, error) {
-	cfg, loads := planner(d, table)
+	cfg, loads := s.planner(d, table)
 	pool, err := ferrypipeline.NewPool(cfg, loads, s.clock)
 	if err != nil {
 		return nil, err
@@ -40,8 +40,7 @@
 }
 
 // set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
-func (m *model) set(d *ferryservice.Document, table *ferryroute.Table) error {
-	cfg, loads := planner(d, table)
+func (m *model) set(cfg ferrypipeline.PlannerConfig, loads []ferrypipeline.Load) error {
 	if reflect.DeepEqual(cfg, m.cfg) {
 		for i, c := range cfg.Candidates {
 			m.pool.Avoid(c.Name, loads[i].Avoid)
@@ -64,12 +63,15 @@
 	return nil
 }
 
-// planner describes the engines to the pool; an engine the table would not choose gets no new work.
-func planner(d *ferryservice.Document, table *ferryroute.Table) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
+// planner describes the engines to the pool; an engine the table would not choose gets no new work. The caller holds the lock.
+func (s *services) planner(d *ferryservice.Document, table *ferryroute.Table) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
 	cfg := ferrypipeline.PlannerConfig{Layers: d.Model.Layers, Fixed: d.Pipelines}
 	var loads []ferrypipeline.Load
 	for _, c := range table.Snapshot().All() {
-		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers})
+		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{
+			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
+			Incarnation: s.incarnations[leaveKey(d.Service, c.Name)],
+		})
 		loads = append(loads, ferrypipeline.Load{Rate: max(c.Rate, unknownRate), Avoid: c.State != ferryroute.StateLive && c.State != ferryroute.StateProbing})
 	}
 	return cfg, loads
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -133,7 +133,7 @@
 		Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock, Asker: claimPeers{n}, Forwarder: claimPeers{n}, Live: n.liveIncarnations,
 	})
 	n.callers = &ferrycaller.Server{
-		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.scope), Documents: n.services, Plain: n.plain, Claims: n.claims, Sealer: sealer,
+		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.scope), Documents: callerDocuments{n.services, n.holder}, Plain: n.plain, Claims: n.claims, Sealer: sealer,
 		Upstreams: plainUpstreams{services: n.services, clock: n.clock, leaving: n.markLeaving},
 		Models:    &models{node: n},
 		Limits: ferrycaller.Limits{
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -47,14 +47,15 @@
 	clock   clockwork.Clock
 	engines *ferryengine.Client
 	// leaving is told of engines that say themselves that they leave.
-	leaving func(ferryid.ServiceName, ferryid.UpstreamName)
-	events  *ferryevent.Log
-	mu      sync.Mutex
-	named   map[ferryid.ServiceName]*service
-	snap    atomic.Pointer[map[ferryid.ServiceName]*service]
-	list    ferryplatform.Instances
-	marks   map[string]bool
-	live    int
+	leaving      func(ferryid.ServiceName, ferryid.UpstreamName)
+	events       *ferryevent.Log
+	mu           sync.Mutex
+	named        map[ferryid.ServiceName]*service
+	snap         atomic.Pointer[map[ferryid.ServiceName]*service]
+	list         ferryplatform.Instances
+	marks        map[string]bool
+	incarnations map[string]ferryid.Incarnation
+	live         int
 }
 
 func newServices(clock clockwork.Clock, engines *ferryengine.Client, events *ferryevent.Log) *services {
@@ -140,6 +141,13 @@
 	}
 }
 
+// setIncarnations takes the engines' incarnations, by service and upstream.
+func (s *services) setIncarnations(m map[string]ferryid.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnations = m
+}
+
 // setLive takes the number of entries that share the upstreams.
 func (s *services) setLive(n int) {
 	s.mu.Lock()
@@ -175,7 +183,7 @@
 // refreshModel gives the engines to the pool; a set that covers no whole model leaves the last one in use.
 func (s *services) refreshModel(sv *service, d *ferryservice.Document) {
 	if md := sv.model.Load(); md != nil {
-		if err := md.set(d, sv.table); err != nil {
+		if err := md.set(s.planner(d, sv.table)); err != nil {
 			s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		}
 		return
