--- a/ferry/ferryclaim/claims.go
+++ b/ferry/ferryclaim/claims.go
@@ -195,8 +195,12 @@
 }
 
 func (c *Claims) slot(k Digest) *slotRunner {
+	return c.slots[c.slotIndex(k)]
+}
+
+func (c *Claims) slotIndex(k Digest) int {
 	n := uint32(k[0])<<24 | uint32(k[1])<<16 | uint32(k[2])<<8 | uint32(k[3])
-	return c.slots[int(n%uint32(len(c.slots)))]
+	return int(n % uint32(len(c.slots)))
 }
 
 func (c *Claims) heirsOf(id ferryid.Incarnation) []ferryid.Incarnation {
--- a/ferry/ferryclaim/runner.go
+++ b/ferry/ferryclaim/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -37,7 +36,7 @@
 }
 
 func newSlotRunner(cfg Config, index int) *slotRunner {
-	name := fmt.Sprintf("%04d", index)
+	name := slotName(index)
 	owner := func() ferryid.Incarnation {
 		if cfg.Live == nil {
 			return cfg.Self
--- a/ferryd/ferrynode/status.go
+++ b/ferryd/ferrynode/status.go
@@ -31,6 +31,22 @@
 	return map[string]int64{"Get": c.Get, "Put": c.Put, "Delete": c.Delete, "List": c.List, "Watch": c.Watch, "Instances": c.Instances}
 }
 
-func (n *Node) claim(_ context.Context, _ ferryid.ServiceName, _ string) (any, error) {
-	return nil, ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "Claims can't be looked up yet.")
+// claim looks a key up for every customer of the service.
+func (n *Node) claim(ctx context.Context, service ferryid.ServiceName, key string) (any, error) {
+	f, ok := n.holder.Get(service)
+	if !ok {
+		return nil, ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "There is no service %.80q here.", service)
+	}
+	if key == "" {
+		return nil, ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "Name the key to look up.")
+	}
+	var customers []ferryid.CustomerName
+	for _, cu := range f.Document.Customers {
+		customers = append(customers, cu.Name)
+	}
+	found, err := n.claims.Lookup(ctx, service, key, customers)
+	if err != nil {
+		return nil, ferryoutcome.New(ferryoutcome.KindPlatformDown, ferryoutcome.NotRun, "The platform can't be read now.").Because(err)
+	}
+	return found, nil
 }
