ferrypeer: instance list reads bounded over the fleet; ferrysteer: cheaper shards

Cause: each entry read the instance list every 10 s, 35 reads a second at 350 entries; Shard cost 588 us at 350 entries. Excluded: reading only at watchers (an entry cut off from them would read nothing). Change: the interval grows with the live count beyond 20 entries, so all together read at most twice a second; shards are ranked by pointer and hash.

--- a/ferry/ferrypeer/choose.go
+++ b/ferry/ferrypeer/choose.go
@@ -174,3 +174,8 @@
 	x *= fibonacciMultiply
 	return x ^ x>>32
 }
+
+// fraction returns a number in [0, 1) that is the same each time for one hash.
+func fraction(h uint64) float64 {
+	return float64(mix(h)>>11) / (1 << 53)
+}
--- a/ferry/ferrypeer/envelope_test.go
+++ b/ferry/ferrypeer/envelope_test.go
@@ -203,3 +203,12 @@
 	assert.Equal(t, len(l.All()), 0)
 	assert.Equal(t, l.Refused(), uint64(2))
 }
+
+func TestListReadsGrowMoreSlowlyThanTheFleet(t *testing.T) {
+	for _, tc := range []struct {
+		live int
+		want time.Duration
+	}{{1, 10 * time.Second}, {9, 10 * time.Second}, {20, 10 * time.Second}, {350, 175 * time.Second}} {
+		assert.Equal(t, listInterval(tc.live), tc.want)
+	}
+}
--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -22,6 +22,7 @@
 	inboxSize      = 1024
 	maxPublishing  = maxTopics
 	listEvery      = 10 * time.Second
+	listsPerSecond = 2
 	listTimeout    = 5 * time.Second
 	detailEvery    = 500 * time.Millisecond
 	maxAnswering   = 64
@@ -235,21 +236,34 @@
 	return nil
 }
 
-// watchList brings the instance list every ten seconds; while the platform is away the last one stays.
+// watchList brings the instance list now and then; while the platform is away the last one stays.
 func (n *Node) watchList(ctx context.Context) {
 	defer n.wg.Done()
-	ticker := n.cfg.Clock.NewTicker(listEvery)
-	defer ticker.Stop()
-	for {
+	for reads := uint64(0); ; reads++ {
 		n.readList(ctx)
+		every := listInterval(n.liveCount())
+		wait := every/2 + time.Duration(float64(every)*fraction(uint64(n.cfg.Self.Tag())^reads))
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
+		case <-n.cfg.Clock.After(wait):
 		}
 	}
 }
 
+// liveCount is the number of live members, or one while there is no link and so no view of the others.
+func (n *Node) liveCount() int {
+	if len(n.Links()) == 0 {
+		return 1
+	}
+	return len(n.Members().Live())
+}
+
+// listInterval is the mean time between two reads of the instance list by one of the live members; all together read at most twice a second.
+func listInterval(live int) time.Duration {
+	return max(listEvery, time.Duration(live)*time.Second/listsPerSecond)
+}
+
 func (n *Node) readList(ctx context.Context) {
 	ctx, cancel := clockwork.WithTimeout(ctx, n.cfg.Clock, listTimeout)
 	defer cancel()
--- a/ferry/ferrypeer/overlay.go
+++ b/ferry/ferrypeer/overlay.go
@@ -167,8 +167,7 @@
 
 // jitter returns a duration below d that differs between processes and between the given numbers, and is the same each time.
 func (o *Overlay) jitter(d time.Duration, n uint64) time.Duration {
-	h := mix(xxhash.Sum64String(string(o.cfg.Self.Name)) ^ mix(n+1))
-	return time.Duration(float64(d) * (float64(h>>11) / (1 << 53)))
+	return time.Duration(float64(d) * fraction(xxhash.Sum64String(string(o.cfg.Self.Name))^mix(n+1)))
 }
 
 func (o *Overlay) tick() {
--- a/ferry/ferrysteer/steer.go
+++ b/ferry/ferrysteer/steer.go
@@ -56,7 +56,7 @@
 // Order returns the answer for one call from a shard, which may be kept for as long as the members and their states stay the same.
 func Order(shard []ferrypeer.MemberInfo, key string) Answer {
 	drawn := draw(shard, key)
-	spread := time.Duration(unit(key) * float64(longLifetime-shortLifetime))
+	spread := time.Duration(unit(xxhash.Sum64String(key)) * float64(longLifetime-shortLifetime))
 	a := Answer{Targets: make([]Target, 0, len(drawn)), Lifetime: shortLifetime + spread.Truncate(time.Millisecond)}
 	for _, m := range apart(drawn) {
 		a.Targets = append(a.Targets, Target{Name: m.Name, Address: m.CallerAddress, FailureDomain: m.FailureDomain})
@@ -66,26 +66,35 @@
 
 // Shard returns the ready entries that serve the customer: two thirds of them up to 16, spread over the failure domains, and more for a larger share.
 func Shard(ms ferrypeer.Members, c Customer) []ferrypeer.MemberInfo {
-	type weighed struct {
-		ferrypeer.MemberInfo
-		weight uint64
-	}
-	key := string(c.Service) + "\x00" + string(c.Name) + "\x00"
-	all := make([]weighed, 0, len(ms.List))
-	for _, m := range ms.List {
-		if m.Usable() {
-			all = append(all, weighed{MemberInfo: m, weight: xxhash.Sum64String(key + string(m.Name))})
+	key := xxhash.Sum64String(string(c.Service) + "\x00" + string(c.Name))
+	all := make([]scored, 0, len(ms.List))
+	for i := range ms.List {
+		if m := &ms.List[i]; m.Usable() {
+			all = append(all, scored{MemberInfo: m, score: float64(^mix(key ^ xxhash.Sum64String(string(m.Name))))})
 		}
 	}
-	slices.SortFunc(all, func(a, b weighed) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
+	sortScored(all)
+	return values(apart(all)[:shardSize(len(all), c)])
+}
+
+// scored is a member with its place in an order; the lowest score comes first.
+type scored struct {
+	*ferrypeer.MemberInfo
+	score float64
+}
+
+func sortScored(ms []scored) {
+	slices.SortFunc(ms, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
 	})
-	ranked := make([]ferrypeer.MemberInfo, len(all))
-	for i, w := range all {
-		ranked[i] = w.MemberInfo
+}
+
+func values(ms []scored) []ferrypeer.MemberInfo {
+	out := make([]ferrypeer.MemberInfo, len(ms))
+	for i, m := range ms {
+		out[i] = *m.MemberInfo
 	}
-	size := shardSize(len(ranked), c)
-	return apart(ranked)[:size]
+	return out
 }
 
 // shardSize is large enough to keep the entries' load even when some customers' load rises while callers hold old answers, and grows with the customer's share.
@@ -99,22 +108,30 @@
 }
 
 // draw orders members by a weighted draw without replacement; the weight falls with the load.
-func draw(ms []ferrypeer.MemberInfo, key string) []ferrypeer.MemberInfo {
-	score := make(map[ferryid.EntryName]float64, len(ms))
+func draw(ms []ferrypeer.MemberInfo, key string) []scored {
 	mean := meanLoad(ms)
-	for _, m := range ms {
-		score[m.Name] = -math.Log(unit(key+"\x00"+string(m.Name))) / room(m.Load, mean)
+	call := xxhash.Sum64String(key)
+	out := make([]scored, len(ms))
+	for i := range ms {
+		m := &ms[i]
+		u := unit(call ^ xxhash.Sum64String(string(m.Name)))
+		out[i] = scored{MemberInfo: m, score: -math.Log(u) / room(m.Load, mean)}
 	}
-	out := slices.Clone(ms)
-	slices.SortFunc(out, func(a, b ferrypeer.MemberInfo) int {
-		return cmp.Or(cmp.Compare(score[a.Name], score[b.Name]), cmp.Compare(a.Name, b.Name))
-	})
+	sortScored(out)
 	return out
 }
 
-// unit returns a number in (0, 1) that is the same each time for one key.
-func unit(key string) float64 {
-	return (float64(xxhash.Sum64String(key)>>11) + 0.5) / (1 << 53)
+// unit returns a number in (0, 1) that is the same each time for one hash.
+func unit(h uint64) float64 {
+	return (float64(mix(h)>>11) + 0.5) / (1 << 53)
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xBF58476D1CE4E5B9
+	x ^= x >> 27
+	x *= 0x94D049BB133111EB
+	return x ^ x>>31
 }
 
 // room is the weight of a member: the square of the mean load over its own, within bounds that keep late reports from swinging everybody to one entry.
@@ -132,21 +149,26 @@
 }
 
 // apart keeps the order but takes one member of each failure domain before a second of any.
-func apart(ms []ferrypeer.MemberInfo) []ferrypeer.MemberInfo {
-	type turn struct {
-		ferrypeer.MemberInfo
-		round int
-	}
+func apart(ms []scored) []scored {
 	seen := map[ferryid.DomainName]int{}
-	turns := make([]turn, 0, len(ms))
-	for _, m := range ms {
-		turns = append(turns, turn{MemberInfo: m, round: seen[m.FailureDomain]})
+	rounds := make([]int, len(ms))
+	last := 0
+	for i, m := range ms {
+		rounds[i] = seen[m.FailureDomain]
 		seen[m.FailureDomain]++
+		last = max(last, rounds[i])
+	}
+	starts := make([]int, last+2)
+	for _, r := range rounds {
+		starts[r+1]++
+	}
+	for r := range last {
+		starts[r+1] += starts[r]
 	}
-	slices.SortStableFunc(turns, func(a, b turn) int { return cmp.Compare(a.round, b.round) })
-	out := make([]ferrypeer.MemberInfo, len(turns))
-	for i, t := range turns {
-		out[i] = t.MemberInfo
+	out := make([]scored, len(ms))
+	for i, m := range ms {
+		out[starts[rounds[i]]] = m
+		starts[rounds[i]]++
 	}
 	return out
 }
