Work that other entries gave an engine counts in the choice of pipelines

Cause: an entry saw only its own work at an engine, so nine entries would choose alike. Excluded: asking engines before each choice. Change: Pool.Report takes the engines' lagging account, less what this entry gave; each report is taken once (repeats were counted as refused). Before: TestReportedWorkOfOthersCounts fails: b != a. After: it passes with -race; proof layers whole, demo exit 0. Conclusion: herding at nine live entries is not measured yet.

--- a/ferry/ferrypipeline/plan.go
+++ b/ferry/ferrypipeline/plan.go
@@ -26,6 +26,8 @@
 	Rate ferryid.TokensPerSecond
 	// Outstanding is the predicted work given to the candidate and not done.
 	Outstanding ferryid.Tokens
+	// Others is the work that other entries have given to the candidate, by its own lagging report.
+	Others ferryid.Tokens
 	// Avoid keeps new work away.
 	Avoid bool
 }
--- a/ferry/ferrypipeline/planner.go
+++ b/ferry/ferrypipeline/planner.go
@@ -194,7 +194,7 @@
 
 // seconds is how long the candidate takes until it has done its work and this job's share.
 func seconds(l *Load, share float64, tokens ferryid.Tokens) float64 {
-	return (float64(l.Outstanding) + float64(tokens)*share) / float64(l.Rate)
+	return (float64(l.Outstanding+l.Others) + float64(tokens)*share) / float64(l.Rate)
 }
 
 // chooseChain goes over the boundaries from layer 0 and keeps the best chain to each boundary and last failure domain.
--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -61,6 +61,7 @@
 		index[c.Name] = i
 		if old, ok := p.index[c.Name]; ok {
 			loads[i].Outstanding = p.loads[old].Outstanding
+			loads[i].Others = p.loads[old].Others
 		}
 	}
 	p.planner, p.index, p.loads = planner, index, loads
@@ -144,6 +145,15 @@
 	}
 }
 
+// Report takes an engine's own account of all work given to it; what is not from here counts as others'.
+func (p *Pool) Report(name ferryid.UpstreamName, outstanding ferryid.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i, ok := p.index[name]; ok {
+		p.loads[i].Others = max(0, outstanding-p.loads[i].Outstanding)
+	}
+}
+
 // Avoid keeps new work away from an engine, or lets it come again.
 func (p *Pool) Avoid(name ferryid.UpstreamName, avoid bool) {
 	p.mu.Lock()
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -96,15 +96,20 @@
 		l := e.Value
 		incarnations[l.key()] = l.Incarnation
 		sv, ok := n.services.get(l.Service)
-		if !ok {
+		if !ok || n.seenLoads[l.key()].Equal(l.At) {
 			continue
 		}
+		n.seenLoads[l.key()] = l.At
 		err := sv.table.Report(ferryroute.Report{
 			Upstream: l.Upstream, RunningStreams: float64(l.Running), OutstandingTokens: float64(l.Outstanding),
 			TokensPerSecond: l.Rate, At: l.At,
 		}, now)
 		if err != nil {
 			n.log.Debug().Err(err).Msg("load report")
+			continue
+		}
+		if md := sv.model.Load(); md != nil {
+			md.pool.Report(l.Upstream, l.Outstanding)
 		}
 	}
 	n.services.setIncarnations(incarnations)
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -61,26 +61,28 @@
 
 // Node is one entry instance.
 type Node struct {
-	cfg       ferrysettings.Settings
-	clock     clockwork.Clock
-	log       zerolog.Logger
-	self      ferryid.Incarnation
-	started   time.Time
-	current   atomic.Int32
-	stopping  atomic.Bool
-	events    *ferryevent.Log
-	list      atomic.Pointer[ferryplatform.Instances]
-	metrics   *metrics
-	platform  *ferryplatform.Client
-	holder    *ferrydocument.Holder
-	watcher   *ferrydocument.Watcher
-	services  *services
-	engines   *ferryengine.Client
-	plain     *ferryplain.Client
-	claims    *ferryclaim.Claims
-	peer      *ferrypeer.Node
-	loads     *ferrypeer.Latest[engineLoad]
-	marks     *ferrypeer.Latest[leaveMark]
+	cfg      ferrysettings.Settings
+	clock    clockwork.Clock
+	log      zerolog.Logger
+	self     ferryid.Incarnation
+	started  time.Time
+	current  atomic.Int32
+	stopping atomic.Bool
+	events   *ferryevent.Log
+	list     atomic.Pointer[ferryplatform.Instances]
+	metrics  *metrics
+	platform *ferryplatform.Client
+	holder   *ferrydocument.Holder
+	watcher  *ferrydocument.Watcher
+	services *services
+	engines  *ferryengine.Client
+	plain    *ferryplain.Client
+	claims   *ferryclaim.Claims
+	peer     *ferrypeer.Node
+	loads    *ferrypeer.Latest[engineLoad]
+	marks    *ferrypeer.Latest[leaveMark]
+	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
+	seenLoads map[string]time.Time
 	peerKeys  *ferrykeys.Pair
 	callers   *ferrycaller.Server
 	operators *ferryoperator.Server
@@ -110,6 +112,7 @@
 	n.loads = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
 		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
 	})
+	n.seenLoads = map[string]time.Time{}
 	n.marks = ferrypeer.NewLatest[leaveMark](ferrypeer.LatestConfig{
 		Name: topicLeaving, Self: cfg.Name, Size: maxLeaveMarks, Clock: clock, Events: n.events,
 	})
