Reports of engines that are gone are forgotten

Cause: the times of reports were kept for every engine ever seen. Before: it grows with each replaced engine. After: it holds the live ones. Conclusion: none.

--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -92,14 +92,15 @@
 func (n *Node) takeLoads() {
 	now := n.clock.Now()
 	incarnations := map[string]ferryid.Incarnation{}
+	seen := map[string]time.Time{}
 	for _, e := range n.loads.All() {
 		l := e.Value
 		incarnations[l.key()] = l.Incarnation
 		sv, ok := n.services.get(l.Service)
+		seen[l.key()] = l.At
 		if !ok || n.seenLoads[l.key()].Equal(l.At) {
 			continue
 		}
-		n.seenLoads[l.key()] = l.At
 		err := sv.table.Report(ferryroute.Report{
 			Upstream: l.Upstream, RunningStreams: float64(l.Running), OutstandingTokens: float64(l.Outstanding),
 			TokensPerSecond: l.Rate, At: l.At,
@@ -112,6 +113,7 @@
 			md.pool.Report(l.Upstream, l.Outstanding)
 		}
 	}
+	n.seenLoads = seen
 	n.services.setIncarnations(incarnations)
 }
 
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -112,7 +112,6 @@
 	n.loads = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
 		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
 	})
-	n.seenLoads = map[string]time.Time{}
 	n.marks = ferrypeer.NewLatest[leaveMark](ferrypeer.LatestConfig{
 		Name: topicLeaving, Self: cfg.Name, Size: maxLeaveMarks, Clock: clock, Events: n.events,
 	})
