Stand-in engine's refusals close their connection

Cause: 500 runs with random faults printed net/http's panic 'invalid concurrent Body.Read call' once: a refusal returned with a full-duplex request unread, and the server read it to its end while it waited for the next one. Seen with go test -v -run RandomFaults ./ferrystandengine -random-runs 500. Change: a refusal carries Connection: close; a request that breaks off aborts. Excluded: enabling full duplex after the check: the server then waits for the rest of a request that the stage before keeps open.

--- a/ferrystand/ferrystandengine/run.go
+++ b/ferrystand/ferrystandengine/run.go
@@ -34,6 +34,8 @@
 func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
 	_ = rc.EnableFullDuplex()
+	// A refusal leaves the request unread, so its connection can't be used again.
+	w.Header().Set("Connection", "close")
 	lines := ferryengine.NewRequestReader(r.Body)
 	line, err := lines.Next()
 	if err != nil {
@@ -55,6 +57,7 @@
 		return
 	}
 	defer ru.forget()
+	w.Header().Del("Connection")
 	ru.out = newItemWriter(e, w, rc)
 	defer ru.out.beat(ctx)()
 	// A cancelled run must not wait for the stage before it to send something.
@@ -71,7 +74,10 @@
 		return
 	}
 	// The server can't end a full-duplex exchange whose request it has not read to its end.
-	_, _ = io.Copy(io.Discard, r.Body)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		ru.out.hush()
+		abort(w)
+	}
 }
 
 func (e *Engine) lifetime() context.Context {
