Pool takes load reports; bad ones change nothing

Cause: an entry that knows only its own work sends to engines that others have filled. Change: Pool.Report: the work beyond this entry's own is that of others; unknown engines, reports from the future, older than the last, negative, huge or not a number are refused and counted. Seen failing first, by breaking the code on purpose (TestPoolTakesReports): own work counted twice; a report from the future and an older one taken: the assertions on each Excluded: taking own work off as its tokens come; Done gives it back at once.

--- a/ferry/ferrypipeline/planner_test.go
+++ b/ferry/ferrypipeline/planner_test.go
@@ -200,6 +200,50 @@
 	assert.Equal(t, pick().Stages[1].Name, ferryid.UpstreamName("c"), "a new list of engines forgot the links")
 }
 
+func TestPoolTakesReports(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	cfg := ferrypipeline.PlannerConfig{Layers: 4, Candidates: ferrypipeline.Candidates{
+		{Name: "quick", Layers: ferryid.LayerRange{To: 4}}, {Name: "slow", Layers: ferryid.LayerRange{To: 4}},
+	}}
+	pool, err := ferrypipeline.NewPool(cfg, []ferrypipeline.Load{{Rate: 1000}, {Rate: 500}}, clock)
+	assert.NilError(t, err)
+	pick := func() ferrypipeline.Plan {
+		plan, err := pool.Pick(&ferrypipeline.Job{MaxTokens: 100}, nil)
+		assert.NilError(t, err)
+		return plan
+	}
+	good := ferryengine.Load{Name: "quick", State: ferryengine.StateLive, TokensPerSecond: 1000, OutstandingTokens: 5000, At: clock.Now()}
+	for _, tt := range []struct {
+		name   string
+		change func(l *ferryengine.Load)
+	}{
+		{"unknown", func(l *ferryengine.Load) { l.Name = "another" }},
+		{"future", func(l *ferryengine.Load) { l.At = clock.Now().Add(time.Hour) }},
+		{"negative", func(l *ferryengine.Load) { l.OutstandingTokens = -1 }},
+		{"huge", func(l *ferryengine.Load) { l.OutstandingTokens = 1 << 60 }},
+		{"not a number", func(l *ferryengine.Load) { l.TokensPerSecond = ferryid.TokensPerSecond(math.NaN()) }},
+	} {
+		bad := good
+		tt.change(&bad)
+		assert.Assert(t, pool.Report(bad) != nil, tt.name)
+	}
+	assert.Equal(t, pool.Refused(), 5)
+	first := pick()
+	assert.Equal(t, first.Stages[0].Name, ferryid.UpstreamName("quick"), "a refused report changed the choice")
+	assert.NilError(t, pool.Report(good))
+	assert.Equal(t, pool.Loads()[0].Outstanding, ferryid.Tokens(5000), "own work counted twice")
+	assert.Equal(t, pick().Stages[0].Name, ferryid.UpstreamName("slow"))
+	pool.Done(first, 100)
+	assert.Equal(t, pool.Loads()[0].Outstanding, ferryid.Tokens(4900))
+	older := good
+	older.At = clock.Now().Add(-time.Second)
+	older.OutstandingTokens = 0
+	assert.Assert(t, pool.Report(older) != nil)
+	good.State = ferryengine.StateLeaving
+	assert.NilError(t, pool.Report(good))
+	assert.Assert(t, pool.Loads()[0].Avoid)
+}
+
 func TestPlace(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	for range 200 {
--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -1,6 +1,7 @@
 package ferrypipeline
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	// observeWeight is the weight of the newest measurement, and minObserveSteps the tokens it takes to count.
 	observeWeight   = 0.5
 	minObserveSteps = 4
+	maxReportSkew   = 5 * time.Second
 	firstSuspicion  = time.Second
 	maxSuspicion    = 10 * time.Second
 )
@@ -29,11 +31,15 @@
 type Pool struct {
 	clock clockwork.Clock
 
-	mu       sync.Mutex
-	planner  *Planner
-	index    map[ferryid.UpstreamName]int
-	loads    []Load
+	mu      sync.Mutex
+	planner *Planner
+	index   map[ferryid.UpstreamName]int
+	loads   []Load
+	// others is the work that other entries have given to each candidate, as far as its reports show.
+	others   []ferryid.Tokens
+	reported []time.Time
 	excluded []bool
+	refused  int
 	suspects map[ferryid.UpstreamName]suspicion
 	scratch  Plan
 }
@@ -60,11 +66,13 @@
 	for i, c := range cfg.Candidates {
 		index[c.Name] = i
 		if old, ok := p.index[c.Name]; ok {
-			loads[i].Outstanding = p.loads[old].Outstanding
+			loads[i].Outstanding = p.loads[old].Outstanding - p.others[old]
 		}
 	}
 	p.planner, p.index, p.loads = planner, index, loads
 	p.excluded = make([]bool, len(loads))
+	p.others = make([]ferryid.Tokens, len(loads))
+	p.reported = make([]time.Time, len(loads))
 	return nil
 }
 
@@ -139,7 +147,7 @@
 	for _, s := range plan.Stages {
 		if i, ok := p.index[s.Name]; ok {
 			work := ferryid.Tokens(sign * float64(plan.Tokens) * s.Share)
-			p.loads[i].Outstanding = max(0, p.loads[i].Outstanding+work)
+			p.loads[i].Outstanding = max(p.others[i], p.loads[i].Outstanding+work)
 		}
 	}
 }
@@ -187,3 +195,47 @@
 func smooth(old, measured float64) float64 {
 	return (1-observeWeight)*old + observeWeight*measured
 }
+
+// ReportError says why a load report was refused.
+type ReportError struct {
+	Name   ferryid.UpstreamName
+	Detail string
+}
+
+func (e *ReportError) Error() string {
+	return fmt.Sprintf("load report of %s refused: %s", e.Name, e.Detail)
+}
+
+// Report takes up an engine's lagging report: what it has to do beyond this entry's own work is that of others. A report that can't be right is refused, counted and changes nothing.
+func (p *Pool) Report(l ferryengine.Load) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, known := p.index[l.Name]
+	err := l.Check()
+	switch {
+	case err != nil:
+	case !known:
+		err = &ReportError{Name: l.Name, Detail: "there is no such engine"}
+	case l.At.After(p.clock.Now().Add(maxReportSkew)):
+		err = &ReportError{Name: l.Name, Detail: "it comes from the future"}
+	case l.At.Before(p.reported[i]):
+		err = &ReportError{Name: l.Name, Detail: "a newer one was here"}
+	}
+	if err != nil {
+		p.refused++
+		return err
+	}
+	p.reported[i] = l.At
+	own := p.loads[i].Outstanding - p.others[i]
+	p.others[i] = max(0, l.OutstandingTokens-own)
+	p.loads[i].Outstanding = own + p.others[i]
+	p.loads[i].Avoid = l.State == ferryengine.StateLeaving
+	return nil
+}
+
+// Refused counts the reports that were refused.
+func (p *Pool) Refused() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused
+}
