--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -51,6 +51,14 @@
 	return nil
 }
 
+// engine is the report as the engine gave it.
+func (l engineLoad) engine() ferryengine.Load {
+	return ferryengine.Load{
+		Name: l.Upstream, Incarnation: l.Incarnation, State: ferryengine.StateLive, RunningStreams: l.Running,
+		OutstandingTokens: l.Outstanding, TokensPerSecond: ferryid.TokensPerSecond(l.Rate), At: l.At,
+	}
+}
+
 func (l engineLoad) key() string {
 	return string(l.Service) + "/" + string(l.Upstream)
 }
@@ -110,7 +118,7 @@
 			continue
 		}
 		if md := sv.model.Load(); md != nil {
-			md.pool.Report(l.Upstream, l.Outstanding)
+			_ = md.pool.Report(l.engine())
 		}
 	}
 	n.seenLoads = seen
