--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES  := $(foreach m,$(MODULES),./$(m)/...)
 BIN       := bin
 
-.PHONY: build tools fmt lint vet test race demo bench proof capacity fuzz clean
+.PHONY: build tools fmt lint vet test race targets demo bench proof capacity fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ $(foreach m,ferryd ferryctl ferrystand ferrybench,./$(m))
@@ -28,7 +28,11 @@
 race:
 	$(GO) test -race $(PACKAGES)
 
-test: lint vet build race
+# The stated targets of the policies, on a virtual clock.
+targets:
+	$(GO) test -run TestStatedTargets ./ferrybench
+
+test: lint vet build race targets
 
 bench: build
 	$(BIN)/ferrybench policy --out out
--- a/ferry/ferryqueue/admission_test.go
+++ b/ferry/ferryqueue/admission_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -110,13 +109,15 @@
 func TestTurnAwayByTheView(t *testing.T) {
 	q := New(Config{Classes: twoClasses(), Capacity: 1})
 	q.lanes[0].slotRate = 10
-	fill(t, q, "a", 1, 60)
+	fill(t, q, "a", 2, 30)
 	a := NewAdmission(clockwork.NewFakeClockAt(start))
-	q.cfg.MaxWait = time.Second
 	a.view.Store(q.view(start, 0))
-	_, err := a.Acquire(context.Background(), Item{ID: "x", Customer: "a", Class: "short", Predicted: 5})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := a.Acquire(ctx, Item{ID: "x", Customer: "a", Class: "short", Predicted: 5})
 	var p *ferryoutcome.Problem
 	assert.Assert(t, errors.As(err, &p))
+	assert.Equal(t, p.Kind, ferryoutcome.KindOverloaded)
 	assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
 	assert.Assert(t, p.RetryAfter > 0)
 	assert.Equal(t, a.Snapshot().TurnedAway, uint64(1))
--- a/ferry/ferryqueue/queue.go
+++ b/ferry/ferryqueue/queue.go
@@ -11,9 +11,11 @@
 
 const (
 	// DefaultMaxWait is how long work of the first class may be expected to wait before it is refused.
-	DefaultMaxWait = time.Second
+	DefaultMaxWait = 500 * time.Millisecond
 	// maxWaitShare is the part of its deadline that work of the other classes may be expected to wait.
 	maxWaitShare = 0.25
+	// minBacklog is how many items of a class may wait however long that is, so that few slots don't run empty.
+	minBacklog = 2
 	// agingAfter is how long an item of a lower class waits before it goes before the higher ones.
 	agingAfter = 2 * time.Second
 	// lateServiceShare is the part of the predicted service that must still fit before the deadline at the start.
--- a/ferry/ferryqueue/queue_test.go
+++ b/ferry/ferryqueue/queue_test.go
@@ -127,6 +127,7 @@
 
 func TestRefusals(t *testing.T) {
 	learned := func(cfg Config) *Queue {
+		cfg.MaxWait = time.Second
 		q := New(cfg)
 		fill(t, q, "warm", 1, 100)
 		it, _ := q.Next(start, 1)
@@ -157,6 +158,11 @@
 			fill(t, q, "a", 2, 60)
 			return q
 		}, item("x", "a", 10), ferryoutcome.KindOverloaded, true},
+		{"one ahead on a single slot", func() *Queue {
+			q := learned(Config{Classes: twoClasses(), Capacity: 1})
+			fill(t, q, "a", 1, 60)
+			return q
+		}, item("x", "a", 10), "", false},
 		{"over its share", func() *Queue {
 			q := learned(Config{Classes: twoClasses(), Capacity: 1})
 			fill(t, q, "b", 1, 30)
--- a/ferry/ferryqueue/refuse.go
+++ b/ferry/ferryqueue/refuse.go
@@ -27,8 +27,7 @@
 		return nil
 	}
 	wait, own := q.predictWait(it.Customer, l)
-	limit := q.waitLimit(l)
-	if wait <= limit && (it.Deadline.IsZero() || !now.Add(wait+l.service(it.Predicted)).After(it.Deadline)) {
+	if !q.tooLong(l, wait) && (it.Deadline.IsZero() || !now.Add(wait+l.service(it.Predicted)).After(it.Deadline)) {
 		return nil
 	}
 	if own {
@@ -37,6 +36,11 @@
 	return q.refuse(it, l, now, ferryoutcome.KindOverloaded, "the service has more work than it can do in time")
 }
 
+// tooLong reports whether a predicted wait is more than the class admits.
+func (q *Queue) tooLong(l *lane, wait time.Duration) bool {
+	return l.waiting >= minBacklog && wait > q.waitLimit(l)
+}
+
 // waitLimit is the longest predicted wait with which work of the class is admitted.
 func (q *Queue) waitLimit(l *lane) time.Duration {
 	if l == q.lanes[0] {
--- a/ferry/ferryqueue/snapshot.go
+++ b/ferry/ferryqueue/snapshot.go
@@ -55,7 +55,7 @@
 		return lv
 	}
 	for _, f := range l.active {
-		if wait, _ := q.predictWait(f.customer, l); wait > q.waitLimit(l) {
+		if wait, _ := q.predictWait(f.customer, l); q.tooLong(l, wait) {
 			if lv.full == nil {
 				lv.full = map[ferryid.CustomerName]bool{}
 			}
--- a/ferrybench/point.go
+++ b/ferrybench/point.go
@@ -102,8 +102,8 @@
 	g := &r.All
 	return measures{
 		{"admitted work that meets its deadline", "of admitted", atLeast(0.95), share(g.InTime, g.Admitted)},
-		{"first token p95 of admitted work, from the try that was admitted", "s", atMost(1.6), g.FirstTry.P95.Seconds()},
-		{"first token p95 of admitted work, from the first try", "s", target{}, g.First.P95.Seconds()},
+		{"first token p95 of admitted work, from the try that was admitted", "s", target{}, g.FirstTry.P95.Seconds()},
+		{"first token p95 of admitted work, from the first try", "s", atMost(1.6), g.First.P95.Seconds()},
 		{"between tokens p95", "ms", atMost(46), g.Between.P95.Seconds() * 1000},
 		{"goodput from the end of the rise to the fall", "of capacity", atLeast(0.95), r.Mean(crestFrom, crestTo, inTime) / r.Bound},
 		{"refusals within 100 ms", "of refusals", atLeast(1), 1 - share(r.LateRefusals, r.Refusals)},
@@ -161,10 +161,15 @@
 		{"back above 90% of the new bound or of the load after 1 runner died", "s", atMost(recoverWithin), recovery(r, at(0))},
 		{"the same after a third of the runners died", "s", atMost(recoverWithin), recovery(r, at(1))},
 		{"the same after an entry died", "s", atMost(recoverWithin), recovery(r, at(last))},
-		{"streams lost", "calls", atMost(0), float64(r.All.Failed)},
+		{"calls lost: failed or never ended", "calls", atMost(0), float64(lost(&r.All))},
 	}, r
 }
 
+// lost is how many calls failed or never ended.
+func lost(g *ferryexperiment.Group) int {
+	return g.Offered - g.InTime - g.Late - g.Refused - g.Expired
+}
+
 // recovery is the time from a fault until throughput stays, in the mean of 5 s, above 90% of what can be had.
 func recovery(r *ferryexperiment.Result, fault time.Duration) float64 {
 	const window = 5 * time.Second
--- /dev/null
+++ b/ferrybench/target_test.go
@@ -0,0 +1,33 @@
+//go:build !race
+
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferrybench/ferryexperiment"
+)
+
+// missed are the stated targets that the policy does not meet; docs/MEASUREMENTS.md says why.
+var missed = map[string]bool{
+	"worst move of another's p99 answer time, all others at 80% of their shares": true,
+}
+
+// TestStatedTargets holds the present policy to the stated targets on the virtual clock; an experiment has one goroutine, so
+// make targets runs it without the race detector, under which it takes minutes.
+func TestStatedTargets(t *testing.T) {
+	for _, p := range points {
+		t.Run(fmt.Sprintf("%d-%s", p.number, p.workload), func(t *testing.T) {
+			w, err := readWorkload(p.workload)
+			assert.NilError(t, err)
+			ms, _ := p.measure(w, ferryexperiment.Now)
+			for _, m := range ms {
+				met := m.target.met(m.value)
+				assert.Equal(t, met, !missed[m.name], "%s: %s, target %s", m.name, amount(m.value, m.unit), m.target.text(m.unit))
+			}
+		})
+	}
+}
