ferryd gives engines orders under a lease, found by computation

Excluded: an election; the lease's conditional write decides and the duty only says who tries. Change: one entry a service wants the lease, reads its engines and orders what the document asks; engines report what they have loaded; a planned stop releases the leases. Before: no orders.

--- a/ferry/ferryengine/load.go
+++ b/ferry/ferryengine/load.go
@@ -40,6 +40,10 @@
 	OutstandingTokens ferryid.Tokens          `json:"OutstandingTokens"`
 	TokensPerSecond   ferryid.TokensPerSecond `json:"TokensPerSecond"`
 	At                time.Time               `json:"At"`
+	// Model, Version and Adapter are what the engine has loaded by order; empty before the first.
+	Model   string `json:"Model,omitempty"`
+	Version string `json:"Version,omitempty"`
+	Adapter string `json:"Adapter,omitempty"`
 }
 
 // Check returns a *FieldError for a value that no engine can have.
--- a/ferryd/ferrynode/document.go
+++ b/ferryd/ferrynode/document.go
@@ -5,6 +5,7 @@
 
 	"cactusferry.dev/ferry/ferrydocument"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryorder"
 	"cactusferry.dev/ferry/ferryservice"
 )
 
@@ -30,6 +31,7 @@
 	for {
 		for _, f := range sub.Take() {
 			n.services.setDocument(ctx, &f.Document)
+			n.orderDocument(ctx, f)
 			n.log.Info().Str("Service", string(f.Accepted.Service)).Uint64("Generation", uint64(f.Accepted.Generation)).
 				Str("From", f.From).Msg("document in force")
 		}
@@ -40,3 +42,15 @@
 		}
 	}
 }
+
+// orderDocument has the engines brought to what the document asks for.
+func (n *Node) orderDocument(ctx context.Context, f *ferrydocument.InForce) {
+	sv, ok := n.services.get(f.Document.Service)
+	if !ok || f.Document.Kind != ferryservice.KindModel {
+		return
+	}
+	if sv.orders.Load() == nil {
+		sv.orders.Store(n.startOrders(ctx, sv.name))
+	}
+	sv.orders.Load().orders.Want(ferryorder.WantedOf(f.Accepted.Generation, f.Document))
+}
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -57,6 +57,7 @@
 	go n.every(ctx, tellInterval, n.tellLoad)
 	go n.every(ctx, leaveInterval, n.takeMarks)
 	go n.every(ctx, metricsInterval, n.tellMetrics)
+	go n.every(ctx, wantInterval, n.wantOrders)
 	go n.every(ctx, loadInterval, n.readLoads)
 	go n.every(ctx, tickInterval, func(context.Context) { n.services.tick(n.clock.Now()) })
 	go n.becomeReady(ctx)
--- a/ferryd/ferrynode/leave.go
+++ b/ferryd/ferrynode/leave.go
@@ -131,6 +131,9 @@
 
 // finish hands over and says goodbye to the peers once nothing is open.
 func (n *Node) finish(ctx context.Context) error {
+	if !n.releaseLeases(ctx) {
+		n.log.Warn().Msg("leases were not released; their next holders wait them out")
+	}
 	if err := n.handOver(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("claims and tickets were not handed over; retries of them will be answered Unknown")
 	}
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -38,6 +38,7 @@
 	admission *ferryqueue.Admission
 	budget    atomic.Pointer[ferryroute.Budget]
 	model     atomic.Pointer[model]
+	orders    atomic.Pointer[orders]
 	mu        sync.Mutex
 	rand      ferryroute.Rand
 }
--- a/ferrystand/ferrystandengine/load.go
+++ b/ferrystand/ferrystandengine/load.go
@@ -36,6 +36,7 @@
 	l := ferryengine.Load{
 		Name: e.cfg.Name, Incarnation: e.incarnation, Layers: e.layers, State: ferryengine.StateLive,
 		TokensPerSecond: e.cfg.TokensPerSecond, At: e.clock.Now(),
+		Model: e.order.Model, Version: e.order.Version, Adapter: e.order.Adapter,
 	}
 	if e.leaving || e.faults.Leaving {
 		l.State = ferryengine.StateLeaving
