Proof of orders: the lease's holder frozen, its successor acts, the holder woken

Excluded: a check of the end state alone; the newer version must be there before and after the holder wakes. Change: the case orders.

--- a/ferrystand/ferrydemo/demo.go
+++ b/ferrystand/ferrydemo/demo.go
@@ -151,6 +151,7 @@
 // Status is the part of an entry's status that the demo and the proofs read.
 type Status struct {
 	Entry       string
+	Incarnation string
 	State       string
 	OpenStreams int
 	OpenCalls   int
--- /dev/null
+++ b/ferrystand/ferryproof/order.go
@@ -0,0 +1,112 @@
+package ferryproof
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+
+	"cactusferry.dev/ferrystand/ferrydemo"
+	"cactusferry.dev/ferrystand/ferryprocess"
+)
+
+const (
+	orderLimit  = 40 * time.Second
+	frozenFor   = 16 * time.Second
+	wokenFor    = 5 * time.Second
+	leaseObject = "/v1/objects/leases/orders-" + ferrydemo.ModelService
+)
+
+var orders = Case{
+	Name:    "orders",
+	Promise: "no engine ends in a state that the current document does not ask for",
+	Faults:  "the lease's holder frozen past its lease, its successor acts on a newer document, the old holder woken; one engine ignores fencing numbers",
+	size:    ferrydemo.Config{Engines: 4, Entries: 3},
+	run: func(ctx context.Context, w *world) error {
+		err := w.PutJSON(ctx, "http://"+w.Engines[0].Address+"/admin/faults", map[string]any{"IgnoreFencing": true})
+		if err != nil {
+			return err
+		}
+		if err := w.ordered(ctx, "1"); err != nil {
+			return err
+		}
+		holder, err := w.holder(ctx)
+		if err != nil {
+			return err
+		}
+		w.note("%s holds the lease; it is frozen", holder.Name)
+		if err := holder.Process.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		frozen := time.Now()
+		if err := w.applyVersion(ctx, holder, "2"); err != nil {
+			return err
+		}
+		if err := w.ordered(ctx, "2"); err != nil {
+			return err
+		}
+		if rest := frozenFor - time.Since(frozen); rest > 0 {
+			time.Sleep(rest)
+		}
+		if err := holder.Process.Signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		w.note("%s woken", holder.Name)
+		time.Sleep(wokenFor)
+		return w.ordered(ctx, "2")
+	},
+}
+
+// holder finds the entry whose incarnation the lease's object names.
+func (w *world) holder(ctx context.Context) (*ferrydemo.Entry, error) {
+	var record struct{ Holder string }
+	if err := w.GetJSON(ctx, "http://"+w.Platform+leaseObject, &record); err != nil {
+		return nil, err
+	}
+	for _, e := range w.Entries {
+		s, err := w.Status(ctx, e)
+		if err == nil && s.Incarnation == record.Holder {
+			return e, nil
+		}
+	}
+	return nil, fmt.Errorf("no entry holds the lease; its object names %q", record.Holder)
+}
+
+// applyVersion asks for another version of the model, through an entry that is not frozen.
+func (w *world) applyVersion(ctx context.Context, frozen *ferrydemo.Entry, version string) error {
+	text := strings.Replace(w.ModelDocument(128), `Version = "1"`, fmt.Sprintf("Version = %q", version), 1)
+	all := w.Entries
+	defer func() { w.Entries = all }()
+	w.Entries = nil
+	for _, e := range all {
+		if e != frozen {
+			w.Entries = append(w.Entries, e)
+		}
+	}
+	return w.apply(ctx, ferrydemo.ModelService, text, 1, "afternoon")
+}
+
+// ordered waits until every engine has the version loaded.
+func (w *world) ordered(ctx context.Context, version string) error {
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	began := time.Now()
+	for _, e := range w.Engines {
+		err := ferryprocess.Poll(ctx, func(ctx context.Context) error {
+			var load struct{ Version string }
+			if err := w.GetJSON(ctx, "http://"+e.Address+"/v1/load", &load); err != nil {
+				return err
+			}
+			if load.Version != version {
+				return fmt.Errorf("%s has version %q and not %q", e.Name, load.Version, version)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	w.note("all %d engines have version %s after %s", len(w.Engines), version, time.Since(began).Round(time.Millisecond))
+	return nil
+}
