--- a/ferry/ferrypeer/conn.go
+++ b/ferry/ferrypeer/conn.go
@@ -88,15 +88,23 @@
 		http.Error(w, "a client certificate is needed", http.StatusUnauthorized)
 		return
 	}
+	select {
+	case n.hellos <- struct{}{}:
+	default:
+		n.counters.add(string(CloseFull))
+		http.Error(w, "too many hellos at once", http.StatusServiceUnavailable)
+		return
+	}
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressFromBytes,
 	})
 	if err != nil {
+		<-n.hellos
 		n.counters.add(string(CloseMalformed))
 		return
 	}
-	ws.SetReadLimit(MaxFrameBytes)
 	s, err := n.acceptHello(ctx, ws)
+	<-n.hellos
 	if err != nil {
 		n.refused(ws, err)
 		return
@@ -191,7 +199,6 @@
 	if err != nil {
 		return nil, session{}, err
 	}
-	ws.SetReadLimit(MaxFrameBytes)
 	s, err := n.dialHello(ctx, ws, p, d.Expect)
 	if err != nil {
 		_ = ws.CloseNow()
@@ -202,6 +209,7 @@
 
 // serve runs a connection until it ends.
 func (n *Node) serve(c *conn, up LinkUp) {
+	c.ws.SetReadLimit(MaxFrameBytes)
 	n.register(c)
 	if c.purpose == PurposeLink {
 		up.Link = c.id
--- a/ferry/ferrypeer/hello.go
+++ b/ferry/ferrypeer/hello.go
@@ -14,7 +14,10 @@
 	"cactusferry.dev/ferry/ferryid"
 )
 
-const helloTimeout = 3 * time.Second
+const (
+	helloTimeout  = 3 * time.Second
+	maxHelloBytes = 16 << 10
+)
 
 // HelloError says why a connection was refused at its hello.
 type HelloError struct {
@@ -66,6 +69,7 @@
 func (n *Node) acceptHello(ctx context.Context, ws *websocket.Conn) (session, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, n.cfg.Clock, helloTimeout)
 	defer cancel()
+	ws.SetReadLimit(maxHelloBytes)
 	theirs, theirFrame, err := n.readHello(ctx, ws)
 	if err != nil {
 		return session{}, err
@@ -107,6 +111,7 @@
 
 // dialHello takes the dialling side.
 func (n *Node) dialHello(ctx context.Context, ws *websocket.Conn, p Purpose, expect ferryid.EntryName) (session, error) {
+	ws.SetReadLimit(maxHelloBytes)
 	own := n.hello(p, expect)
 	ownFrame, err := n.writeMessage(ctx, ws, own)
 	if err != nil {
--- a/ferry/ferrypeer/hello_test.go
+++ b/ferry/ferrypeer/hello_test.go
@@ -63,6 +63,7 @@
 	}{
 		{"no hello", ferrypeer.CloseMalformed, func(s *stranger) { s.write(s.encode(&ferrypeer.Heartbeat{})) }},
 		{"not CBOR", ferrypeer.CloseMalformed, func(s *stranger) { s.write([]byte("hello")) }},
+		{"a large hello", ferrypeer.CloseUnreachable, func(s *stranger) { s.write(make([]byte, 100<<10)) }},
 		{"another's tag", ferrypeer.CloseMalformed, func(s *stranger) {
 			hello := s.hello()
 			s.m.Incarnation = "run-2"
--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -28,6 +28,7 @@
 	maxAnswering   = 64
 	maxAskConns    = 16
 	maxAskers      = 128
+	maxHellos      = 256
 	leavePollEvery = 20 * time.Millisecond
 )
 
@@ -70,6 +71,7 @@
 	counters counters
 	answers  chan struct{}
 	askers   chan struct{}
+	hellos   chan struct{}
 	left     chan struct{}
 	done     chan struct{}
 
@@ -105,7 +107,7 @@
 		cfg: cfg, inbox: make(chan Input, inboxSize), volatile: map[TopicName]bool{},
 		publish:  ferryring.NewCoalesce[TopicName, TopicName](maxPublishing),
 		counters: counters{counts: Counts{}},
-		answers:  make(chan struct{}, maxAnswering), askers: make(chan struct{}, maxAskers), left: make(chan struct{}), done: make(chan struct{}),
+		answers:  make(chan struct{}, maxAnswering), askers: make(chan struct{}, maxAskers), hellos: make(chan struct{}, maxHellos), left: make(chan struct{}), done: make(chan struct{}),
 		conns: map[LinkID]*conn{}, byTag: map[Tag]*conn{}, asks: map[Tag]*conn{},
 	}
 	n.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.TLS}}
--- a/ferry/ferrypeer/node_test.go
+++ b/ferry/ferrypeer/node_test.go
@@ -57,8 +57,12 @@
 		change(&cfg)
 	}
 	r.Node = ferrypeer.New(cfg)
-	r.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: r.Handler()}}
-	r.server.Start()
+	r.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: r.Handler()}, TLS: cfg.TLS.Clone()}
+	if cfg.TLS != nil {
+		r.server.StartTLS()
+	} else {
+		r.server.Start()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
