A fault proxy, and fleets with one before each entry's peers' listener or engine

Cause: cut-off halves, silent links and degraded ones could not be brought about over real processes. Sources are told apart by the User-Agent that ferrypeer now sends when it dials, so that a link can be cut on one side only. Excluded: telling sources by port, which needs the process table, and by the hello's frame, which may be compressed.

--- a/ferry/ferrypeer/conn.go
+++ b/ferry/ferrypeer/conn.go
@@ -186,7 +186,7 @@
 		scheme = "wss"
 	}
 	ws, _, err := websocket.Dial(ctx, fmt.Sprintf("%s://%s/peer", scheme, address), &websocket.DialOptions{
-		HTTPClient: n.client, CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressFromBytes,
+		HTTPClient: n.client, HTTPHeader: http.Header{"User-Agent": {"ferryd/" + string(n.cfg.Self.Name)}}, CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressFromBytes,
 	})
 	if err != nil {
 		return nil, session{}, err
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -14,6 +14,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferrystand/ferryprocess"
+	"cactusferry.dev/ferrystand/ferryproxy"
 )
 
 // The names and sizes of the fleet that the demo and the proofs start.
@@ -40,6 +41,16 @@
 	Accelerator     string
 	TokensPerSecond int
 	Process         *ferryprocess.Process
+	// Proxy, if any, is what entries and other engines connect to.
+	Proxy *ferryproxy.Proxy
+}
+
+// Reached is the address that the service document names.
+func (e *Engine) Reached() string {
+	if e.Proxy != nil {
+		return e.Proxy.Address()
+	}
+	return e.Address
 }
 
 // Entry is one ferryd of the fleet.
@@ -49,6 +60,16 @@
 	Peers   string
 	Domain  string
 	Process *ferryprocess.Process
+	// Proxy, if any, is what the other entries connect to.
+	Proxy *ferryproxy.Proxy
+}
+
+// reached is the address that peers are told.
+func (e *Entry) reached() string {
+	if e.Proxy != nil {
+		return e.Proxy.Address()
+	}
+	return e.Peers
 }
 
 // Fleet is a platform, engines, one plain service and entries, each a process of its own.
@@ -72,6 +93,10 @@
 	Slots int
 	// TokensPerSecond is the rate of every engine; if 0 they differ.
 	TokensPerSecond int
+	// PeerProxies puts a fault proxy before each entry's peers' listener.
+	PeerProxies bool
+	// EngineProxies puts a fault proxy before each engine.
+	EngineProxies bool
 }
 
 const defaultSlots = 16
@@ -104,7 +129,43 @@
 			Domain:  domains[i%len(domains)],
 		})
 	}
-	return f, nil
+	return f, f.addProxies(cfg)
+}
+
+// addProxies starts the proxies that the configuration asks for.
+func (f *Fleet) addProxies(cfg Config) (err error) {
+	if cfg.PeerProxies {
+		for _, e := range f.Entries {
+			e.Proxy, err = ferryproxy.New(ferryproxy.Config{Target: e.Peers, Named: true})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	if cfg.EngineProxies {
+		for _, e := range f.Engines {
+			e.Proxy, err = ferryproxy.New(ferryproxy.Config{Target: e.Address})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// KillAll ends every process and proxy.
+func (f *Fleet) KillAll() {
+	f.Group.KillAll()
+	for _, e := range f.Entries {
+		if e.Proxy != nil {
+			e.Proxy.Close()
+		}
+	}
+	for _, e := range f.Engines {
+		if e.Proxy != nil {
+			e.Proxy.Close()
+		}
+	}
 }
 
 func newEngine(i int, address string) *Engine {
@@ -157,13 +218,13 @@
 // StartEntry starts one ferryd, enters it in the instance list and waits until it is ready.
 func (f *Fleet) StartEntry(ctx context.Context, e *Entry) error {
 	args := []string{
-		"--name", e.Name, "--failure-domain", e.Domain, "--callers.listen", e.Callers, "--peers.listen", e.Peers,
+		"--name", e.Name, "--failure-domain", e.Domain, "--callers.listen", e.Callers, "--peers.listen", e.Peers, "--peers.advertise", e.reached(),
 		"--platform.url", "http://" + f.Platform, "--keys.seal", sealKey, "--keys.operator-token", token,
 		"--stop.grace", "300ms", "--log.level", "info",
 	}
 	for _, other := range f.Entries {
 		if other != e {
-			args = append(args, "--peers.seed", other.Peers)
+			args = append(args, "--peers.seed", other.reached())
 		}
 	}
 	p, err := f.Start(e.Name, "ferryd", args...)
@@ -180,7 +241,7 @@
 // Register writes an entry's row of the instance list, as the users' platform would.
 func (f *Fleet) Register(ctx context.Context, e *Entry, state ferryplatform.InstanceState) error {
 	row := ferryplatform.Instance{
-		Name: e.Name, Role: ferryplatform.RoleEntry, Address: e.Callers, PeerAddress: e.Peers,
+		Name: e.Name, Role: ferryplatform.RoleEntry, Address: e.Callers, PeerAddress: e.reached(),
 		FailureDomain: ferryid.DomainName(e.Domain), State: state,
 	}
 	return f.PutJSON(ctx, "http://"+f.Platform+"/admin/instances/"+e.Name, row)
@@ -243,7 +304,7 @@
 	fmt.Fprintf(&b, "[[Classes]]\nName = \"short\"\nMaxTokens = %d\nDeadline = \"10s\"\nReservedShare = 0.5\n\n", shortTokens)
 	fmt.Fprintf(&b, "[[Classes]]\nName = \"long\"\nDeadline = \"5m\"\nPriority = 1\n\n")
 	for _, e := range f.Engines {
-		fmt.Fprintf(&b, "[[Upstreams]]\nName = %q\nAddress = %q\nFailureDomain = %q\nAccelerator = %q\n", e.Name, e.Address, e.Domain, e.Accelerator)
+		fmt.Fprintf(&b, "[[Upstreams]]\nName = %q\nAddress = %q\nFailureDomain = %q\nAccelerator = %q\n", e.Name, e.Reached(), e.Domain, e.Accelerator)
 		fmt.Fprintf(&b, "Layers = { From = %d, To = %d }\nTokensPerSecond = %d.0\nSlots = %d\n\n", e.Layers.From, e.Layers.To, e.TokensPerSecond, f.slots)
 	}
 	return b.String() + customers()
