--- /dev/null
+++ b/ferrystand/ferryproof/layers.go
@@ -0,0 +1,86 @@
+package ferryproof
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"cactusferry.dev/ferrystand/ferrydemo"
+)
+
+const (
+	loadTime    = 6 * time.Second
+	loadCallers = 8
+	loadTokens  = 120
+)
+
+var layers = Case{
+	Name:    "layers",
+	Promise: "every layer runs once for each token, in order",
+	Faults:  "an engine killed, one frozen and woken, one started again empty, under load",
+	size:    ferrydemo.Config{Engines: 8, Entries: 3},
+	run: func(ctx context.Context, w *world) error {
+		load, end := context.WithTimeout(ctx, loadTime)
+		defer end()
+		var t tally
+		wg := w.streams(load, ctx, loadCallers, loadTokens, &t)
+		w.Engines[0].Process.Kill()
+		time.Sleep(loadTime / 6)
+		if err := w.Engines[3].Process.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		time.Sleep(loadTime / 2)
+		if err := w.Engines[3].Process.Signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		if err := w.StartEngine(ctx, w.Engines[0]); err != nil {
+			return err
+		}
+		wg.Wait()
+		w.note("%s", &t)
+		if err := t.err(); err != nil {
+			return err
+		}
+		if t.whole == 0 {
+			return fmt.Errorf("no answer was whole")
+		}
+		return w.checkRecords(ctx)
+	},
+}
+
+// checkRecords reads what each engine applied: within one epoch of a stream no engine applies a layer twice at a position, and each goes up in order.
+func (w *world) checkRecords(ctx context.Context) error {
+	type record struct {
+		Stream   string
+		Epoch    int
+		Position int
+		Layer    int
+	}
+	type at struct {
+		stream string
+		epoch  int
+		layer  int
+	}
+	total := 0
+	seen := map[at]map[int]string{}
+	for _, e := range w.Engines {
+		var records []record
+		if err := w.GetJSON(ctx, "http://"+e.Address+"/admin/records", &records); err != nil {
+			return err
+		}
+		for _, r := range records {
+			k := at{r.Stream, r.Epoch, r.Layer}
+			if seen[k] == nil {
+				seen[k] = map[int]string{}
+			}
+			if other, ok := seen[k][r.Position]; ok {
+				return fmt.Errorf("layer %d of stream %s ran twice at position %d in epoch %d: at %s and %s", r.Layer, r.Stream, r.Position, r.Epoch, other, e.Name)
+			}
+			seen[k][r.Position] = e.Name
+			total++
+		}
+	}
+	w.note("%d applications of a layer recorded, none twice in an epoch", total)
+	return nil
+}
--- a/ferrystand/ferryproof/load.go
+++ b/ferrystand/ferryproof/load.go
@@ -15,7 +15,13 @@
 	"cactusferry.dev/ferrystand/ferrydemo"
 )
 
-const retryPause = 100 * time.Millisecond
+const (
+	retryPause = 100 * time.Millisecond
+	// silenceLimit is how long a caller waits for the next piece of a stream.
+	silenceLimit = 5 * time.Second
+	// postLimit is how long a caller waits for the answer to a change.
+	postLimit = 10 * time.Second
+)
 
 // tally counts how the calls of a load ended.
 type tally struct {
@@ -62,18 +68,46 @@
 	return &wg
 }
 
-// stream asks for one completion and resumes it at the next entry until it is whole, as a careful caller does.
+// stream asks for one completion as the first customer and resumes it at the next entry until it is whole.
 func (w *world) stream(ctx context.Context, at int, prompt string, tokens int, t *tally) {
-	seed := uint64(at)
-	body := ferrydemo.CompletionBody(prompt, tokens, seed)
-	want := strings.Join(ferryengine.Reference(seed, prompt, tokens, ferrydemo.Layers), "")
+	w.ask(ctx, question{key: ferrydemo.CustomerKey, at: at, prompt: prompt, tokens: tokens}, t)
+}
+
+// question is one completion that a customer asks for.
+type question struct {
+	key    string
+	at     int
+	prompt string
+	tokens int
+	// first, if set, is the address of the first try.
+	first string
+	// each, if set, is told of every piece.
+	each func(ferrydemo.Chunk)
+}
+
+func (q question) body() string {
+	return ferrydemo.CompletionBody(q.prompt, q.tokens, uint64(q.at))
+}
+
+func (q question) want() string {
+	return strings.Join(ferryengine.Reference(uint64(q.at), q.prompt, q.tokens, ferrydemo.Layers), "")
+}
+
+// ask sends a question, resumes it at the next entry whenever its stream breaks or goes silent, and compares the text, as a careful caller does.
+func (w *world) ask(ctx context.Context, q question, t *tally) {
 	var text strings.Builder
 	last := ""
 	for try := 0; ctx.Err() == nil; try++ {
-		c := ferrydemo.Caller{Entry: w.Entries[(at+try)%len(w.Entries)].Callers, Key: ferrydemo.CustomerKey}
-		err := c.Stream(ctx, body, last, func(p ferrydemo.Chunk) {
+		c := ferrydemo.Caller{Entry: w.Entries[(q.at+try)%len(w.Entries)].Callers, Key: q.key}
+		if try == 0 && q.first != "" {
+			c.Entry = q.first
+		}
+		err := streamUntilSilent(ctx, c, q.body(), last, func(p ferrydemo.Chunk) {
 			text.WriteString(p.Text)
 			last = p.ID
+			if q.each != nil {
+				q.each(p)
+			}
 		})
 		if err == nil {
 			break
@@ -82,14 +116,29 @@
 		time.Sleep(retryPause)
 	}
 	if ctx.Err() != nil {
+		t.add(func(t *tally) {
+			t.wrong = append(t.wrong, fmt.Sprintf("prompt %q: no whole answer before the end of the case", q.prompt))
+		})
 		return
 	}
 	t.add(func(t *tally) {
-		if text.String() == want {
+		if text.String() == q.want() {
 			t.whole++
 			return
 		}
-		t.wrong = append(t.wrong, fmt.Sprintf("prompt %q: the text must be %q, is %q", prompt, want, text.String()))
+		t.wrong = append(t.wrong, fmt.Sprintf("prompt %q: the text must be %q, is %q", q.prompt, q.want(), text.String()))
+	})
+}
+
+// streamUntilSilent gives a stream up that brings nothing for the silence limit.
+func streamUntilSilent(ctx context.Context, c ferrydemo.Caller, body, last string, each func(ferrydemo.Chunk)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(silenceLimit, cancel)
+	defer timer.Stop()
+	return c.Stream(ctx, body, last, func(p ferrydemo.Chunk) {
+		timer.Reset(silenceLimit)
+		each(p)
 	})
 }
 
@@ -123,15 +172,35 @@
 	status  int
 	outcome string
 	detail  string
+	body    string
 	err     error
 }
 
+// told is the outcome as the caller was told it.
+func (c plainCall) told() string {
+	switch {
+	case c.err != nil:
+		return "no answer"
+	case c.status < http.StatusMultipleChoices:
+		return "Ran"
+	}
+	return c.outcome
+}
+
+const ration = `{"Kilograms":2}`
+
 // post sends one change under a key to an entry.
 func (w *world) post(ctx context.Context, entry int, key string) plainCall {
+	return w.send(ctx, entry, key, ration, http.Header{"Idempotency-Key": {key}})
+}
+
+// send sends one change with the headers to an entry and gives it up after the limit.
+func (w *world) send(ctx context.Context, entry int, key, body string, header http.Header) plainCall {
+	ctx, cancel := context.WithTimeout(ctx, postLimit)
+	defer cancel()
 	c := ferrydemo.Caller{Entry: w.Entries[entry%len(w.Entries)].Callers, Key: ferrydemo.CustomerKey}
-	header := http.Header{"Idempotency-Key": {key}}
-	status, h, body, err := c.Do(ctx, http.MethodPost, "/v1/services/"+ferrydemo.PlainService+"/rations/417", `{"Kilograms":2}`, header)
-	out := plainCall{key: key, status: status, err: err}
+	status, h, body, err := c.Do(ctx, http.MethodPost, "/v1/services/"+ferrydemo.PlainService+"/rations/417", body, header)
+	out := plainCall{key: key, status: status, err: err, body: body}
 	if status >= http.StatusBadRequest {
 		out.detail = problemText(body)
 	}
