A planned stop waits until every answer has left

Cause: the open count falls when a handler returns, but net/http sends the end of an answer after that, and a call that came at the last moment was not counted yet; found by reading. Excluded: a pause. Change: after the count is 0 the callers' server is shut down in order, then leases and claims are handed over. Conclusion: the window is closed by net/http's own account of its connections.

--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -40,7 +40,8 @@
 		_ = callers.Close()
 		return err
 	}
-	go func() { fail(serveHTTP(ctx, n.callersServer(), callers)) }()
+	n.callersHTTP = n.callersServer()
+	go func() { fail(serveHTTP(ctx, n.callersHTTP, callers)) }()
 	go func() { fail(serveHTTP(ctx, n.peersServer(), peers)) }()
 	n.log.Info().Str("Callers", n.cfg.Callers.Listen).Str("Peers", n.cfg.Peers.Listen).Msg("listening")
 	return nil
--- a/ferryd/ferrynode/listen.go
+++ b/ferryd/ferrynode/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -87,6 +88,9 @@
 		close(stopped)
 	}()
 	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
+		return nil
+	}
 	if ctx.Err() != nil {
 		<-stopped
 		return nil
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	stdlog "log"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -82,10 +83,11 @@
 	loads    *ferrypeer.Latest[engineLoad]
 	marks    *ferrypeer.Latest[leaveMark]
 	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
-	seenLoads map[string]time.Time
-	peerKeys  *ferrykeys.Pair
-	callers   *ferrycaller.Server
-	operators *ferryoperator.Server
+	seenLoads   map[string]time.Time
+	peerKeys    *ferrykeys.Pair
+	callers     *ferrycaller.Server
+	callersHTTP *http.Server
+	operators   *ferryoperator.Server
 }
 
 // New puts a node together; nothing runs yet.
--- a/ferryd/ferrynode/stop.go
+++ b/ferryd/ferrynode/stop.go
@@ -33,6 +33,7 @@
 	if n.cfg.Stop.Limit > 0 {
 		limit = n.clock.After(time.Duration(n.cfg.Stop.Limit))
 	}
+	var closed <-chan struct{}
 	poll := n.clock.NewTicker(stopInterval)
 	defer poll.Stop()
 	for {
@@ -42,9 +43,11 @@
 			n.setState(StateDraining)
 		case <-poll.Chan():
 			streams, calls := n.callers.Open()
-			if grace == nil && streams+calls == 0 {
-				return n.finish(ctx)
+			if grace == nil && closed == nil && streams+calls == 0 {
+				closed = n.closeCallers(ctx)
 			}
+		case <-closed:
+			return n.finish(ctx)
 		case <-again:
 			streams, calls := n.callers.Open()
 			n.log.Warn().Int("OpenStreams", streams).Int("OpenCalls", calls).Msg("still open")
@@ -56,3 +59,15 @@
 		}
 	}
 }
+
+// closeCallers closes the callers' listener and receives once every answer has left, also of calls that came at the last moment.
+func (n *Node) closeCallers(ctx context.Context) <-chan struct{} {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		if err := n.callersHTTP.Shutdown(ctx); err != nil {
+			n.log.Warn().Err(err).Msg("callers' connections were not closed in order")
+		}
+	}()
+	return closed
+}
