The random baseline for pipelines in ferryd; fleets with a policy

Cause: Policy.Route = Random did nothing for models, so live comparisons had no baseline. Excluded: changing the picker under running streams: a plan's account would be left behind, so the model is made anew. Change: randomPicker.

--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -19,6 +19,7 @@
 type model struct {
 	// cfg is what the pool was last given; it belongs to the registry's lock.
 	cfg    ferrypipeline.PlannerConfig
+	policy ferryservice.RoutePolicy
 	pool   *ferrypipeline.Pool
 	runner *ferrypipeline.Runner
 }
@@ -29,16 +30,30 @@
 	if err != nil {
 		return nil, err
 	}
+	var picker ferrypipeline.Picker = pool
+	if d.Policy.Route == ferryservice.RouteRandom {
+		if picker, err = newRandomPicker(cfg, loads); err != nil {
+			return nil, err
+		}
+	}
 	engines := &observedEngines{
 		Client: s.engines, table: table,
 		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
 	}
-	return &model{cfg: cfg, pool: pool, runner: &ferrypipeline.Runner{
-		Engines: engines, Picker: pool, Clock: s.clock, Log: s.events,
+	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
+		Engines: engines, Picker: picker, Clock: s.clock, Log: s.events,
 		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, retryBurst),
 	}}, nil
 }
 
+// outdated reports whether the model has to be made anew: for another policy, or for other engines where the policy keeps no account.
+func (m *model) outdated(d *ferryservice.Document, cfg ferrypipeline.PlannerConfig) bool {
+	if m.policy != d.Policy.Route {
+		return true
+	}
+	return m.policy == ferryservice.RouteRandom && !reflect.DeepEqual(cfg, m.cfg)
+}
+
 // set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
 func (m *model) set(cfg ferrypipeline.PlannerConfig, loads []ferrypipeline.Load) error {
 	if reflect.DeepEqual(cfg, m.cfg) {
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -183,8 +183,9 @@
 
 // refreshModel gives the engines to the pool; a set that covers no whole model leaves the last one in use.
 func (s *services) refreshModel(sv *service, d *ferryservice.Document) {
-	if md := sv.model.Load(); md != nil {
-		if err := md.set(s.planner(d, sv.table)); err != nil {
+	cfg, loads := s.planner(d, sv.table)
+	if md := sv.model.Load(); md != nil && !md.outdated(d, cfg) {
+		if err := md.set(cfg, loads); err != nil {
 			s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		}
 		return
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -81,6 +81,7 @@
 	Engines  []*Engine
 	Entries  []*Entry
 	slots    int
+	policy   string
 }
 
 // Config says how large a fleet is.
@@ -91,6 +92,8 @@
 	Entries int
 	// Slots is how many streams each engine runs at once, 16 if 0.
 	Slots int
+	// Policy is the text of the section [Policy] of the model's document, if any.
+	Policy string
 	// TokensPerSecond is the rate of every engine; if 0 they differ.
 	TokensPerSecond int
 	// PeerProxies puts a fault proxy before each entry's peers' listener.
@@ -107,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots}
+	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots, policy: cfg.Policy}
 	if f.slots == 0 {
 		f.slots = defaultSlots
 	}
@@ -301,6 +304,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "Service = %q\nTeam = \"herd\"\nKind = \"Model\"\n\n", ModelService)
 	fmt.Fprintf(&b, "[Model]\nName = \"herd-7b\"\nVersion = \"1\"\nLayers = %d\nEnginesFencing = true\n\n", Layers)
+	b.WriteString(f.policy)
 	fmt.Fprintf(&b, "[[Classes]]\nName = \"short\"\nMaxTokens = %d\nDeadline = \"10s\"\nReservedShare = 0.5\n\n", shortTokens)
 	fmt.Fprintf(&b, "[[Classes]]\nName = \"long\"\nDeadline = \"5m\"\nPriority = 1\n\n")
 	for _, e := range f.Engines {
