--- a/ferry/ferryqueue/bench_test.go
+++ b/ferry/ferryqueue/bench_test.go
@@ -1,10 +1,13 @@
 package ferryqueue
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"cactusferry.dev/ferry/ferryid"
 )
 
@@ -82,3 +85,37 @@
 		}
 	}
 }
+
+// BenchmarkAcquire is one admission and its end through the owner's goroutine, from one caller.
+func BenchmarkAcquire(b *testing.B) {
+	a := NewAdmission(clockwork.NewRealClock())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go a.Run(ctx, Config{Classes: twoClasses(), Capacity: 8})
+	b.ReportAllocs()
+	for b.Loop() {
+		g, err := a.Acquire(ctx, Item{ID: "x", Customer: "a", Class: "short", Predicted: 10})
+		if err != nil {
+			b.Fatal(err)
+		}
+		g.Done(10)
+	}
+}
+
+// BenchmarkTurnAway is one refusal by the published view, without the owner.
+func BenchmarkTurnAway(b *testing.B) {
+	q := New(Config{Classes: twoClasses(), Capacity: 1})
+	q.lanes[0].slotRate = 10
+	for _, id := range []ferryid.RequestID{"1", "2", "3"} {
+		q.Enqueue(Item{ID: id, Customer: "a", Predicted: 50, Arrived: start}, start)
+	}
+	clock := clockwork.NewFakeClockAt(start)
+	a := NewAdmission(clock)
+	a.view.Store(q.view(start, 0))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := a.Acquire(context.Background(), Item{ID: "x", Customer: "a", Class: "short", Predicted: 5}); err == nil {
+			b.Fatal("admitted")
+		}
+	}
+}
--- a/ferry/ferryqueue/queue.go
+++ b/ferry/ferryqueue/queue.go
@@ -1,6 +1,7 @@
 package ferryqueue
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -23,6 +24,9 @@
 	defaultLength    = 1000
 )
 
+// defaultSlots is how many calls an upstream takes at once whose document states no slots, until SetCapacity says better.
+const defaultSlots = 64
+
 // Config is what a queue is told by the service document and its shell.
 type Config struct {
 	Policy   ferryservice.QueuePolicy
@@ -42,7 +46,7 @@
 		cfg.Shares[cu.Name] = cu.Share
 	}
 	for _, u := range d.Upstreams {
-		cfg.Capacity += u.Slots
+		cfg.Capacity += cmp.Or(u.Slots, defaultSlots)
 	}
 	return cfg
 }
--- a/ferry/ferryroute/snapshot.go
+++ b/ferry/ferryroute/snapshot.go
@@ -98,20 +98,6 @@
 	}
 }
 
-// Slots is how many calls this entry may run at once on the upstreams that take work.
-func (s *Snapshot) Slots() int {
-	n := 0
-	for i := range s.rows {
-		switch s.rows[i].state {
-		case StateLive:
-			n += s.rows[i].credit
-		case StateProbing:
-			n++
-		}
-	}
-	return n
-}
-
 // Candidates returns every upstream that may take work now; a probing one only while it is idle.
 func (s *Snapshot) Candidates() Candidates {
 	out := make(Candidates, 0, len(s.rows))
--- a/ferry/ferryroute/table.go
+++ b/ferry/ferryroute/table.go
@@ -90,24 +90,6 @@
 	u.row.load.rateBits.Store(math.Float64bits(r * float64(max(1, u.row.slots))))
 }
 
-// SetShare tells that this entry is the one of the given index, from 0, among so many that share the upstreams.
-func (t *Table) SetShare(index, entries int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.entry, t.entries = index, max(1, entries)
-	t.publish()
-}
-
-// credit is this entry's part of an upstream's slots; over all entries the parts add up to the slots.
-func (t *Table) credit(u *upstream) int {
-	n := u.row.slots / t.entries
-	place := (t.entry + int(u.row.seed%uint64(t.entries))) % t.entries
-	if place < u.row.slots%t.entries {
-		n++
-	}
-	return n
-}
-
 // SetLeaving marks an upstream as leaving or not, whoever said so.
 func (t *Table) SetLeaving(name ferryid.UpstreamName, leaving bool) {
 	t.mu.Lock()
--- a/ferry/ferryroute/table_test.go
+++ b/ferry/ferryroute/table_test.go
@@ -248,7 +248,9 @@
 		for i := range entries {
 			tb := table(6, Options{})
 			tb.SetShare(i, entries)
-			sum += tb.Snapshot().Slots()
+			for _, r := range tb.Snapshot().rows {
+				sum += r.credit
+			}
 		}
 		assert.Equal(t, sum, 6*8, "%d entries", entries)
 	}
