--- a/ferrybench/ferryload/entry.go
+++ b/ferrybench/ferryload/entry.go
@@ -20,8 +20,8 @@
 
 // Steering is the answer of GET /v1/entries: the addresses to use in this order, and for how long.
 type Steering struct {
-	Entries  []EntryAddress `json:"Entries"`
-	Lifetime string         `json:"Lifetime"`
+	Entries         []EntryAddress `json:"Entries"`
+	LifetimeSeconds int            `json:"LifetimeSeconds"`
 }
 
 // EntryAddress is one entry of a steering answer.
@@ -48,11 +48,10 @@
 }
 
 func (s Steering) lifetime() time.Duration {
-	d, err := time.ParseDuration(s.Lifetime)
-	if err != nil || d <= 0 {
+	if s.LifetimeSeconds <= 0 {
 		return defaultLifetime
 	}
-	return d
+	return time.Duration(s.LifetimeSeconds) * time.Second
 }
 
 // entries keeps each customer's steering answer for its lifetime, as callers do.
--- a/ferrybench/ferryload/load_test.go
+++ b/ferrybench/ferryload/load_test.go
@@ -38,7 +38,7 @@
 		f.mu.Lock()
 		f.asked++
 		f.mu.Unlock()
-		fmt.Fprintf(w, `{"Entries":[{"Name":"a","Address":%q}],"Lifetime":"1h"}`, f.address)
+		fmt.Fprintf(w, `{"Entries":[{"Name":"a","Address":%q}],"LifetimeSeconds":3600}`, f.address)
 	case strings.HasPrefix(r.URL.Path, "/v1/services/"):
 		f.mu.Lock()
 		f.idem[r.Header.Get("Idempotency-Key")]++
@@ -108,7 +108,7 @@
 
 // FuzzDecodeSteering checks that no answer makes the decoder panic or name an entry without address.
 func FuzzDecodeSteering(f *testing.F) {
-	f.Add([]byte(`{"Entries":[{"Address":"127.0.0.1:1"}],"Lifetime":"1m"}`))
+	f.Add([]byte(`{"Entries":[{"Address":"127.0.0.1:1"}],"LifetimeSeconds":60}`))
 	f.Add([]byte(`{"Entries":[{}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		s, err := DecodeSteering(b)
--- a/ferrybench/ferryrelay/relay.go
+++ b/ferrybench/ferryrelay/relay.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,19 +76,7 @@
 		return f, 0, err
 	}
 	ready := time.Since(began)
-	dir, err := os.MkdirTemp("", "cactusferry-relay")
-	if err != nil {
-		return f, 0, err
-	}
-	defer os.RemoveAll(dir)
-	file := filepath.Join(dir, "model.toml")
-	if err := os.WriteFile(file, []byte(f.ModelDocument(128)), 0o600); err != nil {
-		return f, 0, err
-	}
-	if out, err := f.Ctl(ctx, "apply", file, "--base", "0", "--operator", "bench"); err != nil {
-		return f, 0, fmt.Errorf("%w: %s", err, out)
-	}
-	return f, ready, f.WaitInForce(ctx, ferrydemo.ModelService, 1)
+	return f, ready, f.Accept(ctx, ferrydemo.ModelService, f.ModelDocument(128))
 }
 
 func measureRelay(ctx context.Context, cfg Config, res *Result) error {
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -9,8 +9,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
+
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferrystand/ferryprocess"
@@ -299,6 +303,23 @@
 	return f.Run(ctx, "ferryctl", args...)
 }
 
+// Accept applies the first version of a document and waits until it is in force everywhere.
+func (f *Fleet) Accept(ctx context.Context, service, text string) error {
+	dir, err := os.MkdirTemp("", "cactusferry-document")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	file := filepath.Join(dir, service+".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if out, err := f.Ctl(ctx, "apply", file, "--base", "0", "--operator", Operator); err != nil {
+		return merry.Prepend(err, out)
+	}
+	return f.WaitInForce(ctx, service, 1)
+}
+
 // ModelDocument is the document of the model service.
 func (f *Fleet) ModelDocument(shortTokens int) string {
 	var b strings.Builder
