ferrydrain: leaving marks and planned stops

Excluded: counting a mark's end by time (a leaving instance does not come back); exiting on the platform's word (it can be away). Change: marks as a merge of last-writer registers, an incarnation's mark is final; the stop as a pure core with bounded tries for what needs the platform; a shell with hooks.

--- /dev/null
+++ b/ferry/ferrydrain/stop_test.go
@@ -0,0 +1,161 @@
+package ferrydrain
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+)
+
+var errDown = errors.New("platform away")
+
+// play runs a stop second by second and writes down what it does.
+func play(cfg StopConfig, open func(second int) Open, fails func(Task) bool, signals ...int) string {
+	var out strings.Builder
+	now := time.Unix(1_800_000_000, 0)
+	s := NewStop(cfg)
+	for second := range 3600 {
+		var acts []StopAction
+		for _, at := range signals {
+			if at == second {
+				acts = append(acts, s.Signal(now, open(second))...)
+			}
+		}
+		acts = append(acts, s.Next(now, open(second))...)
+		for _, a := range acts {
+			fmt.Fprintf(&out, "%4d s %-8s %T %v\n", second, s.Stage(), a, a)
+			if t, ok := a.(RunTask); ok {
+				var err error
+				if fails(t.Task) {
+					err = errDown
+				}
+				s.Done(now, err)
+			}
+			if _, ok := a.(Exit); ok {
+				return out.String()
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	return out.String() + "still running\n"
+}
+
+func TestPlannedStops(t *testing.T) {
+	never := func(Task) bool { return false }
+	straggler := func(second int) Open {
+		if second < 900 {
+			return Open{Streams: 1}
+		}
+		return Open{}
+	}
+	var out strings.Builder
+	for _, tc := range []struct {
+		name    string
+		cfg     StopConfig
+		open    func(int) Open
+		fails   func(Task) bool
+		signals []int
+	}{
+		{"nothing open", StopConfig{Grace: 15 * time.Second}, func(int) Open { return Open{} }, never, []int{1}},
+		{"a straggler of 15 minutes, second signal", StopConfig{Grace: 15 * time.Second}, straggler, never, []int{1, 60}},
+		{"platform away", StopConfig{Grace: 15 * time.Second}, func(int) Open { return Open{} }, func(t Task) bool { return t != TaskHandOver }, []int{1}},
+		{"operator's limit", StopConfig{Grace: 15 * time.Second, Limit: time.Minute}, straggler, never, []int{1}},
+	} {
+		fmt.Fprintf(&out, "%s\n%s\n", tc.name, play(tc.cfg, tc.open, tc.fails, tc.signals...))
+	}
+	golden.Assert(t, out.String(), "stops.golden")
+}
+
+func TestStopNeverCutsAndAlwaysEnds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := NewStop(StopConfig{Grace: time.Duration(rapid.IntRange(0, 20).Draw(rt, "grace")) * time.Second})
+		now := time.Unix(1_800_000_000, 0)
+		open, refusing, exited := Open{}, false, false
+		carry := func(acts []StopAction) {
+			for _, a := range acts {
+				switch a.(type) {
+				case RefuseNew:
+					// A call may come in between the count and the refusal.
+					open.Streams += rapid.IntRange(0, 1).Draw(rt, "late arrival")
+					refusing = true
+				case RunTask:
+					if !refusing || open != (Open{}) {
+						rt.Fatalf("closing with %+v open", open)
+					}
+				case Exit:
+					exited = true
+				}
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"arrive": func(*rapid.T) {
+				if !refusing {
+					open.Streams++
+				}
+			},
+			"finish": func(*rapid.T) { open.Streams = max(0, open.Streams-1) },
+			"signal": func(*rapid.T) { carry(s.Signal(now, open)) },
+			"next":   func(*rapid.T) { carry(s.Next(now, open)) },
+			"fail": func(*rapid.T) {
+				if s.running {
+					s.Done(now, errDown)
+				}
+			},
+			"time": func(*rapid.T) { now = now.Add(time.Second) },
+		})
+		s.Signal(now, open)
+		for range 100 {
+			now = now.Add(time.Second)
+			open = Open{}
+			carry(s.Next(now, open))
+			if s.running {
+				s.Done(now, errDown)
+			}
+		}
+		assert.Assert(rt, exited)
+	})
+}
+
+func TestStopperWithPlatformThatHangs(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var steps atomic.Int32
+	hang := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	st := &Stopper{Clock: clock, Stop: NewStop(StopConfig{}), Hooks: Hooks{
+		Open: func() Open { return Open{} }, LeaveSteering: func() { steps.Add(1) }, RefuseNew: func() { steps.Add(1) },
+		ReportOpen: func(Open) {}, Tasks: map[Task]func(context.Context) error{TaskFlush: hang},
+	}}
+	signals := make(chan os.Signal, 1)
+	signals <- syscall.SIGTERM
+	done := make(chan Left, 1)
+	go func() {
+		left, _ := st.Run(t.Context(), signals)
+		done <- left
+	}()
+	for range 100_000 {
+		select {
+		case left := <-done:
+			assert.Equal(t, steps.Load(), int32(2))
+			assert.Equal(t, left.String(), "calls 0, streams 0, Flush: clockwork.FakeClock: context deadline exceeded")
+			return
+		default:
+			_ = clock.BlockUntilContext(t.Context(), 1)
+			clock.Advance(10 * time.Millisecond)
+			runtime.Gosched()
+		}
+	}
+	t.Fatal("the stop never ended")
+}
