--- a/ferry/ferrydocument/holder.go
+++ b/ferry/ferrydocument/holder.go
@@ -44,6 +44,13 @@
 	Since    time.Time
 	// From says where the document came from, such as "watch" or a peer's name.
 	From string
+
+	customers ferryservice.CustomerIndex
+}
+
+// Customer returns the customer of the service whose key has been given.
+func (f *InForce) Customer(key string) (ferryservice.Customer, bool) {
+	return f.customers.Customer(key)
 }
 
 type inForceMap map[ferryid.ServiceName]*InForce
@@ -105,12 +112,12 @@
 		h.report(v, a, hash, source)
 		return v
 	}
-	d, err := checked(a)
+	d, err := a.Checked()
 	if err != nil {
 		h.alarm(EventInvalid, a, hash, source, err.Error())
 		return Invalid
 	}
-	f := &InForce{Accepted: a, Document: d, Hash: hash, Since: h.clock.Now(), From: source}
+	f := &InForce{Accepted: a, Document: d, Hash: hash, Since: h.clock.Now(), From: source, customers: d.Customers.Index()}
 	return h.take(f)
 }
 
@@ -120,13 +127,6 @@
 		a.Source == held.Source && slices.Equal(a.Supersedes, held.Supersedes)
 }
 
-func checked(a ferryservice.Accepted) (ferryservice.Document, error) {
-	if err := a.Check(); err != nil {
-		return ferryservice.Document{}, err
-	}
-	return a.Document()
-}
-
 // take publishes a document unless another came first in the meantime.
 func (h *Holder) take(f *InForce) Verdict {
 	h.mu.Lock()
--- a/ferry/ferrydocument/request.go
+++ b/ferry/ferrydocument/request.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	maxSourceBytes   = 400 << 10
+	maxSourceBytes   = 768 << 10
 	maxApplyIDBytes  = 64
 	maxOperatorBytes = 128
 	maxSupersedes    = 8
@@ -22,7 +22,7 @@
 // ApplyRequest asks to make a text the next version of a service document.
 type ApplyRequest struct {
 	Service ferryid.ServiceName `json:"-"`
-	// Source is the text of the new version, at most 400 KiB.
+	// Source is the text of the new version, at most 768 KiB.
 	Source string `json:"Source"`
 	// BaseGeneration is the version that was edited, and 0 for a new service.
 	BaseGeneration ferryid.Generation `json:"BaseGeneration"`
@@ -82,9 +82,13 @@
 	return nil
 }
 
-// command is the command that settles an unresolved request.
-func (r ApplyRequest) command() string {
-	return fmt.Sprintf("ferryctl apply FILE --base %d --apply-id %s --operator %s", r.BaseGeneration, r.ApplyID, quote(r.Operator))
+// Command is the ferryctl command that settles the request if its outcome is not known, with the file that it came from.
+func (r ApplyRequest) Command(file string) string {
+	command := fmt.Sprintf("ferryctl apply %s --base %d --apply-id %s --operator %s", quote(file), r.BaseGeneration, quote(r.ApplyID), quote(r.Operator))
+	for _, s := range r.Supersedes {
+		command += " --supersedes " + quote(s)
+	}
+	return command
 }
 
 // quote quotes an argument for a POSIX shell.
--- a/ferry/ferrypeer/table.go
+++ b/ferry/ferrypeer/table.go
@@ -14,6 +14,7 @@
 	tombstoneFor   = 10 * time.Minute
 	tombstoneGrace = time.Minute
 	digestMaxAge   = 10 * time.Second
+	joinGrace      = 5 * time.Second
 	startGrace     = time.Minute
 
 	topicMembers TopicName = "members"
@@ -72,11 +73,14 @@
 
 // table is the membership as one process holds it; merging records in any order ends in the same table.
 type table struct {
-	self  Record
-	born  time.Time
-	now   time.Time
-	rows  map[ferryid.EntryName]*row
-	byTag map[Tag]ferryid.EntryName
+	self Record
+	now  time.Time
+	born time.Time
+	// joined is when the first link came up, and paused says that this process did not run for a while.
+	joined time.Time
+	paused bool
+	rows   map[ferryid.EntryName]*row
+	byTag  map[Tag]ferryid.EntryName
 
 	structure uint64
 	detail    uint64
@@ -88,6 +92,7 @@
 	accusedBeat uint64
 	replaced    bool
 	conflicts   uint64
+	deaths      uint64
 	refused     uint64
 }
 
@@ -98,7 +103,7 @@
 }
 
 func newTable(self Member, now time.Time) *table {
-	t := &table{born: now, now: now, rows: map[ferryid.EntryName]*row{}, byTag: map[Tag]ferryid.EntryName{}}
+	t := &table{now: now, born: now, rows: map[ferryid.EntryName]*row{}, byTag: map[Tag]ferryid.EntryName{}}
 	t.self = Record{Tag: self.Tag(), Member: &self, Beat: 1, Status: Alive, State: Ready}
 	t.put(t.self)
 	t.freshMembers = append(t.freshMembers, encodeRecord(t.self))
@@ -140,6 +145,9 @@
 	if old != nil && old.Tag != r.Tag {
 		delete(t.byTag, old.Tag)
 	}
+	if r.Status == Dead && (old == nil || old.Status != Dead) {
+		t.deaths++
+	}
 	t.rows[r.Member.Name] = n
 	t.byTag[r.Tag] = r.Member.Name
 }
@@ -226,7 +234,7 @@
 	t.detail++
 }
 
-// mergeSelf judges what others say of this process: an accusation is refuted, a later incarnation replaces it.
+// mergeSelf judges what others say of this process: an accusation is refuted, a later incarnation replaces it, and an earlier one whose clock was ahead is passed while joining.
 func (t *table) mergeSelf(r Record) {
 	if r.Tag == t.self.Tag {
 		if r.Status != Alive && t.self.Status != Left && r.Beat >= t.self.Beat {
@@ -237,7 +245,7 @@
 	if !r.Member.newer(*t.self.Member) {
 		return
 	}
-	if t.now.Sub(t.born) > startGrace {
+	if !t.joining() {
 		t.replaced = true
 		return
 	}
@@ -249,6 +257,14 @@
 	t.announce(true)
 }
 
+// joining reports whether this process is so new that an incarnation with a later start must be an earlier one whose clock was ahead.
+func (t *table) joining() bool {
+	if t.paused || t.now.Sub(t.born) > startGrace {
+		return false
+	}
+	return t.joined.IsZero() || t.now.Sub(t.joined) <= joinGrace
+}
+
 // announce raises the own heartbeat count and queues the own record, whole if others may not know it.
 func (t *table) announce(whole bool) {
 	t.self.Beat++
@@ -296,6 +312,7 @@
 
 // shift moves what was last heard forward by the time in which this process did not run.
 func (t *table) shift(d time.Duration) {
+	t.paused = true
 	for _, r := range t.rows {
 		r.beatAt = r.beatAt.Add(d)
 		r.statusAt = r.statusAt.Add(d)
--- a/ferry/ferrypipeline/core.go
+++ b/ferry/ferrypipeline/core.go
@@ -13,12 +13,14 @@
 
 const (
 	defaultMaxEpochs   = 32
-	defaultMaxFailures = 6
+	defaultMaxFailures = 16
 	defaultMaxWaits    = 40
 	defaultImportFrom  = 256
 	waitStep           = 50 * time.Millisecond
 	maxWait            = 500 * time.Millisecond
 	retryAfter         = time.Second
+	// firstTokens is the room for tokens that a job begins with.
+	firstTokens = 128
 )
 
 // CoreConfig bounds what a job may cost; zero values choose the defaults.
@@ -27,7 +29,7 @@
 	MaxEpochs int
 	// MaxFailures is the number of epochs without a token, one after another, that end the job.
 	MaxFailures int
-	// MaxWaits is the number of waits for engines to come back, once the caller has got a token.
+	// MaxWaits is the number of waits for engines to come back, once something of the job may have run.
 	MaxWaits int
 	// ImportFrom is the number of tokens from which a KV cache is moved and not rebuilt.
 	ImportFrom int
@@ -73,12 +75,14 @@
 	generated []string
 	ready     bool
 	accepted  int
-	failures  int
-	waits     int
-	exclude   []ferryid.UpstreamName
-	evidence  evidence
-	result    Result
-	err       *ferryoutcome.Problem
+	// drained says that the present epoch was refused by an engine that is leaving, which is no fault and not charged as a retry.
+	drained  bool
+	failures int
+	waits    int
+	exclude  []ferryid.UpstreamName
+	evidence evidence
+	result   Result
+	err      *ferryoutcome.Problem
 }
 
 // NewCore returns the core of one job.
@@ -86,7 +90,7 @@
 	cfg.setDefaults()
 	return &Core{
 		cfg: cfg, job: job, epoch: job.Epoch,
-		generated: append(make([]string, 0, max(job.MaxTokens, len(job.Resume))), job.Resume...),
+		generated: append(make([]string, 0, max(min(job.MaxTokens, firstTokens), len(job.Resume))), job.Resume...),
 		evidence:  evidence{maybe: map[ferryid.Epoch]bool{}, asked: map[ferryid.Epoch]bool{}},
 	}
 }
@@ -173,6 +177,7 @@
 	c.ready = false
 	c.withKV = withKV
 	c.accepted = 0
+	c.drained = false
 	c.result.Epochs++
 	if withKV {
 		c.result.Imported++
@@ -185,13 +190,15 @@
 	}})
 }
 
-// noPlan ends a job that nobody has run, and waits with one whose caller has a part of the answer.
+// noPlan ends a job of which certainly nothing ran, and waits with one that has begun.
 func (c *Core) noPlan(err error, out []Action) []Action {
 	if c.phase != phasePlanning {
 		return out
 	}
 	var spent *BudgetError
-	if len(c.generated) == 0 || c.waits >= c.cfg.MaxWaits || errors.As(err, &spent) {
+	known, _ := c.evidence.outcome()
+	unbegun := len(c.generated) == 0 && known == ferryoutcome.NotRun
+	if unbegun || c.waits >= c.cfg.MaxWaits || errors.As(err, &spent) {
 		p := ferryoutcome.New(ferryoutcome.KindUnavailable, "", "no engines are free to run this: %v", err)
 		return c.finish(p.After(retryAfter).Because(err), out)
 	}
@@ -256,7 +263,7 @@
 	}
 	c.result.Reason = it.Reason
 	c.phase = phaseFinished
-	out = append(out, Release{Plan: c.plan, Tokens: ferryid.Tokens(c.accepted)})
+	out = append(out, Release{Plan: c.plan, Tokens: ferryid.Tokens(c.accepted), Times: it.Times})
 	return append(out, Finish{Result: c.result})
 }
 
@@ -273,6 +280,7 @@
 	}
 	blame := f.Stage
 	emptied := f.Kind == ferryengine.FailureEmpty
+	c.drained = f.Kind == ferryengine.FailureDraining
 	if emptied && c.withKV && c.accepted == 0 {
 		blame = ""
 	}
@@ -290,6 +298,7 @@
 	}
 	var silent *ferryengine.SilentError
 	c.movable = !errors.As(m.Err, &silent)
+	c.drained = m.Refused == ferryoutcome.KindDraining
 	blame := c.plan.Stages[0].Address
 	if m.Refused == ferryoutcome.KindConflict {
 		// Another entry ran this stream at higher epochs: go above them.
@@ -313,7 +322,7 @@
 		p := ferryoutcome.New(ferryoutcome.KindUpstreamFailed, "", "the engines failed after %d tokens, on %d pipelines", c.result.Tokens, c.result.Epochs)
 		return c.finish(p.Because(err), out)
 	}
-	return c.ask(c.accepted == 0, out)
+	return c.ask(c.accepted == 0 && !c.drained, out)
 }
 
 // close gives the plan back and, unless nothing of the epoch ran, cancels it.
--- a/ferry/ferrypipeline/runner.go
+++ b/ferry/ferrypipeline/runner.go
@@ -52,6 +52,9 @@
 
 // Run runs a job to its end and calls emit with each token once and in order; an error is a *ferryoutcome.Problem whose outcome says whether anything ran.
 func (r *Runner) Run(ctx context.Context, job Job, emit func(Token) error) (Result, error) {
+	if err := job.Check(); err != nil {
+		return Result{}, ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%v", err)
+	}
 	s := &session{
 		r: r, ctx: ctx, job: &job, emit: emit,
 		core: NewCore(&job, r.Core), messages: make(chan Message, messageRing), done: make(chan struct{}),
@@ -139,6 +142,9 @@
 		s.cancel(a)
 	case Release:
 		s.r.Picker.Done(a.Plan, a.Tokens)
+		if o, ok := s.r.Picker.(Observer); ok && len(a.Times) > 0 {
+			o.Observe(a.Plan, a.Times)
+		}
 	case Wait:
 		s.r.Clock.AfterFunc(a.Delay, func() { s.post(Woke{}) })
 	case Finish:
@@ -255,7 +261,9 @@
 			defer stop()
 			answer, err := s.r.Engines.Cancel(ctx, st.Address, s.job.Stream, a.Epoch)
 			if i == 0 {
-				s.post(CancelAnswered{Epoch: a.Epoch, Known: err == nil, Ran: answer.Ran})
+				// Only the incarnation that was asked to run can say that nothing ran.
+				same := st.Incarnation != "" && st.Incarnation == answer.Incarnation
+				s.post(CancelAnswered{Epoch: a.Epoch, Known: err == nil && (answer.Ran || same), Ran: answer.Ran})
 			}
 		}()
 	}
--- a/ferry/ferryqueue/queue.go
+++ b/ferry/ferryqueue/queue.go
@@ -1,6 +1,7 @@
 package ferryqueue
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -11,9 +12,11 @@
 
 const (
 	// DefaultMaxWait is how long work of the first class may be expected to wait before it is refused.
-	DefaultMaxWait = time.Second
+	DefaultMaxWait = 500 * time.Millisecond
 	// maxWaitShare is the part of its deadline that work of the other classes may be expected to wait.
 	maxWaitShare = 0.25
+	// minBacklog is how many items of a class may wait however long that is, so that few slots don't run empty.
+	minBacklog = 2
 	// agingAfter is how long an item of a lower class waits before it goes before the higher ones.
 	agingAfter = 2 * time.Second
 	// lateServiceShare is the part of the predicted service that must still fit before the deadline at the start.
@@ -21,6 +24,9 @@
 	defaultLength    = 1000
 )
 
+// defaultSlots is how many calls an upstream takes at once whose document states no slots, until SetCapacity says better.
+const defaultSlots = 64
+
 // Config is what a queue is told by the service document and its shell.
 type Config struct {
 	Policy   ferryservice.QueuePolicy
@@ -40,7 +46,7 @@
 		cfg.Shares[cu.Name] = cu.Share
 	}
 	for _, u := range d.Upstreams {
-		cfg.Capacity += u.Slots
+		cfg.Capacity += cmp.Or(u.Slots, defaultSlots)
 	}
 	return cfg
 }
@@ -60,7 +66,7 @@
 	}
 }
 
-// Counts are the sums of a queue since its start; Thrown is work done twice because of preemption.
+// Counts are the sums of a queue since its start; Thrown is work done twice because a running item was cancelled and requeued.
 type Counts struct {
 	Enqueued     uint64         `json:"Enqueued"`
 	Started      uint64         `json:"Started"`
@@ -69,7 +75,7 @@
 	Evicted      uint64         `json:"Evicted"`
 	Expired      uint64         `json:"Expired"`
 	Reclassified uint64         `json:"Reclassified"`
-	Preempted    uint64         `json:"Preempted"`
+	Requeued     uint64         `json:"Requeued"`
 	Served       ferryid.Tokens `json:"Served"`
 	Thrown       ferryid.Tokens `json:"Thrown"`
 }
@@ -139,7 +145,7 @@
 		q.counts.Refused++
 		return r
 	}
-	if q.waiting >= q.cfg.Length {
+	if q.waiting >= q.cfg.Length && !it.Resumed {
 		if r := q.makeRoom(&it, l, now); r != nil {
 			q.counts.Refused++
 			return r
--- a/ferry/ferryroute/snapshot.go
+++ b/ferry/ferryroute/snapshot.go
@@ -69,6 +69,7 @@
 	domain  ferryid.DomainName
 	layers  ferryid.LayerRange
 	slots   int
+	credit  int
 	state   State
 	seed    uint64
 	load    *load
--- a/ferry/ferryroute/table.go
+++ b/ferry/ferryroute/table.go
@@ -18,6 +18,8 @@
 	policy    ferryservice.RoutePolicy
 	opts      Options
 	upstreams []*upstream
+	entry     int
+	entries   int
 	byName    map[ferryid.UpstreamName]*upstream
 	snap      atomic.Pointer[Snapshot]
 	refused   ReportCounts
@@ -25,18 +27,21 @@
 
 // upstream is the state of one upstream; row.load in it is shared with the snapshots.
 type upstream struct {
-	row      row
-	nominal  float64
-	speed    speed
-	health   health
-	leaving  bool
-	reported time.Time
-	history  history
+	row           row
+	nominal       float64
+	speed         speed
+	health        health
+	leaving       bool
+	reported      time.Time
+	others        float64
+	othersRunning float64
+	heard         bool
+	history       history
 }
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
-	t := &Table{opts: opts, policy: ferryservice.RouteLeast, byName: map[ferryid.UpstreamName]*upstream{}}
+	t := &Table{entries: 1, opts: opts, policy: ferryservice.RouteLeast, byName: map[ferryid.UpstreamName]*upstream{}}
 	t.publish()
 	return t
 }
@@ -123,6 +128,7 @@
 	for _, u := range t.upstreams {
 		r := u.row
 		r.state = u.state()
+		r.credit = t.credit(u)
 		s.rows = append(s.rows, r)
 	}
 	t.snap.Store(s)
--- /dev/null
+++ b/ferrybench/ferryexperiment/result.go
@@ -0,0 +1,242 @@
+package ferryexperiment
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryqueue"
+	"cactusferry.dev/ferrybench/ferryworkload"
+)
+
+const (
+	histMax    = int64(2 * time.Hour / time.Microsecond)
+	histDigits = 3
+	// earlyRefusal is the time within which a refusal counts as early.
+	earlyRefusal = 100 * time.Millisecond
+)
+
+// Group is what one kind or customer of calls met; times are from the intended arrival, but FirstTry is from the try that
+// was admitted, and Between is between two tokens.
+type Group struct {
+	Name     string  `json:"Name"`
+	Offered  int     `json:"Offered"`
+	Admitted int     `json:"Admitted"`
+	InTime   int     `json:"InTime"`
+	Late     int     `json:"Late"`
+	Refused  int     `json:"Refused"`
+	Expired  int     `json:"Expired"`
+	Failed   int     `json:"Failed"`
+	Work     float64 `json:"Work"`
+	Wait     Times   `json:"Wait"`
+	First    Times   `json:"First"`
+	FirstTry Times   `json:"FirstTry"`
+	Answer   Times   `json:"Answer"`
+	Between  Times   `json:"Between"`
+	Stretch  float64 `json:"Stretch"`
+}
+
+// Times is a distribution of times, recorded in microseconds by HdrHistogram.
+type Times struct {
+	hist *hdrhistogram.Histogram
+	P50  time.Duration `json:"P50"`
+	P95  time.Duration `json:"P95"`
+	P99  time.Duration `json:"P99"`
+	Max  time.Duration `json:"Max"`
+}
+
+func (t *Times) add(d time.Duration) {
+	if t.hist == nil {
+		t.hist = hdrhistogram.New(1, histMax, histDigits)
+	}
+	_ = t.hist.RecordValue(min(histMax, max(1, d.Microseconds())))
+}
+
+func (t *Times) close() {
+	if t.hist == nil {
+		return
+	}
+	at := func(q float64) time.Duration { return time.Duration(t.hist.ValueAtQuantile(q)) * time.Microsecond }
+	t.P50, t.P95, t.P99 = at(50), at(95), at(99)
+	t.Max = time.Duration(t.hist.Max()) * time.Microsecond
+}
+
+// Second is one second of a run; the work is in tokens.
+type Second struct {
+	Offered     float64       `json:"Offered"`
+	Bound       float64       `json:"Bound"`
+	Served      float64       `json:"Served"`
+	InTime      float64       `json:"InTime"`
+	FirstP99    time.Duration `json:"FirstP99"`
+	Waiting     int           `json:"Waiting"`
+	Outstanding []float64     `json:"Outstanding"`
+	firsts      Times
+}
+
+// Result is what one run gave.
+type Result struct {
+	Workload       string                   `json:"Workload"`
+	Policy         Policy                   `json:"Policy"`
+	Seed           uint64                   `json:"Seed"`
+	Bound          float64                  `json:"Bound"`
+	All            Group                    `json:"All"`
+	Kinds          []*Group                 `json:"Kinds"`
+	Customers      []*Group                 `json:"Customers"`
+	Seconds        []Second                 `json:"Seconds"`
+	Refusals       int                      `json:"Refusals"`
+	LateRefusals   int                      `json:"LateRefusals"`
+	RefusedReports int                      `json:"RefusedReports"`
+	Resumes        int                      `json:"Resumes"`
+	SlowFound      map[string]time.Duration `json:"SlowFound"`
+	Queue          ferryqueue.Counts        `json:"Queue"`
+	warmup         time.Duration
+	kinds          map[string]*Group
+	customers      map[ferryid.CustomerName]*Group
+}
+
+// NewResult returns an empty result for the workload.
+func NewResult(w *ferryworkload.Workload, p Policy) *Result {
+	r := &Result{Workload: w.Name, Policy: p, Seed: w.Seed, Bound: w.Bound(), warmup: time.Duration(w.Warmup)}
+	r.All.Name = "all"
+	r.SlowFound = map[string]time.Duration{}
+	r.kinds, r.customers = map[string]*Group{}, map[ferryid.CustomerName]*Group{}
+	for _, k := range w.Kinds {
+		g := &Group{Name: k.Name}
+		r.kinds[k.Name] = g
+		r.Kinds = append(r.Kinds, g)
+	}
+	for _, c := range w.Customers {
+		g := &Group{Name: string(c.Name)}
+		r.customers[c.Name] = g
+		r.Customers = append(r.Customers, g)
+	}
+	return r
+}
+
+func (r *Result) second(at time.Duration) *Second {
+	i := int(at / time.Second)
+	for len(r.Seconds) <= i {
+		r.Seconds = append(r.Seconds, Second{})
+	}
+	return &r.Seconds[i]
+}
+
+// Offer counts an intended arrival.
+func (r *Result) Offer(a *ferryworkload.Arrival) {
+	r.second(a.At).Offered += a.Work()
+	if a.At < r.warmup {
+		return
+	}
+	for _, g := range r.groups(a) {
+		g.Offered++
+	}
+}
+
+func (r *Result) groups(a *ferryworkload.Arrival) []*Group {
+	return []*Group{&r.All, r.kinds[a.Kind.Name], r.customers[a.Customer]}
+}
+
+// Serve counts work done in a second; work in time is counted again by Record.
+func (r *Result) Serve(now time.Duration, work float64) {
+	r.second(now).Served += work
+}
+
+// Refuse counts a refusal of a try that was submitted some time before.
+func (r *Result) Refuse(a *ferryworkload.Arrival, after time.Duration) {
+	if a.At < r.warmup {
+		return
+	}
+	r.Refusals++
+	if after > earlyRefusal {
+		r.LateRefusals++
+	}
+}
+
+// Record counts the end of a call.
+func (r *Result) Record(x *Sample) {
+	if x.Outcome == InTime {
+		for _, p := range x.pieces {
+			r.Seconds[p.second].InTime += float64(p.work)
+		}
+	}
+	if x.Arrival.At < r.warmup {
+		return
+	}
+	for _, g := range r.groups(x.Arrival) {
+		g.record(x)
+	}
+	if x.First > 0 && !x.Arrival.Kind.Straggler {
+		r.second(x.Arrival.At).firsts.add(x.First - x.Arrival.At)
+	}
+}
+
+func (g *Group) record(x *Sample) {
+	switch x.Outcome {
+	case InTime:
+		g.InTime++
+		g.Work += x.Arrival.Work()
+	case Late:
+		g.Late++
+	case Refused:
+		g.Refused++
+	case Expired:
+		g.Expired++
+	case Failed:
+		g.Failed++
+	}
+	if !x.Started {
+		return
+	}
+	g.Admitted++
+	g.Wait.add(x.Admitted - x.Arrival.At)
+	if x.First > 0 {
+		g.First.add(x.First - x.Arrival.At)
+		g.FirstTry.add(x.First - x.Submitted)
+	}
+	if x.Outcome != InTime && x.Outcome != Late {
+		return
+	}
+	took := x.End - x.Arrival.At
+	g.Answer.add(took)
+	if x.Arrival.Tokens > 1 {
+		g.Between.add((x.End - x.First) / time.Duration(x.Arrival.Tokens-1))
+	}
+	if x.Unloaded > 0 {
+		g.Stretch = max(g.Stretch, took.Seconds()/x.Unloaded.Seconds())
+	}
+}
+
+// Close works out the quantiles after the last call.
+func (r *Result) Close() {
+	all := append(append([]*Group{&r.All}, r.Kinds...), r.Customers...)
+	for _, g := range all {
+		for _, t := range []*Times{&g.Wait, &g.First, &g.FirstTry, &g.Answer, &g.Between} {
+			t.close()
+		}
+	}
+	for i := range r.Seconds {
+		r.Seconds[i].firsts.close()
+		r.Seconds[i].FirstP99 = r.Seconds[i].firsts.P99
+	}
+}
+
+// Mean is the mean of a figure of the seconds from one time to another, in tokens/s.
+func (r *Result) Mean(from, to time.Duration, figure func(*Second) float64) float64 {
+	sum, n := 0.0, 0
+	for i := int(from / time.Second); i < int(to/time.Second) && i < len(r.Seconds); i++ {
+		sum += figure(&r.Seconds[i])
+		n++
+	}
+	return sum / float64(max(1, n))
+}
+
+// Kind returns the group of a kind of calls.
+func (r *Result) Kind(name string) *Group {
+	return r.kinds[name]
+}
+
+// Customer returns the group of a customer.
+func (r *Result) Customer(name ferryid.CustomerName) *Group {
+	return r.customers[name]
+}
--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -25,6 +25,8 @@
 	// tokenBuffer bounds the tokens that wait for a slow caller; a stream whose buffer is full waits.
 	tokenBuffer       = 256
 	heartbeatInterval = 5 * time.Second
+	// progressTokens is how many tokens pass before the queue is told of them.
+	progressTokens = 16
 )
 
 // errPreempted cancels a run that has to give its slot to other work.
@@ -38,6 +40,7 @@
 	job    ferrypipeline.Job
 	grant  *ferryqueue.Grant
 	resume *ferrystream.Resume
+	timed  *streamMetrics
 	tokens chan ferrypipeline.Token
 	texts  []string
 	result ferrypipeline.Result
@@ -49,6 +52,7 @@
 		s.fail(w, r, p)
 		return
 	}
+	arrived := s.Clock.Now()
 	st, p := s.openStream(w, r, chat)
 	if p != nil {
 		s.fail(w, r, p)
@@ -63,6 +67,7 @@
 		return
 	}
 	st.grant = grant
+	st.timed = s.Metrics.stream(st.job.Service, arrived)
 	defer func() { grant.Done(ferryid.Tokens(len(st.texts))) }()
 	s.Events.Add("StreamStarted", string(st.job.Stream), "customer %s, request %s", st.caller.customer.Name, st.caller.id)
 	ended := make(chan error, 1)
@@ -151,8 +156,9 @@
 // run generates the answer, over as many grants as the queue takes and gives back, and closes tokens.
 func (st *stream) run(ctx context.Context) error {
 	defer close(st.tokens)
+	job := st.job
 	for {
-		err := st.runGrant(ctx)
+		err := st.runGrant(ctx, &job)
 		if !errors.Is(err, errPreempted) {
 			return err
 		}
@@ -160,12 +166,12 @@
 		if err := st.grant.Resume(ctx); err != nil {
 			return err
 		}
-		st.job.Resume = st.texts
+		job.Resume = st.texts
 	}
 }
 
 // runGrant generates until the answer ends or the grant is taken back.
-func (st *stream) runGrant(ctx context.Context) error {
+func (st *stream) runGrant(ctx context.Context, job *ferrypipeline.Job) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
@@ -175,15 +181,17 @@
 		case <-ctx.Done():
 		}
 	}()
-	res, err := st.server.Models.Run(ctx, st.caller.doc, st.job, func(t ferrypipeline.Token) error {
+	res, err := st.server.Models.Run(ctx, st.caller.doc, *job, func(t ferrypipeline.Token) error {
 		select {
 		case st.tokens <- t:
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
 		st.texts = append(st.texts, t.Text)
-		st.job.Epoch = max(st.job.Epoch, t.Epoch)
-		st.grant.Progress(ferryid.Tokens(len(st.texts)))
+		job.Epoch = max(job.Epoch, t.Epoch)
+		if len(st.texts)%progressTokens == 0 {
+			st.grant.Progress(ferryid.Tokens(len(st.texts)))
+		}
 		return nil
 	})
 	st.result = res
@@ -232,7 +240,6 @@
 		st.cutOff(out, r, err)
 		return
 	}
-	st.server.Events.Add("StreamEnded", string(st.job.Stream), "%d tokens, %d epochs", len(st.texts), st.result.Epochs)
 }
 
 // cutOff ends an answer that is not whole: with a status if nothing was sent, with an error event otherwise.
@@ -252,6 +259,7 @@
 	var text strings.Builder
 	for t := range st.tokens {
 		text.WriteString(t.Text)
+		st.timed.wrote(1, st.server.Clock.Now())
 	}
 	if err := <-ended; err != nil {
 		st.server.fail(w, r, asProblem(err))
@@ -264,5 +272,4 @@
 	w.Header().Set(StreamHeader, string(st.job.Stream))
 	prompt := 1 + len(st.job.Prompt)/bytesPerToken
 	_, _ = w.Write(composer.Whole(nil, text.String(), st.result.Reason, prompt, len(st.texts)))
-	st.server.Events.Add("StreamEnded", string(st.job.Stream), "%d tokens, %d epochs", len(st.texts), st.result.Epochs)
 }
--- a/ferryd/ferrycaller/server.go
+++ b/ferryd/ferrycaller/server.go
@@ -20,12 +20,15 @@
 	"cactusferry.dev/ferry/ferryqueue"
 	"cactusferry.dev/ferry/ferryroute"
 	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrysteer"
 	"cactusferry.dev/ferry/ferrystream"
 )
 
 // Documents gives the documents in force.
 type Documents interface {
 	Document(name ferryid.ServiceName) (*ferryservice.Document, bool)
+	// Customer returns the customer of the service that a key belongs to.
+	Customer(name ferryid.ServiceName, key string) (ferryservice.Customer, bool)
 }
 
 // Upstreams chooses among the upstreams of plain services.
@@ -57,22 +60,16 @@
 // EntriesAnswer tells a caller which entries to use, the best first, and for how long.
 type EntriesAnswer struct {
 	Service         ferryid.ServiceName
-	Entries         []EntryAddress
+	Entries         []ferrysteer.Target
 	LifetimeSeconds int
 }
 
-// EntryAddress is one entry that a caller may use.
-type EntryAddress struct {
-	Name          ferryid.EntryName
-	Address       string
-	FailureDomain ferryid.DomainName
-}
-
 // Server answers callers.
 type Server struct {
 	Clock     clockwork.Clock
 	Log       zerolog.Logger
 	Events    *ferryevent.Log
+	Metrics   *Metrics
 	Documents Documents
 	Upstreams Upstreams
 	Models    Models
@@ -82,7 +79,7 @@
 	Limits    Limits
 	Advertise string
 	// Steer chooses the entries that a customer should use.
-	Steer func(d *ferryservice.Document, cu ferryservice.Customer) EntriesAnswer
+	Steer func(d *ferryservice.Document, cu ferryservice.Customer, id ferryid.RequestID) EntriesAnswer
 	// Allow takes calls from a customer's limit, and says when to come back if there is none left.
 	Allow func(d *ferryservice.Document, cu ferryservice.Customer, n float64) (time.Duration, bool)
 	// AddressOf finds the callers' address of another incarnation.
@@ -127,7 +124,7 @@
 		s.fail(w, r, p)
 		return
 	}
-	writeJSON(w, s.Steer(c.doc, c.customer))
+	writeJSON(w, s.Steer(c.doc, c.customer, c.id))
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
@@ -177,6 +174,7 @@
 
 func (s *Server) logFailure(r *http.Request, p *ferryoutcome.Problem) {
 	p.RequestID = string(requestID(r))
+	s.Metrics.failed(p)
 	e := s.Log.Info()
 	if p.Status >= http.StatusInternalServerError && p.Outcome != ferryoutcome.NotRun {
 		e = s.Log.Warn()
--- a/ferryd/ferrynode/document.go
+++ b/ferryd/ferrynode/document.go
@@ -5,36 +5,23 @@
 
 	"cactusferry.dev/ferry/ferrydocument"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryorder"
 	"cactusferry.dev/ferry/ferryservice"
-	"cactusferry.dev/ferryd/ferryoperator"
 )
 
-// documents gives operators the holder's documents.
-type documents struct{ node *Node }
-
-// Apply accepts a changed document.
-func (d documents) Apply(ctx context.Context, req ferryoperator.ApplyRequest) (ferryservice.Accepted, error) {
-	return d.node.holder.Apply(ctx, d.node.platform, ferrydocument.ApplyRequest{
-		Service: req.Service, Source: req.Source, BaseGeneration: req.BaseGeneration, Operator: req.Operator, ApplyID: req.ApplyID,
-	})
+// callerDocuments gives callers' handlers the documents with their present upstreams, and finds customers by index.
+type callerDocuments struct {
+	*services
+	holder *ferrydocument.Holder
 }
 
-// Accepted returns what is in force here.
-func (d documents) Accepted(name ferryid.ServiceName) (ferryservice.Accepted, bool) {
-	f, ok := d.node.holder.Get(name)
+// Customer returns the customer of the service that a key belongs to.
+func (d callerDocuments) Customer(name ferryid.ServiceName, key string) (ferryservice.Customer, bool) {
+	f, ok := d.holder.Get(name)
 	if !ok {
-		return ferryservice.Accepted{}, false
-	}
-	return f.Accepted, true
-}
-
-// All returns everything in force here.
-func (d documents) All() []ferryservice.Accepted {
-	out := []ferryservice.Accepted{}
-	for _, f := range d.node.holder.All() {
-		out = append(out, f.Accepted)
+		return ferryservice.Customer{}, false
 	}
-	return out
+	return f.Customer(key)
 }
 
 // follow puts each document that comes into force to use.
@@ -44,6 +31,7 @@
 	for {
 		for _, f := range sub.Take() {
 			n.services.setDocument(ctx, &f.Document)
+			n.orderDocument(ctx, f)
 			n.log.Info().Str("Service", string(f.Accepted.Service)).Uint64("Generation", uint64(f.Accepted.Generation)).
 				Str("From", f.From).Msg("document in force")
 		}
@@ -54,3 +42,15 @@
 		}
 	}
 }
+
+// orderDocument has the engines brought to what the document asks for.
+func (n *Node) orderDocument(ctx context.Context, f *ferrydocument.InForce) {
+	sv, ok := n.services.get(f.Document.Service)
+	if !ok || f.Document.Kind != ferryservice.KindModel {
+		return
+	}
+	if sv.orders.Load() == nil {
+		sv.orders.Store(n.startOrders(ctx, sv.name))
+	}
+	sv.orders.Load().orders.Want(ferryorder.WantedOf(f.Accepted.Generation, f.Document))
+}
--- a/ferryd/ferrynode/listen.go
+++ b/ferryd/ferrynode/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -47,6 +48,7 @@
 	m := chi.NewRouter()
 	m.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.Handle("/metrics", n.metrics.handler)
+	m.Handle("/peer", n.peer.Handler())
 	n.operators.Mount(m)
 	return &http.Server{
 		Handler:           m,
@@ -86,6 +88,9 @@
 		close(stopped)
 	}()
 	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
+		return nil
+	}
 	if ctx.Err() != nil {
 		<-stopped
 		return nil
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
+	"reflect"
 
-	"github.com/jonboulle/clockwork"
-
-	"cactusferry.dev/ferry/ferryengine"
-	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypipeline"
@@ -20,33 +17,76 @@
 
 // model is what a service of kind Model needs to run completions.
 type model struct {
+	// cfg is what the pool was last given; it belongs to the registry's lock.
+	cfg    ferrypipeline.PlannerConfig
+	policy ferryservice.RoutePolicy
 	pool   *ferrypipeline.Pool
 	runner *ferrypipeline.Runner
 }
 
-func newModel(d *ferryservice.Document, table *ferryroute.Table, engines *ferryengine.Client, clock clockwork.Clock, events *ferryevent.Log) (*model, error) {
-	cfg, loads := planner(d, table)
-	pool, err := ferrypipeline.NewPool(cfg, loads, clock)
+func (s *services) newModel(d *ferryservice.Document, table *ferryroute.Table) (*model, error) {
+	cfg, loads := s.planner(d, table)
+	pool, err := ferrypipeline.NewPool(cfg, loads, s.clock)
 	if err != nil {
 		return nil, err
 	}
-	return &model{pool: pool, runner: &ferrypipeline.Runner{
-		Engines: engines, Picker: pool, Clock: clock, Log: events,
+	var picker ferrypipeline.Picker = pool
+	if d.Policy.Route == ferryservice.RouteRandom {
+		if picker, err = newRandomPicker(cfg, loads); err != nil {
+			return nil, err
+		}
+	}
+	engines := &observedEngines{
+		Client: s.engines, table: table,
+		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
+	}
+	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
+		Engines: engines, Picker: picker, Clock: s.clock, Log: s.events,
 		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, retryBurst),
 	}}, nil
 }
 
-// set gives the pool a changed document and what is known of the engines now.
-func (m *model) set(d *ferryservice.Document, table *ferryroute.Table) error {
-	return m.pool.Set(planner(d, table))
+// outdated reports whether the model has to be made anew: for another policy, or for other engines where the policy keeps no account.
+func (m *model) outdated(d *ferryservice.Document, cfg ferrypipeline.PlannerConfig) bool {
+	if m.policy != d.Policy.Route {
+		return true
+	}
+	return m.policy == ferryservice.RouteRandom && !reflect.DeepEqual(cfg, m.cfg)
+}
+
+// set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
+func (m *model) set(cfg ferrypipeline.PlannerConfig, loads []ferrypipeline.Load) error {
+	if reflect.DeepEqual(cfg, m.cfg) {
+		for i, c := range cfg.Candidates {
+			m.pool.Avoid(c.Name, loads[i].Avoid)
+		}
+		return nil
+	}
+	measured := map[ferryid.UpstreamName]ferryid.TokensPerSecond{}
+	for i, l := range m.pool.Loads() {
+		measured[m.cfg.Candidates[i].Name] = l.Rate
+	}
+	for i, c := range cfg.Candidates {
+		if rate, ok := measured[c.Name]; ok {
+			loads[i].Rate = rate
+		}
+	}
+	if err := m.pool.Set(cfg, loads); err != nil {
+		return err
+	}
+	m.cfg = cfg
+	return nil
 }
 
-// planner describes the engines to the pool; an engine the table would not choose gets no new work.
-func planner(d *ferryservice.Document, table *ferryroute.Table) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
+// planner describes the engines to the pool; an engine the table would not choose gets no new work. The caller holds the lock.
+func (s *services) planner(d *ferryservice.Document, table *ferryroute.Table) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
 	cfg := ferrypipeline.PlannerConfig{Layers: d.Model.Layers, Fixed: d.Pipelines}
 	var loads []ferrypipeline.Load
 	for _, c := range table.Snapshot().All() {
-		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers})
+		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{
+			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
+			Incarnation: s.incarnations[leaveKey(d.Service, c.Name)],
+		})
 		loads = append(loads, ferrypipeline.Load{Rate: max(c.Rate, unknownRate), Avoid: c.State != ferryroute.StateLive && c.State != ferryroute.StateProbing})
 	}
 	return cfg, loads
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	stdlog "log"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -17,10 +18,12 @@
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplain"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferrystream"
 	"cactusferry.dev/ferryd/ferrycaller"
+	"cactusferry.dev/ferryd/ferrykeys"
 	"cactusferry.dev/ferryd/ferryoperator"
 	"cactusferry.dev/ferryd/ferrysettings"
 )
@@ -28,7 +31,6 @@
 const (
 	eventRing      = 8192
 	resumeLifetime = time.Hour
-	platformBurst  = 20
 	// callersBodyBytes bounds a body whose service, and so whose own limit, is not known yet.
 	callersBodyBytes = 64 << 20
 )
@@ -60,24 +62,32 @@
 
 // Node is one entry instance.
 type Node struct {
-	cfg       ferrysettings.Settings
-	clock     clockwork.Clock
-	log       zerolog.Logger
-	self      ferryid.Incarnation
-	started   time.Time
-	current   atomic.Int32
-	events    *ferryevent.Log
-	list      atomic.Pointer[ferryplatform.Instances]
-	metrics   *metrics
-	platform  *ferryplatform.Client
-	holder    *ferrydocument.Holder
-	watcher   *ferrydocument.Watcher
-	services  *services
-	engines   *ferryengine.Client
-	plain     *ferryplain.Client
-	claims    *ferryclaim.Claims
-	callers   *ferrycaller.Server
-	operators *ferryoperator.Server
+	cfg      ferrysettings.Settings
+	clock    clockwork.Clock
+	log      zerolog.Logger
+	self     ferryid.Incarnation
+	started  time.Time
+	current  atomic.Int32
+	stopping atomic.Bool
+	events   *ferryevent.Log
+	list     atomic.Pointer[ferryplatform.Instances]
+	metrics  *metrics
+	platform *ferryplatform.Client
+	holder   *ferrydocument.Holder
+	watcher  *ferrydocument.Watcher
+	services *services
+	engines  *ferryengine.Client
+	plain    *ferryplain.Client
+	claims   *ferryclaim.Claims
+	peer     *ferrypeer.Node
+	loads    *ferrypeer.Latest[engineLoad]
+	marks    *ferrypeer.Latest[leaveMark]
+	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
+	seenLoads   map[string]time.Time
+	peerKeys    *ferrykeys.Pair
+	callers     *ferrycaller.Server
+	callersHTTP *http.Server
+	operators   *ferryoperator.Server
 }
 
 // New puts a node together; nothing runs yet.
@@ -93,17 +103,24 @@
 	}
 	n.platform = ferryplatform.New(ferryplatform.ClientConfig{
 		URL: cfg.Platform.URL, Clock: clock, Timeout: time.Duration(cfg.Platform.Timeout),
-		Budget: ferryplatform.Budget{PerSecond: cfg.Platform.CallsPerSecond, Burst: platformBurst},
+		Budget: platformBudget(cfg.Platform.CallsPerSecond, 1),
 	})
 	n.holder = ferrydocument.NewHolder(clock, n.events)
 	n.watcher = ferrydocument.NewWatcher(ferrydocument.WatcherConfig{Store: n.platform, Holder: n.holder, Clock: clock, Seed: uint64(clock.Now().UnixNano())})
 	n.engines = ferryengine.New(ferryengine.ClientConfig{Clock: clock})
 	n.services = newServices(clock, n.engines, n.events)
+	n.services.leaving = n.markLeaving
 	n.plain = ferryplain.New(ferryplain.ClientConfig{Clock: clock})
+	n.loads = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
+		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
+	})
+	n.marks = ferrypeer.NewLatest[leaveMark](ferrypeer.LatestConfig{
+		Name: topicLeaving, Self: cfg.Name, Size: maxLeaveMarks, Clock: clock, Events: n.events,
+	})
 	if err := n.newServers(); err != nil {
 		return nil, err
 	}
-	return n, nil
+	return n, n.newOverlay()
 }
 
 func (n *Node) newServers() error {
@@ -116,9 +133,11 @@
 	if err != nil {
 		return err
 	}
-	n.claims = ferryclaim.New(ferryclaim.Config{Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock})
+	n.claims = ferryclaim.New(ferryclaim.Config{
+		Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock, Asker: claimPeers{n}, Forwarder: claimPeers{n}, Live: n.liveIncarnations,
+	})
 	n.callers = &ferrycaller.Server{
-		Clock: n.clock, Log: n.log, Events: n.events, Documents: n.services, Plain: n.plain, Claims: n.claims, Sealer: sealer,
+		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.scope), Documents: callerDocuments{n.services, n.holder}, Plain: n.plain, Claims: n.claims, Sealer: sealer,
 		Upstreams: plainUpstreams{services: n.services, clock: n.clock, leaving: n.markLeaving},
 		Models:    &models{node: n},
 		Limits: ferrycaller.Limits{
@@ -128,8 +147,8 @@
 		Steer:     n.steer, Allow: n.allow, AddressOf: n.addressOf, Refuse: n.refuse,
 	}
 	n.operators = &ferryoperator.Server{
-		Token: n.cfg.Keys.OperatorToken, Log: n.log, Events: n.events, Documents: documents{n},
-		Status: func() any { return n.status() }, Leave: n.leave, Claim: n.claim, SetLevel: zerolog.SetGlobalLevel,
+		Token: n.cfg.Keys.OperatorToken, Log: n.log, Events: n.events, Documents: n.holder, Store: n.platform,
+		Status: n.status, Leave: n.leave, Claim: n.claim, SetLevel: zerolog.SetGlobalLevel,
 	}
 	return nil
 }
@@ -142,6 +161,7 @@
 	if n.current.Swap(int32(s)) != int32(s) {
 		n.events.Add("State", string(n.cfg.Name), "%s", s)
 		n.log.Info().Str("State", s.String()).Msg("state")
+		n.tellLoad(context.Background())
 	}
 }
 
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -37,6 +38,7 @@
 	admission *ferryqueue.Admission
 	budget    atomic.Pointer[ferryroute.Budget]
 	model     atomic.Pointer[model]
+	orders    atomic.Pointer[orders]
 	mu        sync.Mutex
 	rand      ferryroute.Rand
 }
@@ -45,12 +47,16 @@
 type services struct {
 	clock   clockwork.Clock
 	engines *ferryengine.Client
-	events  *ferryevent.Log
-	mu      sync.Mutex
-	named   map[ferryid.ServiceName]*service
-	snap    atomic.Pointer[map[ferryid.ServiceName]*service]
-	list    ferryplatform.Instances
-	live    int
+	// leaving is told of engines that say themselves that they leave.
+	leaving      func(ferryid.ServiceName, ferryid.UpstreamName)
+	events       *ferryevent.Log
+	mu           sync.Mutex
+	named        map[ferryid.ServiceName]*service
+	snap         atomic.Pointer[map[ferryid.ServiceName]*service]
+	list         ferryplatform.Instances
+	marks        map[string]bool
+	incarnations map[string]ferryid.Incarnation
+	live         int
 }
 
 func newServices(clock clockwork.Clock, engines *ferryengine.Client, events *ferryevent.Log) *services {
@@ -113,12 +119,45 @@
 	s.snap.Store(&next)
 }
 
-// setInstances takes a new instance list and the number of live entries.
-func (s *services) setInstances(list ferryplatform.Instances, live int) {
+// setInstances takes a new instance list.
+func (s *services) setInstances(list ferryplatform.Instances) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list = list
-	s.live = max(1, live)
+	for _, sv := range s.named {
+		s.refresh(sv)
+	}
+}
+
+// setMarks takes the leaving marks, by service and upstream.
+func (s *services) setMarks(marks map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if maps.Equal(s.marks, marks) {
+		return
+	}
+	s.marks = marks
+	for _, sv := range s.named {
+		s.refresh(sv)
+	}
+}
+
+// setIncarnations takes the engines' incarnations, by service and upstream.
+func (s *services) setIncarnations(m map[string]ferryid.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnations = m
+}
+
+// setLive takes the number of entries that share the upstreams.
+func (s *services) setLive(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n = max(1, n)
+	if s.live == n {
+		return
+	}
+	s.live = n
 	for _, sv := range s.named {
 		s.refresh(sv)
 	}
@@ -128,6 +167,11 @@
 func (s *services) refresh(sv *service) {
 	d := *sv.accepted
 	d.Upstreams = merged(sv.accepted, s.list)
+	for i, u := range d.Upstreams {
+		if leaving, ok := s.marks[leaveKey(d.Service, u.Name)]; ok {
+			d.Upstreams[i].Leaving = leaving
+		}
+	}
 	sv.doc.Store(&d)
 	sv.table.SetDocument(&d)
 	sv.admission.SetDocument(&d)
@@ -139,13 +183,14 @@
 
 // refreshModel gives the engines to the pool; a set that covers no whole model leaves the last one in use.
 func (s *services) refreshModel(sv *service, d *ferryservice.Document) {
-	if md := sv.model.Load(); md != nil {
-		if err := md.set(d, sv.table); err != nil {
+	cfg, loads := s.planner(d, sv.table)
+	if md := sv.model.Load(); md != nil && !md.outdated(d, cfg) {
+		if err := md.set(cfg, loads); err != nil {
 			s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		}
 		return
 	}
-	md, err := newModel(d, sv.table, s.engines, s.clock, s.events)
+	md, err := s.newModel(d, sv.table)
 	if err != nil {
 		s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		return
--- a/ferryd/serve.go
+++ b/ferryd/serve.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"cactusferry.dev/ferry/ferrytoml"
 	"cactusferry.dev/ferryd/ferrynode"
 	"cactusferry.dev/ferryd/ferrysettings"
 )
@@ -52,32 +53,28 @@
 	return p
 }
 
-// load reads the settings: file first, then environment, then flags.
+// load reads the settings: file first, then environment, then flags; faults of the file and of the whole are reported together.
 func load(args []string) (ferrysettings.Settings, error) {
 	var first options
 	if _, err := newParser(&first).ParseArgs(args); err != nil {
 		return ferrysettings.Settings{}, err
 	}
-	var data []byte
-	name := "settings"
 	o := options{Config: first.Config}
+	name, data := "settings", []byte(nil)
+	var inFile error
 	if first.Config != "" {
 		b, err := os.ReadFile(first.Config)
 		if err != nil {
 			return ferrysettings.Settings{}, merry.Prepend(err, "read settings")
 		}
-		data = b
-		name = first.Config
-		o.Settings, err = ferrysettings.Decode(name, data)
-		if err != nil {
-			return ferrysettings.Settings{}, err
-		}
+		name, data = first.Config, b
+		o.Settings, inFile = ferrysettings.Decode(name, data)
 	}
 	if _, err := newParser(&o).ParseArgs(args); err != nil {
 		return ferrysettings.Settings{}, err
 	}
 	o.Settings.SetDefaults()
-	return o.Settings, o.Settings.Validate(name, data)
+	return o.Settings, ferrytoml.Join(inFile, o.Settings.Validate(name, data))
 }
 
 func serve(args []string) int {
--- a/ferrystand/ferrystandengine/load.go
+++ b/ferrystand/ferrystandengine/load.go
@@ -36,6 +36,7 @@
 	l := ferryengine.Load{
 		Name: e.cfg.Name, Incarnation: e.incarnation, Layers: e.layers, State: ferryengine.StateLive,
 		TokensPerSecond: e.cfg.TokensPerSecond, At: e.clock.Now(),
+		Model: e.order.Model, Version: e.order.Version, Adapter: e.order.Adapter,
 	}
 	if e.leaving || e.faults.Leaving {
 		l.State = ferryengine.StateLeaving
@@ -58,3 +59,10 @@
 	e.mu.Unlock()
 	writeJSON(w, l)
 }
+
+// Running is the number of streams that run now.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load().RunningStreams
+}
--- a/ferrystand/ferrystandengine/run.go
+++ b/ferrystand/ferrystandengine/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -27,11 +28,14 @@
 	next    *hop
 	receipt ferryengine.Receipt
 	kv      []uint64
+	time    ferryengine.StageTime
 }
 
 func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
 	_ = rc.EnableFullDuplex()
+	// A refusal leaves the request unread, so its connection can't be used again.
+	w.Header().Set("Connection", "close")
 	lines := ferryengine.NewRequestReader(r.Body)
 	line, err := lines.Next()
 	if err != nil {
@@ -47,21 +51,32 @@
 	defer cancel()
 	ru := &run{e: e, ctx: ctx, req: req, layers: req.Stages[0].Layers, lines: lines}
 	ru.receipt = ferryengine.Receipt{Stage: req.Stages[0].Address, Layers: ru.layers}
+	ru.time.Stage = ru.receipt.Stage
 	if p := ru.accept(cancel); p != nil {
 		p.Write(w)
 		return
 	}
 	defer ru.forget()
+	w.Header().Del("Connection")
 	ru.out = newItemWriter(e, w, rc)
 	defer ru.out.beat(ctx)()
+	// A cancelled run must not wait for the stage before it to send something.
+	defer context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Now()) })()
 	err = ru.serve()
 	var silent *silence
-	switch {
-	case errors.As(err, &silent):
+	if errors.As(err, &silent) {
+		ru.out.hush()
+		e.hang(r.Context(), e.lifetime())
+	}
+	if err != nil {
 		ru.out.hush()
-		hang(r.Context(), e.lifetime())
-	case err != nil:
-		panic(http.ErrAbortHandler)
+		abort(w)
+		return
+	}
+	// The server can't end a full-duplex exchange whose request it has not read to its end.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		ru.out.hush()
+		abort(w)
 	}
 }
 
@@ -169,11 +184,17 @@
 		return &silence{}
 	}
 	if at(f.DieAtPosition, p) && f.DieWhen == DieBeforeApply {
-		ru.e.dieNow()
+		return ru.e.dieNow()
 	}
-	if err := ru.e.sched.step(ru.ctx, ru.req.Priority, ru.cost(f, from, len(states))); err != nil {
+	cost := ru.cost(f, from, len(states))
+	if err := ru.e.sched.step(ru.ctx, ru.req.Priority, cost); err != nil {
 		return err
 	}
+	if len(states) == 1 && from > 0 {
+		ru.time.Steps++
+		ru.time.BusyMicros += cost.Microseconds()
+	}
+	ru.time.Prefill += len(states) - 1
 	for i, x := range states {
 		base := len(ru.kv) - ru.layers.Len()
 		for l := ru.layers.From; l < ru.layers.To; l++ {
@@ -190,7 +211,7 @@
 		return err
 	}
 	if at(f.DieAtPosition, p) && f.DieWhen == DieAfterApply {
-		ru.e.dieNow()
+		return ru.e.dieNow()
 	}
 	return nil
 }
@@ -211,7 +232,7 @@
 	}
 	e.records.add(step{
 		Stream: ru.req.Stream, Epoch: ru.req.Epoch, From: from, N: n,
-		Layers: ru.layers, AtNanos: e.clock.Now().UnixNano(),
+		Layers: ru.layers, AtNanos: time.Now().UnixNano(),
 	})
 	if st.epoch == ru.req.Epoch {
 		st.ran = true
