--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -78,9 +78,11 @@
 	Platform string
 	Plain    string
 	Plains   *ferryprocess.Process
-	Engines  []*Engine
-	Entries  []*Entry
-	slots    int
+	// PlainProxy, if any, is what entries connect to in place of the plain service.
+	PlainProxy *ferryproxy.Proxy
+	Engines    []*Engine
+	Entries    []*Entry
+	slots      int
 }
 
 // Config says how large a fleet is.
@@ -97,6 +99,8 @@
 	PeerProxies bool
 	// EngineProxies puts a fault proxy before each engine.
 	EngineProxies bool
+	// PlainProxy puts a fault proxy before the plain service.
+	PlainProxy bool
 }
 
 const defaultSlots = 16
@@ -142,6 +146,12 @@
 			}
 		}
 	}
+	if cfg.PlainProxy {
+		f.PlainProxy, err = ferryproxy.New(ferryproxy.Config{Target: f.Plain})
+		if err != nil {
+			return err
+		}
+	}
 	if cfg.EngineProxies {
 		for _, e := range f.Engines {
 			e.Proxy, err = ferryproxy.New(ferryproxy.Config{Target: e.Address})
@@ -156,6 +166,9 @@
 // KillAll ends every process and proxy.
 func (f *Fleet) KillAll() {
 	f.Group.KillAll()
+	if f.PlainProxy != nil {
+		f.PlainProxy.Close()
+	}
 	for _, e := range f.Entries {
 		if e.Proxy != nil {
 			e.Proxy.Close()
@@ -332,7 +345,14 @@
 Path = "/rations/*"
 Idempotent = false
 
-`, PlainService, f.Plain, domains[0]) + customers()
+`, PlainService, f.plainReached(), domains[0]) + customers()
+}
+
+func (f *Fleet) plainReached() string {
+	if f.PlainProxy != nil {
+		return f.PlainProxy.Address()
+	}
+	return f.Plain
 }
 
 func customers() string {
