--- a/ferrystand/ferrydemo/demo.go
+++ b/ferrystand/ferrydemo/demo.go
@@ -165,6 +165,13 @@
 		Generation int
 		Hash       string
 	}
+	Services []struct {
+		Service   string
+		Upstreams []struct {
+			Name  string
+			State string
+		}
+	}
 }
 
 // Status asks one entry for its status.
--- a/ferrystand/ferryproof/config.go
+++ b/ferrystand/ferryproof/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cactusferry.dev/ferrystand/ferrydemo"
+	"cactusferry.dev/ferrystand/ferryproxy"
 )
 
 const inForceLimit = 2 * time.Second
@@ -112,3 +113,75 @@
 	w.note("after the store was restored to generation 4 every entry still has %d", generation)
 	return nil
 }
+
+const slowLimit = 5 * time.Second
+
+var partition = Case{
+	Name:    "partition",
+	Promise: "accepted configuration is in force at every reachable entry in time and never reverts, also over cut links and a slow platform",
+	Faults:  "eight entries in halves cut off from each other, then silent, then joined; the platform slow by 1 s; its watches late by 3 s",
+	size:    ferrydemo.Config{Engines: 2, Entries: 8, PeerProxies: true},
+	run: func(ctx context.Context, w *world) error {
+		generation := 1
+		near, far := w.halves()
+		for _, f := range []ferryproxy.Fault{ferryproxy.Cut{}, ferryproxy.Silent{}} {
+			w.between(near, far, f)
+			if err := w.changed(ctx, near, generation, inForceLimit, fmt.Sprintf("the half of the change, links %T", f)); err != nil {
+				return err
+			}
+			generation++
+			took, err := w.inForceAt(ctx, far, generation, silenceReplaced)
+			w.note("the other half, which still has the platform: after %s more %v", took.Round(time.Millisecond), orNothing(err))
+			if err := w.changed(ctx, near, generation, inForceLimit, "again in the half of the change"); err != nil {
+				return err
+			}
+			generation++
+			w.join()
+			took, err = w.inForceAt(ctx, w.Entries, generation, silenceReplaced)
+			if err != nil {
+				return err
+			}
+			whole, err := w.whole(ctx, joinLimit)
+			if err != nil {
+				return err
+			}
+			w.note("joined: in force everywhere after %s, membership whole %s later", took.Round(time.Millisecond), whole.Round(time.Millisecond))
+		}
+		for _, slow := range []struct {
+			faults map[string]any
+			limit  time.Duration
+		}{{map[string]any{"DelayMS": 1000}, slowLimit}, {map[string]any{"WatchLagMS": 3000}, inForceLimit}} {
+			if err := w.platformFaults(ctx, slow.faults); err != nil {
+				return err
+			}
+			if err := w.changed(ctx, w.Entries, generation, slow.limit, fmt.Sprintf("platform %v", slow.faults)); err != nil {
+				return err
+			}
+			generation++
+		}
+		return w.platformFaults(ctx, map[string]any{})
+	},
+}
+
+// joinLimit is how soon the membership is whole after a long cut, with entries dialled again at growing intervals.
+const joinLimit = 30 * time.Second
+
+func orNothing(err error) any {
+	if err == nil {
+		return ""
+	}
+	return err
+}
+
+// changed applies a change and checks that it is in force in time at the entries given.
+func (w *world) changed(ctx context.Context, entries []*ferrydemo.Entry, base int, limit time.Duration, where string) error {
+	if err := w.apply(ctx, ferrydemo.ModelService, w.ModelDocument(100+base), base, "morning"); err != nil {
+		return err
+	}
+	took, err := w.inForceAt(ctx, entries, base+1, limit)
+	if err != nil {
+		return fmt.Errorf("%s: %w", where, err)
+	}
+	w.note("%s: generation %d in force at %d entries after %s", where, base+1, len(entries), took.Round(time.Millisecond))
+	return nil
+}
--- a/ferrystand/ferryproxy/proxy.go
+++ b/ferrystand/ferryproxy/proxy.go
@@ -122,10 +122,27 @@
 func (p *Proxy) Silence() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	n := 0
 	for c := range p.conns {
-		c.silent = true
+		if !c.silent {
+			c.silent = true
+			n++
+		}
+	}
+	return n
+}
+
+// Silenced is how many silent connections at least one end still holds open.
+func (p *Proxy) Silenced() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for c := range p.conns {
+		if c.silent {
+			n++
+		}
 	}
-	return len(p.conns)
+	return n
 }
 
 // strike applies a fault to an open connection.
