Leaving marks and planned stops by ferrydrain; a load report no longer ends avoidance

Cause: ferryd had its own marks and stop beside the part's. Stops go through ferrydrain.Stopper; a call counts as open before it is decided whether to refuse it.

--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -38,6 +38,8 @@
 	// others is the work that other entries have given to each candidate, as far as its reports show.
 	others   []ferryid.Tokens
 	reported []time.Time
+	// leaving is what engines say of themselves, apart from what Avoid was told.
+	leaving  []bool
 	excluded []bool
 	refused  int
 	suspects map[ferryid.UpstreamName]suspicion
@@ -73,6 +75,7 @@
 	p.excluded = make([]bool, len(loads))
 	p.others = make([]ferryid.Tokens, len(loads))
 	p.reported = make([]time.Time, len(loads))
+	p.leaving = make([]bool, len(loads))
 	return nil
 }
 
@@ -112,7 +115,7 @@
 
 // mark sets what may not be used: the job's own exclusions and, unless now is zero, the suspects.
 func (p *Pool) mark(exclude []ferryid.UpstreamName, now time.Time) {
-	clear(p.excluded)
+	copy(p.excluded, p.leaving)
 	for _, name := range exclude {
 		if i, ok := p.index[name]; ok {
 			p.excluded[i] = true
@@ -165,7 +168,11 @@
 func (p *Pool) Loads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.loads)
+	out := slices.Clone(p.loads)
+	for i := range out {
+		out[i].Avoid = out[i].Avoid || p.leaving[i]
+	}
+	return out
 }
 
 // Observe takes up the measured rates of a plan's engines and the time of the links between them; a measurement that can't be right changes nothing.
@@ -229,7 +236,7 @@
 	own := p.loads[i].Outstanding - p.others[i]
 	p.others[i] = max(0, l.OutstandingTokens-own)
 	p.loads[i].Outstanding = own + p.others[i]
-	p.loads[i].Avoid = l.State == ferryengine.StateLeaving
+	p.leaving[i] = l.State == ferryengine.StateLeaving
 	return nil
 }
 
--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -48,6 +48,7 @@
 
 // completions answers both shapes of the completions request.
 func (s *Server) completions(w http.ResponseWriter, r *http.Request, chat bool) {
+	defer s.opened(&s.openStreams)()
 	if p := s.admitNew(); p != nil {
 		s.fail(w, r, p)
 		return
@@ -58,7 +59,6 @@
 		s.fail(w, r, p)
 		return
 	}
-	defer s.opened(&s.openStreams)()
 	ctx, cancel := context.WithDeadline(r.Context(), st.job.Deadline)
 	defer cancel()
 	grant, err := s.Models.Acquire(ctx, st.caller.doc, st.item())
--- a/ferryd/ferrycaller/plain.go
+++ b/ferryd/ferrycaller/plain.go
@@ -24,6 +24,7 @@
 
 // service handles every call to a plain service.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	defer s.opened(&s.openCalls)()
 	began := s.Clock.Now()
 	c, p := s.authenticate(r, chi.URLParam(r, "service"), ferryservice.KindPlain)
 	if p != nil {
@@ -48,7 +49,6 @@
 		s.fail(w, r, p)
 		return
 	}
-	defer s.opened(&s.openCalls)()
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	grant, err := s.Models.Acquire(ctx, c.doc, ferryqueue.Item{
--- a/ferryd/ferrynode/claim.go
+++ b/ferryd/ferrynode/claim.go
@@ -20,11 +20,7 @@
 	askTakeOver ferrypeer.AskKind = 3
 )
 
-const (
-	flushTimeout    = 5 * time.Second
-	handOverTimeout = 5 * time.Second
-	handOverPause   = 100 * time.Millisecond
-)
+const handOverPause = 100 * time.Millisecond
 
 // claimHandlers answer peers about claims.
 func (n *Node) claimHandlers() map[ferrypeer.AskKind]ferrypeer.Handler {
@@ -104,21 +100,16 @@
 	return out
 }
 
-// handOver writes what is settled to the platform and gives the rest to an heir, so that only a crash makes outcomes unknown.
+// handOver gives what only this incarnation knows to an heir, so that only a crash makes outcomes unknown.
 func (n *Node) handOver(ctx context.Context) error {
-	flush, cancel := context.WithTimeout(ctx, flushTimeout)
-	defer cancel()
-	flushed := n.claims.Flush(flush)
 	heirs := ferryclaim.HeirOrder(n.self, n.liveIncarnations())
 	if len(heirs) == 0 {
-		return merry.Prepend(flushed, "no other entry to hand over to")
+		return merry.New("no other entry to hand over to")
 	}
 	sealed, err := n.claims.HandOver(heirs[0])
 	if err != nil {
 		return err
 	}
-	ctx, cancel = context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
 	for {
 		err = n.deliver(ctx, heirs[0], sealed)
 		if err == nil {
--- a/ferryd/ferrynode/leave.go
+++ b/ferryd/ferrynode/leave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusferry.dev/ferry/ferryadmin"
+	"cactusferry.dev/ferry/ferrydrain"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplatform"
@@ -17,68 +18,45 @@
 	topicLeaving ferrypeer.TopicName = "leaving"
 
 	leaveInterval = 500 * time.Millisecond
-	leaveTTL      = 24 * time.Hour
-	maxLeaveMarks = 4096
 )
 
-// leaveSource says who marked an upstream.
-type leaveSource string
-
-// The sources of marks; only the source that set a mark takes it back, and an operator may take back any.
-const (
-	leaveList     leaveSource = "List"
-	leaveUpstream leaveSource = "Upstream"
-	leaveOperator leaveSource = "Operator"
-)
-
-// leaveMark says whether an upstream is leaving, as entries tell each other.
-type leaveMark struct {
-	Service  ferryid.ServiceName  `cbor:"1,keyasint"`
-	Upstream ferryid.UpstreamName `cbor:"2,keyasint"`
-	Leaving  bool                 `cbor:"3,keyasint"`
-	Source   leaveSource          `cbor:"4,keyasint"`
-	By       string               `cbor:"5,keyasint,omitempty"`
+func upstreamKey(s ferryid.ServiceName, u ferryid.UpstreamName) string {
+	return string(s) + "/" + string(u)
 }
 
-// Check returns an error for names that no upstream can have and sources that there are not.
-func (m leaveMark) Check() error {
-	if err := ferryid.CheckName(string(m.Service)); err != nil {
-		return fmt.Errorf("leaving mark's service: %w", err)
-	}
-	if err := ferryid.CheckName(string(m.Upstream)); err != nil {
-		return fmt.Errorf("leaving mark's upstream: %w", err)
+// leavingTopic spreads the marks of leaving upstreams.
+func leavingTopic(ms *ferrydrain.Marks) ferrypeer.Topic {
+	return ferrypeer.Topic{
+		Name:    topicLeaving,
+		Digest:  ms.Digest,
+		Missing: func(digest []byte) []ferrypeer.Item { return items(ms.Missing(digest)) },
+		Apply:   func(it ferrypeer.Item) (bool, error) { return ms.Apply(it) },
+		Fresh:   func() []ferrypeer.Item { return items(ms.Fresh()) },
 	}
-	if !slices.Contains([]leaveSource{leaveList, leaveUpstream, leaveOperator}, m.Source) {
-		return fmt.Errorf("leaving mark's source is %q", m.Source)
+}
+
+func items(bs [][]byte) []ferrypeer.Item {
+	out := make([]ferrypeer.Item, 0, len(bs))
+	for _, b := range bs {
+		out = append(out, b)
 	}
-	return nil
+	return out
 }
 
-func leaveKey(s ferryid.ServiceName, u ferryid.UpstreamName) string {
-	return string(s) + "/" + string(u)
+// mark notes that an upstream leaves, here at once and at the peers.
+func (n *Node) mark(s ferryid.ServiceName, u ferryid.UpstreamName, id ferryid.Incarnation, from ferrydrain.Source) {
+	n.marks.Mark(s, u, id, from)
+	n.marksChanged()
 }
 
-// mark sets a mark here at once and spreads it.
-func (n *Node) mark(m leaveMark) {
-	key := leaveKey(m.Service, m.Upstream)
-	if old, ok := n.marks.Get(key); ok {
-		if old.Value.Leaving == m.Leaving {
-			return
-		}
-		if !m.Leaving && m.Source != leaveOperator && m.Source != old.Value.Source {
-			return
-		}
-	} else if !m.Leaving {
-		return
-	}
-	n.marks.Set(key, m, leaveTTL)
-	n.events.Add("Leaving", key, "%t, said by %s %s", m.Leaving, m.Source, m.By)
+func (n *Node) marksChanged() {
+	n.peer.Publish(topicLeaving)
 	n.takeMarks(context.Background())
 }
 
 // markLeaving notes an upstream that said itself that it leaves.
 func (n *Node) markLeaving(s ferryid.ServiceName, u ferryid.UpstreamName) {
-	n.mark(leaveMark{Service: s, Upstream: u, Leaving: true, Source: leaveUpstream})
+	n.mark(s, u, "", ferrydrain.SourceUpstream)
 }
 
 // leave carries out an operator's mark.
@@ -90,7 +68,13 @@
 	if _, ok := d.Upstreams.ByName(req.Upstream); !ok {
 		return fmt.Errorf("service %q has no upstream %q", req.Service, req.Upstream)
 	}
-	n.mark(leaveMark{Service: req.Service, Upstream: req.Upstream, Leaving: req.Leaving, Source: leaveOperator, By: req.Operator})
+	n.events.Add("Leaving", upstreamKey(req.Service, req.Upstream), "%t, said by operator %s", req.Leaving, req.Operator)
+	if req.Leaving {
+		n.mark(req.Service, req.Upstream, "", ferrydrain.SourceOperator)
+		return nil
+	}
+	n.marks.Clear(req.Service, req.Upstream)
+	n.marksChanged()
 	return nil
 }
 
@@ -108,40 +92,19 @@
 		if i < 0 {
 			continue
 		}
-		n.mark(leaveMark{Service: in.Service, Upstream: d.Upstreams[i].Name, Leaving: in.State == ferryplatform.StateLeaving, Source: leaveList})
+		name := d.Upstreams[i].Name
+		if in.Incarnation != "" {
+			n.marks.Seen(in.Service, name, in.Incarnation)
+		}
+		if in.State == ferryplatform.StateLeaving {
+			n.mark(in.Service, name, in.Incarnation, ferrydrain.SourceList)
+		}
 	}
 }
 
 // takeMarks puts the marks of all entries to use.
 func (n *Node) takeMarks(context.Context) {
-	marks := map[string]bool{}
-	for _, e := range n.marks.All() {
-		marks[e.Key] = e.Value.Leaving
-	}
-	n.services.setMarks(marks)
-}
-
-// leaveSteering tells the other entries to send no new callers here.
-func (n *Node) leaveSteering() {
-	n.stopping.Store(true)
-	n.peer.SetState(ferrypeer.Draining, ferrypeer.Load{})
-}
-
-const leaveTimeout = 2 * time.Second
-
-// finish hands over and says goodbye to the peers once nothing is open.
-func (n *Node) finish(ctx context.Context) error {
-	if !n.releaseLeases(ctx) {
-		n.log.Warn().Msg("leases were not released; their next holders wait them out")
+	for _, key := range n.services.setMarks(n.marks) {
+		n.events.Add("LeavingSeen", key, "no new work from here")
 	}
-	if err := n.handOver(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("claims and tickets were not handed over; retries of them will be answered Unknown")
-	}
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := n.peer.Leave(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("peers were not told")
-	}
-	n.log.Info().Msg("stopped")
-	return nil
 }
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"cactusferry.dev/ferry/ferrydrain"
 	"cactusferry.dev/ferry/ferryduty"
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryid"
@@ -60,7 +61,7 @@
 }
 
 func (l engineLoad) key() string {
-	return string(l.Service) + "/" + string(l.Upstream)
+	return upstreamKey(l.Service, l.Upstream)
 }
 
 // readLoads asks the engines that this entry reads for the others, and takes what the others have read.
@@ -88,7 +89,10 @@
 	if err != nil {
 		return
 	}
-	n.mark(leaveMark{Service: sv.name, Upstream: c.Name, Leaving: l.State == ferryengine.StateLeaving, Source: leaveUpstream})
+	n.marks.Seen(sv.name, c.Name, l.Incarnation)
+	if l.State == ferryengine.StateLeaving {
+		n.mark(sv.name, c.Name, l.Incarnation, ferrydrain.SourceUpstream)
+	}
 	report := engineLoad{
 		Service: sv.name, Upstream: c.Name, Running: l.RunningStreams, Outstanding: l.OutstandingTokens,
 		Rate: float64(l.TokensPerSecond), At: l.At, Incarnation: l.Incarnation,
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -85,7 +85,7 @@
 	for _, c := range table.Snapshot().All() {
 		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{
 			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
-			Incarnation: s.incarnations[leaveKey(d.Service, c.Name)],
+			Incarnation: s.incarnations[upstreamKey(d.Service, c.Name)],
 		})
 		loads = append(loads, ferrypipeline.Load{Rate: max(c.Rate, unknownRate), Avoid: c.State != ferryroute.StateLive && c.State != ferryroute.StateProbing})
 	}
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -15,6 +15,7 @@
 
 	"cactusferry.dev/ferry/ferryclaim"
 	"cactusferry.dev/ferry/ferrydocument"
+	"cactusferry.dev/ferry/ferrydrain"
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
@@ -81,7 +82,7 @@
 	claims   *ferryclaim.Claims
 	peer     *ferrypeer.Node
 	loads    *ferrypeer.Latest[engineLoad]
-	marks    *ferrypeer.Latest[leaveMark]
+	marks    *ferrydrain.Marks
 	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
 	seenLoads   map[string]time.Time
 	peerKeys    *ferrykeys.Pair
@@ -114,9 +115,7 @@
 	n.loads = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
 		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
 	})
-	n.marks = ferrypeer.NewLatest[leaveMark](ferrypeer.LatestConfig{
-		Name: topicLeaving, Self: cfg.Name, Size: maxLeaveMarks, Clock: clock, Events: n.events,
-	})
+	n.marks = ferrydrain.NewMarks(clock)
 	if err := n.newServers(); err != nil {
 		return nil, err
 	}
@@ -171,7 +170,7 @@
 }
 
 // Run serves until a signal asks it to stop and everything open is finished.
-func (n *Node) Run(ctx context.Context, stop <-chan os.Signal) error {
+func (n *Node) Run(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	fail := func(err error) {
@@ -183,10 +182,11 @@
 		return err
 	}
 	n.duties(ctx, fail)
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.stop(ctx, signals) }()
 	select {
-	case s := <-stop:
-		n.log.Info().Str("Signal", s.String()).Msg("planned stop")
-		return n.stop(ctx, stop)
+	case err := <-stopped:
+		return err
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
--- a/ferryd/ferrynode/order.go
+++ b/ferryd/ferrynode/order.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"cactusferry.dev/ferry/ferryduty"
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryid"
@@ -15,7 +17,6 @@
 
 const (
 	wantInterval    = time.Second
-	releaseTimeout  = 2 * time.Second
 	releaseInterval = 50 * time.Millisecond
 )
 
@@ -56,20 +57,16 @@
 }
 
 // releaseLeases gives the leases back, so that the next holders need not wait them out.
-func (n *Node) releaseLeases(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
+func (n *Node) releaseLeases(ctx context.Context) error {
 	n.wantOrders(ctx)
-	for {
-		if n.released() {
-			return true
-		}
+	for !n.released() {
 		select {
 		case <-ctx.Done():
-			return false
+			return merry.Prepend(ctx.Err(), "release leases")
 		case <-n.clock.After(releaseInterval):
 		}
 	}
+	return nil
 }
 
 func (n *Node) released() bool {
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -33,7 +33,7 @@
 		},
 		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: peerSecret(n.cfg.Keys.SealKeys()[0]),
 		Log: n.log, Events: n.events,
-		Topics:    []ferrypeer.Topic{documentTopic(n.holder), n.loads.Topic(), n.marks.Topic()},
+		Topics:    []ferrypeer.Topic{documentTopic(n.holder), n.loads.Topic(), leavingTopic(n.marks)},
 		Handlers:  n.claimHandlers(),
 		OnMembers: n.onMembers,
 	}
@@ -47,7 +47,6 @@
 	n.peerKeys = pair
 	n.peer = ferrypeer.New(cfg)
 	n.loads.Notify(n.peer.Publish)
-	n.marks.Notify(n.peer.Publish)
 	return nil
 }
 
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"cactusferry.dev/ferry/ferrydrain"
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
@@ -54,7 +55,8 @@
 	named        map[ferryid.ServiceName]*service
 	snap         atomic.Pointer[map[ferryid.ServiceName]*service]
 	list         ferryplatform.Instances
-	marks        map[string]bool
+	marks        *ferrydrain.Marks
+	left         map[string]bool
 	incarnations map[string]ferryid.Incarnation
 	live         int
 }
@@ -129,17 +131,32 @@
 	}
 }
 
-// setMarks takes the leaving marks, by service and upstream.
-func (s *services) setMarks(marks map[string]bool) {
+// setMarks takes the leaving marks and returns the upstreams, by service and name, that are new among the leaving.
+func (s *services) setMarks(marks *ferrydrain.Marks) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if maps.Equal(s.marks, marks) {
-		return
-	}
 	s.marks = marks
+	left := map[string]bool{}
+	var fresh []string
 	for _, sv := range s.named {
-		s.refresh(sv)
+		for _, u := range sv.doc.Load().Upstreams {
+			key := upstreamKey(sv.name, u.Name)
+			if !marks.Leaving(sv.name, u.Name, s.incarnations[key]) {
+				continue
+			}
+			left[key] = true
+			if !s.left[key] {
+				fresh = append(fresh, key)
+			}
+		}
 	}
+	if !maps.Equal(s.left, left) {
+		s.left = left
+		for _, sv := range s.named {
+			s.refresh(sv)
+		}
+	}
+	return fresh
 }
 
 // setIncarnations takes the engines' incarnations, by service and upstream.
@@ -168,8 +185,8 @@
 	d := *sv.accepted
 	d.Upstreams = merged(sv.accepted, s.list)
 	for i, u := range d.Upstreams {
-		if leaving, ok := s.marks[leaveKey(d.Service, u.Name)]; ok {
-			d.Upstreams[i].Leaving = leaving
+		if s.left[upstreamKey(d.Service, u.Name)] {
+			d.Upstreams[i].Leaving = true
 		}
 	}
 	sv.doc.Store(&d)
@@ -198,7 +215,7 @@
 	sv.model.Store(md)
 }
 
-// merged adds the listed instances of the service that the document does not name, and the list's leaving marks.
+// merged adds the listed instances of the service that the document does not name.
 func merged(d *ferryservice.Document, list ferryplatform.Instances) ferryservice.Upstreams {
 	ups := slices.Clone(d.Upstreams)
 	for _, in := range list {
@@ -211,10 +228,6 @@
 				Name: ferryid.UpstreamName(in.Name), Address: in.Address, FailureDomain: in.FailureDomain,
 				Accelerator: in.Accelerator, Layers: in.Layers,
 			})
-			i = len(ups) - 1
-		}
-		if in.State == ferryplatform.StateLeaving {
-			ups[i].Leaving = true
 		}
 	}
 	return ups
--- a/ferryd/ferrynode/stop.go
+++ b/ferryd/ferrynode/stop.go
@@ -7,10 +7,12 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"cactusferry.dev/ferry/ferrydrain"
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrypeer"
 )
 
-const stopInterval = 20 * time.Millisecond
+const leaveTimeout = 2 * time.Second
 
 // refuse returns a problem while new calls are not taken here.
 func (n *Node) refuse() *ferryoutcome.Problem {
@@ -25,49 +27,63 @@
 	return p
 }
 
-// stop takes no new calls after the grace, waits for what is open, and ends.
-func (n *Node) stop(ctx context.Context, again <-chan os.Signal) error {
-	n.leaveSteering()
-	grace := n.clock.After(time.Duration(n.cfg.Stop.Grace))
-	var limit <-chan time.Time
-	if n.cfg.Stop.Limit > 0 {
-		limit = n.clock.After(time.Duration(n.cfg.Stop.Limit))
+// stop waits for a signal, stops as planned, and returns an error only if open calls were left.
+func (n *Node) stop(ctx context.Context, signals <-chan os.Signal) error {
+	stopper := &ferrydrain.Stopper{
+		Clock: n.clock,
+		Stop: ferrydrain.NewStop(ferrydrain.StopConfig{
+			Grace: time.Duration(n.cfg.Stop.Grace), Limit: time.Duration(n.cfg.Stop.Limit),
+		}),
+		Hooks: ferrydrain.Hooks{
+			Open:          n.open,
+			LeaveSteering: n.leaveSteering,
+			RefuseNew:     func() { n.setState(StateDraining) },
+			ReportOpen: func(o ferrydrain.Open) {
+				n.log.Warn().Int("OpenStreams", o.Streams).Int("OpenCalls", o.Calls).Msg("still open")
+			},
+			Tasks: map[ferrydrain.Task]func(context.Context) error{
+				ferrydrain.TaskFlush:    n.claims.Flush,
+				ferrydrain.TaskHandOver: n.handOver,
+				ferrydrain.TaskLeases:   n.releaseLeases,
+			},
+		},
 	}
-	var closed <-chan struct{}
-	poll := n.clock.NewTicker(stopInterval)
-	defer poll.Stop()
-	for {
-		select {
-		case <-grace:
-			grace = nil
-			n.setState(StateDraining)
-		case <-poll.Chan():
-			streams, calls := n.callers.Open()
-			if grace == nil && closed == nil && streams+calls == 0 {
-				closed = n.closeCallers(ctx)
-			}
-		case <-closed:
-			return n.finish(ctx)
-		case <-again:
-			streams, calls := n.callers.Open()
-			n.log.Warn().Int("OpenStreams", streams).Int("OpenCalls", calls).Msg("still open")
-		case <-limit:
-			streams, calls := n.callers.Open()
-			return merry.Errorf("stop: the limit of %s passed with %d streams and %d calls open", time.Duration(n.cfg.Stop.Limit), streams, calls)
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
+	left, err := stopper.Run(ctx, signals)
+	if err != nil {
+		return err
 	}
+	n.goodbye(ctx)
+	if left.Open != (ferrydrain.Open{}) {
+		return merry.Errorf("stop: the limit of %s passed: %s", time.Duration(n.cfg.Stop.Limit), left)
+	}
+	if len(left.Tasks) > 0 {
+		n.log.Warn().Str("Left", left.String()).Msg("stopped, with something left undone")
+		return nil
+	}
+	n.log.Info().Msg("stopped")
+	return nil
+}
+
+func (n *Node) open() ferrydrain.Open {
+	streams, calls := n.callers.Open()
+	return ferrydrain.Open{Streams: streams, Calls: calls}
 }
 
-// closeCallers closes the callers' listener and receives once every answer has left, also of calls that came at the last moment.
-func (n *Node) closeCallers(ctx context.Context) <-chan struct{} {
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		if err := n.callersHTTP.Shutdown(ctx); err != nil {
-			n.log.Warn().Err(err).Msg("callers' connections were not closed in order")
-		}
-	}()
-	return closed
+// leaveSteering tells the other entries to send no new callers here.
+func (n *Node) leaveSteering() {
+	n.log.Info().Msg("planned stop")
+	n.stopping.Store(true)
+	n.peer.SetState(ferrypeer.Draining, ferrypeer.Load{})
+}
+
+// goodbye closes the callers' listener once every answer has left, also those of the last moment, and leaves the peers.
+func (n *Node) goodbye(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := n.callersHTTP.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("callers' connections were not closed in order")
+	}
+	if err := n.peer.Leave(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("peers were not told")
+	}
 }
