Workloads: at most 1024 layers

Cause: placing 65535 layers on thousands of runners would take seconds in the check of a workload; found by reading after fuzzing. Change: refused with its line, and the bound is not worked out for it. Test: TestAModelOfTooManyLayersIsRefused. FuzzDecode 20 s, 112,811 runs, and FuzzDecodeSteering 5 s, 41,458 runs, found nothing.

--- a/ferrybench/ferryworkload/arrival.go
+++ b/ferrybench/ferryworkload/arrival.go
@@ -71,6 +71,9 @@
 
 // sized reports whether the runners and stages are sound enough to work the bound out.
 func (w *Workload) sized() bool {
+	if w.Layout.Layers > maxLayers {
+		return false
+	}
 	n := 0
 	for _, r := range w.Runners {
 		if r.Count < 1 || r.Count > maxRunners {
--- a/ferrybench/ferryworkload/workload.go
+++ b/ferrybench/ferryworkload/workload.go
@@ -15,6 +15,7 @@
 	maxDuration = 24 * time.Hour
 	maxEntries  = 1000
 	maxRunners  = 10000
+	maxLayers   = 1024
 	maxLoad     = 100
 	maxTokens   = 1_000_000
 	maxRequests = 20_000_000
@@ -235,6 +236,7 @@
 
 func (l Layout) check(c *ferrytoml.Check, rs Runners) {
 	inRange(c, "Layout.LinkDelay", time.Duration(l.LinkDelay).Seconds(), 0, 10)
+	inRange(c, "Layout.Layers", float64(l.Layers), 0, maxLayers)
 	n := 0
 	for i, s := range l.Stages {
 		f := fmt.Sprintf("Layout.Stages[%d]", i)
--- a/ferrybench/ferryworkload/workload_test.go
+++ b/ferrybench/ferryworkload/workload_test.go
@@ -135,6 +135,12 @@
 	assert.Assert(t, w.Bound() > 199 && w.Bound() < 201, "%v", w.Bound())
 }
 
+func TestAModelOfTooManyLayersIsRefused(t *testing.T) {
+	text := strings.Replace(sound, "[[Runners]]", "[Layout]\nLayers = 65535\nStages = [2]\n[[Runners]]", 1)
+	_, err := Decode("deep.toml", []byte(text))
+	assert.ErrorContains(t, err, "line 5: Layout.Layers: must be from 0 to 1024")
+}
+
 // FuzzDecode checks that no workload file makes the decoder panic or run long.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(faulty))
