ferryclaim: histories that move records to segments under faults

Cause: no random history was long enough to fill a tail, so segments were proved by the hour of faults only. Excluded: smaller constants for tests (a fleet of one size has one constant). Change: the sealing size is a field of the slot's core; half of the histories seal at 100 bytes.

--- a/ferry/ferryclaim/claims_rapid_test.go
+++ b/ferry/ferryclaim/claims_rapid_test.go
@@ -14,7 +14,7 @@
 
 // history plays one random history of faults and checks every promise after each step.
 func history(rt *rapid.T) {
-	w := newWorld(3)
+	w := newWorldSealing(3, rapid.SampledFrom([]int{100, sealBytes}).Draw(rt, "seal at"))
 	faults := rapid.SampledFrom([]fault{faultNone, faultNone, faultNone, faultDown, faultLostApplied, faultLostDropped, faultLostLate})
 	down := false
 	w.store.fault = func(write bool) fault {
--- a/ferry/ferryclaim/segment.go
+++ b/ferry/ferryclaim/segment.go
@@ -23,7 +23,7 @@
 			s.mergeAfter = now.Add(mergeRetry)
 		}
 	}
-	if s.size-s.listed < sealBytes {
+	if s.size-s.listed < s.sealAt {
 		return false
 	}
 	var live []Record
--- a/ferry/ferryclaim/slot.go
+++ b/ferry/ferryclaim/slot.go
@@ -48,6 +48,7 @@
 	version ferryplatform.Version
 	loaded  bool
 	tail    journal
+	sealAt  int // bytes of a tail that are worth a segment
 	size    int
 	listed  int
 	records map[Digest]Record
@@ -66,7 +67,7 @@
 }
 
 func newSlot(name string, self ferryid.Incarnation) *slot {
-	return &slot{name: name, self: self, records: map[Digest]Record{}, segKeys: map[string][]Digest{}}
+	return &slot{name: name, self: self, sealAt: sealBytes, records: map[Digest]Record{}, segKeys: map[string][]Digest{}}
 }
 
 // submit hands a request to the slot.
--- a/ferry/ferryclaim/world_test.go
+++ b/ferry/ferryclaim/world_test.go
@@ -25,6 +25,7 @@
 	tries    []*try
 	failures []string
 	owners   func(*try) *node
+	sealAt   int
 }
 
 type execution struct {
@@ -62,8 +63,13 @@
 }
 
 func newWorld(n int) *world {
+	return newWorldSealing(n, sealBytes)
+}
+
+func newWorldSealing(n, sealAt int) *world {
 	w := &world{
-		store: newMemStore(), now: time.Unix(1_800_000_000, 0), all: map[ferryid.Incarnation]*node{},
+		sealAt: sealAt,
+		store:  newMemStore(), now: time.Unix(1_800_000_000, 0), all: map[ferryid.Incarnation]*node{},
 		ran: map[string][]execution{}, tainted: map[string]bool{},
 	}
 	for range n {
@@ -76,6 +82,7 @@
 	w.born++
 	id := incarnation(w.born)
 	n := &node{id: id, table: newTable(id), slot: newSlot("0000", id)}
+	n.slot.sealAt = w.sealAt
 	w.all[id] = n
 	return n
 }
