--- a/ferrystand/ferryproof/config.go
+++ b/ferrystand/ferryproof/config.go
@@ -126,12 +126,20 @@
 		near, far := w.halves()
 		for _, f := range []ferryproxy.Fault{ferryproxy.Cut{}, ferryproxy.Silent{}} {
 			w.between(near, far, f)
+			took, err := w.split(ctx, near[0], silenceReplaced)
+			if err != nil {
+				return err
+			}
+			w.note("links %T: %s no longer counts the other half as alive after %s", f, near[0].Name, took.Round(time.Millisecond))
 			if err := w.changed(ctx, near, generation, inForceLimit, fmt.Sprintf("the half of the change, links %T", f)); err != nil {
 				return err
 			}
 			generation++
-			took, err := w.inForceAt(ctx, far, generation, silenceReplaced)
-			w.note("the other half, which still has the platform: after %s more %v", took.Round(time.Millisecond), orNothing(err))
+			took, err = w.inForceAt(ctx, far, generation, silenceReplaced)
+			if err != nil {
+				return fmt.Errorf("the other half, which still has the platform: %w", err)
+			}
+			w.note("the other half, which still has the platform: %s later", took.Round(time.Millisecond))
 			if err := w.changed(ctx, near, generation, inForceLimit, "again in the half of the change"); err != nil {
 				return err
 			}
@@ -166,13 +174,6 @@
 // joinLimit is how soon the membership is whole after a long cut, with entries dialled again at growing intervals.
 const joinLimit = 30 * time.Second
 
-func orNothing(err error) any {
-	if err == nil {
-		return ""
-	}
-	return err
-}
-
 // changed applies a change and checks that it is in force in time at the entries given.
 func (w *world) changed(ctx context.Context, entries []*ferrydemo.Entry, base int, limit time.Duration, where string) error {
 	if err := w.apply(ctx, ferrydemo.ModelService, w.ModelDocument(100+base), base, "morning"); err != nil {
--- a/ferrystand/ferryproof/halves.go
+++ b/ferrystand/ferryproof/halves.go
@@ -83,16 +83,41 @@
 	return time.Since(began), nil
 }
 
+// split waits until an entry counts at most half of the entries as alive.
+func (w *world) split(ctx context.Context, e *ferrydemo.Entry, limit time.Duration) (time.Duration, error) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err := ferryprocess.Poll(ctx, func(ctx context.Context) error {
+		alive, err := w.alive(ctx, e)
+		if err == nil && alive > (len(w.Entries)+1)/2 {
+			err = fmt.Errorf("%s counts %d entries as alive", e.Name, alive)
+		}
+		return err
+	})
+	return time.Since(began), err
+}
+
+// alive counts the entries that an entry holds as alive.
+func (w *world) alive(ctx context.Context, e *ferrydemo.Entry) (int, error) {
+	s, err := w.Status(ctx, e)
+	n := 0
+	for _, m := range s.Entries {
+		if m.Status == "Alive" {
+			n++
+		}
+	}
+	return n, err
+}
+
 func (w *world) knowsAll(ctx context.Context, e *ferrydemo.Entry) error {
 	s, err := w.Status(ctx, e)
 	if err != nil {
 		return err
 	}
-	alive := 0
-	for _, m := range s.Entries {
-		if m.Status == "Alive" {
-			alive++
-		}
+	alive, err := w.alive(ctx, e)
+	if err != nil {
+		return err
 	}
 	if alive < len(w.Entries) || len(s.Peers) == 0 {
 		return fmt.Errorf("%s knows %d of %d entries as alive and has %d links", e.Name, alive, len(w.Entries), len(s.Peers))
--- a/ferrystand/ferryproof/proof.go
+++ b/ferrystand/ferryproof/proof.go
@@ -30,7 +30,7 @@
 
 // Cases are all cases, in the order of the brief's promises.
 var Cases = []Case{
-	layers, wholeAnswers, notRun, atMostOnce, leaving, leavingCut, plannedStops, configuration, partition, silence,
+	layers, wholeAnswers, notRun, atMostOnce, leaving, leavingCut, plannedStops, configuration, partition, silence, together,
 }
 
 // Report says how one case went.
--- a/ferrystand/ferryproof/silence.go
+++ b/ferrystand/ferryproof/silence.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"cactusferry.dev/ferrystand/ferrydemo"
+	"cactusferry.dev/ferrystand/ferryprocess"
 )
 
 const (
 	// silenceReplaced is how soon links gone silent are replaced: 4 s until they are noticed, and the time to dial.
 	silenceReplaced = 8 * time.Second
 	silenceRounds   = 3
+	// silentClosedLimit is how soon both ends have closed a silent connection.
+	silentClosedLimit = 10 * time.Second
 )
 
 var silence = Case{
@@ -45,11 +48,33 @@
 				return err
 			}
 			w.note("membership whole %s later", whole.Round(time.Millisecond))
+			if err := w.silentClosed(ctx); err != nil {
+				return err
+			}
 		}
 		return nil
 	},
 }
 
+// silentClosed waits until no end holds a silent connection open any more.
+func (w *world) silentClosed(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, silentClosedLimit)
+	defer cancel()
+	began := time.Now()
+	err := ferryprocess.Poll(ctx, func(context.Context) error {
+		n := 0
+		for _, e := range w.Entries {
+			n += e.Proxy.Silenced()
+		}
+		if n > 0 {
+			return fmt.Errorf("%d silent connections are still held open after %s", n, silentClosedLimit)
+		}
+		return nil
+	})
+	w.note("every silent connection closed by both ends %s later", time.Since(began).Round(time.Millisecond))
+	return err
+}
+
 // drainSeen marks an engine at one entry, or takes the mark back, and waits until the others have heard it, which only links can bring.
 func (w *world) drainSeen(ctx context.Context, e *ferrydemo.Engine, leaving bool) error {
 	if err := w.operatorMark(ctx, e, leaving); err != nil {
--- a/ferrystand/ferryproof/stops.go
+++ b/ferrystand/ferryproof/stops.go
@@ -9,7 +9,7 @@
 )
 
 // stragglerTokens make a stream that runs for some seconds.
-const stragglerTokens = 1500
+const stragglerTokens = 6000
 
 var plannedStops = Case{
 	Name:    "stops",
--- a/ferrystand/proof.go
+++ b/ferrystand/proof.go
@@ -18,12 +18,14 @@
 Examples:
 
     ferrystand proof --programs bin
-    ferrystand proof --programs bin --case once --seed 3`
+    ferrystand proof --programs bin --case once --seed 3
+    ferrystand proof --programs bin --case together --runs 5`
 
 type proofCommand struct {
 	Programs string   `long:"programs" default:"bin" description:"directory of ferryd, ferryctl and ferrystand"`
 	Cases    []string `long:"case" description:"run only this case; may be given more than once"`
 	Seed     uint64   `long:"seed" default:"1" description:"seed of the case's choices"`
+	Runs     uint64   `long:"runs" default:"1" description:"how often to run each case, with a seed one higher each time"`
 }
 
 func init() {
@@ -50,16 +52,26 @@
 			continue
 		}
 		fmt.Printf("== %s: %s\n    %s\n", cs.Name, cs.Promise, cs.Faults)
-		r := cs.Run(context.Background(), os.Stdout, c.Programs, c.Seed)
-		if r.Err != nil {
-			failed++
-			fmt.Printf("    FAILED after %s: %v\n", r.Took.Round(time.Millisecond), r.Err)
-			continue
+		for n := range c.Runs {
+			if !c.one(cs, c.Seed+n) {
+				failed++
+			}
 		}
-		fmt.Printf("    passed in %s\n", r.Took.Round(time.Millisecond))
 	}
 	if failed > 0 {
-		return fmt.Errorf("%d cases failed", failed)
+		return fmt.Errorf("%d runs failed", failed)
 	}
 	return nil
 }
+
+// one runs a case with one seed and prints the command that runs it again if it fails.
+func (c *proofCommand) one(cs ferryproof.Case, seed uint64) bool {
+	r := cs.Run(context.Background(), os.Stdout, c.Programs, seed)
+	took := r.Took.Round(time.Millisecond)
+	if r.Err != nil {
+		fmt.Printf("    seed %d FAILED after %s: %v\n    again: ferrystand proof --case %s --seed %d\n", seed, took, r.Err, cs.Name, seed)
+		return false
+	}
+	fmt.Printf("    seed %d passed in %s\n", seed, took)
+	return true
+}
