An in-process test of a whole node; metrics in a registry of the node's own

The first run of it more than once in a process failed: 'panic: duplicate metrics collector registration attempted', since all nodes shared Prometheus' default registry; an embedding program would have met the same. Change: TestNode (stream, a claimed call, a changed document, a drain, a stop with a stream open) and TestTwoNodes over stand-ins served by httptest; each node has a registry of its own. Broken on purpose: a stop that does not wait for open streams gives 'unexpected EOF'; marks not put to use give 'Live (string) != Leaving (string)'.

--- a/ferryd/ferrynode/metrics.go
+++ b/ferryd/ferrynode/metrics.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -20,7 +22,10 @@
 }
 
 func newMetrics() *metrics {
-	r := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets one process hold several nodes.
+	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "ferryd",
 		CachedReporter:         r,
--- /dev/null
+++ b/ferryd/ferrynode/node_test.go
@@ -0,0 +1,295 @@
+package ferrynode
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cactusferry.dev/ferry/ferryadmin"
+	"cactusferry.dev/ferry/ferrydocument"
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferryd/ferrysettings"
+	"cactusferry.dev/ferrystand/ferryprocess"
+	"cactusferry.dev/ferrystand/ferrystandengine"
+	"cactusferry.dev/ferrystand/ferrystandplain"
+	"cactusferry.dev/ferrystand/ferrystandplatform"
+)
+
+const (
+	testKey    = "key-of-dobrich"
+	testToken  = "operator-token"
+	testLayers = 8
+	testPrompt = "Why did the yield drop?"
+	testTokens = 24
+	// openTokens at engineRate make a stream that is still open long after a stop without it would have ended.
+	openTokens   = 400
+	engineRate   = 500
+	testDeadline = 60 * time.Second
+)
+
+// bed is one node among stand-ins in this process.
+type bed struct {
+	node    *Node
+	plain   *ferrystandplain.Server
+	engines []*ferrystandengine.Engine
+	urls    []string
+	plainAt string
+	callers string
+	admin   *ferryadmin.Client
+	stop    chan os.Signal
+	ended   chan error
+}
+
+func serveOn(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ReadHeaderTimeout = testDeadline
+	s.Start()
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	b := &bed{plain: ferrystandplain.New("robots-1", clock), stop: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	b.plainAt = serveOn(t, b.plain)
+	for i := range 4 {
+		half := ferryid.Layer(i % 2 * testLayers / 2)
+		e := ferrystandengine.New(ferrystandengine.Config{
+			Name: ferryid.UpstreamName(fmt.Sprintf("engine-%d", i+1)), Service: "herd-llm", Layers: ferryid.LayerRange{From: half, To: half + testLayers/2}, TokensPerSecond: engineRate,
+		})
+		t.Cleanup(e.Close)
+		b.engines = append(b.engines, e)
+		b.urls = append(b.urls, serveOn(t, e))
+	}
+	free, err := ferryprocess.FreeAddresses(2)
+	assert.NilError(t, err)
+	b.callers = free[0]
+	b.admin = ferryadmin.NewClient("http://"+free[1], testToken)
+	cfg := ferrysettings.Settings{
+		Name: "entry-1", FailureDomain: "ruse-a", Callers: ferrysettings.Callers{Listen: free[0]}, Peers: ferrysettings.Peers{Listen: free[1]},
+		Platform: ferrysettings.Platform{URL: "http://" + serveOn(t, ferrystandplatform.New(clock))},
+		Keys:     ferrysettings.Keys{Seal: []string{strings.Repeat("00112233", 8)}, OperatorToken: testToken},
+		Stop:     ferrysettings.Stop{Grace: ferrysettings.Duration(time.Millisecond)},
+	}
+	cfg.SetDefaults()
+	assert.NilError(t, cfg.Validate("test", nil))
+	b.node, err = New(cfg, clock, zerolog.Nop())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { b.ended <- b.node.Run(ctx, b.stop) }()
+	b.until(t, "ready", func() error {
+		w, err := http.Get("http://" + b.callers + "/readyz")
+		if err != nil {
+			return err
+		}
+		defer w.Body.Close()
+		if w.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", w.StatusCode)
+		}
+		return nil
+	})
+	return b
+}
+
+// until waits for something that the node does on its own time.
+func (b *bed) until(t *testing.T, what string, check func() error) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := check(); err != nil {
+			return poll.Continue("%s: %v", what, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(testDeadline))
+}
+
+func customersText() string {
+	sum := sha256.Sum256([]byte(testKey))
+	return fmt.Sprintf("[[Customers]]\nName = \"dobrich\"\nKeySHA256 = [%q]\nShare = 1.0\n", hex.EncodeToString(sum[:]))
+}
+
+func (b *bed) modelText(short int) string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "Service = \"herd-llm\"\nTeam = \"herd\"\nKind = \"Model\"\n[Model]\nName = \"m\"\nVersion = \"1\"\nLayers = %d\n", testLayers)
+	fmt.Fprintf(&s, "[[Classes]]\nName = \"short\"\nMaxTokens = %d\n[[Classes]]\nName = \"long\"\n", short)
+	for i, u := range b.urls {
+		half := i % 2 * testLayers / 2
+		fmt.Fprintf(&s, "[[Upstreams]]\nName = \"engine-%d\"\nAddress = %q\nFailureDomain = \"ruse-a\"\nLayers = { From = %d, To = %d }\nSlots = 8\n", i+1, u, half, half+testLayers/2)
+	}
+	return s.String() + customersText()
+}
+
+func (b *bed) plainText() string {
+	return fmt.Sprintf("Service = \"parlour-api\"\nTeam = \"parlour\"\nKind = \"Plain\"\n[[Upstreams]]\nName = \"robots-1\"\nAddress = %q\nFailureDomain = \"ruse-a\"\nSlots = 8\n"+
+		"[[Routes]]\nMethod = \"POST\"\nPath = \"/rations/*\"\nIdempotent = false\n", b.plainAt) + customersText()
+}
+
+func (b *bed) apply(t *testing.T, service ferryid.ServiceName, text string, base ferryid.Generation) {
+	t.Helper()
+	a, err := b.admin.Apply(t.Context(), ferrydocument.ApplyRequest{
+		Service: service, Source: text, BaseGeneration: base, Operator: "morning", ApplyID: ferrydocument.NewApplyID(),
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, a.Generation, base+1)
+	b.until(t, "in force", func() error {
+		s, err := b.admin.Status(t.Context())
+		if err != nil {
+			return err
+		}
+		for _, d := range s.Documents {
+			if d.Service == service && d.Generation == base+1 {
+				return nil
+			}
+		}
+		return fmt.Errorf("documents are %v", s.Documents)
+	})
+}
+
+func (b *bed) do(t *testing.T, path, body, idempotencyKey string) (int, http.Header, string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+b.callers+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	if idempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	w, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer w.Body.Close()
+	out, err := io.ReadAll(w.Body)
+	assert.NilError(t, err)
+	return w.StatusCode, w.Header, string(out)
+}
+
+// stream asks for a completion, calls each after every piece and compares the text with the model's own.
+func (b *bed) stream(t *testing.T, seed uint64, tokens int, each func(n int)) {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"herd-llm","prompt":%q,"max_tokens":%d,"seed":%d,"stream":true}`, testPrompt, tokens, seed)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+b.callers+"/v1/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	w, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer w.Body.Close()
+	assert.Equal(t, w.StatusCode, http.StatusOK)
+	var text strings.Builder
+	done, pieces := false, 0
+	s := bufio.NewScanner(w.Body)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var v struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(data), &v), data)
+		for _, c := range v.Choices {
+			text.WriteString(c.Text)
+		}
+		pieces++
+		each(pieces)
+	}
+	assert.NilError(t, s.Err())
+	assert.Assert(t, done, "the stream must end with [DONE]")
+	assert.Equal(t, text.String(), strings.Join(ferryengine.Reference(seed, testPrompt, tokens, testLayers), ""))
+}
+
+func (b *bed) state(t *testing.T, upstream ferryid.UpstreamName) string {
+	t.Helper()
+	s, err := b.admin.Status(t.Context())
+	assert.NilError(t, err)
+	for _, sv := range s.Services {
+		for _, u := range sv.Upstreams {
+			if u.Name == upstream {
+				return string(u.State)
+			}
+		}
+	}
+	return ""
+}
+
+// One node does a caller's and an operator's day: a stream, a change that runs once, a changed document, a drain, a stop with a stream open.
+func TestNode(t *testing.T) {
+	b := newBed(t)
+	b.apply(t, "herd-llm", b.modelText(64), 0)
+	b.apply(t, "parlour-api", b.plainText(), 0)
+	b.stream(t, 7, testTokens, func(int) {})
+
+	for n := range 3 {
+		status, h, body := b.do(t, "/v1/services/parlour-api/rations/417", `{"Kilograms":2}`, "friday")
+		assert.Equal(t, status, http.StatusOK, body)
+		assert.Equal(t, h.Get("Replayed") == "true", n > 0)
+	}
+	status, h, _ := b.do(t, "/v1/services/parlour-api/rations/417", `{"Kilograms":9}`, "friday")
+	assert.Equal(t, status, http.StatusUnprocessableEntity)
+	assert.Equal(t, h.Get("Outcome"), "NotRun")
+	assert.Equal(t, len(b.plain.Records()), 1)
+
+	b.apply(t, "herd-llm", b.modelText(32), 1)
+	_, err := b.admin.Apply(t.Context(), ferrydocument.ApplyRequest{
+		Service: "herd-llm", Source: b.modelText(16), BaseGeneration: 1, Operator: "afternoon", ApplyID: ferrydocument.NewApplyID(),
+	})
+	assert.Assert(t, err != nil, "the second of two edits must be told that it lost")
+
+	assert.NilError(t, b.admin.Drain(t.Context(), ferryadmin.DrainRequest{Service: "herd-llm", Upstream: "engine-1", Operator: "morning", Leaving: true}))
+	assert.Equal(t, b.state(t, "engine-1"), "Leaving")
+	before := len(b.engines[0].Records(""))
+	b.stream(t, 8, testTokens, func(int) {})
+	assert.Equal(t, len(b.engines[0].Records("")), before, "a drained engine got new work")
+
+	b.stream(t, 9, openTokens, func(n int) {
+		if n == 1 {
+			b.stop <- syscall.SIGTERM
+		}
+	})
+	select {
+	case err := <-b.ended:
+		assert.NilError(t, err)
+	case <-time.After(testDeadline):
+		t.Fatal("the node did not stop")
+	}
+}
+
+// Two nodes live in one process, each with metrics of its own.
+func TestTwoNodes(t *testing.T) {
+	for _, b := range []*bed{newBed(t), newBed(t)} {
+		b.until(t, "metrics", func() error {
+			w, err := http.Get("http://" + b.callers + "/metrics")
+			if err != nil {
+				return err
+			}
+			defer w.Body.Close()
+			text, err := io.ReadAll(w.Body)
+			if err == nil && !strings.Contains(string(text), "ferryd_open_streams 0") {
+				err = fmt.Errorf("the gauge is not there yet")
+			}
+			return err
+		})
+	}
+}
