--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES  := $(foreach m,$(MODULES),./$(m)/...)
 BIN       := bin
 
-.PHONY: build readme tools fmt lint vet test race demo bench proof capacity fuzz clean
+.PHONY: build readme tools fmt lint vet test race demo bench proof histories capacity fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ $(foreach m,ferryd ferryctl ferrystand ferrybench,./$(m))
@@ -41,10 +41,14 @@
 demo: build
 	$(BIN)/ferrystand demo --programs $(BIN)
 
-# Brings failures about in real processes and checks the promises and the stated times.
-proof: build
+# Brings failures about in real processes and checks the promises and the stated times, after long histories of the cores.
+proof: build histories
 	$(BIN)/ferrystand proof --programs $(BIN)
 
+# Runs 10,000 random histories of the pure cores.
+histories:
+	GO="$(GO)" bash .ci/histories
+
 # Runs each fuzzer for FUZZTIME.
 FUZZTIME ?= 10s
 fuzz:
