--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES  := $(foreach m,$(MODULES),./$(m)/...)
 BIN       := bin
 
-.PHONY: build readme tools fmt lint vet test race demo bench proof histories capacity fuzz clean
+.PHONY: build readme tools fmt lint vet test race targets demo bench proof histories capacity fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ $(foreach m,ferryd ferryctl ferrystand ferrybench,./$(m))
@@ -32,7 +32,11 @@
 readme:
 	bash .ci/readme
 
-test: lint vet build readme race
+# The stated targets of the policies, on a virtual clock.
+targets:
+	$(GO) test -run TestStatedTargets ./ferrybench
+
+test: lint vet build readme race targets
 
 bench: build
 	$(BIN)/ferrybench policy --out out
@@ -58,5 +62,10 @@
 		done; \
 	done
 
+# capacity prints the measured points and the tables of docs/CAPACITY.md; it takes four minutes of one core.
+capacity: build
+	$(BIN)/ferrybench capacity
+	$(BIN)/ferrybench capacity --real 9 --real 30
+
 clean:
 	rm -rf $(BIN) out
--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -22,11 +22,13 @@
 	inboxSize      = 1024
 	maxPublishing  = maxTopics
 	listEvery      = 10 * time.Second
+	listsPerSecond = 2
 	listTimeout    = 5 * time.Second
 	detailEvery    = 500 * time.Millisecond
 	maxAnswering   = 64
 	maxAskConns    = 16
 	maxAskers      = 128
+	maxHellos      = 256
 	leavePollEvery = 20 * time.Millisecond
 )
 
@@ -69,6 +71,7 @@
 	counters counters
 	answers  chan struct{}
 	askers   chan struct{}
+	hellos   chan struct{}
 	left     chan struct{}
 	done     chan struct{}
 
@@ -104,7 +107,7 @@
 		cfg: cfg, inbox: make(chan Input, inboxSize), volatile: map[TopicName]bool{},
 		publish:  ferryring.NewCoalesce[TopicName, TopicName](maxPublishing),
 		counters: counters{counts: Counts{}},
-		answers:  make(chan struct{}, maxAnswering), askers: make(chan struct{}, maxAskers), left: make(chan struct{}), done: make(chan struct{}),
+		answers:  make(chan struct{}, maxAnswering), askers: make(chan struct{}, maxAskers), hellos: make(chan struct{}, maxHellos), left: make(chan struct{}), done: make(chan struct{}),
 		conns: map[LinkID]*conn{}, byTag: map[Tag]*conn{}, asks: map[Tag]*conn{},
 	}
 	n.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.TLS}}
@@ -235,21 +238,34 @@
 	return nil
 }
 
-// watchList brings the instance list every ten seconds; while the platform is away the last one stays.
+// watchList brings the instance list now and then; while the platform is away the last one stays.
 func (n *Node) watchList(ctx context.Context) {
 	defer n.wg.Done()
-	ticker := n.cfg.Clock.NewTicker(listEvery)
-	defer ticker.Stop()
-	for {
+	for reads := uint64(0); ; reads++ {
 		n.readList(ctx)
+		every := listInterval(n.liveCount())
+		wait := every/2 + time.Duration(float64(every)*fraction(uint64(n.cfg.Self.Tag())^reads))
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
+		case <-n.cfg.Clock.After(wait):
 		}
 	}
 }
 
+// liveCount is the number of live members, or one while there is no link and so no view of the others.
+func (n *Node) liveCount() int {
+	if len(n.Links()) == 0 {
+		return 1
+	}
+	return len(n.Members().Live())
+}
+
+// listInterval is the mean time between two reads of the instance list by one of the live members; all together read at most twice a second.
+func listInterval(live int) time.Duration {
+	return max(listEvery, time.Duration(live)*time.Second/listsPerSecond)
+}
+
 func (n *Node) readList(ctx context.Context) {
 	ctx, cancel := clockwork.WithTimeout(ctx, n.cfg.Clock, listTimeout)
 	defer cancel()
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -40,7 +40,8 @@
 		_ = callers.Close()
 		return err
 	}
-	go func() { fail(serveHTTP(ctx, n.callersServer(), callers)) }()
+	n.callersHTTP = n.callersServer()
+	go func() { fail(serveHTTP(ctx, n.callersHTTP, callers)) }()
 	go func() { fail(serveHTTP(ctx, n.peersServer(), peers)) }()
 	n.log.Info().Str("Callers", n.cfg.Callers.Listen).Str("Peers", n.cfg.Peers.Listen).Msg("listening")
 	return nil
@@ -57,6 +58,7 @@
 	go n.every(ctx, tellInterval, n.tellLoad)
 	go n.every(ctx, leaveInterval, n.takeMarks)
 	go n.every(ctx, metricsInterval, n.tellMetrics)
+	go n.every(ctx, wantInterval, n.wantOrders)
 	go n.every(ctx, loadInterval, n.readLoads)
 	go n.every(ctx, tickInterval, func(context.Context) { n.services.tick(n.clock.Now()) })
 	go n.becomeReady(ctx)
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -34,6 +34,7 @@
 	Outstanding ferryid.Tokens       `cbor:"4,keyasint"`
 	Rate        float64              `cbor:"5,keyasint"`
 	At          time.Time            `cbor:"6,keyasint"`
+	Incarnation ferryid.Incarnation  `cbor:"7,keyasint,omitempty"`
 }
 
 // Check returns an error for names that no engine can have; numbers are checked by the table that takes them.
@@ -50,6 +51,14 @@
 	return nil
 }
 
+// engine is the report as the engine gave it.
+func (l engineLoad) engine() ferryengine.Load {
+	return ferryengine.Load{
+		Name: l.Upstream, Incarnation: l.Incarnation, State: ferryengine.StateLive, RunningStreams: l.Running,
+		OutstandingTokens: l.Outstanding, TokensPerSecond: ferryid.TokensPerSecond(l.Rate), At: l.At,
+	}
+}
+
 func (l engineLoad) key() string {
 	return string(l.Service) + "/" + string(l.Upstream)
 }
@@ -82,7 +91,7 @@
 	n.mark(leaveMark{Service: sv.name, Upstream: c.Name, Leaving: l.State == ferryengine.StateLeaving, Source: leaveUpstream})
 	report := engineLoad{
 		Service: sv.name, Upstream: c.Name, Running: l.RunningStreams, Outstanding: l.OutstandingTokens,
-		Rate: float64(l.TokensPerSecond), At: l.At,
+		Rate: float64(l.TokensPerSecond), At: l.At, Incarnation: l.Incarnation,
 	}
 	n.loads.Set(report.key(), report, loadTTL)
 }
@@ -90,10 +99,14 @@
 // takeLoads gives every known report to the tables, which refuse the bad ones and count them.
 func (n *Node) takeLoads() {
 	now := n.clock.Now()
+	incarnations := map[string]ferryid.Incarnation{}
+	seen := map[string]time.Time{}
 	for _, e := range n.loads.All() {
 		l := e.Value
+		incarnations[l.key()] = l.Incarnation
 		sv, ok := n.services.get(l.Service)
-		if !ok {
+		seen[l.key()] = l.At
+		if !ok || n.seenLoads[l.key()].Equal(l.At) {
 			continue
 		}
 		err := sv.table.Report(ferryroute.Report{
@@ -102,8 +115,14 @@
 		}, now)
 		if err != nil {
 			n.log.Debug().Err(err).Msg("load report")
+			continue
+		}
+		if md := sv.model.Load(); md != nil {
+			_ = md.pool.Report(l.engine())
 		}
 	}
+	n.seenLoads = seen
+	n.services.setIncarnations(incarnations)
 }
 
 // tellLoad tells the other entries how busy this one is.
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	stdlog "log"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -61,29 +62,32 @@
 
 // Node is one entry instance.
 type Node struct {
-	cfg       ferrysettings.Settings
-	clock     clockwork.Clock
-	log       zerolog.Logger
-	self      ferryid.Incarnation
-	started   time.Time
-	current   atomic.Int32
-	stopping  atomic.Bool
-	events    *ferryevent.Log
-	list      atomic.Pointer[ferryplatform.Instances]
-	metrics   *metrics
-	platform  *ferryplatform.Client
-	holder    *ferrydocument.Holder
-	watcher   *ferrydocument.Watcher
-	services  *services
-	engines   *ferryengine.Client
-	plain     *ferryplain.Client
-	claims    *ferryclaim.Claims
-	peer      *ferrypeer.Node
-	loads     *ferrypeer.Latest[engineLoad]
-	marks     *ferrypeer.Latest[leaveMark]
-	peerKeys  *ferrykeys.Pair
-	callers   *ferrycaller.Server
-	operators *ferryoperator.Server
+	cfg      ferrysettings.Settings
+	clock    clockwork.Clock
+	log      zerolog.Logger
+	self     ferryid.Incarnation
+	started  time.Time
+	current  atomic.Int32
+	stopping atomic.Bool
+	events   *ferryevent.Log
+	list     atomic.Pointer[ferryplatform.Instances]
+	metrics  *metrics
+	platform *ferryplatform.Client
+	holder   *ferrydocument.Holder
+	watcher  *ferrydocument.Watcher
+	services *services
+	engines  *ferryengine.Client
+	plain    *ferryplain.Client
+	claims   *ferryclaim.Claims
+	peer     *ferrypeer.Node
+	loads    *ferrypeer.Latest[engineLoad]
+	marks    *ferrypeer.Latest[leaveMark]
+	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
+	seenLoads   map[string]time.Time
+	peerKeys    *ferrykeys.Pair
+	callers     *ferrycaller.Server
+	callersHTTP *http.Server
+	operators   *ferryoperator.Server
 }
 
 // New puts a node together; nothing runs yet.
@@ -133,7 +137,7 @@
 		Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock, Asker: claimPeers{n}, Forwarder: claimPeers{n}, Live: n.liveIncarnations,
 	})
 	n.callers = &ferrycaller.Server{
-		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.scope), Documents: n.services, Plain: n.plain, Claims: n.claims, Sealer: sealer,
+		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.scope), Documents: callerDocuments{n.services, n.holder}, Plain: n.plain, Claims: n.claims, Sealer: sealer,
 		Upstreams: plainUpstreams{services: n.services, clock: n.clock, leaving: n.markLeaving},
 		Models:    &models{node: n},
 		Limits: ferrycaller.Limits{
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -9,8 +9,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
+
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferrystand/ferryprocess"
@@ -83,6 +87,7 @@
 	Engines    []*Engine
 	Entries    []*Entry
 	slots      int
+	policy     string
 }
 
 // Config says how large a fleet is.
@@ -93,6 +98,8 @@
 	Entries int
 	// Slots is how many streams each engine runs at once, 16 if 0.
 	Slots int
+	// Policy is the text of the section [Policy] of the model's document, if any.
+	Policy string
 	// TokensPerSecond is the rate of every engine; if 0 they differ.
 	TokensPerSecond int
 	// PeerProxies puts a fault proxy before each entry's peers' listener.
@@ -111,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots}
+	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots, policy: cfg.Policy}
 	if f.slots == 0 {
 		f.slots = defaultSlots
 	}
@@ -309,11 +316,29 @@
 	return f.Run(ctx, "ferryctl", args...)
 }
 
+// Accept applies the first version of a document and waits until it is in force everywhere.
+func (f *Fleet) Accept(ctx context.Context, service, text string) error {
+	dir, err := os.MkdirTemp("", "cactusferry-document")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	file := filepath.Join(dir, service+".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if out, err := f.Ctl(ctx, "apply", file, "--base", "0", "--operator", Operator); err != nil {
+		return merry.Prepend(err, out)
+	}
+	return f.WaitInForce(ctx, service, 1)
+}
+
 // ModelDocument is the document of the model service.
 func (f *Fleet) ModelDocument(shortTokens int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "Service = %q\nTeam = \"herd\"\nKind = \"Model\"\n\n", ModelService)
 	fmt.Fprintf(&b, "[Model]\nName = \"herd-7b\"\nVersion = \"1\"\nLayers = %d\nEnginesFencing = true\n\n", Layers)
+	b.WriteString(f.policy)
 	fmt.Fprintf(&b, "[[Classes]]\nName = \"short\"\nMaxTokens = %d\nDeadline = \"10s\"\nReservedShare = 0.5\n\n", shortTokens)
 	fmt.Fprintf(&b, "[[Classes]]\nName = \"long\"\nDeadline = \"5m\"\nPriority = 1\n\n")
 	for _, e := range f.Engines {
--- a/ferrystand/ferryproof/load.go
+++ b/ferrystand/ferryproof/load.go
@@ -29,8 +29,10 @@
 	whole   int
 	resumed int
 	refused int
-	wrong   []string
-	why     map[string]int
+	// unreached counts calls to an entry that was gone, with nothing sent back; the caller then uses the next of its list.
+	unreached int
+	wrong     []string
+	why       map[string]int
 }
 
 func (t *tally) add(f func(*tally)) {
@@ -42,7 +44,7 @@
 func (t *tally) String() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return fmt.Sprintf("%d whole answers, %d resumes, %d refusals as NotRun %v, %d wrong", t.whole, t.resumed, t.refused, t.why, len(t.wrong))
+	return fmt.Sprintf("%d whole answers, %d resumes, %d refusals as NotRun %v, %d calls to an entry that was gone, %d wrong", t.whole, t.resumed, t.refused, t.why, t.unreached, len(t.wrong))
 }
 
 // err is the first thing that was wrong, if any.
@@ -163,7 +165,9 @@
 	}
 	if last != "" {
 		t.resumed++
+		return
 	}
+	t.unreached++
 }
 
 // plainCall is one call to the plain service and what the caller was told.
