Customers' limits over all entries; slots shared by computation

Cause: RequestsPerSecond had no effect in ferryd; an entry's share of the slots was an even one with a slack of 1.5 that no measurement stood behind. Excluded: a platform call for each request. Before: no limit held. Conclusion: limits over live entries are checked next.

--- a/ferryd/ferrynode/claim.go
+++ b/ferryd/ferrynode/claim.go
@@ -22,12 +22,13 @@
 
 const handOverPause = 100 * time.Millisecond
 
-// claimHandlers answer peers about claims.
-func (n *Node) claimHandlers() map[ferrypeer.AskKind]ferrypeer.Handler {
+// askHandlers answer peers about claims and limits.
+func (n *Node) askHandlers() map[ferrypeer.AskKind]ferrypeer.Handler {
 	return map[ferrypeer.AskKind]ferrypeer.Handler{
 		askClaim:    n.answerClaim,
 		askWrites:   n.answerWrites,
 		askTakeOver: n.answerTakeOver,
+		askLimit:    n.answerLimits,
 	}
 }
 
--- a/ferryd/ferrynode/document.go
+++ b/ferryd/ferrynode/document.go
@@ -32,6 +32,7 @@
 		for _, f := range sub.Take() {
 			n.services.setDocument(ctx, &f.Document)
 			n.orderDocument(ctx, f)
+			n.limits.setDocument(f)
 			n.log.Info().Str("Service", string(f.Accepted.Service)).Uint64("Generation", uint64(f.Accepted.Generation)).
 				Str("From", f.From).Msg("document in force")
 		}
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -8,12 +8,13 @@
 	"github.com/ansel1/merry/v2"
 
 	"cactusferry.dev/ferry/ferryduty"
+	"cactusferry.dev/ferry/ferrylimit"
 	"cactusferry.dev/ferry/ferryservice"
 )
 
 const (
 	listInterval   = time.Second
-	tickInterval   = 500 * time.Millisecond
+	tickInterval   = 100 * time.Millisecond
 	readyInterval  = 50 * time.Millisecond
 	tellInterval   = time.Second
 	intervalJitter = 0.2
@@ -59,6 +60,8 @@
 	go n.every(ctx, leaveInterval, n.takeMarks)
 	go n.every(ctx, metricsInterval, n.tellMetrics)
 	go n.every(ctx, wantInterval, n.wantOrders)
+	go n.every(ctx, ferrylimit.Tick, n.shareLimits)
+	go n.every(ctx, limitSweep, n.sweepLimits)
 	go n.every(ctx, loadInterval, n.readLoads)
 	go n.every(ctx, tickInterval, func(context.Context) { n.services.tick(n.clock.Now()) })
 	go n.becomeReady(ctx)
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -83,6 +83,7 @@
 	peer     *ferrypeer.Node
 	loads    *ferrypeer.Latest[engineLoad]
 	marks    *ferrydrain.Marks
+	limits   *limits
 	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
 	seenLoads   map[string]time.Time
 	peerKeys    *ferrykeys.Pair
@@ -116,6 +117,7 @@
 		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
 	})
 	n.marks = ferrydrain.NewMarks(clock)
+	n.limits = newLimits()
 	if err := n.newServers(); err != nil {
 		return nil, err
 	}
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -34,7 +34,7 @@
 		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: peerSecret(n.cfg.Keys.SealKeys()[0]),
 		Log: n.log, Events: n.events,
 		Topics:    []ferrypeer.Topic{documentTopic(n.holder), n.loads.Topic(), leavingTopic(n.marks)},
-		Handlers:  n.claimHandlers(),
+		Handlers:  n.askHandlers(),
 		OnMembers: n.onMembers,
 	}
 	pair, err := n.loadPair(n.cfg.Peers.TLS)
@@ -71,12 +71,26 @@
 // onMembers takes a new membership.
 func (n *Node) onMembers(ms ferrypeer.Members) {
 	live := len(ms.Live())
-	n.services.setLive(live)
+	n.services.setShare(place(ms))
 	n.watcher.SetLive(live)
 	n.watcher.Watching(live <= 1 || ferryduty.HoldsInDomain(ms, dutyWatch, watchers))
 	n.platform.SetBudget(platformBudget(n.cfg.Platform.CallsPerSecond, live))
 }
 
+// place is this entry's index among the entries that take calls, and their number.
+func place(ms ferrypeer.Members) (index, entries int) {
+	for _, m := range ms.List {
+		if !m.Usable() {
+			continue
+		}
+		if m.Name < ms.Self {
+			index++
+		}
+		entries++
+	}
+	return index, max(1, entries)
+}
+
 // platformBudget is one entry's share of the calls that the whole fleet may make.
 func platformBudget(fleet float64, live int) ferryplatform.Budget {
 	share := float64(ferryduty.Share(ferryduty.PerSecond(fleet), live))
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,12 +22,7 @@
 	"cactusferry.dev/ferry/ferryservice"
 )
 
-const (
-	retryBurst   = 10
-	defaultSlots = 16
-	// capacitySlack lets one entry run more than an even share, since callers are not spread evenly.
-	capacitySlack = 1.5
-)
+const retryBurst = 10
 
 // service is what this entry keeps of one service beside its document.
 type service struct {
@@ -58,11 +52,12 @@
 	marks        *ferrydrain.Marks
 	left         map[string]bool
 	incarnations map[string]ferryid.Incarnation
-	live         int
+	index        int
+	entries      int
 }
 
 func newServices(clock clockwork.Clock, engines *ferryengine.Client, events *ferryevent.Log) *services {
-	s := &services{clock: clock, engines: engines, events: events, named: map[ferryid.ServiceName]*service{}, live: 1}
+	s := &services{clock: clock, engines: engines, events: events, named: map[ferryid.ServiceName]*service{}, entries: 1}
 	s.snap.Store(&map[ferryid.ServiceName]*service{})
 	return s
 }
@@ -166,15 +161,14 @@
 	s.incarnations = m
 }
 
-// setLive takes the number of entries that share the upstreams.
-func (s *services) setLive(n int) {
+// setShare takes this entry's place, from 0, among the entries that share the upstreams, which all count in the same order.
+func (s *services) setShare(index, entries int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n = max(1, n)
-	if s.live == n {
+	if s.index == index && s.entries == entries {
 		return
 	}
-	s.live = n
+	s.index, s.entries = index, entries
 	for _, sv := range s.named {
 		s.refresh(sv)
 	}
@@ -191,8 +185,9 @@
 	}
 	sv.doc.Store(&d)
 	sv.table.SetDocument(&d)
+	sv.table.SetShare(s.index, s.entries)
 	sv.admission.SetDocument(&d)
-	sv.admission.SetCapacity(s.capacity(&d))
+	sv.admission.SetCapacity(sv.table.Snapshot().Slots())
 	if d.Kind == ferryservice.KindModel {
 		s.refreshModel(sv, &d)
 	}
@@ -233,28 +228,6 @@
 	return ups
 }
 
-// capacity is how many calls this entry runs at once: its share of all slots, counted in whole pipelines.
-func (s *services) capacity(d *ferryservice.Document) int {
-	slots := 0.0
-	for _, u := range d.Upstreams {
-		if u.Leaving {
-			continue
-		}
-		n := float64(u.Slots)
-		if n == 0 {
-			n = defaultSlots
-		}
-		if d.Kind == ferryservice.KindModel {
-			n *= float64(u.Layers.Len()) / float64(d.Model.Layers)
-		}
-		slots += n
-	}
-	if s.live == 1 {
-		return int(slots)
-	}
-	return int(math.Ceil(slots * capacitySlack / float64(s.live)))
-}
-
 // plainUpstreams chooses among the upstreams of plain services.
 type plainUpstreams struct {
 	services *services
@@ -311,6 +284,7 @@
 func (s *services) tick(now time.Time) {
 	for _, sv := range s.all() {
 		sv.table.Tick(now)
+		sv.admission.SetCapacity(sv.table.Snapshot().Slots())
 		s.mu.Lock()
 		if d := sv.doc.Load(); d.Kind == ferryservice.KindModel {
 			s.refreshModel(sv, d)
--- a/ferryd/ferrynode/steer.go
+++ b/ferryd/ferrynode/steer.go
@@ -43,7 +43,3 @@
 	m, ok := n.memberOf(id)
 	return m.CallerAddress, ok && m.CallerAddress != ""
 }
-
-func (n *Node) allow(*ferryservice.Document, ferryservice.Customer, float64) (time.Duration, bool) {
-	return 0, true
-}
