The job's core reads the engine's connection itself

Cause: each token crossed two channels and three goroutines; selectgo and the scheduler took about a quarter of ferryd's processor time in a 5 s profile. Excluded: the core on the writer's goroutine. A caller that does not read would then hold its slot against a preemption until the write deadline. Change: next() waits for the engine's connection on the core's own goroutine; caller's end and deadline cancel the reading and are told before the error they cause; cancels, moves and waits still come over a (smaller) ring. Broken on purpose: without halt() at the deadline panic: test timed out after 5s ...

--- a/ferry/ferrypipeline/runner.go
+++ b/ferry/ferrypipeline/runner.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// messageRing is how many items of one job wait for its core; when it is full the engine's connection is not read.
-	messageRing    = 64
+	// messageRing bounds what a job's cancels, waits and moves tell its core; who finds it full waits, or gives up when the job is over.
+	messageRing    = 8
 	cancelTimeout  = 2 * time.Second
 	actionCapacity = 8
 )
@@ -59,19 +59,24 @@
 		r: r, ctx: ctx, job: &job, emit: emit,
 		core: NewCore(&job, r.Core), messages: make(chan Message, messageRing), done: make(chan struct{}),
 	}
+	s.reading, s.halt = context.WithCancel(ctx)
 	defer s.close()
 	if r.Budget != nil {
 		r.Budget.First()
 	}
 	if !job.Deadline.IsZero() {
-		t := r.Clock.NewTimer(job.Deadline.Sub(r.Clock.Now()))
+		passed, halt := make(chan struct{}), s.halt
+		s.deadline = passed
+		t := r.Clock.AfterFunc(job.Deadline.Sub(r.Clock.Now()), func() {
+			close(passed)
+			halt()
+		})
 		defer t.Stop()
-		s.deadline = t.Chan()
 	}
 	return s.loop()
 }
 
-// session is one job on its caller's goroutine, which alone owns the core.
+// session is one job on its caller's goroutine, which alone owns the core and reads the engine's connection: while a token can't be passed on, none is read.
 type session struct {
 	r        *Runner
 	ctx      context.Context
@@ -81,37 +86,36 @@
 	messages chan Message
 	soon     []Message
 	done     chan struct{}
-	deadline <-chan time.Time
-	stop     context.CancelFunc
+	gone     <-chan struct{}
+	deadline <-chan struct{}
+	// reading ends with the caller or the deadline, so that neither waits for a silent engine.
+	reading context.Context
+	halt    context.CancelFunc
+	opening *ferryengine.RunRequest
+	stream  ferryengine.Stream
+	epoch   ferryid.Epoch
+	stop    context.CancelFunc
+	// leaving counts the connections that are being closed.
+	leaving  sync.WaitGroup
 	finished *Finish
 }
 
-// close ends the job's goroutines; after a whole answer the reader ends by itself and its connection is used again.
+// close ends the job's goroutines and what is still read.
 func (s *session) close() {
 	close(s.done)
-	if s.stop != nil && (s.finished == nil || s.finished.Err != nil) {
-		s.stop()
-	}
+	s.leave(false)
+	go func() {
+		s.leaving.Wait()
+		s.halt()
+	}()
 }
 
 func (s *session) loop() (Result, error) {
 	actions := make([]Action, 0, actionCapacity)
-	gone := s.ctx.Done()
+	s.gone = s.ctx.Done()
 	s.soon = append(s.soon, Begin{})
 	for {
-		var m Message
-		if len(s.soon) > 0 {
-			m = s.soon[0]
-			s.soon = s.soon[1:]
-		} else {
-			select {
-			case m = <-s.messages:
-			case <-s.deadline:
-				m, s.deadline = DeadlinePassed{}, nil
-			case <-gone:
-				m, gone = CallerGone{Err: s.ctx.Err()}, nil
-			}
-		}
+		m := s.next()
 		now := s.r.Clock.Now()
 		if s.r.Trace != nil {
 			s.r.Trace(now, m)
@@ -126,6 +130,79 @@
 	}
 }
 
+// next waits for the core's next message: what is known already, then what others say, then the engine's connection.
+func (s *session) next() Message {
+	if len(s.soon) > 0 {
+		m := s.soon[0]
+		s.soon = s.soon[1:]
+		return m
+	}
+	if s.opening == nil && s.stream == nil {
+		return s.wait()
+	}
+	if m := s.interruption(); m != nil {
+		return m
+	}
+	if s.opening != nil {
+		if err := s.open(); err != nil {
+			return s.broke(err)
+		}
+	}
+	it, err := s.stream.Next()
+	if err != nil {
+		s.leave(false)
+		return s.broke(err)
+	}
+	if it.Done || it.Failed != nil {
+		// A failed epoch's connection is given up: the engine may break it off behind the failure.
+		s.leave(it.Done)
+	}
+	return ItemArrived{Epoch: s.epoch, Item: it}
+}
+
+// wait waits for a message of another goroutine, the deadline or the caller's end.
+func (s *session) wait() Message {
+	select {
+	case m := <-s.messages:
+		return m
+	case <-s.deadline:
+		s.deadline = nil
+		return DeadlinePassed{}
+	case <-s.gone:
+		s.gone = nil
+		return CallerGone{Err: s.ctx.Err()}
+	}
+}
+
+// interruption returns what does not wait for the engine, or nil.
+func (s *session) interruption() Message {
+	if len(s.messages) == 0 && s.reading.Err() == nil {
+		return nil
+	}
+	select {
+	case m := <-s.messages:
+		return m
+	case <-s.deadline:
+		s.deadline = nil
+		return DeadlinePassed{}
+	case <-s.gone:
+		s.gone = nil
+		return CallerGone{Err: s.ctx.Err()}
+	default:
+		return nil
+	}
+}
+
+// broke tells of an epoch's error, after what may have caused it.
+func (s *session) broke(err error) Message {
+	b := brokeBy(s.epoch, err)
+	if m := s.interruption(); m != nil {
+		s.soon = append(s.soon, b)
+		return m
+	}
+	return b
+}
+
 func (s *session) perform(a Action) {
 	switch a := a.(type) {
 	case AskPlan:
@@ -182,34 +259,42 @@
 	return Planned{Plan: plan}
 }
 
+// start leaves the opening to next, so that what else the core decided does not wait for it.
 func (s *session) start(a Start) {
 	s.note("EpochStarted", "epoch %d from token %d on %d stages, first %s", a.Request.Epoch, len(a.Request.Generated), len(a.Request.Stages), a.Request.Stages[0].Address)
-	ctx, stop := context.WithCancel(s.ctx)
-	s.stop = stop
-	go func() {
-		defer stop()
-		s.read(ctx, a.Request)
-	}()
+	s.leave(false)
+	s.epoch, s.opening = a.Request.Epoch, &a.Request
 }
 
-// read runs one epoch and posts its items.
-func (s *session) read(ctx context.Context, req ferryengine.RunRequest) {
-	stream, err := s.r.Engines.Run(ctx, req)
+// open starts the epoch on its first stage.
+func (s *session) open() error {
+	ctx, stop := context.WithCancel(s.reading)
+	req := s.opening
+	s.opening = nil
+	stream, err := s.r.Engines.Run(ctx, *req)
 	if err != nil {
-		s.post(brokeBy(req.Epoch, err))
+		stop()
+		return err
+	}
+	s.stream, s.stop = stream, stop
+	return nil
+}
+
+// leave ends the reading of an epoch; after its last item the connection is left to end by itself and is used again.
+func (s *session) leave(ended bool) {
+	s.opening = nil
+	if s.stream == nil {
 		return
 	}
-	defer stream.Close()
-	for {
-		it, err := stream.Next()
-		if err != nil {
-			s.post(brokeBy(req.Epoch, err))
-			return
-		}
-		if !s.post(ItemArrived{Epoch: req.Epoch, Item: it}) || it.Done || it.Failed != nil {
-			return
-		}
+	stream, stop := s.stream, s.stop
+	s.stream, s.stop = nil, nil
+	if !ended {
+		stop()
 	}
+	s.leaving.Go(func() {
+		defer stop()
+		_ = stream.Close()
+	})
 }
 
 // brokeBy judges an epoch's error: an answer that began proves nothing about layers, so only the upstream's own word and an unwritten call are certain.
@@ -250,9 +335,7 @@
 // cancel closes the epoch's connection and tells each of its stages, the first one's answer going to the core.
 func (s *session) cancel(a CancelEpoch) {
 	s.note("EpochCancelled", "epoch %d", a.Epoch)
-	if s.stop != nil {
-		s.stop()
-	}
+	s.leave(false)
 	s.r.cancels.Add(len(a.Plan.Stages))
 	for i, st := range a.Plan.Stages {
 		go func() {
