What entries say of loads is bounded over the fleet

Cause: docs/CAPACITY.md's measurement is for 10 load items a second over the fleet; ferryd sent two for each engine a second, 3,200 at 1,600 engines. Excluded: more readers. Change: one reader an engine, 20 items a second over the fleet; at 40 engines a report is at most 2 s old. Before: 2 items a second an engine. After: 0.5 at 40 engines, 0.0125 at 1,600, where reports are 80 s old: too old to choose by, so each entry has to ask a subset of its own then.

--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -20,10 +20,13 @@
 
 	loadInterval = time.Second
 	loadTimeout  = 900 * time.Millisecond
-	loadTTL      = 10 * time.Second
-	maxLoads     = 8192
+	// loadItemsPerSecond bounds what the whole fleet says of loads, whatever the number of engines.
+	loadItemsPerSecond = 20
+	// loadKept is for how many intervals a report is kept.
+	loadKept = 5
+	maxLoads = 8192
 	// loadReaders is how many entries ask each engine for its load; the others hear of it from them.
-	loadReaders = 2
+	loadReaders = 1
 	permille    = 1000
 )
 
@@ -66,6 +69,13 @@
 
 // readLoads asks the engines that this entry reads for the others, and takes what the others have read.
 func (n *Node) readLoads(ctx context.Context) {
+	defer n.takeLoads()
+	now := n.clock.Now()
+	if now.Before(n.nextLoads) {
+		return
+	}
+	interval := n.loadPause()
+	n.nextLoads = now.Add(interval)
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	ms := n.peer.Members()
@@ -76,15 +86,25 @@
 		for _, c := range sv.table.Snapshot().All() {
 			duty := ferryduty.Duty("load " + string(sv.name) + "/" + string(c.Name))
 			if len(ms.List) == 0 || ferryduty.Holds(ms, duty, loadReaders) {
-				go n.readLoad(ctx, sv, c)
+				go n.readLoad(ctx, sv, c, loadKept*interval)
 			}
 		}
 	}
-	n.takeLoads()
 	<-ctx.Done()
 }
 
-func (n *Node) readLoad(ctx context.Context, sv *service, c ferryroute.Candidate) {
+// loadPause grows with the number of engines, so that what is said of loads does not.
+func (n *Node) loadPause() time.Duration {
+	engines := 0
+	for _, sv := range n.services.all() {
+		if sv.model.Load() != nil {
+			engines += sv.table.Snapshot().Len()
+		}
+	}
+	return max(loadInterval, time.Duration(engines)*time.Second/loadItemsPerSecond) - loadInterval/2
+}
+
+func (n *Node) readLoad(ctx context.Context, sv *service, c ferryroute.Candidate, ttl time.Duration) {
 	l, err := n.engines.Load(ctx, c.Address)
 	if err != nil {
 		return
@@ -97,7 +117,7 @@
 		Service: sv.name, Upstream: c.Name, Running: l.RunningStreams, Outstanding: l.OutstandingTokens,
 		Rate: float64(l.TokensPerSecond), At: l.At, Incarnation: l.Incarnation,
 	}
-	n.loads.Set(report.key(), report, loadTTL)
+	n.loads.Set(report.key(), report, ttl)
 }
 
 // takeLoads gives every known report to the tables, which refuse the bad ones and count them.
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -86,6 +86,7 @@
 	limits   *limits
 	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
 	seenLoads   map[string]time.Time
+	nextLoads   time.Time
 	peerKeys    *ferrykeys.Pair
 	callers     *ferrycaller.Server
 	callersHTTP *http.Server
