Instances behind a fault proxy stand in the list by its address

The stand-in had listed its own address, so entries took it for one more upstream and went round the proxy; the router was right. Change: the fleet overwrites the row with the proxy's address.

--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -217,6 +217,15 @@
 		return err
 	}
 	f.Plains = p
+	if f.PlainProxy != nil {
+		row := ferryplatform.Instance{
+			Role: ferryplatform.RolePlain, Service: PlainService, Address: f.plainReached(), FailureDomain: ferryid.DomainName(domains[0]),
+			Incarnation: ferryid.NewIncarnation(), State: ferryplatform.StateLive,
+		}
+		if err := f.list(ctx, "robots-1", row); err != nil {
+			return err
+		}
+	}
 	for _, e := range f.Engines {
 		if err := f.StartEngine(ctx, e); err != nil {
 			return err
@@ -232,7 +241,18 @@
 		"--accelerator", e.Accelerator, "--tokens-per-second", fmt.Sprint(e.TokensPerSecond), "--slots", fmt.Sprint(f.slots),
 		"--platform", "http://"+f.Platform)
 	e.Process = p
-	return err
+	if err != nil || e.Proxy == nil {
+		return err
+	}
+	return f.list(ctx, e.Name, ferryplatform.Instance{
+		Role: ferryplatform.RoleEngine, Service: ModelService, Address: e.Reached(), FailureDomain: ferryid.DomainName(e.Domain),
+		Incarnation: ferryid.NewIncarnation(), State: ferryplatform.StateLive, Accelerator: e.Accelerator, Layers: e.Layers,
+	})
+}
+
+// list puts an instance behind a proxy into the list by the proxy's address, since entries add what the list names to their documents.
+func (f *Fleet) list(ctx context.Context, name string, row ferryplatform.Instance) error {
+	return f.PutJSON(ctx, "http://"+f.Platform+"/admin/instances/"+name, row)
 }
 
 // StartEntry starts one ferryd, enters it in the instance list and waits until it is ready.
