Smaller buffers for a stream

Cause: a stream's token channel had room for 256, the line reader 4 KB and the transport's write buffer 4 KB, though a connection writes one request. Change: 64 tokens, 1 KB and 1 KB; the transport's read buffer stays 4 KB, so no more system calls. Conclusion: kept.

--- a/ferry/ferryengine/line.go
+++ b/ferry/ferryengine/line.go
@@ -6,7 +6,7 @@
 	"io"
 )
 
-const readBufferBytes = 4 << 10
+const readBufferBytes = 1 << 10
 
 // LineReader reads lines of a bounded length; an empty line is a heartbeat.
 type LineReader struct {
--- a/ferry/ferryengine/transport.go
+++ b/ferry/ferryengine/transport.go
@@ -13,6 +13,8 @@
 	idleConnTimeout    = 90 * time.Second
 	maxIdleConns       = 4096
 	maxIdleConnsByHost = 512
+	// writeBufferBytes is small because a connection writes one request and then only reads.
+	writeBufferBytes = 1 << 10
 )
 
 // meteredConn counts the bytes handed to a connection and can be sealed against more, so that a count of nothing stays true.
@@ -91,5 +93,6 @@
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConnsByHost,
 		IdleConnTimeout:     idleConnTimeout,
+		WriteBufferSize:     writeBufferBytes,
 	}
 }
--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -23,7 +23,7 @@
 	// bytesPerToken turns a prompt's length into an estimate of its tokens.
 	bytesPerToken = 4
 	// tokenBuffer bounds the tokens that wait for a slow caller; a stream whose buffer is full waits.
-	tokenBuffer       = 256
+	tokenBuffer       = 64
 	heartbeatInterval = 5 * time.Second
 	// progressTokens is how many tokens pass before the queue is told of them.
 	progressTokens = 16
