--- a/ferry/ferrypeer/faults_test.go
+++ b/ferry/ferrypeer/faults_test.go
@@ -350,7 +350,7 @@
 }
 
 func TestBothEndsChooseALink(t *testing.T) {
-	for _, tc := range []struct{ n, domains, most int }{{9, 3, 8}, {30, 3, 9}, {100, 1, 9}, {160, 8, 17}} {
+	for _, tc := range []struct{ n, domains, most int }{{9, 3, 8}, {30, 3, 9}, {100, 1, 9}, {160, 8, 17}, {350, 8, 17}} {
 		t.Run(fmt.Sprintf("%d in %d", tc.n, tc.domains), func(t *testing.T) {
 			var cs []ferrypeer.Candidate
 			for i := range tc.n {
