ferrybench idle: what entries spend while nobody asks; fewer refreshes

Cause: no figure of whole processes for control. Excluded: the overlay's cores alone, which CAPACITY has. Change: the subcommand; pools are refreshed each 500 ms, limits cost nothing where none is set.

--- /dev/null
+++ b/ferrybench/idle.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cactusferry.dev/ferrybench/ferryrelay"
+)
+
+const idleHelp = `Starts fleets of real ferryd processes of growing size and measures what an entry
+spends on acting together while no caller asks for anything.
+
+Example:
+
+    ferrybench idle --entries 9 --entries 30`
+
+type idleCommand struct {
+	Programs string        `long:"programs" default:"bin" description:"directory of ferryd, ferryctl and ferrystand"`
+	Entries  []int         `long:"entries" default:"9" default:"30" description:"sizes of the fleets"`
+	Engines  int           `long:"engines" default:"8" description:"engines of each fleet"`
+	Duration time.Duration `long:"duration" default:"20s" description:"how long each fleet is watched"`
+}
+
+func init() {
+	subcommands = append(subcommands, func(p *flags.Parser) error {
+		_, err := p.AddCommand("idle", "what entries spend on acting together", idleHelp, &idleCommand{})
+		return err
+	})
+}
+
+// Execute measures and prints a line a fleet.
+func (c *idleCommand) Execute([]string) error {
+	for _, n := range c.Entries {
+		r, err := ferryrelay.MeasureIdle(context.Background(), c.Programs, c.Engines, n, c.Duration)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%d entries, %d engines: %.3f%% of a core and %.1f MB an entry, %.1f platform calls/s in all\n",
+			r.Entries, c.Engines, 100*r.CoreShare, float64(r.Bytes)/1e6, r.PlatformCalls)
+	}
+	return nil
+}
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	listInterval   = time.Second
-	tickInterval   = 100 * time.Millisecond
-	readyInterval  = 50 * time.Millisecond
-	tellInterval   = time.Second
-	intervalJitter = 0.2
+	listInterval    = time.Second
+	tickInterval    = 100 * time.Millisecond
+	refreshInterval = 500 * time.Millisecond
+	readyInterval   = 50 * time.Millisecond
+	tellInterval    = time.Second
+	intervalJitter  = 0.2
 	// listReaders is how many entries of each failure domain read the instance list every second.
 	listReaders = 2
 	// slowListPerSecond bounds the reads of all other entries together.
@@ -58,6 +59,7 @@
 	go n.every(ctx, listInterval, n.readInstances)
 	go n.every(ctx, tellInterval, n.tellLoad)
 	go n.every(ctx, leaveInterval, n.takeMarks)
+	go n.every(ctx, refreshInterval, func(context.Context) { n.services.refreshModels() })
 	go n.every(ctx, metricsInterval, n.tellMetrics)
 	go n.every(ctx, wantInterval, n.wantOrders)
 	go n.every(ctx, ferrylimit.Tick, n.shareLimits)
--- a/ferryd/ferrynode/limit.go
+++ b/ferryd/ferrynode/limit.go
@@ -72,6 +72,12 @@
 
 // shareLimits asks the counting entries for what the customers want here.
 func (n *Node) shareLimits(ctx context.Context) {
+	n.limits.mu.Lock()
+	none := len(n.limits.rates) == 0
+	n.limits.mu.Unlock()
+	if none {
+		return
+	}
 	live := n.liveIncarnations()
 	n.limits.mu.Lock()
 	asks := n.limits.shares.Asks(n.clock.Now())
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -280,15 +280,21 @@
 	return ok && sv.budget.Load().Retry()
 }
 
-// tick lets upstreams that were put aside be tried again.
+// tick lets upstreams that were put aside be tried again, and tells the queues how many calls may run.
 func (s *services) tick(now time.Time) {
 	for _, sv := range s.all() {
 		sv.table.Tick(now)
 		sv.admission.SetCapacity(sv.table.Snapshot().Slots())
-		s.mu.Lock()
+	}
+}
+
+// refreshModels tells the pools which engines to avoid now.
+func (s *services) refreshModels() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sv := range s.named {
 		if d := sv.doc.Load(); d.Kind == ferryservice.KindModel {
 			s.refreshModel(sv, d)
 		}
-		s.mu.Unlock()
 	}
 }
