A live load report no longer takes a leaving mark back

Change: a report can only say that an engine leaves; Avoid and Set take it back. Test: planner_test.go, on the old line 'a live report took back that the engine leaves'.

--- a/ferry/ferrypipeline/planner_test.go
+++ b/ferry/ferrypipeline/planner_test.go
@@ -242,6 +242,11 @@
 	good.State = ferryengine.StateLeaving
 	assert.NilError(t, pool.Report(good))
 	assert.Assert(t, pool.Loads()[0].Avoid)
+	good.State = ferryengine.StateLive
+	assert.NilError(t, pool.Report(good))
+	assert.Assert(t, pool.Loads()[0].Avoid, "a live report took back that the engine leaves")
+	pool.Avoid(good.Name, false)
+	assert.Assert(t, !pool.Loads()[0].Avoid)
 }
 
 func TestPlace(t *testing.T) {
--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -229,7 +229,10 @@
 	own := p.loads[i].Outstanding - p.others[i]
 	p.others[i] = max(0, l.OutstandingTokens-own)
 	p.loads[i].Outstanding = own + p.others[i]
-	p.loads[i].Avoid = l.State == ferryengine.StateLeaving
+	// A report that is live does not take back who said that the engine leaves; Avoid and Set do.
+	if l.State == ferryengine.StateLeaving {
+		p.loads[i].Avoid = true
+	}
 	return nil
 }
 
