--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -38,8 +38,6 @@
 	// others is the work that other entries have given to each candidate, as far as its reports show.
 	others   []ferryid.Tokens
 	reported []time.Time
-	// leaving is what engines say of themselves, apart from what Avoid was told.
-	leaving  []bool
 	excluded []bool
 	refused  int
 	suspects map[ferryid.UpstreamName]suspicion
@@ -75,7 +73,6 @@
 	p.excluded = make([]bool, len(loads))
 	p.others = make([]ferryid.Tokens, len(loads))
 	p.reported = make([]time.Time, len(loads))
-	p.leaving = make([]bool, len(loads))
 	return nil
 }
 
@@ -115,7 +112,7 @@
 
 // mark sets what may not be used: the job's own exclusions and, unless now is zero, the suspects.
 func (p *Pool) mark(exclude []ferryid.UpstreamName, now time.Time) {
-	copy(p.excluded, p.leaving)
+	clear(p.excluded)
 	for _, name := range exclude {
 		if i, ok := p.index[name]; ok {
 			p.excluded[i] = true
@@ -168,11 +165,7 @@
 func (p *Pool) Loads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := slices.Clone(p.loads)
-	for i := range out {
-		out[i].Avoid = out[i].Avoid || p.leaving[i]
-	}
-	return out
+	return slices.Clone(p.loads)
 }
 
 // Observe takes up the measured rates of a plan's engines and the time of the links between them; a measurement that can't be right changes nothing.
@@ -236,7 +229,10 @@
 	own := p.loads[i].Outstanding - p.others[i]
 	p.others[i] = max(0, l.OutstandingTokens-own)
 	p.loads[i].Outstanding = own + p.others[i]
-	p.leaving[i] = l.State == ferryengine.StateLeaving
+	// A report that is live does not take back who said that the engine leaves; Avoid and Set do.
+	if l.State == ferryengine.StateLeaving {
+		p.loads[i].Avoid = true
+	}
 	return nil
 }
 
--- a/ferry/ferrypipeline/pool_test.go
+++ b/ferry/ferrypipeline/pool_test.go
@@ -35,5 +35,7 @@
 	report(ferryengine.StateLeaving)
 	assert.Equal(t, pick(), ferryid.UpstreamName("b"), "an engine that says it leaves gets nothing")
 	report(ferryengine.StateLive)
+	assert.Equal(t, pick(), ferryid.UpstreamName("b"), "only Avoid lets it come again")
+	pool.Avoid("a", false)
 	assert.Equal(t, pick(), ferryid.UpstreamName("a"))
 }
