Fewer wakings of an idle entry

Cause: the profile of an idle entry is almost all findRunnable: 20 wakings a second for limits and 10 for the queues. Excluded: longer steps of the overlay. Change: the limits' duty sleeps a second while no customer has a limit; the queues are told four times a second.

--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -14,7 +14,7 @@
 
 const (
 	listInterval    = time.Second
-	tickInterval    = 100 * time.Millisecond
+	tickInterval    = 250 * time.Millisecond
 	refreshInterval = 500 * time.Millisecond
 	readyInterval   = 50 * time.Millisecond
 	tellInterval    = time.Second
@@ -74,15 +74,21 @@
 func (n *Node) every(ctx context.Context, d time.Duration, f func(context.Context)) {
 	for {
 		f(ctx)
-		wait := time.Duration(float64(d) * (1 + intervalJitter*(rand.Float64()-0.5)))
-		select {
-		case <-ctx.Done():
+		n.pause(ctx, time.Duration(float64(d)*(1+intervalJitter*(rand.Float64()-0.5))))
+		if ctx.Err() != nil {
 			return
-		case <-n.clock.After(wait):
 		}
 	}
 }
 
+// pause waits, or returns when the context ends.
+func (n *Node) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-n.clock.After(d):
+	}
+}
+
 // becomeReady waits until configuration is held, or the platform says that there is none yet.
 func (n *Node) becomeReady(ctx context.Context) {
 	for n.holder.Len() == 0 {
--- a/ferryd/ferrynode/limit.go
+++ b/ferryd/ferrynode/limit.go
@@ -19,6 +19,8 @@
 	askLimit     ferrypeer.AskKind = 4
 	limitTimeout                   = time.Second
 	limitSweep                     = time.Minute
+	// limitIdle is how long the duty sleeps while no customer has a limit.
+	limitIdle = time.Second
 )
 
 // limits holds customers' limits over all entries.
@@ -76,6 +78,7 @@
 	none := len(n.limits.rates) == 0
 	n.limits.mu.Unlock()
 	if none {
+		n.pause(ctx, limitIdle)
 		return
 	}
 	live := n.liveIncarnations()
