The stand-in model leaves the library's engine adapter

Cause: ferryd linked the stand-ins' hash model, since it stood in ferryengine. Excluded: a package in ferrystand, which the library's own tests could not use. Change: ferry/ferryengine/ferryenginetest. Before and after: the tests of ferryengine, ferrypipeline, ferrystand and ferrynode pass. Conclusion: nothing of the stand-ins is linked into ferryd.

--- a/ferry/ferryengine/model.go
+++ b/ferry/ferryengine/ferryenginetest/model.go
@@ -1,4 +1,4 @@
-package ferryengine
+package ferryenginetest
 
 import (
 	"encoding/binary"
--- a/ferry/ferrypipeline/core_test.go
+++ b/ferry/ferrypipeline/core_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypipeline"
@@ -63,7 +64,7 @@
 
 func newSim(t *rapid.T) *sim {
 	job := &ferrypipeline.Job{Stream: "s", Prompt: "p", MaxTokens: simTokens, Seed: 3, Deadline: time.Unix(1000, 0)}
-	want := ferryengine.Reference(3, "p", simTokens, simLayers)
+	want := ferryenginetest.Reference(3, "p", simTokens, simLayers)
 	job.Resume = slices.Clone(want[:rapid.IntRange(0, 2).Draw(t, "resume")])
 	s := &sim{t: t, now: time.Unix(0, 0), want: want, epochs: map[ferryid.Epoch]*simEpoch{}}
 	s.core = ferrypipeline.NewCore(job, ferrypipeline.CoreConfig{ImportFrom: 1, MaxFailures: 3, MaxWaits: 3})
--- a/ferryd/ferrynode/node_test.go
+++ b/ferryd/ferrynode/node_test.go
@@ -23,7 +23,7 @@
 
 	"cactusferry.dev/ferry/ferryadmin"
 	"cactusferry.dev/ferry/ferrydocument"
-	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferryd/ferrysettings"
 	"cactusferry.dev/ferrystand/ferryprocess"
@@ -217,7 +217,7 @@
 	}
 	assert.NilError(t, s.Err())
 	assert.Assert(t, done, "the stream must end with [DONE]")
-	assert.Equal(t, text.String(), strings.Join(ferryengine.Reference(seed, testPrompt, tokens, testLayers), ""))
+	assert.Equal(t, text.String(), strings.Join(ferryenginetest.Reference(seed, testPrompt, tokens, testLayers), ""))
 }
 
 func (b *bed) state(t *testing.T, upstream ferryid.UpstreamName) string {
--- a/ferrystand/ferrydemo/demo.go
+++ b/ferrystand/ferrydemo/demo.go
@@ -13,7 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryplain"
 	"cactusferry.dev/ferrystand/ferryprocess"
 )
@@ -228,7 +228,7 @@
 	if err != nil {
 		return err
 	}
-	want := strings.Join(ferryengine.Reference(demoSeed, demoPrompt, demoTokens, Layers), "")
+	want := strings.Join(ferryenginetest.Reference(demoSeed, demoPrompt, demoTokens, Layers), "")
 	if text.String() != want {
 		return fmt.Errorf("the text must be %q, is %q", want, text.String())
 	}
--- a/ferrystand/ferryproof/load.go
+++ b/ferrystand/ferryproof/load.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferrystand/ferrydemo"
 )
@@ -92,7 +92,7 @@
 }
 
 func (q question) want() string {
-	return strings.Join(ferryengine.Reference(uint64(q.at), q.prompt, q.tokens, ferrydemo.Layers), "")
+	return strings.Join(ferryenginetest.Reference(uint64(q.at), q.prompt, q.tokens, ferrydemo.Layers), "")
 }
 
 // ask sends a question, resumes it at the next entry whenever its stream breaks or goes silent, and compares the text, as a careful caller does.
--- a/ferrystand/ferrystandengine/cache.go
+++ b/ferrystand/ferrystandengine/cache.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 )
 
 const (
@@ -36,7 +37,7 @@
 // use stores a prompt's prefixes and returns how many of its tokens were cached before.
 func (c *prefixCache) use(prompt string, now time.Time) int {
 	cached := 0
-	for i, name := range ferryengine.Prefixes(prompt) {
+	for i, name := range ferryenginetest.Prefixes(prompt) {
 		if el, ok := c.byName[name]; ok {
 			c.order.MoveToFront(el)
 			cached = (i + 1) * prefixTokens
--- a/ferrystand/ferrystandengine/chain.go
+++ b/ferrystand/ferrystandengine/chain.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
@@ -130,7 +131,7 @@
 		if err != nil || text == "" {
 			return err
 		}
-		states = append(states[:0], ferryengine.TokenElement(req.Seed, p+1, text))
+		states = append(states[:0], ferryenginetest.TokenElement(req.Seed, p+1, text))
 	}
 	return ru.end()
 }
@@ -145,10 +146,10 @@
 	states := make([]uint64, 0, len(req.Generated)-from+1)
 	for i := from; i <= len(req.Generated); i++ {
 		if i == 0 {
-			states = append(states, ferryengine.PromptElement(req.Seed, req.Prompt))
+			states = append(states, ferryenginetest.PromptElement(req.Seed, req.Prompt))
 			continue
 		}
-		states = append(states, ferryengine.TokenElement(req.Seed, ferryid.Position(i), req.Generated[i-1]))
+		states = append(states, ferryenginetest.TokenElement(req.Seed, ferryid.Position(i), req.Generated[i-1]))
 	}
 	return states
 }
@@ -187,7 +188,7 @@
 		return "", err
 	}
 	if ru.last() {
-		it := ferryengine.Item{Epoch: ru.req.Epoch, Position: p, Text: ferryengine.Word(states[len(states)-1])}
+		it := ferryengine.Item{Epoch: ru.req.Epoch, Position: p, Text: ferryenginetest.Word(states[len(states)-1])}
 		return it.Text, ru.answer(&it)
 	}
 	line, err := json.Marshal(ferryengine.Activations{From: from, States: states})
--- a/ferrystand/ferrystandengine/engine_test.go
+++ b/ferrystand/ferrystandengine/engine_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferrystand/ferrystandengine"
@@ -83,12 +84,12 @@
 		texts, last, err := collect(s)
 		assert.NilError(t, err)
 		assert.Assert(t, last.Done)
-		assert.DeepEqual(t, texts, ferryengine.Reference(7, "why did the yield drop", 20, testLayers))
+		assert.DeepEqual(t, texts, ferryenginetest.Reference(7, "why did the yield drop", 20, testLayers))
 	}
 }
 
 func TestRebuildAndImport(t *testing.T) {
-	want := ferryengine.Reference(7, "why did the yield drop", 20, testLayers)
+	want := ferryenginetest.Reference(7, "why did the yield drop", 20, testLayers)
 	c := newChain(t, 2)
 	client := ferryengine.New(ferryengine.ClientConfig{})
 	req := c.request(1, 20)
--- a/ferrystand/ferrystandengine/job_test.go
+++ b/ferrystand/ferrystandengine/job_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypipeline"
@@ -76,7 +77,7 @@
 
 // The caller's connection breaks and it goes on at another entry, which knows the epoch of its token, an older one or none.
 func TestResumeAtAnotherEntry(t *testing.T) {
-	want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
+	want := ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
 	for _, tt := range []struct {
 		name   string
 		before ferryid.Epoch
@@ -232,7 +233,7 @@
 	outcome := ferryoutcome.Of(err)
 	assert.Assert(t, outcome != ferryoutcome.NotRun || generated == 0, "%v", err)
 	assert.Assert(t, outcome != ferryoutcome.Ran || generated > 0, "%v", err)
-	want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
+	want := ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
 	for i, tok := range got {
 		assert.Equal(t, tok.Text, want[i])
 	}
--- a/ferrystand/ferrystandengine/pipeline_test.go
+++ b/ferrystand/ferrystandengine/pipeline_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypipeline"
@@ -95,7 +96,7 @@
 	for i, t := range got {
 		texts[i] = t.Text
 	}
-	assert.DeepEqual(tb, texts, ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers))
+	assert.DeepEqual(tb, texts, ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers))
 	c := ferrypipeline.Checker{Layers: testLayers}
 	assert.NilError(tb, c.Check(f.records(), got))
 	return c
--- a/ferrystand/ferrystandengine/resume_test.go
+++ b/ferrystand/ferrystandengine/resume_test.go
@@ -13,7 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypipeline"
 	"cactusferry.dev/ferry/ferrystream"
@@ -91,7 +91,7 @@
 
 // The entry dies after any number of bytes and the caller goes on at another entry with its event id: the text is whole and right.
 func TestEntryDiesAtAnyByte(t *testing.T) {
-	want := strings.Join(ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers), "")
+	want := strings.Join(ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers), "")
 	f := newFleet(t, clockwork.NewRealClock())
 	all, err := f.entry(t, "", 1<<20)
 	assert.NilError(t, err)
@@ -128,5 +128,5 @@
 		}
 	}
 	assert.Assert(t, whole)
-	assert.Equal(t, text, strings.Join(ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers), ""))
+	assert.Equal(t, text, strings.Join(ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers), ""))
 }
--- a/ferrystand/ferrystandengine/run.go
+++ b/ferrystand/ferrystandengine/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
@@ -202,7 +203,7 @@
 			if base >= 0 {
 				kv = ru.kv[base+int(l-ru.layers.From)]
 			}
-			x, kv = ferryengine.ApplyLayer(l, x, kv)
+			x, kv = ferryenginetest.ApplyLayer(l, x, kv)
 			ru.kv = append(ru.kv, kv)
 		}
 		states[i] = x
--- a/ferrystand/ferrystandengine/trace_test.go
+++ b/ferrystand/ferrystandengine/trace_test.go
@@ -12,7 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferrypipeline"
 	"cactusferry.dev/ferrystand/ferrystandengine"
 )
@@ -56,7 +56,7 @@
 		out, err := again.Replay(f.runner.Core)
 		assert.NilError(t, err)
 		assert.Equal(t, strings.Count(out, "Emit token"), len(got), tt.name)
-		want := ferryengine.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
+		want := ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
 		for i := range got {
 			assert.Assert(t, strings.Contains(out, `"`+want[i]+`"`), "%s: token %d", tt.name, i)
 		}
--- a/ferrystand/process_test.go
+++ b/ferrystand/process_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypipeline"
 )
@@ -101,7 +102,7 @@
 // Engines as processes are killed, stopped and continued, and told to end in mid-stream; the text is whole and right each time.
 func TestProcesses(t *testing.T) {
 	binary := buildBinary(t)
-	want := ferryengine.Reference(5, processPrompt, processTokens, processLayers)
+	want := ferryenginetest.Reference(5, processPrompt, processTokens, processLayers)
 	for _, tt := range []struct {
 		name   string
 		signal syscall.Signal
