ferryctl over TLS

Cause: with Peers.TLS set operators had no way in: the listener asks for a certificate and ferryctl showed none. Excluded: a third listener. Before: refused. Conclusion: one way of checking certificates on this listener.

--- a/ferry/ferryadmin/client.go
+++ b/ferry/ferryadmin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -35,9 +36,9 @@
 	http  *http.Client
 }
 
-// NewClient returns a client for the entry at the URL, such as http://127.0.0.1:9101; token may be empty.
-func NewClient(base, token string) *Client {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+// NewClient returns a client for the entry at the URL, such as http://127.0.0.1:9101; token may be empty, and keys nil without TLS.
+func NewClient(base, token string, keys *tls.Config) *Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, TLSClientConfig: keys}
 	return &Client{
 		base:  strings.TrimSuffix(base, "/"),
 		token: token,
--- a/ferryctl/entry.go
+++ b/ferryctl/entry.go
@@ -36,7 +36,7 @@
 	var zero T
 	var errs []error
 	for _, u := range a.urls() {
-		v, err := call(ferryadmin.NewClient(u, a.Token))
+		v, err := call(ferryadmin.NewClient(u, a.Token, a.keys))
 		if !errors.As(err, new(*ferryadmin.UnreachableError)) {
 			return v, u, err
 		}
@@ -71,7 +71,7 @@
 	var wg sync.WaitGroup
 	for i, name := range names {
 		wg.Go(func() {
-			v, err := call(ferryadmin.NewClient(urls[name], a.Token))
+			v, err := call(ferryadmin.NewClient(urls[name], a.Token, a.keys))
 			replies[i] = reply[T]{name, v, err}
 		})
 	}
--- a/ferryctl/main.go
+++ b/ferryctl/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"cactusferry.dev/ferry/ferryadmin"
+	"cactusferry.dev/ferry/ferrycert"
 	"cactusferry.dev/ferry/ferrydocument"
 )
 
@@ -32,17 +34,21 @@
 
 // globalOptions are the flags of every subcommand.
 type globalOptions struct {
-	Entries []string `long:"entry" value-name:"URL" env:"FERRYCTL_ENTRY" env-delim:"," default:"http://127.0.0.1:9101" description:"operators' address of an entry; may be given more than once, or as a list with commas, and the first that answers is used"`
-	Token   string   `long:"token" value-name:"TOKEN" env:"FERRYCTL_TOKEN" description:"operators' token"`
+	Entries     []string `long:"entry" value-name:"URL" env:"FERRYCTL_ENTRY" env-delim:"," default:"http://127.0.0.1:9101" description:"operators' address of an entry; may be given more than once, or as a list with commas, and the first that answers is used"`
+	Token       string   `long:"token" value-name:"TOKEN" env:"FERRYCTL_TOKEN" description:"operators' token"`
+	Certificate string   `long:"tls-certificate" value-name:"FILE" env:"FERRYCTL_TLS_CERTIFICATE" description:"certificate to show to entries with https addresses, in PEM; needs the next two"`
+	Key         string   `long:"tls-key" value-name:"FILE" env:"FERRYCTL_TLS_KEY" description:"its private key"`
+	Authorities string   `long:"tls-ca" value-name:"FILE" env:"FERRYCTL_TLS_CA" description:"certificates of the authorities that sign the entries'"`
 }
 
 // app is what each subcommand works with.
 type app struct {
 	globalOptions
-	ctx context.Context
-	in  io.Reader
-	out io.Writer
-	err io.Writer
+	keys *tls.Config
+	ctx  context.Context
+	in   io.Reader
+	out  io.Writer
+	err  io.Writer
 }
 
 // subcommands are added by the file of each one.
@@ -79,10 +85,29 @@
 			return a.fail(err)
 		}
 	}
+	p.CommandHandler = func(cmd flags.Commander, rest []string) error {
+		if err := a.loadKeys(); err != nil {
+			return err
+		}
+		return cmd.Execute(rest)
+	}
 	_, err := p.ParseArgs(args)
 	return a.fail(err)
 }
 
+// loadKeys reads the files of the flags, if any are given.
+func (a *app) loadKeys() error {
+	if a.Certificate == "" && a.Key == "" && a.Authorities == "" {
+		return nil
+	}
+	if a.Certificate == "" || a.Key == "" || a.Authorities == "" {
+		return errors.New("--tls-certificate, --tls-key and --tls-ca must be given together")
+	}
+	keys, err := ferrycert.Client(a.Certificate, a.Key, a.Authorities)
+	a.keys = keys
+	return err
+}
+
 // fail prints an error and returns its exit code.
 func (a *app) fail(err error) int {
 	var bad *flags.Error
--- a/ferryd/ferrykeys/pair.go
+++ b/ferryd/ferrykeys/pair.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"fmt"
 	"os"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
+	"cactusferry.dev/ferry/ferrycert"
 	"cactusferry.dev/ferryd/ferrysettings"
 )
 
@@ -49,14 +49,10 @@
 	}
 	var pool *x509.CertPool
 	if p.cfg.ClientCA != "" {
-		b, err := os.ReadFile(p.cfg.ClientCA)
+		pool, err = ferrycert.Authorities(p.cfg.ClientCA)
 		if err != nil {
 			return err
 		}
-		pool = x509.NewCertPool()
-		if !pool.AppendCertsFromPEM(b) {
-			return fmt.Errorf("%s holds no PEM certificate", p.cfg.ClientCA)
-		}
 	}
 	p.stamp, p.cert, p.pool = stamp, &cert, pool
 	return nil
@@ -126,22 +122,6 @@
 }
 
 func (p *Pair) verify(raw [][]byte, _ [][]*x509.Certificate) error {
-	if len(raw) == 0 {
-		return fmt.Errorf("the peer showed no certificate")
-	}
 	_, pool := p.current()
-	certs := make([]*x509.Certificate, 0, len(raw))
-	for _, b := range raw {
-		c, err := x509.ParseCertificate(b)
-		if err != nil {
-			return err
-		}
-		certs = append(certs, c)
-	}
-	between := x509.NewCertPool()
-	for _, c := range certs[1:] {
-		between.AddCert(c)
-	}
-	_, err := certs[0].Verify(x509.VerifyOptions{Roots: pool, Intermediates: between, CurrentTime: p.clock.Now()})
-	return err
+	return ferrycert.Verify(raw, pool, p.clock.Now())
 }
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -67,7 +67,6 @@
 	clock    clockwork.Clock
 	log      zerolog.Logger
 	self     ferryid.Incarnation
-	started  time.Time
 	current  atomic.Int32
 	stopping atomic.Bool
 	events   *ferryevent.Log
@@ -99,7 +98,6 @@
 		cfg:     cfg,
 		clock:   clock,
 		self:    ferryid.NewIncarnation(),
-		started: clock.Now(),
 		log:     log.With().Str("Entry", string(cfg.Name)).Logger(),
 		events:  ferryevent.NewLog(clock, string(cfg.Name), eventRing),
 		metrics: newMetrics(),
--- a/ferryd/ferrynode/node_test.go
+++ b/ferryd/ferrynode/node_test.go
@@ -83,7 +83,7 @@
 	free, err := ferryprocess.FreeAddresses(2)
 	assert.NilError(t, err)
 	b.callers = free[0]
-	b.admin = ferryadmin.NewClient("http://"+free[1], testToken)
+	b.admin = ferryadmin.NewClient("http://"+free[1], testToken, nil)
 	cfg := ferrysettings.Settings{
 		Name: "entry-1", FailureDomain: "ruse-a", Callers: ferrysettings.Callers{Listen: free[0]}, Peers: ferrysettings.Peers{Listen: free[1]},
 		Platform: ferrysettings.Platform{URL: "http://" + serveOn(t, ferrystandplatform.New(clock))},
