Stopping entries serve as long as any caller may hold an answer

Cause: listed in PROOFS as not proved: callers keep an answer for 20 to 30 s, but a stopping entry's port closed 3 s after SIGTERM by default. Excluded: a shorter lifetime, which would multiply the questions. Conclusion: a planned stop takes half a minute more and no caller needs to notice it.

--- a/ferryd/ferrysettings/section.go
+++ b/ferryd/ferrysettings/section.go
@@ -17,7 +17,7 @@
 	maxCallsPerSecond      = 2000
 	sealKeyBytes           = 32
 	defaultLogLevel        = "info"
-	defaultStopGrace       = 3 * time.Second
+	defaultStopGrace       = 30 * time.Second
 	maxStopGrace           = 10 * time.Minute
 	maxStopLimit           = 24 * time.Hour
 )
@@ -101,7 +101,7 @@
 
 // Stop are the settings of a planned stop.
 type Stop struct {
-	Grace Duration `toml:"Grace" long:"grace" env:"GRACE" description:"time in which callers with an older answer are still served, default 3s"`
+	Grace Duration `toml:"Grace" long:"grace" env:"GRACE" description:"time in which callers with an older answer are still served, default 30s, the longest that an answer is kept"`
 	Limit Duration `toml:"Limit" long:"limit" env:"LIMIT" description:"time after which open calls are cut off, default 0s: never"`
 }
 
