--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,11 @@
 
 test: lint vet build readme race targets
 
+# Prints the figures of docs/MEASUREMENTS.md: the policies on a virtual clock, then one ferryd and idle fleets of real processes.
 bench: build
 	$(BIN)/ferrybench policy --out out
+	$(BIN)/ferrybench relay --programs $(BIN) --rounds 10
+	$(BIN)/ferrybench idle --programs $(BIN)
 
 # Runs the whole system in separate processes and checks what it does.
 demo: build
