A plain service's own word that it leaves is kept to

Excluded: the proxy before the service, which accepts and closes: no call should have come so far. Change: the incarnation comes from the list where there is no report. Before: TestListedIncarnationThatLeaves... gets no upstream marked.

--- a/ferryd/ferrynode/model_test.go
+++ b/ferryd/ferrynode/model_test.go
@@ -9,9 +9,12 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"cactusferry.dev/ferry/ferrydrain"
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryqueue"
 	"cactusferry.dev/ferry/ferryroute"
 	"cactusferry.dev/ferry/ferryservice"
@@ -60,3 +63,27 @@
 	sv.table.SetLeaving("a", true)
 	assert.Equal(t, sv.slots(), 0)
 }
+
+func TestListedIncarnationThatLeavesGetsNothing(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	s := newServices(clock, ferryengine.New(ferryengine.ClientConfig{Clock: clock}), ferryevent.NewLog(clock, "test", 10))
+	d, err := ferryservice.Decode("test", []byte("Service = \"parlour-api\"\nTeam = \"t\"\nKind = \"Plain\"\n[[Upstreams]]\nName = \"a\"\nAddress = \"127.0.0.1:1\"\nFailureDomain = \"d\"\nSlots = 8\n"))
+	assert.NilError(t, err)
+	s.setDocument(ctx, &d)
+	list := func(id ferryid.Incarnation) {
+		s.setInstances(ferryplatform.Instances{{Name: "a", Role: ferryplatform.RolePlain, Service: "parlour-api", Address: "127.0.0.1:1", Incarnation: id}})
+	}
+	list("first")
+	marks := ferrydrain.NewMarks(clock)
+	marks.Seen("parlour-api", "a", "first")
+	marks.Mark("parlour-api", "a", "", ferrydrain.SourceUpstream)
+	assert.DeepEqual(t, s.setMarks(marks), []string{"parlour-api/a"})
+	sv, _ := s.get("parlour-api")
+	assert.Equal(t, sv.slots(), 0)
+	list("second")
+	marks.Seen("parlour-api", "a", "second")
+	s.setMarks(marks)
+	assert.Equal(t, sv.slots(), 8, "another incarnation takes work")
+}
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -136,7 +136,7 @@
 	for _, sv := range s.named {
 		for _, u := range sv.doc.Load().Upstreams {
 			key := upstreamKey(sv.name, u.Name)
-			if !marks.Leaving(sv.name, u.Name, s.incarnations[key]) {
+			if !marks.Leaving(sv.name, u.Name, s.incarnationOf(key, u.Address)) {
 				continue
 			}
 			left[key] = true
@@ -154,6 +154,19 @@
 	return fresh
 }
 
+// incarnationOf is the run of an upstream by its own report, or else by the instance list; the caller holds the lock.
+func (s *services) incarnationOf(key, address string) ferryid.Incarnation {
+	if id, ok := s.incarnations[key]; ok && id != "" {
+		return id
+	}
+	for _, in := range s.list {
+		if in.Address == address && in.Role != ferryplatform.RoleEntry {
+			return in.Incarnation
+		}
+	}
+	return ""
+}
+
 // setIncarnations takes the engines' incarnations, by service and upstream.
 func (s *services) setIncarnations(m map[string]ferryid.Incarnation) {
 	s.mu.Lock()
