A body is read only for a known key, and only as long as its services allow

Cause: found by reading: a completion's body, up to 64 MiB, was read before its key was looked at, since the service's name is in the body. Excluded: a smaller fixed limit. Change: a key must belong to a customer of some model service, whose largest BodyBytes bounds the read. Before: 5,000 bytes without a key were read and answered 413. After: 401 at once (TestBadInput). Conclusion: strangers cost a header each.

--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -88,7 +88,11 @@
 
 // openStream reads and checks the request and finds out whose stream it starts or resumes.
 func (s *Server) openStream(w http.ResponseWriter, r *http.Request, chat bool) (*stream, *ferryoutcome.Problem) {
-	body, p := s.readBody(w, r, s.Limits.BodyBytes)
+	limit, ok := s.Documents.BodyLimit(bearer(r))
+	if !ok {
+		return nil, unauthorized()
+	}
+	body, p := s.readBody(w, r, limit)
 	if p != nil {
 		return nil, p
 	}
--- a/ferryd/ferrycaller/request.go
+++ b/ferryd/ferrycaller/request.go
@@ -197,7 +197,7 @@
 
 func unauthorized() *ferryoutcome.Problem {
 	return ferryoutcome.New(ferryoutcome.KindUnauthorized, ferryoutcome.NotRun,
-		"The key is missing or belongs to no customer of this service; send it as Authorization: Bearer KEY.")
+		"The key is missing or belongs to no customer; send it as Authorization: Bearer KEY.")
 }
 
 func notFound(name string) *ferryoutcome.Problem {
--- a/ferryd/ferrycaller/server.go
+++ b/ferryd/ferrycaller/server.go
@@ -29,6 +29,8 @@
 	Document(name ferryid.ServiceName) (*ferryservice.Document, bool)
 	// Customer returns the customer of the service that a key belongs to.
 	Customer(name ferryid.ServiceName, key string) (ferryservice.Customer, bool)
+	// BodyLimit returns the bytes of the largest body that any model service takes from the key's customer, and false for a key of none.
+	BodyLimit(key string) (int64, bool)
 }
 
 // Upstreams chooses among the upstreams of plain services.
@@ -53,8 +55,6 @@
 type Limits struct {
 	BodyTimeout  time.Duration
 	WriteTimeout time.Duration
-	// BodyBytes bounds a body whose service is not known yet.
-	BodyBytes int64
 }
 
 // EntriesAnswer tells a caller which entries to use, the best first, and for how long.
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -56,6 +56,11 @@
 	return f.docs[name].Customer(key)
 }
 
+func (f *fakes) BodyLimit(key string) (int64, bool) {
+	_, ok := f.Customer("herd-llm", key)
+	return f.docs["herd-llm"].Limits.BodyBytes, ok
+}
+
 func (f *fakes) Choose(_ *ferryservice.Document, exclude []ferryid.UpstreamName) (ferryservice.Upstream, *ferryroute.Dispatch, bool) {
 	return ferryservice.Upstream{Name: "robots-1", Address: f.upstream}, nil, len(exclude) == 0
 }
@@ -119,7 +124,7 @@
 	s := &Server{
 		Clock: clock, Log: zerolog.Nop(), Metrics: NewMetrics(tally.NoopScope), Events: ferryevent.NewLog(clock, "test", 100), Documents: f, Upstreams: f, Models: f,
 		Claims: claims, Sealer: sealer, Plain: ferryplain.New(ferryplain.ClientConfig{}),
-		Limits: Limits{BodyTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, BodyBytes: 4000},
+		Limits: Limits{BodyTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second},
 		Steer: func(d *ferryservice.Document, _ ferryservice.Customer, _ ferryid.RequestID) EntriesAnswer {
 			return EntriesAnswer{Service: d.Service}
 		},
@@ -171,7 +176,8 @@
 		{"no tokens", "/v1/completions", keyA, `{"model":"herd-llm","prompt":"x","max_tokens":0}`, nil, 400, ferryoutcome.KindBadRequest},
 		{"an image", "/v1/chat/completions", keyA, `{"model":"herd-llm","messages":[{"role":"user","content":[{"type":"image"}]}]}`, nil, 400, ferryoutcome.KindBadRequest},
 		{"over the service's limit", "/v1/completions", keyA, `{"model":"herd-llm","prompt":"` + strings.Repeat("x", 2100) + `"}`, nil, 413, ferryoutcome.KindTooLarge},
-		{"over the listener's limit", "/v1/completions", keyA, strings.Repeat("x", 5000), nil, 413, ferryoutcome.KindTooLarge},
+		{"over any limit", "/v1/completions", keyA, strings.Repeat("x", 5000), nil, 413, ferryoutcome.KindTooLarge},
+		{"over any limit and no key", "/v1/completions", "", strings.Repeat("x", 5000), nil, 401, ferryoutcome.KindUnauthorized},
 		{"body of a plain call", "/v1/services/parlour-api/x", keyA, strings.Repeat("x", 101), nil, 413, ferryoutcome.KindTooLarge},
 		{"bad deadline", "/v1/completions", keyA, good, []string{TimeoutHeader, "NaN"}, 400, ferryoutcome.KindBadRequest},
 		{"forged event id", "/v1/completions", keyA, good, []string{EventIDHeader, "abc"}, 403, ferryoutcome.KindForbidden},
@@ -204,7 +210,7 @@
 	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
 	assert.NilError(t, err)
 	defer c.Close()
-	_, err = io.WriteString(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	_, err = io.WriteString(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+keyA+"\r\nContent-Length: 100\r\n\r\n{")
 	assert.NilError(t, err)
 	w, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err)
--- a/ferryd/ferrynode/document.go
+++ b/ferryd/ferrynode/document.go
@@ -24,6 +24,20 @@
 	return f.Customer(key)
 }
 
+// BodyLimit returns the largest body that any model service takes from the key's customer.
+func (d callerDocuments) BodyLimit(key string) (int64, bool) {
+	limit, known := int64(0), false
+	for _, f := range d.holder.All() {
+		if f.Document.Kind != ferryservice.KindModel || key == "" {
+			continue
+		}
+		if _, ok := f.Customer(key); ok {
+			limit, known = max(limit, f.Document.Limits.BodyBytes), true
+		}
+	}
+	return limit, known
+}
+
 // follow puts each document that comes into force to use.
 func (n *Node) follow(ctx context.Context) {
 	sub := n.holder.Subscribe()
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -32,8 +32,6 @@
 const (
 	eventRing      = 8192
 	resumeLifetime = time.Hour
-	// callersBodyBytes bounds a body whose service, and so whose own limit, is not known yet.
-	callersBodyBytes = 64 << 20
 )
 
 // State says whether a node serves callers.
@@ -141,7 +139,7 @@
 		Upstreams: plainUpstreams{services: n.services, clock: n.clock, leaving: n.markLeaving},
 		Models:    &models{node: n},
 		Limits: ferrycaller.Limits{
-			BodyTimeout: time.Duration(n.cfg.Callers.BodyTimeout), WriteTimeout: time.Duration(n.cfg.Callers.WriteTimeout), BodyBytes: callersBodyBytes,
+			BodyTimeout: time.Duration(n.cfg.Callers.BodyTimeout), WriteTimeout: time.Duration(n.cfg.Callers.WriteTimeout),
 		},
 		Advertise: n.cfg.Callers.Advertise,
 		Steer:     n.steer, Allow: n.allow, AddressOf: n.addressOf, Refuse: n.refuse,
