The choice among plain upstreams has a file of its own

Cause: service.go held the registry and the choice. Excluded: nothing. Change: plain.go. Before and after: go test ./ferryd/ferrynode passes. Conclusion: one noun a file.

--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -15,7 +14,6 @@
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
-	"cactusferry.dev/ferry/ferryplain"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryqueue"
 	"cactusferry.dev/ferry/ferryroute"
@@ -241,58 +239,6 @@
 	return ups
 }
 
-// plainUpstreams chooses among the upstreams of plain services.
-type plainUpstreams struct {
-	services *services
-	clock    clockwork.Clock
-	leaving  func(ferryid.ServiceName, ferryid.UpstreamName)
-}
-
-// Choose returns an upstream that is not excluded and counts the call at once.
-func (p plainUpstreams) Choose(d *ferryservice.Document, exclude []ferryid.UpstreamName) (ferryservice.Upstream, *ferryroute.Dispatch, bool) {
-	sv, ok := p.services.get(d.Service)
-	if !ok {
-		return ferryservice.Upstream{}, nil, false
-	}
-	if len(exclude) == 0 {
-		sv.budget.Load().FirstTry()
-	}
-	w := ferryroute.Work{Predicted: 1, Avoid: exclude}
-	snap := sv.table.Snapshot()
-	sv.mu.Lock()
-	i := ferryroute.Choose(snap, &w, &sv.rand)
-	sv.mu.Unlock()
-	if i < 0 {
-		return ferryservice.Upstream{}, nil, false
-	}
-	c := snap.At(i)
-	dispatch := sv.table.Start(c.Name, 1, p.clock.Now())
-	return ferryservice.Upstream{Name: c.Name, Address: c.Address, FailureDomain: c.FailureDomain}, dispatch, true
-}
-
-// Done reports how a call went.
-func (p plainUpstreams) Done(d *ferryservice.Document, u ferryservice.Upstream, dispatch *ferryroute.Dispatch, err error) {
-	now := p.clock.Now()
-	var refused *ferryplain.RefusedError
-	switch {
-	case err == nil:
-		dispatch.Finish(1, now)
-	case errors.As(err, &refused) && refused.Leaving:
-		dispatch.Cancel(now)
-		p.leaving(d.Service, u.Name)
-	case errors.Is(err, context.Canceled):
-		dispatch.Cancel(now)
-	default:
-		dispatch.Fail(ferryroute.FailureConnection, now)
-	}
-}
-
-// Retry takes one retry from the service's budget.
-func (p plainUpstreams) Retry(d *ferryservice.Document) bool {
-	sv, ok := p.services.get(d.Service)
-	return ok && sv.budget.Load().Retry()
-}
-
 // tick lets upstreams that were put aside be tried again, and tells the queues how many calls may run.
 func (s *services) tick(now time.Time) {
 	for _, sv := range s.all() {
