A test of HTTP/2 towards callers

Excluded: a test of net/http's own TLS negotiation. Change: a streamed completion over HTTP/2 without TLS. Before: no test. After: passes with -race. Conclusion: none.

--- a/ferryd/ferrynode/node_test.go
+++ b/ferryd/ferrynode/node_test.go
@@ -293,3 +293,23 @@
 		})
 	}
 }
+
+func TestCallersMayUseHTTP2(t *testing.T) {
+	b := newBed(t)
+	b.apply(t, "herd-llm", b.modelText(64), 0)
+	only2 := &http.Protocols{}
+	only2.SetUnencryptedHTTP2(true)
+	c := &http.Client{Transport: &http.Transport{Protocols: only2}}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+b.callers+"/v1/completions",
+		strings.NewReader(`{"model":"herd-llm","prompt":"x","max_tokens":5,"seed":1,"stream":true}`))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	w, err := c.Do(r)
+	assert.NilError(t, err)
+	defer w.Body.Close()
+	body, err := io.ReadAll(w.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, w.ProtoMajor, 2)
+	assert.Equal(t, w.StatusCode, http.StatusOK, "%s", body)
+	assert.Assert(t, strings.HasSuffix(string(body), "data: [DONE]\n\n"))
+}
