Failed calls are logged with customer and stream

Excluded: headers, which are passed on to upstreams. Change: an identity in the call's context. After: TestFailedCallsAreLoggedWithTheirIDs passes with -race; no key in the line.

--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -119,7 +119,9 @@
 		Service: c.doc.Service, Stream: ferryid.NewStreamID(), Customer: c.customer.Name, Prompt: req.text,
 		MaxTokens: req.tokens(), Seed: req.seed(), Deadline: deadline,
 	}
-	return st, st.openResume(r)
+	p = st.openResume(r)
+	identityOf(r).stream = st.job.Stream
+	return st, p
 }
 
 // streamLimit is the deadline of the class that the work falls in at its longest.
--- a/ferryd/ferrycaller/server.go
+++ b/ferryd/ferrycaller/server.go
@@ -158,10 +158,25 @@
 		id := ferryid.NewRequestID()
 		r.Header.Set(ferryplain.RequestIDHeader, string(id))
 		w.Header().Set(ferryplain.RequestIDHeader, string(id))
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), identityKey{}, &identity{})))
 	})
 }
 
+type identityKey struct{}
+
+// identity is what the log says of a call beside its id, as far as it is known when the call fails.
+type identity struct {
+	customer ferryid.CustomerName
+	stream   ferryid.StreamID
+}
+
+func identityOf(r *http.Request) *identity {
+	if id, ok := r.Context().Value(identityKey{}).(*identity); ok {
+		return id
+	}
+	return &identity{}
+}
+
 func requestID(r *http.Request) ferryid.RequestID {
 	return ferryid.RequestID(r.Header.Get(ferryplain.RequestIDHeader))
 }
@@ -179,7 +194,8 @@
 	if p.Status >= http.StatusInternalServerError && p.Outcome != ferryoutcome.NotRun {
 		e = s.Log.Warn()
 	}
-	e.Str("RequestID", p.RequestID).Str("Kind", string(p.Kind)).Str("Outcome", string(p.Outcome)).AnErr("Cause", p.Cause).Msg("call failed")
+	id := identityOf(r)
+	e.Str("RequestID", p.RequestID).Str("Customer", string(id.customer)).Str("StreamID", string(id.stream)).Str("Kind", string(p.Kind)).Str("Outcome", string(p.Outcome)).AnErr("Cause", p.Cause).Msg("call failed")
 }
 
 func (s *Server) logCall(c *caller, u ferryservice.Upstream, err error) {
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -318,3 +318,18 @@
 	}
 	return b.String()
 }
+
+func TestFailedCallsAreLoggedWithTheirIDs(t *testing.T) {
+	s, f, url := newServer(t)
+	var log strings.Builder
+	s.Log = zerolog.New(&log)
+	f.failAt = 2
+	w, _ := send(t, http.MethodPost, url+"/v1/completions", keyA, `{"model":"herd-llm","prompt":"x","max_tokens":3}`)
+	var line struct{ RequestID, Customer, StreamID, Kind, Outcome string }
+	assert.NilError(t, json.Unmarshal([]byte(log.String()), &line), log.String())
+	assert.Equal(t, line.RequestID, w.Header.Get(ferryplain.RequestIDHeader))
+	assert.Equal(t, line.Customer, "dobrich")
+	assert.Assert(t, line.StreamID != "")
+	assert.Equal(t, line.Outcome, "Ran")
+	assert.Assert(t, !strings.Contains(log.String(), keyA), "a key must not be logged")
+}
