The stopper's test ends with the stop

Excluded: the stopper itself: it had returned. Change: the wait ends with the stop; the assertions stay. Before: hangs. Conclusion: a race in the test alone.

--- a/ferry/ferrydrain/stop_test.go
+++ b/ferry/ferrydrain/stop_test.go
@@ -141,9 +141,11 @@
 	signals := make(chan os.Signal, 1)
 	signals <- syscall.SIGTERM
 	done := make(chan Left, 1)
+	ended, end := context.WithCancel(t.Context())
 	go func() {
 		left, _ := st.Run(t.Context(), signals)
 		done <- left
+		end()
 	}()
 	for range 100_000 {
 		select {
@@ -152,7 +154,8 @@
 			assert.Equal(t, left.String(), "calls 0, streams 0, Flush: clockwork.FakeClock: context deadline exceeded")
 			return
 		default:
-			_ = clock.BlockUntilContext(t.Context(), 1)
+			// Nobody waits on the clock any more once the stop has ended.
+			_ = clock.BlockUntilContext(ended, 1)
 			clock.Advance(10 * time.Millisecond)
 			runtime.Gosched()
 		}
