Engines are read by groups of 16, quickly only while an order is outstanding

Cause: one holder read every engine of its service each 2 s: 800 calls/s at 1,600 engines; and a successor counted the lease out only from when the membership named it, 20 s after a freeze. Excluded: a lease for each group (30 writes/s at 100 groups, fencing numbers that can't be compared, a last copy counted by holders that don't know each other's orders). Change: the holder asks each group's reader, found by ferryduty, for what is not as wanted; answers older than an order, refusal, report, tenure or document are not believed; waits of 250 ms to 2 s while an order is outstanding, else 2 to 10 s by the number of engines; the last copy is counted in one pass for all orders of a round; a second entry follows the lease. Existing tests: core_rapid_test of ferrylease follows with two of three entries and uses want(); none eased. anyWhole moved to a test file as the oracle.

--- a/ferry/ferrylease/core.go
+++ b/ferry/ferrylease/core.go
@@ -46,6 +46,7 @@
 	ttl    time.Duration
 	margin time.Duration
 	wanted bool
+	follow bool
 	floor  ferryid.Fence
 
 	read    bool
@@ -106,13 +107,23 @@
 	return nil
 }
 
-// release returns the calls that leave no lease of this entry behind.
+// want says whether this entry should hold the lease; what was read while it only followed is read again first.
+func (c *core) want(on bool) {
+	if on && !c.wanted {
+		c.checked = time.Time{}
+	}
+	c.wanted = on
+}
+
+// release returns the calls that leave no lease of this entry behind, and those that follow the lease of another.
 func (c *core) release(now time.Time) action {
 	c.held = false
 	switch {
-	case !c.owes:
+	case !c.owes && !c.follow:
+		return nil
+	case !c.owes && c.read && now.Before(c.checked.Add(c.ttl/renewals)):
 		return nil
-	case !c.read:
+	case !c.owes || !c.read:
 		return get{}
 	case c.record.Holder != c.self:
 		c.owes = false
--- a/ferry/ferrylease/core_rapid_test.go
+++ b/ferry/ferrylease/core_rapid_test.go
@@ -84,6 +84,7 @@
 	for i, rate := range []float64{1, 1.01, 0.99} {
 		c := newCore(ferryid.Incarnation(fmt.Sprint("i", i)), 10*time.Second, time.Second)
 		c.wanted = true
+		c.follow = i > 0
 		hs = append(hs, &holder{c: c, rate: rate})
 	}
 	elapsed := time.Duration(0)
@@ -121,7 +122,7 @@
 				step(rt, h)
 			}
 		},
-		"want":     func(rt *rapid.T) { pick(rt).c.wanted = rapid.IntRange(0, 3).Draw(rt, "want") > 0 },
+		"want":     func(rt *rapid.T) { pick(rt).c.want(rapid.IntRange(0, 3).Draw(rt, "want") > 0) },
 		"platform": func(rt *rapid.T) { down = rapid.IntRange(0, 3).Draw(rt, "down") == 0 },
 		"land": func(*rapid.T) {
 			for _, p := range o.late {
@@ -138,7 +139,7 @@
 	for i := range 400 {
 		elapsed += 100 * time.Millisecond
 		for _, h := range hs {
-			h.c.wanted = i < 200
+			h.c.want(i < 200)
 			h.step(o, elapsed, 0)
 			h.step(o, elapsed, 0)
 			check(rt)
--- a/ferry/ferrylease/lease.go
+++ b/ferry/ferrylease/lease.go
@@ -34,6 +34,7 @@
 	cfg    Config
 	core   *core
 	wanted atomic.Bool
+	follow atomic.Bool
 	floor  atomic.Uint64
 	held   atomic.Pointer[tenure]
 	poke   chan struct{}
@@ -78,6 +79,13 @@
 	l.wakeUp()
 }
 
+// Follow says whether to read the lease while it is not wanted, each third of its TTL, so that it can be had when its holder's last renewal has run out.
+func (l *Lease) Follow(on bool) {
+	if l.follow.Swap(on) != on {
+		l.wakeUp()
+	}
+}
+
 // AtLeast makes the next write carry a fencing number of at least the one given, for engines that have seen a higher one.
 func (l *Lease) AtLeast(f ferryid.Fence) {
 	for {
@@ -113,7 +121,8 @@
 // Run takes, renews and releases the lease until the context is done.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		l.core.wanted = l.wanted.Load()
+		l.core.want(l.wanted.Load())
+		l.core.follow = l.follow.Load()
 		l.core.floor = ferryid.Fence(l.floor.Load())
 		now := l.cfg.Clock.Now()
 		if a := l.core.next(now); a != nil {
--- a/ferry/ferryorder/core.go
+++ b/ferry/ferryorder/core.go
@@ -17,6 +17,10 @@
 	pending bool // an order is outstanding
 	sentAt  time.Time
 	sent    Target
+	group   int
+	turn    turn // of the last order or believed report
+	due     time.Time
+	wait    time.Duration
 }
 
 // Core decides which orders to give, from the wanted state and what the engines report.
@@ -25,6 +29,8 @@
 	fence   ferryid.Fence
 	runners map[ferryid.UpstreamName]*runner
 	bucket  bucket
+	sums    []uint64 // of the groups
+	turn    turn
 }
 
 // NewCore returns a core that gives no orders until it has a wanted state, a fencing number and reports.
@@ -38,14 +44,16 @@
 		return
 	}
 	c.wanted = w
+	c.sums = w.sums()
 	old := c.runners
 	c.runners = map[ferryid.UpstreamName]*runner{}
-	for _, r := range w.Runners {
+	for i, r := range w.Runners {
 		n := &runner{}
 		if o, ok := old[r.Name]; ok && o.wanted.Address == r.Address {
 			n = o
 		}
 		n.wanted = r
+		n.group = i / GroupSize
 		c.runners[r.Name] = n
 	}
 }
@@ -56,9 +64,13 @@
 		return
 	}
 	c.fence = f
+	c.turn++
 	for _, r := range c.runners {
 		r.read = false
 		r.pending = false
+		r.turn = c.turn
+		r.due = time.Time{}
+		r.wait = 0
 	}
 }
 
@@ -73,6 +85,7 @@
 	if r.pending && (rep.Target == r.sent && rep.Ready || now.Sub(r.sentAt) >= orderPatience) {
 		r.pending = false
 	}
+	c.schedule(r, now)
 }
 
 // Refused takes an order that certainly had no effect; the engine is read again before the next.
@@ -80,13 +93,16 @@
 	if r, ok := c.runners[name]; ok {
 		r.read = false
 		r.pending = false
+		r.turn = c.turn
 	}
 }
 
-// Unreadable notes that an engine's report could not be read.
-func (c *Core) Unreadable(name ferryid.UpstreamName) {
+// Unreadable notes that an engine's report could not be read; it is tried again less and less often.
+func (c *Core) Unreadable(name ferryid.UpstreamName, now time.Time) {
 	if r, ok := c.runners[name]; ok {
 		r.read = false
+		r.wait = min(max(2*r.wait, defaultInterval), c.quiet())
+		r.due = now.Add(r.wait)
 	}
 }
 
@@ -125,31 +141,41 @@
 	if c.fence == 0 {
 		return nil, nil
 	}
+	cover := c.cover()
 	for _, w := range c.wanted.Runners {
 		r := c.runners[w.Name]
 		if r.read && !r.pending && r.report.Target == w.Target {
 			continue
 		}
-		if why := c.waits(r, now); why != "" {
+		if why := c.waits(r, cover, now); why != "" {
 			waits = append(waits, Blocked{w.Name, why})
 			continue
 		}
-		r.pending = true
-		r.sentAt = now
-		r.sent = w.Target
+		cover.remove(r)
+		c.ordered(r, now)
 		o := Order{Fence: c.fence, Service: c.wanted.Service, Target: w.Target}
 		out = append(out, Send{w.Name, w.Address, o})
 	}
 	return out, waits
 }
 
-func (c *Core) waits(r *runner, now time.Time) Reason {
+// ordered notes that the engine is given an order, after which no earlier reading counts.
+func (c *Core) ordered(r *runner, now time.Time) {
+	r.pending = true
+	r.sentAt = now
+	r.sent = r.wanted.Target
+	r.turn = c.turn
+	r.wait = quickInterval
+	r.due = now.Add(r.wait)
+}
+
+func (c *Core) waits(r *runner, cover *coverage, now time.Time) Reason {
 	switch {
 	case r.pending:
 		return ReasonPending
 	case !r.read:
 		return ReasonUnread
-	case !c.spare(r):
+	case !cover.spare(r):
 		return ReasonLastCopy
 	}
 	to := r.wanted.Target
--- a/ferry/ferryorder/cover.go
+++ b/ferry/ferryorder/cover.go
@@ -7,44 +7,91 @@
 	return r.read && !r.pending && r.report.Ready && r.report.State == StateLive
 }
 
-// covered counts, for each layer of the model, the engines in service that hold it with the weights, leaving one engine out.
-func (c *Core) covered(w weights, without *runner) []int {
-	n := make([]int, c.wanted.Layers)
+// pipeline counts, for each layer of the model, the engines in service that hold it with the same weights.
+type pipeline struct {
+	held    []int
+	missing int // layers that no engine holds
+	engines int
+}
+
+func (p *pipeline) whole() bool {
+	return p.missing == 0 && p.engines > 0
+}
+
+// coverage is what the engines in service hold, by weights.
+type coverage struct {
+	pipelines map[weights]*pipeline
+	layers    ferryid.Layer
+	whole     int
+}
+
+// cover counts over all engines of the service, whatever group they are in.
+func (c *Core) cover() *coverage {
+	v := &coverage{pipelines: map[weights]*pipeline{}, layers: c.wanted.Layers}
 	for _, r := range c.runners {
-		if r == without || !r.serves() || r.report.weights() != w {
-			continue
+		if r.serves() {
+			v.add(r)
 		}
-		for l := r.report.Layers.From; l < r.report.Layers.To && l < c.wanted.Layers; l++ {
-			n[l]++
+	}
+	for _, p := range v.pipelines {
+		if p.whole() {
+			v.whole++
 		}
 	}
-	return n
+	return v
 }
 
-func whole(n []int) bool {
-	for _, k := range n {
-		if k == 0 {
-			return false
+func (v *coverage) add(r *runner) {
+	w := r.report.weights()
+	p, ok := v.pipelines[w]
+	if !ok {
+		p = &pipeline{held: make([]int, v.layers), missing: int(v.layers)}
+		v.pipelines[w] = p
+	}
+	p.engines++
+	for l := r.report.Layers.From; l < min(r.report.Layers.To, v.layers); l++ {
+		if p.held[l] == 0 {
+			p.missing--
+		}
+		p.held[l]++
+	}
+}
+
+// remove takes an engine out that is about to leave service.
+func (v *coverage) remove(r *runner) {
+	if !r.serves() {
+		return
+	}
+	p := v.pipelines[r.report.weights()]
+	was := p.whole()
+	p.engines--
+	for l := r.report.Layers.From; l < min(r.report.Layers.To, v.layers); l++ {
+		p.held[l]--
+		if p.held[l] == 0 {
+			p.missing++
 		}
 	}
-	return true
+	if was && !p.whole() {
+		v.whole--
+	}
 }
 
 // spare reports whether the engine can leave service: a whole pipeline stays without it, or there is none even with it.
-func (c *Core) spare(r *runner) bool {
-	return !r.serves() || c.anyWhole(r) || !c.anyWhole(nil)
+func (v *coverage) spare(r *runner) bool {
+	return !r.serves() || v.whole == 0 || v.whole > 1 || !v.breaks(r)
 }
 
-// anyWhole reports whether the engines in service, leaving one out, hold all layers with the same weights.
-func (c *Core) anyWhole(without *runner) bool {
-	tried := map[weights]bool{}
-	for _, r := range c.runners {
-		w := r.report.weights()
-		if r == without || !r.serves() || tried[w] {
-			continue
-		}
-		tried[w] = true
-		if whole(c.covered(w, without)) {
+// breaks reports whether the pipelines with the engine's weights are whole with it and not without it.
+func (v *coverage) breaks(r *runner) bool {
+	p := v.pipelines[r.report.weights()]
+	if !p.whole() {
+		return false
+	}
+	if p.engines == 1 {
+		return true
+	}
+	for l := r.report.Layers.From; l < min(r.report.Layers.To, v.layers); l++ {
+		if p.held[l] == 1 {
 			return true
 		}
 	}
@@ -60,8 +107,12 @@
 
 // Uncovered returns the layers that no engine in service holds as wanted, for the operators' status.
 func (c *Core) Uncovered() []ferryid.Layer {
+	held := make([]int, c.wanted.Layers)
+	if p, ok := c.cover().pipelines[c.wantedWeights()]; ok {
+		held = p.held
+	}
 	var out []ferryid.Layer
-	for l, k := range c.covered(c.wantedWeights(), nil) {
+	for l, k := range held {
 		if k == 0 {
 			out = append(out, ferryid.Layer(l))
 		}
--- /dev/null
+++ b/ferry/ferryorder/cover_test.go
@@ -0,0 +1,62 @@
+package ferryorder
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// anyWhole reports whether the engines in service, leaving one out, hold all layers with the same weights; it counts one by one.
+func (c *Core) anyWhole(without *runner) bool {
+	for _, r := range c.runners {
+		if r != without && r.serves() && c.holdsAll(r.report.weights(), without) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) holdsAll(w weights, without *runner) bool {
+	held := map[ferryid.Layer]bool{}
+	for _, r := range c.runners {
+		if r == without || !r.serves() || r.report.weights() != w {
+			continue
+		}
+		for l := r.report.Layers.From; l < r.report.Layers.To; l++ {
+			held[l] = true
+		}
+	}
+	for l := range c.wanted.Layers {
+		if !held[l] {
+			return false
+		}
+	}
+	return true
+}
+
+func TestCoverageIsWhatCountingOneByOneGives(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := NewCore(Pace{})
+		c.wanted.Layers = 3
+		for i := range rapid.IntRange(0, 6).Draw(rt, "engines") {
+			from := rapid.IntRange(0, 3).Draw(rt, "from")
+			ls := ferryid.LayerRange{From: ferryid.Layer(from), To: ferryid.Layer(rapid.IntRange(from, 4).Draw(rt, "to"))}
+			t := Target{Version: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "version"), Layers: ls, State: StateLive}
+			c.runners[ferryid.UpstreamName(fmt.Sprint(i))] = &runner{read: true, report: Report{Target: t, Ready: rapid.IntRange(0, 4).Draw(rt, "ready") > 0}}
+		}
+		cover := c.cover()
+		for name, r := range c.runners {
+			want := !r.serves() || c.anyWhole(r) || !c.anyWhole(nil)
+			if got := cover.spare(r); got != want {
+				rt.Fatalf("engine %s may leave service: %v, counted one by one %v", name, got, want)
+			}
+			if rapid.Bool().Draw(rt, "leaves") && want {
+				cover.remove(r)
+				r.pending = true
+			}
+		}
+	})
+}
--- /dev/null
+++ b/ferry/ferryorder/group.go
@@ -0,0 +1,154 @@
+package ferryorder
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// GroupSize is how many engines of a service are read by one entry, at the most.
+const GroupSize = 16
+
+// members is a set of a group's engines, by their place in it.
+type members uint16
+
+func (m members) has(i int) bool {
+	return m&(1<<i) != 0
+}
+
+// turn orders readings and orders of one Core.
+type turn uint64
+
+// GroupAsk asks for the state of some engines of a group.
+type GroupAsk struct {
+	Service ferryid.ServiceName `cbor:"1,keyasint"`
+	// Group counts from 0 in the order of the document, GroupSize engines each.
+	Group int `cbor:"2,keyasint"`
+	// Sum is that of the group's wanted state, which the reader has to share.
+	Sum     uint64  `cbor:"3,keyasint"`
+	Engines members `cbor:"4,keyasint"`
+	turn    turn
+}
+
+// GroupAnswer is the state of the engines asked for; those that are neither in Differ nor Unread are Ready and as wanted.
+type GroupAnswer struct {
+	Unread members       `cbor:"1,keyasint,omitempty"`
+	Differ []GroupReport `cbor:"2,keyasint,omitempty"`
+}
+
+// GroupReport is the report of the engine at a place in its group.
+type GroupReport struct {
+	_      struct{} `cbor:",toarray"`
+	Place  int
+	Report Report
+}
+
+// GroupError says that a reader wants something else of a group than the ask, because it holds another document.
+type GroupError struct {
+	Service ferryid.ServiceName
+	Group   int
+}
+
+func (e *GroupError) Error() string {
+	return fmt.Sprintf("engines %d of service %s are wanted otherwise here", e.Group, e.Service)
+}
+
+// group returns the engines of a group.
+func (w Wanted) group(i int) []Runner {
+	if i < 0 || i >= w.groups() {
+		return nil
+	}
+	return w.Runners[i*GroupSize : min(len(w.Runners), (i+1)*GroupSize)]
+}
+
+func (w Wanted) groups() int {
+	return (len(w.Runners) + GroupSize - 1) / GroupSize
+}
+
+func (w Wanted) sums() []uint64 {
+	out := make([]uint64, w.groups())
+	for i := range out {
+		out[i] = sumOf(w.group(i))
+	}
+	return out
+}
+
+func sumOf(rs []Runner) uint64 {
+	b, err := json.Marshal(rs)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(b)
+}
+
+// ReadGroup reads the engines of an ask all at once, or returns a *GroupError.
+func ReadGroup(ctx context.Context, w Wanted, a GroupAsk, read func(context.Context, string) (Report, error)) (GroupAnswer, error) {
+	rs := w.group(a.Group)
+	if w.Service != a.Service || len(rs) == 0 || sumOf(rs) != a.Sum {
+		return GroupAnswer{}, &GroupError{a.Service, a.Group}
+	}
+	var out GroupAnswer
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i, r := range rs {
+		if !a.Engines.has(i) {
+			continue
+		}
+		wg.Go(func() {
+			rep, err := read(ctx, r.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			out.add(i, r, rep, err)
+		})
+	}
+	wg.Wait()
+	return out, nil
+}
+
+func (a *GroupAnswer) add(i int, r Runner, rep Report, err error) {
+	switch {
+	case err != nil:
+		a.Unread |= 1 << i
+	case !rep.Ready || rep.Target != r.Target:
+		a.Differ = append(a.Differ, GroupReport{Place: i, Report: rep})
+	}
+}
+
+// Answered takes an answer; what was asked before an engine's last order or report is not believed.
+func (c *Core) Answered(a GroupAsk, ans GroupAnswer, now time.Time) {
+	rs := c.wanted.group(a.Group)
+	if len(rs) == 0 || a.Sum != c.sums[a.Group] {
+		return
+	}
+	reports := map[int]Report{}
+	for _, g := range ans.Differ {
+		reports[g.Place] = g.Report
+	}
+	for i, w := range rs {
+		r := c.runners[w.Name]
+		if !a.Engines.has(i) || a.turn <= r.turn {
+			continue
+		}
+		if ans.Unread.has(i) {
+			c.Unreadable(w.Name, now)
+			continue
+		}
+		rep, differs := reports[i]
+		if !differs {
+			rep = Report{Target: w.Target, Ready: true}
+		}
+		r.turn = a.turn
+		c.Reported(w.Name, rep, now)
+	}
+}
+
+// NotAnswered notes that nobody could read the engines of an ask.
+func (c *Core) NotAnswered(a GroupAsk, now time.Time) {
+	c.Answered(a, GroupAnswer{Unread: a.Engines}, now)
+}
--- /dev/null
+++ b/ferry/ferryorder/late_test.go
@@ -0,0 +1,100 @@
+package ferryorder
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// differ is an answer in which each engine reports the state that a generation wants.
+func differ(g int) GroupAnswer {
+	var ans GroupAnswer
+	for i, r := range wantedAt(g).Runners {
+		ans.Differ = append(ans.Differ, GroupReport{Place: i, Report: Report{Target: r.Target, Ready: true}})
+	}
+	return ans
+}
+
+// reportAll has all engines report the first document's state, to a holder that wants the second's.
+func reportAll(c *Core, now time.Time) {
+	for _, r := range wantedAt(1).Runners {
+		c.Reported(r.Name, Report{Target: r.Target, Ready: true}, now)
+	}
+}
+
+func TestAnswersThatComeTooLateAreNotBelieved(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		between func(c *Core, now time.Time)
+		reason  Reason
+		waiting int
+	}{
+		{"asked before the tenure", func(c *Core, _ time.Time) { c.SetFence(2) }, ReasonUnread, 6},
+		{"asked under another document", func(c *Core, _ time.Time) { c.SetWanted(wantedAt(3)) }, ReasonUnread, 6},
+		{"asked before the order", func(c *Core, now time.Time) {
+			reportAll(c, now)
+			c.Next(now)
+		}, ReasonPending, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			c := NewCore(Pace{})
+			c.SetWanted(wantedAt(2))
+			c.SetFence(1)
+			late := c.Due(now)[0]
+			tc.between(c, now)
+			c.Answered(late, GroupAnswer{}, now)
+			sends, blocked := c.Next(now)
+			n := 0
+			for _, b := range blocked {
+				if b.Reason == tc.reason {
+					n++
+				}
+			}
+			assert.Equal(t, n, tc.waiting, "orders %v, waiting %v", sends, blocked)
+		})
+	}
+}
+
+func TestAnOlderReadingDoesNotUndoANewer(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := NewCore(Pace{})
+	c.SetWanted(wantedAt(2))
+	c.SetFence(1)
+	c.Answered(c.Due(now)[0], differ(1), now)
+	sends, _ := c.Next(now)
+	assert.Assert(t, len(sends) > 0)
+	now = now.Add(time.Second)
+	older := c.Due(now)[0]
+	c.Answered(c.Due(now)[0], GroupAnswer{}, now)
+	c.Answered(older, differ(1), now)
+	again, _ := c.Next(now)
+	for _, a := range again {
+		for _, s := range sends {
+			assert.Assert(t, a.Name != s.Name, "%s is ordered again", a.Name)
+		}
+	}
+}
+
+func TestAnAnswerAskedBeforeTheRefusalIsNotBelieved(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := NewCore(Pace{})
+	c.SetWanted(wantedAt(2))
+	c.SetFence(1)
+	reportAll(c, now)
+	sends, _ := c.Next(now)
+	late := c.Due(now.Add(time.Second))[0]
+	for _, s := range sends {
+		c.Refused(s.Name)
+	}
+	c.Answered(late, GroupAnswer{}, now)
+	_, blocked := c.Next(now)
+	n := 0
+	for _, b := range blocked {
+		if b.Reason == ReasonUnread {
+			n++
+		}
+	}
+	assert.Equal(t, n, len(sends), "%v", blocked)
+}
--- a/ferry/ferryorder/orders.go
+++ b/ferry/ferryorder/orders.go
@@ -15,7 +15,8 @@
 const (
 	defaultInterval = 2 * time.Second
 	callTimeout     = 2 * time.Second
-	concurrentCalls = 8
+	groupTimeout    = callTimeout + 500*time.Millisecond
+	concurrentCalls = 32
 )
 
 // Tenure says whether this entry may give orders now; *ferrylease.Lease is one.
@@ -26,14 +27,19 @@
 	AtLeast(f ferryid.Fence)
 }
 
+// Readers has a group read by the entry whose duty that is; on an error the holder reads the group itself.
+type Readers interface {
+	ReadGroup(ctx context.Context, a GroupAsk) (GroupAnswer, error)
+}
+
 // Config is what an Orders needs; Tenure and Engine must be set.
 type Config struct {
 	Tenure Tenure
 	Engine Engine
 	Clock  clockwork.Clock
 	Pace   Pace
-	// Interval is how often the engines are read and corrected, 2 s if 0.
-	Interval time.Duration
+	// Readers is nil where the holder reads all engines itself.
+	Readers Readers
 }
 
 // Orders is the duty that brings one service's engines to the wanted state while it holds the lease.
@@ -41,6 +47,7 @@
 	cfg     Config
 	core    *Core
 	wanted  atomic.Pointer[Wanted]
+	taken   *Wanted // by the core
 	blocked atomic.Pointer[[]Blocked]
 }
 
@@ -49,9 +56,6 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clockwork.NewRealClock()
 	}
-	if cfg.Interval == 0 {
-		cfg.Interval = defaultInterval
-	}
 	return &Orders{cfg: cfg, core: NewCore(cfg.Pace)}
 }
 
@@ -68,51 +72,77 @@
 	return nil
 }
 
-// Run reads and corrects the engines each interval until the context is done.
+// Run reads and corrects the engines until the context is done, at most each 250 ms and at least each 2 s.
 func (o *Orders) Run(ctx context.Context) error {
-	t := o.cfg.Clock.NewTicker(o.cfg.Interval)
-	defer t.Stop()
 	for {
-		o.round(ctx)
+		next := o.round(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-t.Chan():
+		case <-o.cfg.Clock.After(next):
 		}
 	}
 }
 
-// round does one reading of all engines and gives the orders that follow.
-func (o *Orders) round(ctx context.Context) {
+// round reads the engines that are due and gives the orders that follow; it returns how long to wait for the next.
+func (o *Orders) round(ctx context.Context) time.Duration {
 	w := o.wanted.Load()
 	fence, _, err := o.cfg.Tenure.Check()
 	if w == nil || err != nil {
 		o.blocked.Store(nil)
-		return
+		return defaultInterval
+	}
+	if w != o.taken {
+		o.core.SetWanted(*w)
+		o.taken = w
 	}
-	o.core.SetWanted(*w)
 	o.core.SetFence(fence)
-	o.read(ctx, w.Runners)
+	o.read(ctx, o.core.Due(o.cfg.Clock.Now()))
 	sends, blocked := o.core.Next(o.cfg.Clock.Now())
 	o.blocked.Store(&blocked)
 	o.send(ctx, sends)
+	now := o.cfg.Clock.Now()
+	return o.core.Wake(now).Sub(now)
 }
 
-func (o *Orders) read(ctx context.Context, rs []Runner) {
-	reports := make([]Report, len(rs))
-	errs := make([]error, len(rs))
-	each(len(rs), func(i int) {
-		ctx, cancel := clockwork.WithTimeout(ctx, o.cfg.Clock, callTimeout)
-		defer cancel()
-		reports[i], errs[i] = o.cfg.Engine.Report(ctx, rs[i].Address)
-	})
-	for i, r := range rs {
+func (o *Orders) read(ctx context.Context, asks []GroupAsk) {
+	answers := make([]GroupAnswer, len(asks))
+	errs := make([]error, len(asks))
+	each(len(asks), func(i int) { answers[i], errs[i] = o.readGroup(ctx, asks[i]) })
+	now := o.cfg.Clock.Now()
+	for i, a := range asks {
 		if errs[i] != nil {
-			o.core.Unreadable(r.Name)
+			o.core.NotAnswered(a, now)
 			continue
 		}
-		o.core.Reported(r.Name, reports[i], o.cfg.Clock.Now())
+		o.core.Answered(a, answers[i], now)
+	}
+}
+
+// readGroup has a group read by the entry whose duty it is, and reads it here if that fails.
+func (o *Orders) readGroup(ctx context.Context, a GroupAsk) (GroupAnswer, error) {
+	if o.cfg.Readers == nil {
+		return o.Read(ctx, a)
 	}
+	there, cancel := clockwork.WithTimeout(ctx, o.cfg.Clock, groupTimeout)
+	defer cancel()
+	if ans, err := o.cfg.Readers.ReadGroup(there, a); err == nil {
+		return ans, nil
+	}
+	return o.Read(ctx, a)
+}
+
+// Read reads a group from here, for the entry that gives the orders; a *GroupError says that this entry holds another document.
+func (o *Orders) Read(ctx context.Context, a GroupAsk) (GroupAnswer, error) {
+	w := o.wanted.Load()
+	if w == nil {
+		return GroupAnswer{}, &GroupError{a.Service, a.Group}
+	}
+	return ReadGroup(ctx, *w, a, func(ctx context.Context, address string) (Report, error) {
+		ctx, cancel := clockwork.WithTimeout(ctx, o.cfg.Clock, callTimeout)
+		defer cancel()
+		return o.cfg.Engine.Report(ctx, address)
+	})
 }
 
 func (o *Orders) send(ctx context.Context, sends []Send) {
--- /dev/null
+++ b/ferry/ferryorder/split_rapid_test.go
@@ -0,0 +1,184 @@
+package ferryorder
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// reading is an ask that another entry carries out, its answer on the way for however long.
+type reading struct {
+	from int
+	ask  GroupAsk
+	done bool
+	ans  GroupAnswer
+	err  error
+}
+
+// splitWorld is an orderWorld whose engines are read by entries that hold older documents now and then, and answer late.
+type splitWorld struct {
+	*orderWorld
+	readings []*reading
+	spent    time.Duration
+}
+
+func (w *splitWorld) ask(h int) {
+	for _, a := range w.cores[h].Due(w.now) {
+		w.readings = append(w.readings, &reading{from: h, ask: a})
+	}
+}
+
+// read lets a reader that holds the document of the generation carry an ask out.
+func (w *splitWorld) carryOut(r *reading, g int, unread bool) {
+	r.done = true
+	r.ans, r.err = ReadGroup(context.Background(), wantedAt(g), r.ask, func(_ context.Context, address string) (Report, error) {
+		if unread {
+			return Report{}, fmt.Errorf("no answer")
+		}
+		for i, wanted := range wantedAt(1).Runners {
+			if wanted.Address == address {
+				return w.engines[i].report, nil
+			}
+		}
+		return Report{}, fmt.Errorf("no engine at %s", address)
+	})
+}
+
+func (w *splitWorld) answer(i int) {
+	r := w.readings[i]
+	w.readings = append(w.readings[:i:i], w.readings[i+1:]...)
+	if !r.done || r.err != nil {
+		w.cores[r.from].NotAnswered(r.ask, w.now)
+		return
+	}
+	w.cores[r.from].Answered(r.ask, r.ans, w.now)
+}
+
+// split replaces the reading of all engines at once by asks, readings and answers, each at any time.
+func (w *splitWorld) split(acts map[string]func(*rapid.T), who func(*rapid.T) int) {
+	pick := func(rt *rapid.T) int {
+		if len(w.readings) == 0 {
+			rt.Skip()
+		}
+		return rapid.IntRange(0, len(w.readings)-1).Draw(rt, "reading")
+	}
+	delete(acts, "read")
+	acts["ask"] = func(rt *rapid.T) { w.ask(who(rt)) }
+	acts["carry out"] = func(rt *rapid.T) {
+		r := w.readings[pick(rt)]
+		if r.done {
+			rt.Skip()
+		}
+		g := max(1, w.g-rapid.IntRange(0, 1).Draw(rt, "behind"))
+		w.carryOut(r, g, rapid.IntRange(0, 9).Draw(rt, "unread") == 0)
+	}
+	acts["answer"] = func(rt *rapid.T) { w.answer(pick(rt)) }
+	acts["round"] = func(rt *rapid.T) {
+		h := who(rt)
+		w.ask(h)
+		for len(w.readings) > 0 {
+			w.carryOut(w.readings[0], w.g, false)
+			w.answer(0)
+		}
+		w.decide(h)
+	}
+	acts["time"] = func(rt *rapid.T) {
+		d := time.Duration(rapid.IntRange(1, 2000).Draw(rt, "ms")) * time.Millisecond
+		if w.spent += d; w.spent < orderPatience {
+			w.now = w.now.Add(d)
+		}
+	}
+}
+
+func TestLastCopyStaysInServiceWhenOthersReadLate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := &splitWorld{orderWorld: newOrderWorld(func(int) bool { return true })}
+		w.cores[w.holder].bucket.pace = Pace{}
+		acts := w.actions(false)
+		w.split(acts, func(*rapid.T) int { return w.holder })
+		acts[""] = func(rt *rapid.T) {
+			if !w.serving() {
+				rt.Fatalf("no whole pipeline is in service")
+			}
+		}
+		rt.Repeat(acts)
+		w.settle(rt)
+	})
+}
+
+func TestStaleHoldersNeverDecideTheEndWhenOthersReadLate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := &splitWorld{orderWorld: newOrderWorld(func(i int) bool { return i%2 == 0 })}
+		highest := make([]ferryid.Fence, len(w.engines))
+		acts := w.actions(true)
+		w.split(acts, func(rt *rapid.T) int { return rapid.IntRange(0, 1).Draw(rt, "entry") })
+		acts[""] = func(rt *rapid.T) {
+			for i, e := range w.engines {
+				if e.checks && e.highest < highest[i] {
+					rt.Fatalf("engine %d took fence %d after %d", i, e.highest, highest[i])
+				}
+				highest[i] = e.highest
+			}
+		}
+		rt.Repeat(acts)
+		w.settle(rt)
+	})
+}
+
+// manyRunners are engines of one document, half a pipeline each.
+func manyRunners(n int) Wanted {
+	w := Wanted{Service: "herd-llm", Generation: 1, Layers: 4}
+	for i := range n {
+		t := Target{Model: "m", Version: "v1", Layers: halves[i%2], State: StateLive}
+		w.Runners = append(w.Runners, Runner{Name: ferryid.UpstreamName(fmt.Sprint("e", i)), Address: fmt.Sprint(i), Target: t})
+	}
+	return w
+}
+
+func TestReadingsAtRestAreBounded(t *testing.T) {
+	for _, tc := range []struct {
+		engines, readings int // of 20 s
+	}{
+		{4, 40}, {40, 400}, {160, 400}, {1600, 3200},
+	} {
+		t.Run(fmt.Sprint(tc.engines), func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			c := NewCore(Pace{})
+			c.SetWanted(manyRunners(tc.engines))
+			c.SetFence(1)
+			seen := 0
+			for range 120 {
+				now = now.Add(quickInterval)
+				for _, a := range c.Due(now) {
+					for i := range GroupSize {
+						if a.Engines.has(i) && now.Sub(time.Unix(1_800_000_000, 0)) > 10*time.Second {
+							seen++
+						}
+					}
+					c.Answered(a, GroupAnswer{}, now)
+				}
+			}
+			assert.Assert(t, seen <= tc.readings && seen >= tc.readings*9/10, "%d readings", seen)
+		})
+	}
+}
+
+func TestAReaderWithAnotherDocumentRefuses(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := NewCore(Pace{})
+	c.SetWanted(wantedAt(2))
+	c.SetFence(1)
+	asks := c.Due(now)
+	assert.Equal(t, len(asks), 1)
+	_, err := ReadGroup(t.Context(), wantedAt(1), asks[0], nil)
+	assert.ErrorType(t, err, &GroupError{})
+	asks[0].Group = -1
+	_, err = ReadGroup(t.Context(), wantedAt(2), asks[0], nil)
+	assert.ErrorType(t, err, &GroupError{})
+}
--- a/ferryd/ferrynode/claim.go
+++ b/ferryd/ferrynode/claim.go
@@ -29,6 +29,7 @@
 		askWrites:   n.answerWrites,
 		askTakeOver: n.answerTakeOver,
 		askLimit:    n.answerLimits,
+		askOrders:   n.answerOrders,
 	}
 }
 
