ferryorder: a test's table holds its reader by pointer

Cause: go vet: a copied lock. Excluded: leaving vet out. Change: a pointer. Before: vet fails. After: vet and the test pass. Conclusion: test only.

--- a/ferry/ferryorder/readers_test.go
+++ b/ferry/ferryorder/readers_test.go
@@ -36,12 +36,12 @@
 func TestEnginesFollowWhoeverReadsThem(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		reader otherEntry
+		reader *otherEntry
 		within time.Duration
 	}{
-		{"another entry", otherEntry{}, 2 * time.Second},
-		{"refuses", otherEntry{err: errors.New("not here")}, 2 * time.Second},
-		{"silent", otherEntry{silent: true}, 15 * time.Second},
+		{"another entry", &otherEntry{}, 2 * time.Second},
+		{"refuses", &otherEntry{err: errors.New("not here")}, 2 * time.Second},
+		{"silent", &otherEntry{silent: true}, 15 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -53,7 +53,7 @@
 				}
 				tc.reader.orders = New(Config{Tenure: d, Engine: d})
 				tc.reader.orders.Want(wantedAt(2))
-				o := New(Config{Tenure: d, Engine: d, Readers: &tc.reader})
+				o := New(Config{Tenure: d, Engine: d, Readers: tc.reader})
 				o.Want(wantedAt(2))
 				go func() { _ = o.Run(ctx) }()
 				time.Sleep(tc.within)
