The claims' fleet tests run on a bubble's clock, and a write's waiter ends

Excluded: a key that ran twice or a false NotRun: the calls that did not run were refused as NotRun. Change: the tests run in testing/synctest, where time moves only when every goroutine waits. The bubble showed a goroutine that Claims.Write left behind when its slot stops first; the last decision closes the channel instead. Before: 'deadlock: main bubble goroutine has exited but blocked goroutines remain' in Claims.Write. Conclusion: the count of ten is checked as before, without the machine's load in it.

--- a/ferry/ferryclaim/claims_test.go
+++ b/ferry/ferryclaim/claims_test.go
@@ -4,11 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
+	"testing/synctest"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -18,9 +17,8 @@
 	"cactusferry.dev/ferry/ferryplatform/ferryplatformtest"
 )
 
-// fleet is a few entries over one platform, joined by direct calls.
+// fleet is a few entries over one platform, joined by direct calls, on the clock of a synctest bubble.
 type fleet struct {
-	clock    *clockwork.FakeClock
 	platform *ferryplatformtest.Fake
 	claims   map[ferryid.Incarnation]*Claims
 	forwards atomic.Int32
@@ -50,8 +48,8 @@
 
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	clock := clockwork.NewFakeClock()
-	f := &fleet{clock: clock, platform: ferryplatformtest.New(clock), claims: map[ferryid.Incarnation]*Claims{}}
+	clock := clockwork.NewRealClock()
+	f := &fleet{platform: ferryplatformtest.New(clock), claims: map[ferryid.Incarnation]*Claims{}}
 	seal, err := NewSeal(make([]byte, 32))
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -72,33 +70,15 @@
 	return f
 }
 
-// until moves the clock until the function returns.
-func (f *fleet) until(fn func()) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		fn()
-	}()
-	for {
-		select {
-		case <-done:
-			return
-		default:
-			f.clock.Advance(time.Millisecond)
-			runtime.Gosched()
-		}
-	}
-}
-
 func call(key string) Call {
 	return Call{Customer: "c", Service: "s", Key: key, Digest: DigestOf([]byte("one"))}
 }
 
 func TestOneOfManyConcurrentCallsRuns(t *testing.T) {
-	f := newFleet(t, 3)
-	f.platform.SetFaults(ferryplatformtest.Faults{LoseAnswers: 3, LateEffectMS: 20})
-	var ran, not atomic.Int32
-	f.until(func() {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.platform.SetFaults(ferryplatformtest.Faults{LoseAnswers: 3, LateEffectMS: 20})
+		var ran, not atomic.Int32
 		var wg sync.WaitGroup
 		for i := range 60 {
 			wg.Go(func() {
@@ -115,9 +95,7 @@
 			})
 		}
 		wg.Wait()
-	})
-	assert.Equal(t, ran.Load(), int32(10))
-	f.until(func() {
+		assert.Equal(t, ran.Load(), int32(10))
 		for _, c := range f.claims {
 			assert.Check(t, c.Flush(t.Context()))
 			_, err := c.Begin(t.Context(), call("k0"))
@@ -129,50 +107,54 @@
 }
 
 func TestPlatformDownRefusesKeysAndLetsTicketsRun(t *testing.T) {
-	f := newFleet(t, 1)
-	f.platform.SetFaults(ferryplatformtest.Faults{Outage: true})
-	c := f.claims["i1"]
-	_, err := c.Begin(t.Context(), call("a"))
-	var p *ferryoutcome.Problem
-	assert.Assert(t, errors.As(err, &p))
-	assert.Equal(t, p.Kind, ferryoutcome.KindPlatformDown)
-	assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
-	assert.Equal(t, p.RetryAfter, platformRetryAfter)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.platform.SetFaults(ferryplatformtest.Faults{Outage: true})
+		c := f.claims["i1"]
+		_, err := c.Begin(t.Context(), call("a"))
+		var p *ferryoutcome.Problem
+		assert.Assert(t, errors.As(err, &p))
+		assert.Equal(t, p.Kind, ferryoutcome.KindPlatformDown)
+		assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
+		assert.Equal(t, p.RetryAfter, platformRetryAfter)
 
-	tk, err := c.IssueTicket("c", "s")
-	assert.NilError(t, err)
-	byTicket := Call{Customer: "c", Service: "s", Ticket: tk, Digest: DigestOf([]byte("one"))}
-	cl, err := c.Begin(t.Context(), byTicket)
-	assert.NilError(t, err)
-	assert.NilError(t, cl.Dispatching())
-	cl.Finish(t.Context(), Result{Outcome: ferryoutcome.Ran, Status: 204, Whole: true})
-	_, err = c.Begin(t.Context(), byTicket)
-	var rep *Replay
-	assert.Assert(t, errors.As(err, &rep))
-	assert.Equal(t, rep.Status, 204)
+		tk, err := c.IssueTicket("c", "s")
+		assert.NilError(t, err)
+		byTicket := Call{Customer: "c", Service: "s", Ticket: tk, Digest: DigestOf([]byte("one"))}
+		cl, err := c.Begin(t.Context(), byTicket)
+		assert.NilError(t, err)
+		assert.NilError(t, cl.Dispatching())
+		cl.Finish(t.Context(), Result{Outcome: ferryoutcome.Ran, Status: 204, Whole: true})
+		_, err = c.Begin(t.Context(), byTicket)
+		var rep *Replay
+		assert.Assert(t, errors.As(err, &rep))
+		assert.Equal(t, rep.Status, 204)
+	})
 }
 
 func TestHandOverNamesOneHeirOnly(t *testing.T) {
-	f := newFleet(t, 3)
-	sealed, err := f.claims["i1"].HandOver("i2")
-	assert.NilError(t, err)
-	_, err = f.claims["i1"].HandOver("i3")
-	var he *HeirError
-	assert.Assert(t, errors.As(err, &he))
-	assert.ErrorContains(t, f.claims["i3"].TakeOver(sealed), "hand-over is for i2")
-	assert.NilError(t, f.claims["i2"].TakeOver(sealed))
-	assert.NilError(t, f.claims["i2"].TakeOver(sealed))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		sealed, err := f.claims["i1"].HandOver("i2")
+		assert.NilError(t, err)
+		_, err = f.claims["i1"].HandOver("i3")
+		var he *HeirError
+		assert.Assert(t, errors.As(err, &he))
+		assert.ErrorContains(t, f.claims["i3"].TakeOver(sealed), "hand-over is for i2")
+		assert.NilError(t, f.claims["i2"].TakeOver(sealed))
+		assert.NilError(t, f.claims["i2"].TakeOver(sealed))
+	})
 }
 
 func TestCallerThatGivesUpIsNotRun(t *testing.T) {
-	f := newFleet(t, 2)
-	f.platform.SetFaults(ferryplatformtest.Faults{DelayMS: 1000})
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	_, err := f.claims["i1"].Begin(ctx, call("a"))
-	assert.Equal(t, outcomeOf(err), ferryoutcome.NotRun)
-	f.platform.SetFaults(ferryplatformtest.Faults{})
-	f.until(func() {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.platform.SetFaults(ferryplatformtest.Faults{DelayMS: 1000})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := f.claims["i1"].Begin(ctx, call("a"))
+		assert.Equal(t, outcomeOf(err), ferryoutcome.NotRun)
+		f.platform.SetFaults(ferryplatformtest.Faults{})
 		cl, err := f.claims["i2"].Begin(t.Context(), call("a"))
 		if assert.Check(t, err) {
 			assert.Check(t, cl.Dispatching())
--- a/ferry/ferryclaim/forward.go
+++ b/ferry/ferryclaim/forward.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -86,12 +86,16 @@
 
 // Write does another entry's writes and waits for all decisions, or returns an error if the context ends first.
 func (c *Claims) Write(ctx context.Context, ws []Write) ([]Decision, error) {
+	if len(ws) == 0 {
+		return nil, nil
+	}
 	if len(ws) > maxWrites {
 		return nil, merry.Errorf("%d writes in one message", len(ws))
 	}
 	out := make([]Decision, len(ws))
-	var left sync.WaitGroup
-	left.Add(len(ws))
+	var left atomic.Int64
+	left.Store(int64(len(ws)))
+	done := make(chan struct{})
 	for _, w := range ws {
 		if err := w.Check(len(c.slots)); err != nil {
 			return nil, err
@@ -101,15 +105,12 @@
 		r := request{op: w.Op, rec: w.Record, replaces: w.Replaces, passed: true}
 		r.reply = func(v verdict) {
 			out[i] = decisionOf(v)
-			left.Done()
+			if left.Add(-1) == 0 {
+				close(done)
+			}
 		}
 		c.slots[w.Slot].postAlways(r)
 	}
-	done := make(chan struct{})
-	go func() {
-		left.Wait()
-		close(done)
-	}()
 	select {
 	case <-done:
 		return out, nil
