A queue without calls has no ticks

Change: the queue's owner stops its ticks once nothing waits or runs, and starts them with the next call.

--- a/ferry/ferryqueue/admission.go
+++ b/ferry/ferryqueue/admission.go
@@ -55,8 +55,14 @@
 			return
 		case <-tick.Chan():
 			o.tick()
+			if o.rest() {
+				tick.Stop()
+			}
 		case m := <-a.inbox:
 			o.handle(m)
+			if o.wake() {
+				tick.Reset(tickEvery)
+			}
 		}
 		o.start()
 		o.publishIfDue()
@@ -93,7 +99,7 @@
 	a.post(setDocument{document: d})
 }
 
-// Snapshot returns the state that was last published, at most a tenth of a second old while Run runs.
+// Snapshot returns the state that was last published, at most a tenth of a second old while Run runs and any call waits or runs.
 func (a *Admission) Snapshot() Snapshot {
 	s := a.view.Load().snapshot
 	s.TurnedAway = a.turned.Load()
--- a/ferry/ferryqueue/admission_test.go
+++ b/ferry/ferryqueue/admission_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -123,3 +125,29 @@
 	assert.Equal(t, a.Snapshot().TurnedAway, uint64(1))
 	assert.Assert(t, a.turnAway(&Item{Customer: "b", Class: "short"}) == nil)
 }
+
+func TestNoTicksWhileNoCallIsThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmission(clockwork.NewRealClock())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go a.Run(ctx, Config{Capacity: 1})
+		a.SetCapacity(1)
+		time.Sleep(time.Minute)
+		assert.Assert(t, time.Since(a.Snapshot().At) > time.Second, "published while nothing changed")
+
+		first, err := a.Acquire(ctx, Item{ID: "1", Customer: "a", Predicted: 10})
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.Assert(t, time.Since(a.Snapshot().At) <= tickEvery, "not published while a call runs")
+		late, stop := context.WithTimeout(ctx, time.Minute)
+		defer stop()
+		it := Item{ID: "2", Customer: "a", Predicted: 10, Deadline: time.Now().Add(300 * time.Millisecond)}
+		_, err = a.Acquire(late, it)
+		assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.NotRun)
+		assert.NilError(t, late.Err())
+		first.Done(10)
+		time.Sleep(time.Minute)
+		assert.Equal(t, a.Snapshot().Running, 0)
+	})
+}
--- a/ferry/ferryqueue/owner.go
+++ b/ferry/ferryqueue/owner.go
@@ -73,6 +73,7 @@
 	callers   map[ferryid.RequestID]caller
 	capacity  int
 	published time.Time
+	resting   bool
 }
 
 func newOwner(a *Admission, cfg Config) *owner {
@@ -162,6 +163,24 @@
 	}
 }
 
+// rest reports whether nothing needs the next tick; the state is published once more then.
+func (o *owner) rest() bool {
+	o.resting = len(o.callers) == 0
+	if o.resting {
+		o.publish()
+	}
+	return o.resting
+}
+
+// wake reports whether ticks are needed again.
+func (o *owner) wake() bool {
+	if !o.resting || len(o.callers) == 0 {
+		return false
+	}
+	o.resting = false
+	return true
+}
+
 // start grants what may run and answers what was dropped.
 func (o *owner) start() {
 	now := o.now()
