A refusal before the look-up of a key says that it speaks of this attempt

Cause: a keyed call that is refused for load, for a limit, while the platform is away or by a stopping entry is answered NotRun before its key is looked up. If an earlier attempt had run, a caller could read that as 'the request was not run' and send it with a new key. Excluded: Unknown for all of these (wrong for every first attempt); a look-up before each refusal (a platform call for each refused call at the crest, and an attempt still on its way could make the answer false a moment later). Before: TestRefusalSaysWhetherEarlierAttemptsWereLookedUp did not build without the field, and had no scope with it. After: go test -race ./ferryd/ferrycaller passes. Conclusion: NotRun without the header now means that no attempt with the key has run.

--- a/ferry/ferryoutcome/problem.go
+++ b/ferry/ferryoutcome/problem.go
@@ -15,6 +15,15 @@
 // Header is the response header that repeats a problem's outcome.
 const Header = "Outcome"
 
+// ScopeHeader is the response header that repeats a problem's scope.
+const ScopeHeader = "Outcome-Scope"
+
+// Scope says what the outcome of a problem speaks of, the whole request unless it is ScopeAttempt.
+type Scope string
+
+// ScopeAttempt marks an outcome of this attempt alone: earlier ones with the same key or ticket were not looked up.
+const ScopeAttempt Scope = "Attempt"
+
 // Kind is the machine-readable type of a problem.
 type Kind string
 
@@ -62,6 +71,7 @@
 	Status     int           `json:"status"`
 	Detail     string        `json:"detail,omitempty"`
 	Outcome    Outcome       `json:"Outcome"`
+	Scope      Scope         `json:"Scope,omitempty"`
 	RequestID  string        `json:"RequestID,omitempty"`
 	RetryAfter time.Duration `json:"-"`
 	Entries    []string      `json:"Entries,omitempty"`
@@ -110,6 +120,9 @@
 	h := w.Header()
 	h.Set("Content-Type", ContentType)
 	h.Set(Header, string(p.Outcome))
+	if p.Scope != "" {
+		h.Set(ScopeHeader, string(p.Scope))
+	}
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
 	}
--- a/ferryd/ferrycaller/claim.go
+++ b/ferryd/ferrycaller/claim.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return s.notBegun(c, err)
 	}
+	identityOf(ctx).lookedUp = true
 	s.Events.Add("Claimed", claim.Ref().String(), "request %s", c.id)
 	dispatched := false
 	answer, p := s.repeat(ctx, c, call, func() *ferryoutcome.Problem {
--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -120,7 +120,7 @@
 		MaxTokens: req.tokens(), Seed: req.seed(), Deadline: deadline,
 	}
 	p = st.openResume(r)
-	identityOf(r).stream = st.job.Stream
+	identityOf(r.Context()).stream = st.job.Stream
 	return st, p
 }
 
--- a/ferryd/ferrycaller/plain.go
+++ b/ferryd/ferrycaller/plain.go
@@ -26,6 +26,7 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	defer s.opened(&s.openCalls)()
 	began := s.Clock.Now()
+	identityOf(r.Context()).keyed = r.Header.Get(ferryplain.KeyHeader) != "" || r.Header.Get(TicketHeader) != ""
 	c, p := s.authenticate(r, chi.URLParam(r, "service"), ferryservice.KindPlain)
 	if p != nil {
 		s.fail(w, r, p)
--- a/ferryd/ferrycaller/request.go
+++ b/ferryd/ferrycaller/request.go
@@ -226,6 +226,6 @@
 	if !ok {
 		return nil, unauthorized()
 	}
-	identityOf(r).customer = cu.Name
+	identityOf(r.Context()).customer = cu.Name
 	return &caller{id: requestID(r), doc: doc, customer: cu, key: key}, nil
 }
--- a/ferryd/ferrycaller/server.go
+++ b/ferryd/ferrycaller/server.go
@@ -168,10 +168,24 @@
 type identity struct {
 	customer ferryid.CustomerName
 	stream   ferryid.StreamID
+	// keyed is true for a call with a key or a ticket, and lookedUp once it is known what came of earlier ones.
+	keyed    bool
+	lookedUp bool
 }
 
-func identityOf(r *http.Request) *identity {
-	if id, ok := r.Context().Value(identityKey{}).(*identity); ok {
+// scope marks a refusal that does not speak of earlier attempts.
+func (id *identity) scope(p *ferryoutcome.Problem) {
+	switch p.Kind {
+	case ferryoutcome.KindKeyReused, ferryoutcome.KindConflict:
+		return
+	}
+	if id.keyed && !id.lookedUp && p.Outcome == ferryoutcome.NotRun {
+		p.Scope = ferryoutcome.ScopeAttempt
+	}
+}
+
+func identityOf(ctx context.Context) *identity {
+	if id, ok := ctx.Value(identityKey{}).(*identity); ok {
 		return id
 	}
 	return &identity{}
@@ -183,6 +197,7 @@
 
 // fail answers with a problem and logs it.
 func (s *Server) fail(w http.ResponseWriter, r *http.Request, p *ferryoutcome.Problem) {
+	identityOf(r.Context()).scope(p)
 	s.logFailure(r, p)
 	p.Write(w)
 }
@@ -194,7 +209,7 @@
 	if p.Status >= http.StatusInternalServerError && p.Outcome != ferryoutcome.NotRun {
 		e = s.Log.Warn()
 	}
-	id := identityOf(r)
+	id := identityOf(r.Context())
 	e.Str("RequestID", p.RequestID).Str("Customer", string(id.customer)).Str("StreamID", string(id.stream)).Str("Kind", string(p.Kind)).Str("Outcome", string(p.Outcome)).AnErr("Cause", p.Cause).Msg("call failed")
 }
 
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -45,6 +45,7 @@
 	words     []string
 	failAt    int
 	upstream  string
+	refusal   error
 }
 
 func (f *fakes) Document(name ferryid.ServiceName) (*ferryservice.Document, bool) {
@@ -70,6 +71,9 @@
 func (f *fakes) Retry(*ferryservice.Document) bool { return true }
 
 func (f *fakes) Acquire(ctx context.Context, _ *ferryservice.Document, it ferryqueue.Item) (*ferryqueue.Grant, error) {
+	if f.refusal != nil {
+		return nil, f.refusal
+	}
 	return f.admission.Acquire(ctx, it)
 }
 
@@ -271,6 +275,42 @@
 	assert.Equal(t, runs, 1)
 }
 
+func TestRefusalSaysWhetherEarlierAttemptsWereLookedUp(t *testing.T) {
+	_, f, url := newServer(t)
+	up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	f.upstream = strings.TrimPrefix(up.URL, "http://")
+	w, _ := send(t, http.MethodPost, url+"/v1/services/parlour-api/rations/7", keyA, "2kg", ferryplain.KeyHeader, "ran")
+	assert.Equal(t, w.StatusCode, http.StatusOK)
+	up.Close()
+	tests := []struct {
+		name    string
+		refused bool
+		body    string
+		header  []string
+		want    ferryoutcome.Scope
+	}{
+		{"key that ran, refused before the look-up", true, "2kg", []string{ferryplain.KeyHeader, "ran"}, ferryoutcome.ScopeAttempt},
+		{"ticket, refused before the look-up", true, "2kg", []string{TicketHeader, "x"}, ferryoutcome.ScopeAttempt},
+		{"no key", true, "2kg", nil, ""},
+		{"new key, the upstream does not answer", false, "2kg", []string{ferryplain.KeyHeader, "new"}, ""},
+		{"key of another call", false, "3kg", []string{ferryplain.KeyHeader, "ran"}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f.refusal = nil
+			if tt.refused {
+				f.refusal = ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "too much")
+			}
+			w, body := send(t, http.MethodPost, url+"/v1/services/parlour-api/rations/7", keyA, tt.body, tt.header...)
+			assert.Equal(t, w.Header.Get(ferryoutcome.Header), string(ferryoutcome.NotRun), body)
+			assert.Equal(t, w.Header.Get(ferryoutcome.ScopeHeader), string(tt.want))
+			var p ferryoutcome.Problem
+			assert.NilError(t, json.Unmarshal([]byte(body), &p))
+			assert.Equal(t, p.Scope, tt.want)
+		})
+	}
+}
+
 func TestTicketRunsOnce(t *testing.T) {
 	_, f, url := newServer(t)
 	runs := 0
