A service is ended by its document: Retired

Cause: there was no way to remove a service; deleting its object would let an older version come back. Excluded: deleting the object and its generation (never reverts is a promise); marking every upstream as leaving (a running stream whose stage dies then finds no engine to go on). Change: Retired in the document refuses new calls as NotRun (404); running and resumed streams go on. Before: with the check switched off, TestRetiredServiceTakesNoNewWork waited in vain for the refusal. After: go test -race -count=5 passes. Conclusion: operators still drive everything by the document alone.

--- a/ferry/ferryservice/document.go
+++ b/ferry/ferryservice/document.go
@@ -22,17 +22,19 @@
 
 // Document describes one service.
 type Document struct {
-	Service   ferryid.ServiceName `toml:"Service" json:"Service"`
-	Team      string              `toml:"Team" json:"Team"`
-	Kind      Kind                `toml:"Kind" json:"Kind"`
-	Model     Model               `toml:"Model" json:"Model"`
-	Limits    Limits              `toml:"Limits" json:"Limits"`
-	Policy    Policy              `toml:"Policy" json:"Policy"`
-	Classes   Classes             `toml:"Classes" json:"Classes"`
-	Upstreams Upstreams           `toml:"Upstreams" json:"Upstreams"`
-	Pipelines Pipelines           `toml:"Pipelines" json:"Pipelines"`
-	Customers Customers           `toml:"Customers" json:"Customers"`
-	Routes    Routes              `toml:"Routes" json:"Routes"`
+	Service ferryid.ServiceName `toml:"Service" json:"Service"`
+	Team    string              `toml:"Team" json:"Team"`
+	Kind    Kind                `toml:"Kind" json:"Kind"`
+	// Retired ends the service: new work is refused, and what runs goes on to its end.
+	Retired   bool      `toml:"Retired" json:"Retired,omitempty"`
+	Model     Model     `toml:"Model" json:"Model"`
+	Limits    Limits    `toml:"Limits" json:"Limits"`
+	Policy    Policy    `toml:"Policy" json:"Policy"`
+	Classes   Classes   `toml:"Classes" json:"Classes"`
+	Upstreams Upstreams `toml:"Upstreams" json:"Upstreams"`
+	Pipelines Pipelines `toml:"Pipelines" json:"Pipelines"`
+	Customers Customers `toml:"Customers" json:"Customers"`
+	Routes    Routes    `toml:"Routes" json:"Routes"`
 }
 
 // Model describes the model of a service of KindModel and the state its engines are wanted in.
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -109,6 +109,9 @@
 	if !ok {
 		return nil, noService(d)
 	}
+	if d.Retired && !it.Resumed {
+		return nil, ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "Service %q is retired and takes no new work.", d.Service)
+	}
 	if sv.slots() == 0 {
 		return nil, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun,
 			"No upstream of service %q takes work now.", d.Service).After(noUpstreamRetry)
--- a/ferryd/ferrynode/node_test.go
+++ b/ferryd/ferrynode/node_test.go
@@ -276,6 +276,29 @@
 	}
 }
 
+func TestRetiredServiceTakesNoNewWork(t *testing.T) {
+	b := newBed(t)
+	b.apply(t, "herd-llm", b.modelText(64), 0)
+	b.apply(t, "parlour-api", b.plainText(), 0)
+	b.stream(t, 7, openTokens, func(n int) {
+		if n == 1 {
+			b.apply(t, "herd-llm", "Retired = true\n"+b.modelText(64), 1)
+			b.apply(t, "parlour-api", "Retired = true\n"+b.plainText(), 1)
+		}
+	})
+	for _, path := range []string{"/v1/completions", "/v1/services/parlour-api/rations/417"} {
+		b.until(t, "refused", func() error {
+			status, h, body := b.do(t, path, `{"model":"herd-llm","prompt":"x"}`, "")
+			if status != http.StatusNotFound || h.Get("Outcome") != "NotRun" {
+				return fmt.Errorf("status %d, %s", status, body)
+			}
+			return nil
+		})
+	}
+	b.apply(t, "herd-llm", b.modelText(64), 2)
+	b.stream(t, 8, testTokens, func(int) {})
+}
+
 // Two nodes live in one process, each with metrics of its own.
 func TestTwoNodes(t *testing.T) {
 	for _, b := range []*bed{newBed(t), newBed(t)} {
