The key that entries share can be replaced entry by entry

Cause: an entry proved and took only the first key of Keys.Seal, so that replacing entries with a new first key cut the overlay in two until the last was replaced; documents, marks, claims' questions and hand-overs did not cross. Excluded: both keys in every proof (a change of the protocol that older entries don't read). Before: with further keys not taken, the round "the new key comes first" of TestSecretIsReplacedEntryByEntry waits in vain. Conclusion: kept; the frames after the hello still have no MAC of their own without TLS.

--- a/ferry/ferrypeer/hello.go
+++ b/ferry/ferrypeer/hello.go
@@ -50,7 +50,11 @@
 
 // prove returns the MAC of a side over both hellos of this connection.
 func (n *Node) prove(role string, dialled, accepted []byte) *Proof {
-	m := hmac.New(sha256.New, n.cfg.Secret)
+	return proofBy(n.cfg.Secret, role, dialled, accepted)
+}
+
+func proofBy(secret []byte, role string, dialled, accepted []byte) *Proof {
+	m := hmac.New(sha256.New, secret)
 	for _, part := range [][]byte{[]byte(role), dialled, accepted} {
 		fmt.Fprintf(m, "%d:", len(part))
 		m.Write(part)
@@ -58,11 +62,17 @@
 	return &Proof{MAC: m.Sum(nil)}
 }
 
-func (n *Node) checkProof(got *Proof, want *Proof) error {
-	if !hmac.Equal(got.MAC, want.MAC) {
-		return &HelloError{Reason: CloseUnauthenticated, Detail: "wrong proof"}
+// checkProof returns an error unless the far side proved one of the keys known here.
+func (n *Node) checkProof(got *Proof, role string, dialled, accepted []byte) error {
+	if hmac.Equal(got.MAC, n.prove(role, dialled, accepted).MAC) {
+		return nil
+	}
+	for _, secret := range n.cfg.OtherSecrets {
+		if hmac.Equal(got.MAC, proofBy(secret, role, dialled, accepted).MAC) {
+			return nil
+		}
 	}
-	return nil
+	return &HelloError{Reason: CloseUnauthenticated, Detail: "wrong proof"}
 }
 
 // acceptHello takes the accepting side: hello, hello back, proof, proof back.
@@ -87,7 +97,7 @@
 	if err != nil {
 		return session{}, err
 	}
-	if err := n.checkProof(proof, n.prove(proofOfDialler, theirFrame, ownFrame)); err != nil {
+	if err := n.checkProof(proof, proofOfDialler, theirFrame, ownFrame); err != nil {
 		return session{}, err
 	}
 	if _, err := n.writeMessage(ctx, ws, n.prove(proofOfAcceptor, theirFrame, ownFrame)); err != nil {
@@ -136,7 +146,7 @@
 	if err != nil {
 		return session{}, err
 	}
-	if err := n.checkProof(proof, n.prove(proofOfAcceptor, ownFrame, theirFrame)); err != nil {
+	if err := n.checkProof(proof, proofOfAcceptor, ownFrame, theirFrame); err != nil {
 		return session{}, err
 	}
 	return session{peer: theirs.Member, purpose: p, topics: theirs.Topics}, nil
--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -43,11 +43,13 @@
 	TLS *tls.Config
 	// Lister gives the instance list, or is nil.
 	Lister ferryplatform.Lister
-	// Secret is the key that all entries share; each side proves it at hello.
+	// Secret is the key that this entry proves at hello.
 	Secret []byte
-	Log    zerolog.Logger
-	Events *ferryevent.Log
-	Topics []Topic
+	// OtherSecrets are further keys that a peer may prove, so that a key can be replaced entry by entry.
+	OtherSecrets [][]byte
+	Log          zerolog.Logger
+	Events       *ferryevent.Log
+	Topics       []Topic
 	// Handlers answer the Asks of peers.
 	Handlers map[AskKind]Handler
 	// OnMembers, if set, is called with each new snapshot of the membership by the overlay's goroutine, and must not block.
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -26,12 +26,13 @@
 
 // newOverlay makes this process's part in the overlay.
 func (n *Node) newOverlay() error {
+	secrets := peerSecrets(n.cfg.Keys.SealKeys())
 	cfg := ferrypeer.Config{
 		Self: ferrypeer.Member{
 			Name: n.cfg.Name, Incarnation: n.self, FailureDomain: n.cfg.FailureDomain,
 			PeerAddress: n.cfg.Peers.Advertise, CallerAddress: n.cfg.Callers.Advertise,
 		},
-		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: peerSecret(n.cfg.Keys.SealKeys()[0]),
+		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: secrets[0], OtherSecrets: secrets[1:],
 		Log: n.log, Events: n.events,
 		Topics:    []ferrypeer.Topic{documentTopic(n.holder), n.loads.Topic(), leavingTopic(n.marks)},
 		Handlers:  n.askHandlers(),
@@ -50,10 +51,14 @@
 	return nil
 }
 
-// peerSecret is what entries prove to each other, made from the key they share.
-func peerSecret(key []byte) []byte {
-	sum := sha256.Sum256(append([]byte("cactusferry peers "), key...))
-	return sum[:]
+// peerSecrets are what entries prove to each other, made from the keys they share.
+func peerSecrets(keys [][]byte) [][]byte {
+	secrets := make([][]byte, 0, len(keys))
+	for _, k := range keys {
+		sum := sha256.Sum256(append([]byte("cactusferry peers "), k...))
+		secrets = append(secrets, sum[:])
+	}
+	return secrets
 }
 
 // cachedList gives the overlay the list that this process read last, so that it costs no call of its own.
