--- a/ferry/ferryorder/core.go
+++ b/ferry/ferryorder/core.go
@@ -29,7 +29,7 @@
 	fence   ferryid.Fence
 	runners map[ferryid.UpstreamName]*runner
 	bucket  bucket
-	sums    []uint64 // of the groups
+	sums    []uint64 // of the groups, nil until they are needed
 	turn    turn
 }
 
@@ -44,7 +44,7 @@
 		return
 	}
 	c.wanted = w
-	c.sums = w.sums()
+	c.sums = nil
 	old := c.runners
 	c.runners = map[ferryid.UpstreamName]*runner{}
 	for i, r := range w.Runners {
--- a/ferry/ferryorder/due.go
+++ b/ferry/ferryorder/due.go
@@ -30,7 +30,7 @@
 // groupTime is when a quiet group is read next; the groups' times lie evenly apart.
 func (c *Core) groupTime(group int, now time.Time) time.Time {
 	every := c.quiet()
-	phase := every * time.Duration(group) / time.Duration(max(1, len(c.sums)))
+	phase := every * time.Duration(group) / time.Duration(max(1, c.wanted.groups()))
 	past := time.Duration(now.UnixNano()-int64(phase)) % every
 	return now.Add(every - past)
 }
@@ -42,7 +42,7 @@
 	}
 	c.turn++
 	var out []GroupAsk
-	for g, sum := range c.sums {
+	for g, sum := range c.groupSums() {
 		a := GroupAsk{Service: c.wanted.Service, Group: g, Sum: sum, turn: c.turn}
 		for i, w := range c.wanted.group(g) {
 			if !now.Before(c.runners[w.Name].due) {
--- a/ferry/ferryorder/group.go
+++ b/ferry/ferryorder/group.go
@@ -71,12 +71,14 @@
 	return (len(w.Runners) + GroupSize - 1) / GroupSize
 }
 
-func (w Wanted) sums() []uint64 {
-	out := make([]uint64, w.groups())
-	for i := range out {
-		out[i] = sumOf(w.group(i))
+func (c *Core) groupSums() []uint64 {
+	if c.sums == nil {
+		c.sums = make([]uint64, c.wanted.groups())
+		for i := range c.sums {
+			c.sums[i] = sumOf(c.wanted.group(i))
+		}
 	}
-	return out
+	return c.sums
 }
 
 func sumOf(rs []Runner) uint64 {
@@ -123,7 +125,7 @@
 // Answered takes an answer; what was asked before an engine's last order or report is not believed.
 func (c *Core) Answered(a GroupAsk, ans GroupAnswer, now time.Time) {
 	rs := c.wanted.group(a.Group)
-	if len(rs) == 0 || a.Sum != c.sums[a.Group] {
+	if len(rs) == 0 || a.Sum != c.groupSums()[a.Group] {
 		return
 	}
 	reports := map[int]Report{}
