The test of excess work gives the loud customer its turn

Excluded: the scan itself, which works. Change: the other's first call is ten times as long, so that the next turn is the loud customer's. Before: passes with the scan switched off. After: '1 (int) != 2 (int)' with it switched off, passes with it.

--- a/ferry/ferryqueue/excess_test.go
+++ b/ferry/ferryqueue/excess_test.go
@@ -55,7 +55,7 @@
 	q, now := loud(t, 0.1)
 	fill(t, q, "hog", 20, 10)
 	drain(q, now, 20)
-	fill(t, q, "a", 2, 10)
+	fill(t, q, "a", 2, 100)
 	got := drain(q, now, 20)
 	assert.Equal(t, len(got), 2)
 	for _, it := range got {
