Lease, orders and stop are tested on a bubble's clock

Cause: the tests of ferrylease, ferryorder and ferrydrain drove a fake clock in a loop of Advance and Gosched, so fake time ran on, and timeouts fired, while the code under test only had no processor; a loop that ran out was passed over in silence in two of them. Change: testing/synctest: time moves only when every goroutine of the bubble is blocked. ferrylease's until fails the test when it runs out (it went on before), ferryorder's loop ends with the tenure's hour (it ended after a million steps), the stop has 1000 s of the bubble's time, which is what 100,000 steps of 10 ms were. The stop's text loses clockwork's prefix to the error of the context.

--- a/ferry/ferrydrain/stop_test.go
+++ b/ferry/ferrydrain/stop_test.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"os"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -128,37 +128,23 @@
 }
 
 func TestStopperWithPlatformThatHangs(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	var steps atomic.Int32
-	hang := func(ctx context.Context) error {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	st := &Stopper{Clock: clock, Stop: NewStop(StopConfig{}), Hooks: Hooks{
-		Open: func() Open { return Open{} }, LeaveSteering: func() { steps.Add(1) }, RefuseNew: func() { steps.Add(1) },
-		ReportOpen: func(Open) {}, Tasks: map[Task]func(context.Context) error{TaskFlush: hang},
-	}}
-	signals := make(chan os.Signal, 1)
-	signals <- syscall.SIGTERM
-	done := make(chan Left, 1)
-	ended, end := context.WithCancel(t.Context())
-	go func() {
-		left, _ := st.Run(t.Context(), signals)
-		done <- left
-		end()
-	}()
-	for range 100_000 {
-		select {
-		case left := <-done:
-			assert.Equal(t, steps.Load(), int32(2))
-			assert.Equal(t, left.String(), "calls 0, streams 0, Flush: clockwork.FakeClock: context deadline exceeded")
-			return
-		default:
-			// Nobody waits on the clock any more once the stop has ended.
-			_ = clock.BlockUntilContext(ended, 1)
-			clock.Advance(10 * time.Millisecond)
-			runtime.Gosched()
+	synctest.Test(t, func(t *testing.T) {
+		var steps atomic.Int32
+		hang := func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
 		}
-	}
-	t.Fatal("the stop never ended")
+		st := &Stopper{Clock: clockwork.NewRealClock(), Stop: NewStop(StopConfig{}), Hooks: Hooks{
+			Open: func() Open { return Open{} }, LeaveSteering: func() { steps.Add(1) }, RefuseNew: func() { steps.Add(1) },
+			ReportOpen: func(Open) {}, Tasks: map[Task]func(context.Context) error{TaskFlush: hang},
+		}}
+		signals := make(chan os.Signal, 1)
+		signals <- syscall.SIGTERM
+		ctx, cancel := context.WithTimeout(t.Context(), 1000*time.Second)
+		defer cancel()
+		left, err := st.Run(ctx, signals)
+		assert.NilError(t, err, "the stop never ended")
+		assert.Equal(t, steps.Load(), int32(2))
+		assert.Equal(t, left.String(), "calls 0, streams 0, Flush: context deadline exceeded")
+	})
 }
--- a/ferry/ferrylease/lease_test.go
+++ b/ferry/ferrylease/lease_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -14,7 +14,10 @@
 	"cactusferry.dev/ferry/ferryplatform/ferryplatformtest"
 )
 
-func start(t *testing.T, clock *clockwork.FakeClock, store *ferryplatformtest.Fake, id ferryid.Incarnation) *Lease {
+// clock reads the bubble's time.
+var clock = clockwork.NewRealClock()
+
+func start(t *testing.T, store *ferryplatformtest.Fake, id ferryid.Incarnation) *Lease {
 	t.Helper()
 	l := New(Config{Name: "orders.herd-llm", Self: id, Store: store, Clock: clock})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -27,18 +30,17 @@
 	return l
 }
 
-// until moves the clock until the condition holds.
-func until(clock *clockwork.FakeClock, cond func() bool) time.Duration {
-	from := clock.Now()
+// until lets the bubble's time pass until the condition holds.
+func until(t *testing.T, cond func() bool) {
+	t.Helper()
 	for range 200_000 {
+		synctest.Wait()
 		if cond() {
-			break
+			return
 		}
-		_ = clock.BlockUntilContext(context.Background(), 1)
-		clock.Advance(time.Millisecond)
-		runtime.Gosched()
+		time.Sleep(time.Millisecond)
 	}
-	return clock.Since(from)
+	t.Fatal("not within 200 s")
 }
 
 func holds(l *Lease) func() bool {
@@ -49,49 +51,51 @@
 }
 
 func TestReleaseLetsTheNextHolderIn(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	store := ferryplatformtest.New(clock)
-	a, b := start(t, clock, store, "a"), start(t, clock, store, "b")
-	a.Want(true)
-	until(clock, holds(a))
-	first, _, _ := a.Check()
-	b.Want(true)
-	a.Want(false)
-	until(clock, holds(b))
-	second, _, _ := b.Check()
-	assert.Assert(t, second > first)
-	assert.Assert(t, a.Released())
-	_, _, err := a.Check()
-	var not *NotHeldError
-	assert.Assert(t, errors.As(err, &not))
+	synctest.Test(t, func(t *testing.T) {
+		store := ferryplatformtest.New(clock)
+		a, b := start(t, store, "a"), start(t, store, "b")
+		a.Want(true)
+		until(t, holds(a))
+		first, _, _ := a.Check()
+		b.Want(true)
+		a.Want(false)
+		until(t, holds(b))
+		second, _, _ := b.Check()
+		assert.Assert(t, second > first)
+		assert.Assert(t, a.Released())
+		_, _, err := a.Check()
+		var not *NotHeldError
+		assert.Assert(t, errors.As(err, &not))
+	})
 }
 
 func TestOutageLongerThanTheLeaseEndsIt(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	store := ferryplatformtest.New(clock)
-	a := start(t, clock, store, "a")
-	a.Want(true)
-	until(clock, holds(a))
-	first, _, _ := a.Check()
-	store.SetFaults(ferryplatformtest.Faults{Outage: true})
-	until(clock, func() bool { return !holds(a)() })
-	more := 2000 // steps in which the lapse is noticed
-	until(clock, func() bool { more--; return more < 0 })
-	store.SetFaults(ferryplatformtest.Faults{})
-	until(clock, holds(a))
-	second, _, _ := a.Check()
-	assert.Assert(t, second > first)
+	synctest.Test(t, func(t *testing.T) {
+		store := ferryplatformtest.New(clock)
+		a := start(t, store, "a")
+		a.Want(true)
+		until(t, holds(a))
+		first, _, _ := a.Check()
+		store.SetFaults(ferryplatformtest.Faults{Outage: true})
+		until(t, func() bool { return !holds(a)() })
+		time.Sleep(2 * time.Second) // in which the lapse is noticed
+		store.SetFaults(ferryplatformtest.Faults{})
+		until(t, holds(a))
+		second, _, _ := a.Check()
+		assert.Assert(t, second > first)
+	})
 }
 
 func TestFenceFollowsTheEngines(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	a := start(t, clock, ferryplatformtest.New(clock), "a")
-	a.Want(true)
-	until(clock, holds(a))
-	a.AtLeast(40)
-	until(clock, func() bool {
-		f, _, err := a.Check()
-		return err == nil && f >= 40
+	synctest.Test(t, func(t *testing.T) {
+		a := start(t, ferryplatformtest.New(clock), "a")
+		a.Want(true)
+		until(t, holds(a))
+		a.AtLeast(40)
+		until(t, func() bool {
+			f, _, err := a.Check()
+			return err == nil && f >= 40
+		})
 	})
 }
 
--- a/ferry/ferryorder/core_rapid_test.go
+++ b/ferry/ferryorder/core_rapid_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -249,32 +249,31 @@
 }
 
 func TestOrdersCatchUpWithEnginesThatSawHigherFences(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	d := &duty{fence: 1, until: clock.Now().Add(time.Hour), es: map[string]*engine{}}
-	for i, r := range wantedAt(1).Runners {
-		d.es[r.Address] = &engine{checks: true, highest: ferryid.Fence(i * 10), report: Report{Target: r.Target, Ready: true}}
-	}
-	o := New(Config{Tenure: d, Engine: d, Clock: clock})
-	o.Want(wantedAt(2))
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error)
-	go func() { done <- o.Run(ctx) }()
-	as := func() bool {
-		for _, r := range wantedAt(2).Runners {
-			if rep, _ := d.Report(ctx, r.Address); rep.Target != r.Target {
-				return false
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		d := &duty{fence: 1, until: clock.Now().Add(time.Hour), es: map[string]*engine{}}
+		for i, r := range wantedAt(1).Runners {
+			d.es[r.Address] = &engine{checks: true, highest: ferryid.Fence(i * 10), report: Report{Target: r.Target, Ready: true}}
+		}
+		o := New(Config{Tenure: d, Engine: d, Clock: clock})
+		o.Want(wantedAt(2))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- o.Run(ctx) }()
+		as := func() bool {
+			for _, r := range wantedAt(2).Runners {
+				if rep, _ := d.Report(ctx, r.Address); rep.Target != r.Target {
+					return false
+				}
 			}
+			return true
 		}
-		return true
-	}
-	for range 1_000_000 {
-		if as() {
-			break
+		for clock.Now().Before(d.until) && !as() {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
 		}
-		clock.Advance(100 * time.Millisecond)
-		runtime.Gosched()
-	}
-	cancel()
-	<-done
-	assert.Assert(t, as())
+		cancel()
+		<-done
+		assert.Assert(t, as())
+	})
 }
