A leaving entry says so on every link

Cause: Overlay.leave queued the entry's Left record first and made its links eager after that, so a link whose peer had asked for no pushes got nothing. When all peers of an entry had asked so, nobody heard that it left: they held it as dead seconds later, by suspicion. TestNineNodes failed by this now and then, more often the more its goroutines' order varied. Excluded: bytes lost on the way (the connections were written out before the end; queued was 0); a record refused (MembersRefused 0 everywhere). Change: the links are made eager before the record is queued. Before: TestLeavingIsSaidOnEveryLink fails on the old code: told is empty for both links. Conclusion: the unknown failure of this package under load was most likely this one.

--- a/ferry/ferrypeer/overlay.go
+++ b/ferry/ferrypeer/overlay.go
@@ -266,13 +266,14 @@
 
 func (o *Overlay) leave() {
 	o.leaving = true
+	// There is no later digest for a peer that asked not to be pushed to.
+	for _, l := range o.links {
+		l.eager = true
+	}
 	o.table.self.Status = Left
 	o.table.self.Until = o.now.Add(tombstoneFor).Unix()
 	o.table.announce(true)
 	o.drainOwn()
-	for _, l := range o.links {
-		l.eager = true
-	}
 	o.flush()
 }
 
