Nodes of ferrypeer are tested in a bubble without sockets

Cause: the tests with whole nodes ran over loopback sockets on the real clock, so suspicion, dial and hello timeouts fired while goroutines waited for a processor; a stranger could also connect before Run had begun and got 503. Excluded: a longer wait; the timeouts are the product's own. Change: Config.Dial opens connections to peers, nil for TCP as before; the tests join nodes by a small in-memory network within synctest.Test, where time moves only when all wait. waitFor's 30 s are the bubble's. startNode returns once Run is under way. TLS names its server, since the memory network has no host name.

--- a/ferry/ferrypeer/hello_test.go
+++ b/ferry/ferrypeer/hello_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/coder/websocket"
@@ -23,7 +24,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
-	ws, _, err := websocket.Dial(ctx, "ws://"+to.address+"/peer", nil)
+	ws, _, err := websocket.Dial(ctx, "ws://"+to.address+"/peer", &websocket.DialOptions{HTTPClient: client()})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ws.CloseNow() })
 	return &stranger{t: t, ws: ws, m: ferrypeer.Member{
@@ -92,33 +93,37 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			a := startNode(t, "entry-a", "domain-1", nil, nil)
-			s := connect(t, a)
-			tc.speak(s)
-			s.cutOff()
-			waitFor(t, "it is counted", func() bool { return a.Counts()[string(tc.counted)] == 1 })
-			assert.Equal(t, len(a.Members().List), 1)
+			synctest.Test(t, func(t *testing.T) {
+				a := startNode(t, "entry-a", "domain-1", nil, nil)
+				s := connect(t, a)
+				tc.speak(s)
+				s.cutOff()
+				waitFor(t, "it is counted", func() bool { return a.Counts()[string(tc.counted)] == 1 })
+				assert.Equal(t, len(a.Members().List), 1)
+			})
 		})
 	}
 }
 
 // TestReplayedHello records what a genuine peer sends and plays it again.
 func TestReplayedHello(t *testing.T) {
-	a := startNode(t, "entry-a", "domain-1", nil, nil)
-	tap := newTap(t, a.address)
-	startNode(t, "entry-b", "domain-1", []string{tap.address}, nil)
-	waitFor(t, "entry-b joined through the tap", func() bool { return sees(a, 2) })
-	var frames [][]byte
-	waitFor(t, "a recorded hello", func() bool {
-		frames = tap.firstFrames(2)
-		return frames != nil
+	synctest.Test(t, func(t *testing.T) {
+		a := startNode(t, "entry-a", "domain-1", nil, nil)
+		tap := newTap(t, a.address)
+		startNode(t, "entry-b", "domain-1", []string{tap.address}, nil)
+		waitFor(t, "entry-b joined through the tap", func() bool { return sees(a, 2) })
+		var frames [][]byte
+		waitFor(t, "a recorded hello", func() bool {
+			frames = tap.firstFrames(2)
+			return frames != nil
+		})
+		before := a.Counts()[string(ferrypeer.CloseUnauthenticated)]
+		s := connect(t, a)
+		s.write(frames[0])
+		s.write(frames[1])
+		s.cutOff()
+		waitFor(t, "the replay is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] == before+1 })
 	})
-	before := a.Counts()[string(ferrypeer.CloseUnauthenticated)]
-	s := connect(t, a)
-	s.write(frames[0])
-	s.write(frames[1])
-	s.cutOff()
-	waitFor(t, "the replay is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] == before+1 })
 }
 
 func TestFrameOfAnotherIsCutOff(t *testing.T) {
@@ -135,13 +140,15 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			a := startNode(t, "entry-a", "domain-1", nil, nil)
-			tap := newTap(t, a.address)
-			b := startNode(t, "entry-b", "domain-1", []string{tap.address}, nil)
-			waitFor(t, "entry-b joined through the tap", func() bool { return sees(a, 2) && sees(b, 2) })
-			waitFor(t, "it is counted", func() bool {
-				tap.inject(tc.frame(b))
-				return a.Counts()[string(ferrypeer.CloseMalformed)] > 0
+			synctest.Test(t, func(t *testing.T) {
+				a := startNode(t, "entry-a", "domain-1", nil, nil)
+				tap := newTap(t, a.address)
+				b := startNode(t, "entry-b", "domain-1", []string{tap.address}, nil)
+				waitFor(t, "entry-b joined through the tap", func() bool { return sees(a, 2) && sees(b, 2) })
+				waitFor(t, "it is counted", func() bool {
+					tap.inject(tc.frame(b))
+					return a.Counts()[string(ferrypeer.CloseMalformed)] > 0
+				})
 			})
 		})
 	}
--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,8 @@
 	TLS *tls.Config
 	// Lister gives the instance list, or is nil.
 	Lister ferryplatform.Lister
+	// Dial opens connections to peers, or is nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Secret is the key that all entries share; each side proves it at hello.
 	Secret []byte
 	Log    zerolog.Logger
@@ -110,7 +113,7 @@
 		answers:  make(chan struct{}, maxAnswering), askers: make(chan struct{}, maxAskers), hellos: make(chan struct{}, maxHellos), left: make(chan struct{}), done: make(chan struct{}),
 		conns: map[LinkID]*conn{}, byTag: map[Tag]*conn{}, asks: map[Tag]*conn{},
 	}
-	n.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.TLS}}
+	n.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.TLS, DialContext: cfg.Dial}}
 	n.overlay = NewOverlay(OverlayConfig{Self: cfg.Self, Seeds: cfg.Seeds, Topics: cfg.Topics}, cfg.Clock.Now())
 	for _, t := range n.overlay.topics {
 		n.volatile[t.Name] = t.Volatile
--- a/ferry/ferrypeer/node_test.go
+++ b/ferry/ferrypeer/node_test.go
@@ -4,17 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
@@ -23,7 +22,7 @@
 
 const testAsk ferrypeer.AskKind = 7
 
-// realNode is a Node behind a real loopback listener.
+// realNode is a Node behind an HTTP server of the memory network.
 type realNode struct {
 	*ferrypeer.Node
 	server  *httptest.Server
@@ -33,8 +32,7 @@
 
 func startNode(t *testing.T, name, domain string, seeds []string, change func(*ferrypeer.Config)) *realNode {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	listener := listen()
 	clock := clockwork.NewRealClock()
 	r := &realNode{address: listener.Addr().String()}
 	cfg := ferrypeer.Config{
@@ -42,7 +40,7 @@
 			Name: ferryid.EntryName(name), Incarnation: ferryid.NewIncarnation(), FailureDomain: ferryid.DomainName(domain),
 			PeerAddress: r.address, CallerAddress: "127.0.0.1:1",
 		},
-		Seeds: seeds, Clock: clock, Secret: []byte("shared"), Log: zerolog.Nop(),
+		Seeds: seeds, Clock: clock, Dial: dial, Secret: []byte("shared"), Log: zerolog.Nop(),
 		Events: ferryevent.NewLog(clock, name, 1000),
 		Handlers: map[ferrypeer.AskKind]ferrypeer.Handler{
 			testAsk: func(_ context.Context, from ferrypeer.Member, body []byte) ([]byte, error) {
@@ -69,6 +67,7 @@
 		defer close(ended)
 		_ = r.Run(ctx)
 	}()
+	synctest.Wait()
 	r.end = func() {
 		cancel()
 		<-ended
@@ -78,15 +77,14 @@
 	return r
 }
 
-// waitFor waits for a state, not for a time; the limit only ends a test that has failed.
+// waitFor waits for a state; the limit, of the bubble's time, only ends a test that has failed.
 func waitFor(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if holds() {
-			return poll.Success()
+	for limit := time.Now().Add(30 * time.Second); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("not within 30 s: %s", what)
 		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
 }
 
 func sees(n *realNode, want int) bool {
@@ -120,62 +118,66 @@
 }
 
 func TestNineNodes(t *testing.T) {
-	nodes := startNine(t)
-	ctx := context.Background()
-
-	to := nodes[5].Self()
-	for _, n := range []*realNode{nodes[0], nodes[1], nodes[8]} {
-		got, err := n.Ask(ctx, to.Name, to.Incarnation, testAsk, []byte("ping"))
-		assert.NilError(t, err)
-		assert.Equal(t, string(got), fmt.Sprintf("entry-5 to %s: ping", n.Self().Name))
-	}
-
-	_, err := nodes[0].Ask(ctx, to.Name, "an-older-one", testAsk, nil)
-	var gone *ferrypeer.GoneError
-	assert.Assert(t, errors.As(err, &gone), "%v", err)
-
-	var refused *ferrypeer.RefusedError
-	_, err = nodes[0].Ask(ctx, to.Name, to.Incarnation, 99, nil)
-	assert.Assert(t, errors.As(err, &refused), "%v", err)
-	assert.Equal(t, refused.Status, ferrypeer.AnswerUnknownKind)
-	_, err = nodes[0].Ask(ctx, to.Name, to.Incarnation, testAsk, []byte("fail"))
-	assert.Assert(t, errors.As(err, &refused), "%v", err)
-	assert.Equal(t, refused.Detail, "asked to fail")
-
-	assert.NilError(t, nodes[3].Leave(ctx))
-	nodes[3].end()
-	waitFor(t, "the others hold entry-3 as left", func() bool {
-		for i, n := range nodes {
-			m, ok := n.Members().Get("entry-3")
-			if i != 3 && (!ok || m.Status != ferrypeer.Left) {
-				return false
-			}
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startNine(t)
+		ctx := context.Background()
+
+		to := nodes[5].Self()
+		for _, n := range []*realNode{nodes[0], nodes[1], nodes[8]} {
+			got, err := n.Ask(ctx, to.Name, to.Incarnation, testAsk, []byte("ping"))
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), fmt.Sprintf("entry-5 to %s: ping", n.Self().Name))
 		}
-		return true
-	})
 
-	nodes[4].end()
-	waitFor(t, "the others hold entry-4 as dead", func() bool {
-		for i, n := range nodes {
-			m, _ := n.Members().Get("entry-4")
-			if i != 3 && i != 4 && m.Status != ferrypeer.Dead {
-				return false
+		_, err := nodes[0].Ask(ctx, to.Name, "an-older-one", testAsk, nil)
+		var gone *ferrypeer.GoneError
+		assert.Assert(t, errors.As(err, &gone), "%v", err)
+
+		var refused *ferrypeer.RefusedError
+		_, err = nodes[0].Ask(ctx, to.Name, to.Incarnation, 99, nil)
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
+		assert.Equal(t, refused.Status, ferrypeer.AnswerUnknownKind)
+		_, err = nodes[0].Ask(ctx, to.Name, to.Incarnation, testAsk, []byte("fail"))
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
+		assert.Equal(t, refused.Detail, "asked to fail")
+
+		assert.NilError(t, nodes[3].Leave(ctx))
+		nodes[3].end()
+		waitFor(t, "the others hold entry-3 as left", func() bool {
+			for i, n := range nodes {
+				m, ok := n.Members().Get("entry-3")
+				if i != 3 && (!ok || m.Status != ferrypeer.Left) {
+					return false
+				}
 			}
-		}
-		return true
+			return true
+		})
+
+		nodes[4].end()
+		waitFor(t, "the others hold entry-4 as dead", func() bool {
+			for i, n := range nodes {
+				m, _ := n.Members().Get("entry-4")
+				if i != 3 && i != 4 && m.Status != ferrypeer.Dead {
+					return false
+				}
+			}
+			return true
+		})
+		var unreachable *ferrypeer.UnreachableError
+		m, _ := nodes[0].Members().Get("entry-4")
+		_, err = nodes[0].Ask(ctx, m.Name, m.Incarnation, testAsk, nil)
+		assert.Assert(t, errors.As(err, &unreachable), "%v", err)
+		assert.Assert(t, !unreachable.Sent)
 	})
-	var unreachable *ferrypeer.UnreachableError
-	m, _ := nodes[0].Members().Get("entry-4")
-	_, err = nodes[0].Ask(ctx, m.Name, m.Incarnation, testAsk, nil)
-	assert.Assert(t, errors.As(err, &unreachable), "%v", err)
-	assert.Assert(t, !unreachable.Sent)
 }
 
 func TestWrongSecretIsCutOff(t *testing.T) {
-	a := startNode(t, "entry-a", "domain-1", nil, nil)
-	b := startNode(t, "entry-b", "domain-1", []string{a.address}, func(c *ferrypeer.Config) { c.Secret = []byte("another") })
-	waitFor(t, "the refusal is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] > 0 })
-	waitFor(t, "the far side counts it too", func() bool { return strings.Contains(fmt.Sprint(b.Counts()), "DialFailed") })
-	assert.Equal(t, len(a.Members().List), 1)
-	assert.Equal(t, len(b.Members().List), 1)
+	synctest.Test(t, func(t *testing.T) {
+		a := startNode(t, "entry-a", "domain-1", nil, nil)
+		b := startNode(t, "entry-b", "domain-1", []string{a.address}, func(c *ferrypeer.Config) { c.Secret = []byte("another") })
+		waitFor(t, "the refusal is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] > 0 })
+		waitFor(t, "the far side counts it too", func() bool { return strings.Contains(fmt.Sprint(b.Counts()), "DialFailed") })
+		assert.Equal(t, len(a.Members().List), 1)
+		assert.Equal(t, len(b.Members().List), 1)
+	})
 }
--- a/ferry/ferrypeer/tap_test.go
+++ b/ferry/ferrypeer/tap_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 
@@ -24,9 +23,11 @@
 func newTap(t *testing.T, target string) *tap {
 	t.Helper()
 	p := &tap{t: t, target: target, frames: map[*websocket.Conn][][]byte{}}
-	server := httptest.NewServer(http.HandlerFunc(p.pass))
+	listener := listen()
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(p.pass)}}
+	server.Start()
 	t.Cleanup(server.Close)
-	p.address = strings.TrimPrefix(server.URL, "http://")
+	p.address = listener.Addr().String()
 	return p
 }
 
@@ -35,7 +36,7 @@
 	if err != nil {
 		return
 	}
-	out, _, err := websocket.Dial(r.Context(), "ws://"+p.target+"/peer", nil)
+	out, _, err := websocket.Dial(r.Context(), "ws://"+p.target+"/peer", &websocket.DialOptions{HTTPClient: client()})
 	if err != nil {
 		_ = in.CloseNow()
 		return
--- a/ferry/ferrypeer/tls_test.go
+++ b/ferry/ferrypeer/tls_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -39,23 +40,25 @@
 }
 
 func TestMutualTLS(t *testing.T) {
-	cert, pool := selfSigned(t)
-	conf := &tls.Config{
-		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool, ClientAuth: tls.VerifyClientCertIfGiven, MinVersion: tls.VersionTLS13,
-	}
-	withTLS := func(c *ferrypeer.Config) {
-		c.TLS = conf
-		c.Secret = nil
-	}
-	a := startNode(t, "entry-a", "domain-1", nil, withTLS)
-	b := startNode(t, "entry-b", "domain-1", []string{a.address}, withTLS)
-	waitFor(t, "both see both", func() bool { return sees(a, 2) && sees(b, 2) })
+	synctest.Test(t, func(t *testing.T) {
+		cert, pool := selfSigned(t)
+		conf := &tls.Config{
+			Certificates: []tls.Certificate{cert}, ServerName: "127.0.0.1", RootCAs: pool, ClientCAs: pool, ClientAuth: tls.VerifyClientCertIfGiven, MinVersion: tls.VersionTLS13,
+		}
+		withTLS := func(c *ferrypeer.Config) {
+			c.TLS = conf
+			c.Secret = nil
+		}
+		a := startNode(t, "entry-a", "domain-1", nil, withTLS)
+		b := startNode(t, "entry-b", "domain-1", []string{a.address}, withTLS)
+		waitFor(t, "both see both", func() bool { return sees(a, 2) && sees(b, 2) })
 
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}
-	defer client.CloseIdleConnections()
-	res, err := client.Get("https://" + a.address + "/peer")
-	assert.NilError(t, err)
-	assert.NilError(t, res.Body.Close())
-	assert.Equal(t, res.StatusCode, http.StatusUnauthorized)
-	waitFor(t, "the stranger is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] == 1 })
+		client := &http.Client{Transport: &http.Transport{DialContext: dial, TLSClientConfig: &tls.Config{RootCAs: pool, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS13}}}
+		defer client.CloseIdleConnections()
+		res, err := client.Get("https://" + a.address + "/peer")
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.Equal(t, res.StatusCode, http.StatusUnauthorized)
+		waitFor(t, "the stranger is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] == 1 })
+	})
 }
