ferrypeer's simulations run side by side and cost less

Cause: ferrypeer's tests took 40 to 47 s with -race, all of it computing on one core: TestBothEndsChooseALink 12.9 s, TestLinksStayBoundedWhileAllJoin 9.1, TestFaultsCeaseAndAllConverges 8.7, TestFleetConverges 8.0 (go test -race -v, before). Excluded: waiting; only TestNineNodes (4.3 s) waited for real time. Change: the sort of the links' weights compares the rest only where weights are equal; the core keeps its links' ids ordered instead of sorting them in each of eight loops of a tick; TestBothEndsChooseALink looks a domain up instead of searching 350 entries for each link; the simulations, which share nothing, run in parallel.

--- a/ferry/ferrypeer/choose.go
+++ b/ferry/ferrypeer/choose.go
@@ -135,9 +135,7 @@
 
 // match takes edges from the heaviest down while both ends have room left, and leaves in left and right what room remains.
 func match(edges []edge, left, right []int, take func(a, b int)) {
-	slices.SortFunc(edges, func(x, y edge) int {
-		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b))
-	})
+	slices.SortFunc(edges, heavierFirst)
 	for i := range edges {
 		e := &edges[i]
 		if e.taken || left[e.a] == 0 || right[e.b] == 0 {
@@ -150,6 +148,17 @@
 	}
 }
 
+// heavierFirst compares the rest of two edges only where their weights are equal, which is rare.
+func heavierFirst(x, y edge) int {
+	switch {
+	case x.weight > y.weight:
+		return -1
+	case x.weight < y.weight:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b))
+}
+
 func fill(n, v int) []int {
 	out := make([]int, n)
 	for i := range out {
--- a/ferry/ferrypeer/faults_test.go
+++ b/ferry/ferrypeer/faults_test.go
@@ -133,6 +133,7 @@
 }
 
 func TestFaultsCeaseAndAllConverges(t *testing.T) {
+	t.Parallel()
 	const n = 9
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(n)
@@ -266,6 +267,7 @@
 }
 
 func TestDomainCutForMinutes(t *testing.T) {
+	t.Parallel()
 	w := newWorld(9)
 	w.Cut(1, "domain-1")
 	w.Run(5 * time.Minute)
@@ -339,22 +341,29 @@
 }
 
 func TestLinksStayBoundedWhileAllJoin(t *testing.T) {
+	t.Parallel()
 	f := newFleet(100, 8)
 	for range 100 {
 		f.Run(100 * time.Millisecond)
 		for name, c := range f.Cores() {
-			assert.Assert(t, len(c.Overlay.Links()) <= ferrypeer.MaxLinks, "%s has %d links", name, len(c.Overlay.Links()))
+			n := len(c.Overlay.Links())
+			assert.Assert(t, n <= ferrypeer.MaxLinks, "%s has %d links", name, n)
 		}
 	}
 	assert.Assert(t, f.Core("entry-000").Overlay.Counts()[string(ferrypeer.CloseFull)] > 0)
 }
 
 func TestBothEndsChooseALink(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct{ n, domains, most int }{{9, 3, 8}, {30, 3, 9}, {100, 1, 9}, {160, 8, 17}, {350, 8, 17}} {
 		t.Run(fmt.Sprintf("%d in %d", tc.n, tc.domains), func(t *testing.T) {
+			t.Parallel()
 			var cs []ferrypeer.Candidate
+			domainOf := map[ferryid.EntryName]ferryid.DomainName{}
 			for i := range tc.n {
-				cs = append(cs, ferrypeer.Candidate{Name: ferryid.EntryName(fmt.Sprintf("entry-%03d", i)), FailureDomain: ferryid.DomainName(fmt.Sprint(i % tc.domains))})
+				c := ferrypeer.Candidate{Name: ferryid.EntryName(fmt.Sprintf("entry-%03d", i)), FailureDomain: ferryid.DomainName(fmt.Sprint(i % tc.domains))}
+				cs = append(cs, c)
+				domainOf[c.Name] = c.FailureDomain
 			}
 			chosen := map[ferryid.EntryName][]ferryid.EntryName{}
 			for _, c := range cs {
@@ -365,8 +374,7 @@
 				domains := map[ferryid.DomainName]bool{}
 				for _, b := range links {
 					assert.Assert(t, slices.Contains(chosen[b], a), "%s chose %s, not the other way", a, b)
-					i := slices.IndexFunc(cs, func(c ferrypeer.Candidate) bool { return c.Name == b })
-					domains[cs[i].FailureDomain] = true
+					domains[domainOf[b]] = true
 				}
 				assert.Equal(t, len(domains), tc.domains, "%s reaches %d failure domains", a, len(domains))
 			}
--- a/ferry/ferrypeer/fleet_test.go
+++ b/ferry/ferrypeer/fleet_test.go
@@ -55,8 +55,10 @@
 }
 
 func TestFleetConverges(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct{ n, domains int }{{1, 1}, {2, 1}, {9, 3}, {50, 8}, {40, 1}} {
 		t.Run(fmt.Sprintf("%d in %d", tc.n, tc.domains), func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(tc.n, tc.domains)
 			took, ok := f.RunUntil(100*time.Millisecond, 20*time.Second, func() bool { return converged(f) == "" })
 			assert.Assert(t, ok, converged(f))
--- a/ferry/ferrypeer/link.go
+++ b/ferry/ferrypeer/link.go
@@ -86,6 +86,8 @@
 		o.table.joined = o.now
 	}
 	o.links[l.id] = l
+	o.ids = append(slices.Clone(o.ids), l.id)
+	slices.Sort(o.ids)
 	o.byName[l.peer.Name] = l
 	o.chooseDirty = true
 	o.note("PeerLinked", l.peer.Name, string(l.peer.Incarnation))
@@ -171,6 +173,7 @@
 
 func (o *Overlay) forget(l *link) {
 	delete(o.links, l.id)
+	o.ids = slices.DeleteFunc(slices.Clone(o.ids), func(id LinkID) bool { return id == l.id })
 	if o.byName[l.peer.Name] == l {
 		delete(o.byName, l.peer.Name)
 	}
--- a/ferry/ferrypeer/overlay.go
+++ b/ferry/ferrypeer/overlay.go
@@ -45,6 +45,7 @@
 	topics map[TopicName]*topicState
 	names  []TopicName
 	links  map[LinkID]*link
+	ids    []LinkID
 	byName map[ferryid.EntryName]*link
 	listed map[ferryid.EntryName]listedEntry
 	wanted map[ferryid.EntryName]time.Time
@@ -277,9 +278,8 @@
 	o.flush()
 }
 
-func (o *Overlay) linkIDs() []LinkID {
-	return slices.Sorted(maps.Keys(o.links))
-}
+// linkIDs returns the links' ids, ordered; the slice stays as it is while links come and go.
+func (o *Overlay) linkIDs() []LinkID { return o.ids }
 
 func sortedByName(m map[ferryid.EntryName]time.Time) []ferryid.EntryName {
 	return slices.SortedFunc(maps.Keys(m), cmp.Compare)
