--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -44,10 +44,9 @@
 	TLS *tls.Config
 	// Lister gives the instance list, or is nil.
 	Lister ferryplatform.Lister
-	// Secret is the key that this entry proves at hello.
 	// Dial opens connections to peers, or is nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Secret is the key that all entries share; each side proves it at hello.
+	// Secret is the key that this entry proves at hello.
 	Secret []byte
 	// OtherSecrets are further keys that a peer may prove, so that a key can be replaced entry by entry.
 	OtherSecrets [][]byte
