An entry works a subset of the engines and reads it itself

Cause: load reports of all engines go to all entries under a cap of 20 a second over the fleet. Excluded: passing on within subsets: entries with the same engines share no links, and each reads its own. Change: above 48 engines the candidates of a model service are this entry's subset; it reads 10 engines a second, in turn, and uses what they say at once, and nothing is passed on. A job that the subset can't take without a suspected engine widens it to all for 10 s. An engine that leaves or leaves three readings unanswered does not count where the subset needs engines. Up to 48 engines as before. Before: all engines. After: tests. Seen failing: without the widening both fall-back tests, with Pick in place of PickUnsuspected the one of suspects (which first passed so, and was sharpened), without Lost and without Out the one of replacement, with the whole list never used the one of small fleets, without the bound and without the turns the one of reading.

--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -78,6 +78,15 @@
 
 // Pick chooses the plan whose slowest stage is done first; an engine that one job excludes is avoided by all for a while, unless there is no chain without it.
 func (p *Pool) Pick(job *Job, exclude []ferryid.UpstreamName) (Plan, error) {
+	return p.pick(job, exclude, true)
+}
+
+// PickUnsuspected is Pick, but returns a *NoChainError rather than a plan with an engine that other jobs failed on.
+func (p *Pool) PickUnsuspected(job *Job, exclude []ferryid.UpstreamName) (Plan, error) {
+	return p.pick(job, exclude, false)
+}
+
+func (p *Pool) pick(job *Job, exclude []ferryid.UpstreamName, suspectsToo bool) (Plan, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -87,7 +96,7 @@
 	tokens := ferryid.Tokens(job.MaxTokens - len(job.Resume))
 	p.mark(exclude, now)
 	err := p.planner.Choose(p.loads, p.excluded, tokens, &p.scratch)
-	if err != nil && len(p.suspects) > 0 {
+	if err != nil && suspectsToo && len(p.suspects) > 0 {
 		p.mark(exclude, time.Time{})
 		err = p.planner.Choose(p.loads, p.excluded, tokens, &p.scratch)
 	}
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -65,6 +65,7 @@
 	go n.every(ctx, ferrylimit.Tick, n.shareLimits)
 	go n.every(ctx, limitSweep, n.sweepLimits)
 	go n.every(ctx, loadInterval, n.readLoads)
+	go n.every(ctx, loadInterval, n.readOwn)
 	go n.every(ctx, tickInterval, func(context.Context) { n.services.tick(n.clock.Now()) })
 	go n.becomeReady(ctx)
 	n.watcher.Watching(true)
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -20,12 +20,14 @@
 
 	loadInterval = time.Second
 	loadTimeout  = 900 * time.Millisecond
-	// loadItemsPerSecond bounds what the whole fleet says of loads, whatever the number of engines.
+	// loadItemsPerSecond bounds what the whole fleet says of the loads of engines that every entry works.
 	loadItemsPerSecond = 20
+	// ownReadsPerSecond bounds how many engines an entry reads where it works a subset, whatever its size.
+	ownReadsPerSecond = 10
 	// loadKept is for how many intervals a report is kept.
 	loadKept = 5
 	maxLoads = 8192
-	// loadReaders is how many entries ask each engine for its load; the others hear of it from them.
+	// loadReaders is how many entries ask each engine that every entry works for its load; the others hear of it from them.
 	loadReaders = 1
 	permille    = 1000
 )
@@ -67,7 +69,7 @@
 	return upstreamKey(l.Service, l.Upstream)
 }
 
-// readLoads asks the engines that this entry reads for the others, and takes what the others have read.
+// readLoads asks the engines that this entry reads for all, and takes what the others have read.
 func (n *Node) readLoads(ctx context.Context) {
 	defer n.takeLoads()
 	now := n.clock.Now()
@@ -80,49 +82,90 @@
 	defer cancel()
 	ms := n.peer.Members()
 	for _, sv := range n.services.all() {
-		if sv.doc.Load().Kind != ferryservice.KindModel {
+		if sv.doc.Load().Kind != ferryservice.KindModel || !sv.part.whole.Load() {
 			continue
 		}
 		for _, c := range sv.table.Snapshot().All() {
 			duty := ferryduty.Duty("load " + string(sv.name) + "/" + string(c.Name))
 			if len(ms.List) == 0 || ferryduty.Holds(ms, duty, loadReaders) {
-				go n.readLoad(ctx, sv, c, loadKept*interval)
+				go n.readForAll(ctx, sv, c, loadKept*interval)
 			}
 		}
 	}
 	<-ctx.Done()
 }
 
-// loadPause grows with the number of engines, so that what is said of loads does not.
+// loadPause grows with the number of engines that every entry works, so that what is said of loads does not.
 func (n *Node) loadPause() time.Duration {
 	engines := 0
 	for _, sv := range n.services.all() {
-		if sv.model.Load() != nil {
+		if sv.model.Load() != nil && sv.part.whole.Load() {
 			engines += sv.table.Snapshot().Len()
 		}
 	}
 	return max(loadInterval, time.Duration(engines)*time.Second/loadItemsPerSecond) - loadInterval/2
 }
 
-func (n *Node) readLoad(ctx context.Context, sv *service, c ferryroute.Candidate, ttl time.Duration) {
+// readForAll reads an engine and tells the other entries.
+func (n *Node) readForAll(ctx context.Context, sv *service, c ferryroute.Candidate, ttl time.Duration) {
+	if l, ok := n.readLoad(ctx, sv, c); ok {
+		n.loads.Set(l.key(), l, ttl)
+	}
+}
+
+// target is one engine to read.
+type target struct {
+	service   *service
+	candidate ferryroute.Candidate
+}
+
+// readOwn asks the next few engines of this entry's subsets, in turn.
+func (n *Node) readOwn(ctx context.Context) {
+	var targets []target
+	for _, sv := range n.services.all() {
+		for _, c := range sv.part.own() {
+			targets = append(targets, target{sv, c})
+		}
+	}
+	ttl := loadKept * (loadInterval + time.Duration(len(targets))*time.Second/ownReadsPerSecond)
+	for range min(len(targets), ownReadsPerSecond) {
+		t := targets[n.nextOwn%len(targets)]
+		n.nextOwn++
+		go n.readForSelf(ctx, t, ttl)
+	}
+}
+
+// readForSelf reads an engine of this entry's subset and uses what it says at once.
+func (n *Node) readForSelf(ctx context.Context, t target, ttl time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	n.ownReads.Add(1)
+	l, ok := n.readLoad(ctx, t.service, t.candidate)
+	n.services.setRead(upstreamKey(t.service.name, t.candidate.Name), ok)
+	if !ok {
+		return
+	}
+	n.own.Set(l.key(), l, ttl)
+	n.takeLoad(t.service, l)
+}
+
+func (n *Node) readLoad(ctx context.Context, sv *service, c ferryroute.Candidate) (engineLoad, bool) {
 	l, err := n.engines.Load(ctx, c.Address)
 	if err != nil {
-		return
+		return engineLoad{}, false
 	}
 	n.marks.Seen(sv.name, c.Name, l.Incarnation)
 	if l.State == ferryengine.StateLeaving {
 		n.mark(sv.name, c.Name, l.Incarnation, ferrydrain.SourceUpstream)
 	}
-	report := engineLoad{
+	return engineLoad{
 		Service: sv.name, Upstream: c.Name, Running: l.RunningStreams, Outstanding: l.OutstandingTokens,
 		Rate: float64(l.TokensPerSecond), At: l.At, Incarnation: l.Incarnation,
-	}
-	n.loads.Set(report.key(), report, ttl)
+	}, true
 }
 
-// takeLoads gives every known report to the tables, which refuse the bad ones and count them.
+// takeLoads gives every report that others passed on to the tables, which refuse the bad ones and count them.
 func (n *Node) takeLoads() {
-	now := n.clock.Now()
 	incarnations := map[string]ferryid.Incarnation{}
 	seen := map[string]time.Time{}
 	for _, e := range n.loads.All() {
@@ -133,22 +176,29 @@
 		if !ok || n.seenLoads[l.key()].Equal(l.At) {
 			continue
 		}
-		err := sv.table.Report(ferryroute.Report{
-			Upstream: l.Upstream, RunningStreams: float64(l.Running), OutstandingTokens: float64(l.Outstanding),
-			TokensPerSecond: l.Rate, At: l.At,
-		}, now)
-		if err != nil {
-			n.log.Debug().Err(err).Msg("load report")
-			continue
-		}
-		if md := sv.model.Load(); md != nil {
-			_ = md.pool.Report(l.engine())
-		}
+		n.takeLoad(sv, l)
+	}
+	for _, e := range n.own.All() {
+		incarnations[e.Value.key()] = e.Value.Incarnation
 	}
 	n.seenLoads = seen
 	n.services.setIncarnations(incarnations)
 }
 
+func (n *Node) takeLoad(sv *service, l engineLoad) {
+	err := sv.table.Report(ferryroute.Report{
+		Upstream: l.Upstream, RunningStreams: float64(l.Running), OutstandingTokens: float64(l.Outstanding),
+		TokensPerSecond: l.Rate, At: l.At,
+	}, n.clock.Now())
+	if err != nil {
+		n.log.Debug().Err(err).Msg("load report")
+		return
+	}
+	if md := sv.model.Load(); md != nil {
+		_ = md.pool.Report(l.engine())
+	}
+}
+
 // tellLoad tells the other entries how busy this one is.
 func (n *Node) tellLoad(context.Context) {
 	running, capacity := 0, 0
--- a/ferryd/ferrynode/metrics.go
+++ b/ferryd/ferrynode/metrics.go
@@ -56,6 +56,7 @@
 	s.Gauge("platform_over_budget").Update(float64(n.platform.OverBudget()))
 	s.Gauge("members_live").Update(float64(len(n.peer.Members().Live())))
 	s.Gauge("peer_links").Update(float64(len(n.peer.Links())))
+	s.Gauge("load_reads").Update(float64(n.ownReads.Load()))
 	for name, v := range n.peer.Counts() {
 		s.Tagged(map[string]string{"name": name}).Gauge("peer_counts").Update(float64(v))
 	}
@@ -74,6 +75,7 @@
 	if f, ok := n.holder.Get(sv.name); ok {
 		s.Gauge("document_generation").Update(float64(f.Accepted.Generation))
 	}
+	n.tellSubset(s, sv)
 	for fault, v := range sv.table.RefusedReports() {
 		s.Tagged(map[string]string{"fault": string(fault)}).Gauge("load_reports_refused").Update(float64(v))
 	}
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -25,20 +25,20 @@
 	runner *ferrypipeline.Runner
 }
 
-func (s *services) newModel(d *ferryservice.Document, table *ferryroute.Table) (*model, error) {
-	cfg, loads := s.planner(d, table)
+func (s *services) newModel(sv *service, d *ferryservice.Document) (*model, error) {
+	cfg, loads := s.planner(sv, d)
 	pool, err := ferrypipeline.NewPool(cfg, loads, s.clock)
 	if err != nil {
 		return nil, err
 	}
-	var picker ferrypipeline.Picker = pool
+	var picker ferrypipeline.Picker = &subsetPicker{Pool: pool, widen: func() { s.widen(sv) }}
 	if d.Policy.Route == ferryservice.RouteRandom {
 		if picker, err = newRandomPicker(cfg, loads); err != nil {
 			return nil, err
 		}
 	}
 	engines := &observedEngines{
-		Client: s.engines, table: table,
+		Client: s.engines, table: sv.table,
 		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
 	}
 	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
@@ -79,11 +79,11 @@
 	return nil
 }
 
-// planner describes the engines to the pool; an engine the table would not choose gets no new work. The caller holds the lock.
-func (s *services) planner(d *ferryservice.Document, table *ferryroute.Table) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
+// planner describes the engines that this entry works to the pool; an engine the table would not choose gets no new work. The caller holds the lock.
+func (s *services) planner(sv *service, d *ferryservice.Document) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
 	cfg := ferrypipeline.PlannerConfig{Layers: d.Model.Layers, Fixed: d.Pipelines}
 	var loads []ferrypipeline.Load
-	for _, c := range table.Snapshot().All() {
+	for _, c := range s.worked(sv, d) {
 		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{
 			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
 			Incarnation: s.incarnations[upstreamKey(d.Service, c.Name)],
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -79,11 +79,16 @@
 	claims   *ferryclaim.Claims
 	peer     *ferrypeer.Node
 	loads    *ferrypeer.Latest[engineLoad]
-	marks    *ferrydrain.Marks
-	limits   *limits
+	// own are the reports that this entry read for itself; they are not spread.
+	own    *ferrypeer.Latest[engineLoad]
+	marks  *ferrydrain.Marks
+	limits *limits
 	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
-	seenLoads   map[string]time.Time
-	nextLoads   time.Time
+	seenLoads map[string]time.Time
+	nextLoads time.Time
+	// nextOwn is whose turn it is to be read; it belongs to the duty that reads this entry's own engines.
+	nextOwn     int
+	ownReads    atomic.Int64
 	peerKeys    *ferrykeys.Pair
 	callers     *ferrycaller.Server
 	callersHTTP *http.Server
@@ -109,10 +114,14 @@
 	n.engines = ferryengine.New(ferryengine.ClientConfig{Clock: clock})
 	n.services = newServices(clock, n.engines, n.events)
 	n.services.leaving = n.markLeaving
+	n.services.self = cfg.Name
 	n.plain = ferryplain.New(ferryplain.ClientConfig{Clock: clock})
 	n.loads = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
 		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Volatile: true, Clock: clock, Events: n.events,
 	})
+	n.own = ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{
+		Name: topicLoads, Self: cfg.Name, Size: maxLoads, Clock: clock, Events: n.events,
+	})
 	n.marks = ferrydrain.NewMarks(clock)
 	n.limits = newLimits()
 	if err := n.newServers(); err != nil {
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -72,6 +72,7 @@
 func (n *Node) onMembers(ms ferrypeer.Members) {
 	live := len(ms.Live())
 	n.services.setShare(place(ms))
+	n.services.setMembers(usable(ms))
 	n.watcher.SetLive(live)
 	n.watcher.Watching(live <= 1 || ferryduty.HoldsInDomain(ms, dutyWatch, watchers))
 	n.platform.SetBudget(platformBudget(n.cfg.Platform.CallsPerSecond, live))
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -32,6 +32,7 @@
 	budget    atomic.Pointer[ferryroute.Budget]
 	model     atomic.Pointer[model]
 	orders    atomic.Pointer[orders]
+	part      subset
 	mu        sync.Mutex
 	rand      ferryroute.Rand
 }
@@ -52,10 +53,15 @@
 	incarnations map[string]ferryid.Incarnation
 	index        int
 	entries      int
+	self         ferryid.EntryName
+	// members are the entries that take calls.
+	members []ferryid.EntryName
+	// unread are the engines that did not answer their last reading, by service and upstream.
+	unread map[string]unread
 }
 
 func newServices(clock clockwork.Clock, engines *ferryengine.Client, events *ferryevent.Log) *services {
-	s := &services{clock: clock, engines: engines, events: events, named: map[ferryid.ServiceName]*service{}, entries: 1}
+	s := &services{clock: clock, engines: engines, events: events, named: map[ferryid.ServiceName]*service{}, entries: 1, unread: map[string]unread{}}
 	s.snap.Store(&map[ferryid.ServiceName]*service{})
 	return s
 }
@@ -206,14 +212,14 @@
 
 // refreshModel gives the engines to the pool; a set that covers no whole model leaves the last one in use.
 func (s *services) refreshModel(sv *service, d *ferryservice.Document) {
-	cfg, loads := s.planner(d, sv.table)
+	cfg, loads := s.planner(sv, d)
 	if md := sv.model.Load(); md != nil && !md.outdated(d, cfg) {
 		if err := md.set(cfg, loads); err != nil {
 			s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		}
 		return
 	}
-	md, err := s.newModel(d, sv.table)
+	md, err := s.newModel(sv, d)
 	if err != nil {
 		s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		return
--- /dev/null
+++ b/ferryd/ferrynode/subset_test.go
@@ -0,0 +1,229 @@
+package ferrynode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cactusferry.dev/ferry/ferrydrain"
+	"cactusferry.dev/ferry/ferryengine"
+	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferrypipeline"
+	"cactusferry.dev/ferry/ferryservice"
+)
+
+const subsetParts = 4
+
+// subsetBed is a node without an overlay among 100 entries.
+type subsetBed struct {
+	node  *Node
+	clock *clockwork.FakeClock
+	sv    *service
+}
+
+// engineText describes so many engines in parts; their addresses differ in the host only.
+func engineText(engines int, port string) string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "Service = \"herd-llm\"\nTeam = \"herd\"\nKind = \"Model\"\n[Model]\nName = \"m\"\nVersion = \"1\"\nLayers = %d\n", subsetParts)
+	for i := range engines {
+		part := i % subsetParts
+		fmt.Fprintf(&s, "[[Upstreams]]\nName = \"engine-%d\"\nAddress = \"127.0.0.%d:%s\"\nFailureDomain = \"domain-%d\"\nLayers = { From = %d, To = %d }\nSlots = 8\n",
+			i, i+1, port, i/subsetParts%3, part, part+1)
+	}
+	return s.String()
+}
+
+func newSubsetBed(t *testing.T, text string) *subsetBed {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	events := ferryevent.NewLog(clock, "test", 10)
+	engines := ferryengine.New(ferryengine.ClientConfig{Clock: clock})
+	b := &subsetBed{clock: clock, node: &Node{
+		clock: clock, log: zerolog.Nop(), engines: engines, services: newServices(clock, engines, events), marks: ferrydrain.NewMarks(clock),
+		loads: ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{Size: maxLoads, Clock: clock, Events: events}),
+		own:   ferrypeer.NewLatest[engineLoad](ferrypeer.LatestConfig{Size: maxLoads, Clock: clock, Events: events}),
+	}}
+	var members []ferryid.EntryName
+	for i := range 100 {
+		members = append(members, ferryid.EntryName(fmt.Sprintf("entry-%03d", i)))
+	}
+	b.node.services.self = members[7]
+	b.node.services.setMembers(members)
+	d, err := ferryservice.Decode("test", []byte(text))
+	assert.NilError(t, err)
+	b.node.services.setDocument(t.Context(), &d)
+	b.sv, _ = b.node.services.get("herd-llm")
+	return b
+}
+
+func (b *subsetBed) candidates() ferrypipeline.Candidates {
+	return b.sv.model.Load().cfg.Candidates
+}
+
+func (b *subsetBed) pick(t *testing.T, exclude ...ferryid.UpstreamName) ferrypipeline.Plan {
+	t.Helper()
+	plan, err := b.sv.model.Load().runner.Picker.Pick(&ferrypipeline.Job{MaxTokens: 10}, exclude)
+	assert.NilError(t, err)
+	return plan
+}
+
+func names(cs ferrypipeline.Candidates) []ferryid.UpstreamName {
+	var out []ferryid.UpstreamName
+	for _, c := range cs {
+		out = append(out, c.Name)
+	}
+	return out
+}
+
+func ofPart(cs ferrypipeline.Candidates, part ferryid.Layer) ferrypipeline.Candidates {
+	var out ferrypipeline.Candidates
+	for _, c := range cs {
+		if c.Layers.From == part {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func TestSmallFleetIsWorkedWhole(t *testing.T) {
+	b := newSubsetBed(t, engineText(48, "1"))
+	assert.Equal(t, len(b.candidates()), 48)
+	assert.Equal(t, len(b.sv.part.own()), 0, "the entries read for each other")
+}
+
+// Where no engine of the subset can take a job the entry takes others, and comes back to its subset later.
+func TestSubsetFallsBackToAllEngines(t *testing.T) {
+	b := newSubsetBed(t, engineText(200, "1"))
+	before := b.candidates()
+	assert.Assert(t, len(before) >= 12 && len(before) < 60, "%d engines", len(before))
+	mine := names(before)
+	plan := b.pick(t)
+	assert.Equal(t, len(plan.Stages), subsetParts)
+
+	first := names(ofPart(before, 0))
+	plan = b.pick(t, first...)
+	for _, name := range first {
+		assert.Assert(t, plan.Stages[0].Name != name)
+	}
+	assert.Equal(t, len(b.candidates()), 200)
+	b.clock.Advance(wideFor)
+	b.node.services.refreshModels()
+	assert.DeepEqual(t, names(b.candidates()), mine)
+}
+
+// Engines that other jobs failed on are not tried again while the whole list has others.
+func TestSuspectsOfTheSubsetAreAvoided(t *testing.T) {
+	b := newSubsetBed(t, engineText(200, "1"))
+	first := names(ofPart(b.candidates(), 0))
+	var plan ferrypipeline.Plan
+	for _, name := range first {
+		plan = b.pick(t, name)
+	}
+	for _, name := range first {
+		assert.Assert(t, plan.Stages[0].Name != name, "%s failed a moment ago", name)
+	}
+}
+
+func TestLeavingAndLostEnginesAreReplaced(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		do   func(b *subsetBed, engine ferryid.UpstreamName)
+	}{
+		{"leaving", func(b *subsetBed, engine ferryid.UpstreamName) {
+			b.node.marks.Mark("herd-llm", engine, "", ferrydrain.SourceOperator)
+			b.node.services.setMarks(b.node.marks)
+		}},
+		{"lost", func(b *subsetBed, engine ferryid.UpstreamName) {
+			for range lostAfter {
+				b.node.services.setRead(upstreamKey("herd-llm", engine), false)
+			}
+			b.node.services.refreshModels()
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newSubsetBed(t, engineText(200, "1"))
+			first := names(ofPart(b.candidates(), 0))
+			gone := map[ferryid.UpstreamName]bool{}
+			for _, name := range first {
+				tt.do(b, name)
+				gone[name] = true
+			}
+			left := 0
+			for _, c := range ofPart(b.candidates(), 0) {
+				if !gone[c.Name] {
+					left++
+				}
+			}
+			assert.Assert(t, left >= 3, "%d engines hold the first layer", left)
+		})
+	}
+}
+
+func TestFixedPipelinesStayWhole(t *testing.T) {
+	text := engineText(200, "1")
+	for i := range 50 {
+		text += fmt.Sprintf("[[Pipelines]]\nName = \"p-%d\"\nStages = [\"engine-%d\", \"engine-%d\", \"engine-%d\", \"engine-%d\"]\n", i, 4*i, 4*i+1, 4*i+2, 4*i+3)
+	}
+	b := newSubsetBed(t, text)
+	n := len(b.candidates())
+	assert.Assert(t, n >= 12 && n < 100 && n%subsetParts == 0, "%d engines", n)
+	assert.Equal(t, len(b.pick(t).Stages), subsetParts)
+}
+
+// An entry reads its own engines in turn, so many a second, and chooses by what they say at once.
+func TestEntryReadsItsSubset(t *testing.T) {
+	listener, err := net.Listen("tcp", ":0")
+	assert.NilError(t, err)
+	var calls atomic.Int64
+	var b *subsetBed
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_ = json.NewEncoder(w).Encode(ferryengine.Load{Name: "e", State: ferryengine.StateLive, OutstandingTokens: 1000, At: b.clock.Now(), Incarnation: "first"})
+	}))
+	assert.NilError(t, s.Listener.Close())
+	s.Listener = listener
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	assert.NilError(t, err)
+	b = newSubsetBed(t, engineText(200, port))
+	s.Start()
+	t.Cleanup(s.Close)
+	read := func(want int) {
+		t.Helper()
+		b.node.readOwn(context.Background())
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			known := 0
+			for _, l := range b.sv.model.Load().pool.Loads() {
+				if l.Outstanding == 1000 {
+					known++
+				}
+			}
+			if known < want {
+				return poll.Continue("%d of %d engines are known", known, want)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second))
+	}
+	n := len(b.candidates())
+	read(ownReadsPerSecond)
+	assert.Equal(t, calls.Load(), int64(ownReadsPerSecond))
+	for want := ownReadsPerSecond; want < n; want += ownReadsPerSecond {
+		read(min(n, want+ownReadsPerSecond))
+	}
+	assert.Equal(t, len(b.node.loads.All()), 0, "nothing is passed on")
+	b.node.takeLoads()
+	assert.Equal(t, b.node.services.incarnations["herd-llm/"+string(b.candidates()[0].Name)], ferryid.Incarnation("first"))
+}
