Measurements of subsets: the choice, the reading, the processes

Cause: subset size, entries an engine and readings a second have to be weighed by figures. Excluded: ferryexperiment: its entries choose in ferryroute's table, ferryd's in ferrypipeline.Pool. Change: 'ferrybench subset' plays the pools on a virtual clock; 'ferrybench capacity' measures a reading's bytes over loopback and lets the entries of each size choose and take turns (--readings alone takes a second); load summaries are spread there only where all work all, as in ferryd; 'ferrybench idle' shows age and readings of real processes from three new gauges. ReadsPerSecond moved into ferrysubset. Points.Print takes the readings, so TestMeasureNine passes nil.

--- a/ferry/ferrysubset/subset.go
+++ b/ferry/ferrysubset/subset.go
@@ -39,10 +39,12 @@
 	Entries int
 	// PerRange is how many candidates of each layer range a subset holds at the least, if there are so many.
 	PerRange int
+	// ReadsPerSecond is how many engines an entry reads a second at the most where it works a subset.
+	ReadsPerSecond int
 }
 
 // Default is what the entries use; all entries must use the same.
-var Default = Config{AllUpTo: 48, Size: 20, Entries: 4, PerRange: 3}
+var Default = Config{AllUpTo: 48, Size: 20, Entries: 4, PerRange: 3, ReadsPerSecond: 10}
 
 // Grouped returns the configuration for candidates that are pipelines of so many engines each.
 func (c Config) Grouped(engines int) Config {
--- a/ferry/ferrysubset/subset_test.go
+++ b/ferry/ferrysubset/subset_test.go
@@ -222,3 +222,11 @@
 		buf = c.Choose("entry-007", f.entries, f.engines, buf[:0])
 	}
 }
+
+func TestTurns(t *testing.T) {
+	var turns ferrysubset.Turns
+	assert.DeepEqual(t, turns.Next(5, 3, nil), []int{0, 1, 2})
+	assert.DeepEqual(t, turns.Next(5, 3, nil), []int{3, 4, 0})
+	assert.DeepEqual(t, turns.Next(2, 3, nil), []int{1, 0})
+	assert.Equal(t, len(turns.Next(0, 3, nil)), 0)
+}
--- a/ferrybench/capacity.go
+++ b/ferrybench/capacity.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -24,10 +25,11 @@
 `
 
 type capacityCommand struct {
-	Nodes   []int   `long:"nodes" description:"a fleet size of cores to measure (default 9, 50, 100, 200, 350)"`
-	Real    []int   `long:"real" description:"a fleet size of real nodes over loopback to measure instead"`
-	Seconds int     `long:"seconds" default:"30" description:"how long real nodes are measured"`
-	Runners float64 `long:"runners-per-node" default:"4.57" description:"runners whose load summaries are spread, for each node"`
+	Nodes    []int   `long:"nodes" description:"a fleet size of cores to measure (default 9, 30, 50, 100, 200, 350)"`
+	Real     []int   `long:"real" description:"a fleet size of real nodes over loopback to measure instead"`
+	Seconds  int     `long:"seconds" default:"30" description:"how long real nodes are measured"`
+	Readings bool    `long:"readings" description:"only what reading the engines' loads costs; takes a second"`
+	Runners  float64 `long:"runners-per-node" default:"4.57" description:"runners whose load summaries are spread, for each node"`
 }
 
 func init() {
@@ -44,14 +46,27 @@
 	}
 	sizes := c.Nodes
 	if len(sizes) == 0 {
-		sizes = []int{9, 50, 100, 200, 350}
+		sizes = []int{9, 30, 50, 100, 200, 350}
+	}
+	cost, err := ferrycapacity.MeasureRead(context.Background())
+	if err != nil {
+		return err
+	}
+	var readings ferrycapacity.Readings
+	for _, n := range sizes {
+		readings = append(readings, ferrycapacity.MeasureReading(n, int(float64(n)*c.Runners), cost))
+	}
+	if c.Readings {
+		readings.Print(os.Stdout, cost)
+		return nil
 	}
 	var points ferrycapacity.Points
 	for _, n := range sizes {
 		fmt.Fprintf(os.Stderr, "measuring %d nodes\n", n)
 		points = append(points, ferrycapacity.Measure(n, int(float64(n)*c.Runners)))
 	}
-	points.Print(os.Stdout)
+	points.Print(os.Stdout, readings)
+	readings.Print(os.Stdout, cost)
 	return nil
 }
 
--- a/ferrybench/ferrycapacity/capacity_test.go
+++ b/ferrybench/ferrycapacity/capacity_test.go
@@ -28,6 +28,20 @@
 	}
 }
 
+func TestMeasureReading(t *testing.T) {
+	for _, tt := range []struct {
+		nodes, runners int
+		passedOn       bool
+		mostAge        time.Duration
+	}{{9, 40, true, 2 * time.Second}, {30, 137, false, 5 * time.Second}, {100, 457, false, 5 * time.Second}} {
+		r := MeasureReading(tt.nodes, tt.runners, ReadCost{Bytes: 100})
+		assert.Equal(t, r.PassedOn, tt.passedOn)
+		assert.Assert(t, r.MostAge > 0 && r.MostAge <= tt.mostAge, "%+v", r)
+		assert.Assert(t, r.Reads > 0 && r.Reads <= 10 && r.Bytes == 100*r.Reads, "%+v", r)
+		assert.Assert(t, r.MostEngineReads <= 10, "%+v", r)
+	}
+}
+
 func TestMeasureNine(t *testing.T) {
 	p := Measure(9, 41)
 	assert.Assert(t, p.MostLinks <= 8, "%d links", p.MostLinks)
@@ -36,6 +50,6 @@
 	assert.Assert(t, p.DomainLost < 15*time.Second, "%s", p.DomainLost)
 	assert.Assert(t, p.Rejoined < 30*time.Second, "%s", p.Rejoined)
 	var out strings.Builder
-	Points{p}.Print(&out)
+	Points{p}.Print(&out, nil)
 	assert.Assert(t, strings.Contains(out.String(), "| 9 | 41 |"))
 }
--- a/ferrybench/ferrycapacity/fleet.go
+++ b/ferrybench/ferrycapacity/fleet.go
@@ -10,6 +10,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferrypeertest"
+	"cactusferry.dev/ferry/ferrysubset"
 )
 
 const (
@@ -174,14 +175,16 @@
 	return max(leastLoadEvery, time.Duration(nodes)*time.Second/loadsPerSecond)
 }
 
-// refreshLoads lets the entries in turn spread load summaries of their runners, and a load of their own that moves each time.
+// refreshLoads lets the entries in turn spread load summaries of their runners, where all work all, and a load of their own that moves each time.
 func (f *fleet) refreshLoads(d time.Duration) {
 	each := loadsEvery(len(f.names))
 	every := each / time.Duration(len(f.names))
 	for spent := time.Duration(0); spent < d; spent += every {
 		f.nextLoad++
 		i := f.nextLoad % len(f.names)
-		f.loads[f.names[i]].Set(string(f.names[i]), f.loadsOf(i), 4*each)
+		if ferrysubset.Default.Whole(len(f.names), f.runners) {
+			f.loads[f.names[i]].Set(string(f.names[i]), f.loadsOf(i), 4*each)
+		}
 		f.Core(f.names[i]).Step(ferrypeer.SelfChanged{State: ferrypeer.Ready, Load: ferrypeer.Load{Permille: uint16(f.nextLoad*loadStep) % maxPermille}})
 		f.Run(every)
 	}
--- a/ferrybench/ferrycapacity/print.go
+++ b/ferrybench/ferrycapacity/print.go
@@ -22,7 +22,7 @@
 )
 
 // Print writes the measured points, and below them the figures at the planned size.
-func (ps Points) Print(w io.Writer) {
+func (ps Points) Print(w io.Writer, rs Readings) {
 	fmt.Fprintln(w, "| nodes | runners | links (most) | B/s at rest | messages/s | B/s with loads (most) | messages/s | core with loads | state KB | change everywhere (longest) | B a change of 16 KiB | of 512 KiB | B a restart | domain lost, seen by all | rejoined after a cut | B of rejoining (most in 1 s) | watches |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, p := range ps {
@@ -31,10 +31,10 @@
 			100*p.LoadCPU, p.StateBytes/1024, p.Everywhere, p.MostEverywhere, p.ChangeBytes, p.LargeBytes, p.RestartBytes,
 			p.DomainLost, p.Rejoined, p.RejoinBytes, p.MostRejoinBytes, p.Watches)
 	}
-	ps.printPlan(w)
+	ps.printPlan(w, rs)
 }
 
-func (ps Points) printPlan(w io.Writer) {
+func (ps Points) printPlan(w io.Writer, rs Readings) {
 	rest := ps.Fit(func(p Point) float64 { return p.RestBytes })
 	loads := ps.Fit(func(p Point) float64 { return p.LoadBytes })
 	change := ps.Fit(func(p Point) float64 { return p.ChangeBytes })
@@ -46,12 +46,14 @@
 	large := ps.Fit(func(p Point) float64 { return p.LargeBytes })
 	largeChanges := large.At(planNodes) * planChangesPerDay / secondsPerDay
 	restarts := restart.At(planNodes) * planRestartsPerDay / secondsPerDay
-	total := loads.At(planNodes) + changes + restarts
+	reading := rs.at(planNodes)
+	total := loads.At(planNodes) + reading + changes + restarts
 	fmt.Fprintf(w, "\nAt %d nodes, %d runners, %d changes and %d restarts a day, by the lines through the points above:\n\n", planNodes, planRunners, planChangesPerDay, planRestartsPerDay)
 	fmt.Fprintln(w, "| what | base | a node adds | at the planned size | target | met |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|")
 	row(w, "B/s at rest", rest, rest.At(planNodes), targetBytes)
 	row(w, "B/s with loads", loads, loads.At(planNodes), targetBytes)
+	row(w, "B/s of reading engines, as measured", Line{Base: reading}, reading, targetBytes)
 	row(w, "B/s of changes of 16 KiB, on the day's average", change, changes, targetBytes)
 	row(w, "B/s of changes of 512 KiB, if all were so large", large, largeChanges, targetBytes)
 	row(w, "B/s of restarts, on the day's average", restart, restarts, targetBytes)
--- a/ferrybench/ferryrelay/idle.go
+++ b/ferrybench/ferryrelay/idle.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"cactusferry.dev/ferrystand/ferrydemo"
@@ -18,6 +22,12 @@
 	Bytes int64
 	// PlatformCalls is the number of calls a second that all entries together make to the platform.
 	PlatformCalls float64
+	// Engines is how many engines an entry works, on the average.
+	Engines float64
+	// LoadAge is how old what an entry knows of an engine's load is, on the average over entries and engines.
+	LoadAge time.Duration
+	// LoadReads is how many engines an entry reads a second, on the average.
+	LoadReads float64
 }
 
 // MeasureIdle starts a fleet of real processes and watches its entries for a while.
@@ -48,6 +58,10 @@
 	if err != nil {
 		return out, err
 	}
+	reads, err := gauges(ctx, f, "ferryd_load_reads")
+	if err != nil {
+		return out, err
+	}
 	began := time.Now()
 	time.Sleep(d)
 	took := time.Since(began).Seconds()
@@ -61,6 +75,9 @@
 	}
 	out.CoreShare = (after - before).Seconds() / took / float64(entries)
 	out.PlatformCalls = float64(later-calls) / took
+	if err := out.loads(ctx, f, reads, took); err != nil {
+		return out, err
+	}
 	for _, e := range f.Entries {
 		n, err := resident(e.Process.PID())
 		if err != nil {
@@ -71,6 +88,63 @@
 	return out, nil
 }
 
+// loads fills in what the entries' metrics say of the engines' loads.
+func (i *Idle) loads(ctx context.Context, f *ferrydemo.Fleet, before, took float64) error {
+	reads, err := gauges(ctx, f, "ferryd_load_reads")
+	if err != nil {
+		return err
+	}
+	age, err := gauges(ctx, f, "ferryd_load_age_seconds")
+	if err != nil {
+		return err
+	}
+	engines, err := gauges(ctx, f, "ferryd_engines_worked")
+	if err != nil {
+		return err
+	}
+	n := float64(len(f.Entries))
+	i.LoadReads, i.Engines = (reads-before)/took/n, engines/n
+	i.LoadAge = time.Duration(age / n * float64(time.Second))
+	return nil
+}
+
+// gauges adds up a gauge over the entries, whatever its tags.
+func gauges(ctx context.Context, f *ferrydemo.Fleet, name string) (float64, error) {
+	sum := 0.0
+	for _, e := range f.Entries {
+		text, err := page(ctx, "http://"+e.Callers+"/metrics")
+		if err != nil {
+			return 0, err
+		}
+		for line := range strings.Lines(text) {
+			fields := strings.Fields(line)
+			if len(fields) != 2 || (fields[0] != name && !strings.HasPrefix(fields[0], name+"{")) {
+				continue
+			}
+			v, err := strconv.ParseFloat(fields[1], 64)
+			if err != nil {
+				return 0, err
+			}
+			sum += v
+		}
+	}
+	return sum, nil
+}
+
+func page(ctx context.Context, url string) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return "", err
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer w.Body.Close()
+	b, err := io.ReadAll(w.Body)
+	return string(b), err
+}
+
 func fleetCPU(f *ferrydemo.Fleet) (time.Duration, error) {
 	var total time.Duration
 	for _, e := range f.Entries {
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -13,6 +13,7 @@
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryroute"
 	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrysubset"
 )
 
 const (
@@ -22,8 +23,6 @@
 	loadTimeout  = 900 * time.Millisecond
 	// loadItemsPerSecond bounds what the whole fleet says of the loads of engines that every entry works.
 	loadItemsPerSecond = 20
-	// ownReadsPerSecond bounds how many engines an entry reads where it works a subset, whatever its size.
-	ownReadsPerSecond = 10
 	// loadKept is for how many intervals a report is kept.
 	loadKept = 5
 	maxLoads = 8192
@@ -127,11 +126,10 @@
 			targets = append(targets, target{sv, c})
 		}
 	}
-	ttl := loadKept * (loadInterval + time.Duration(len(targets))*time.Second/ownReadsPerSecond)
-	for range min(len(targets), ownReadsPerSecond) {
-		t := targets[n.nextOwn%len(targets)]
-		n.nextOwn++
-		go n.readForSelf(ctx, t, ttl)
+	most := ferrysubset.Default.ReadsPerSecond
+	ttl := loadKept * (loadInterval + time.Duration(len(targets))*time.Second/time.Duration(most))
+	for _, i := range n.turns.Next(len(targets), most, nil) {
+		go n.readForSelf(ctx, targets[i], ttl)
 	}
 }
 
@@ -139,7 +137,6 @@
 func (n *Node) readForSelf(ctx context.Context, t target, ttl time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	n.ownReads.Add(1)
 	l, ok := n.readLoad(ctx, t.service, t.candidate)
 	n.services.setRead(upstreamKey(t.service.name, t.candidate.Name), ok)
 	if !ok {
@@ -150,6 +147,7 @@
 }
 
 func (n *Node) readLoad(ctx context.Context, sv *service, c ferryroute.Candidate) (engineLoad, bool) {
+	n.loadReads.Add(1)
 	l, err := n.engines.Load(ctx, c.Address)
 	if err != nil {
 		return engineLoad{}, false
--- a/ferryd/ferrynode/metrics.go
+++ b/ferryd/ferrynode/metrics.go
@@ -56,7 +56,7 @@
 	s.Gauge("platform_over_budget").Update(float64(n.platform.OverBudget()))
 	s.Gauge("members_live").Update(float64(len(n.peer.Members().Live())))
 	s.Gauge("peer_links").Update(float64(len(n.peer.Links())))
-	s.Gauge("load_reads").Update(float64(n.ownReads.Load()))
+	s.Gauge("load_reads").Update(float64(n.loadReads.Load()))
 	for name, v := range n.peer.Counts() {
 		s.Tagged(map[string]string{"name": name}).Gauge("peer_counts").Update(float64(v))
 	}
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -23,6 +23,7 @@
 	"cactusferry.dev/ferry/ferryplain"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferrystream"
+	"cactusferry.dev/ferry/ferrysubset"
 	"cactusferry.dev/ferryd/ferrycaller"
 	"cactusferry.dev/ferryd/ferrykeys"
 	"cactusferry.dev/ferryd/ferryoperator"
@@ -86,9 +87,9 @@
 	// seenLoads is when each report that was taken up was made; it belongs to the duty that reads loads.
 	seenLoads map[string]time.Time
 	nextLoads time.Time
-	// nextOwn is whose turn it is to be read; it belongs to the duty that reads this entry's own engines.
-	nextOwn     int
-	ownReads    atomic.Int64
+	// turns belongs to the duty that reads this entry's own engines.
+	turns       ferrysubset.Turns
+	loadReads   atomic.Int64
 	peerKeys    *ferrykeys.Pair
 	callers     *ferrycaller.Server
 	callersHTTP *http.Server
--- a/ferryd/ferrynode/subset_test.go
+++ b/ferryd/ferrynode/subset_test.go
@@ -24,6 +24,7 @@
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferrypipeline"
 	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrysubset"
 )
 
 const subsetParts = 4
@@ -217,7 +218,7 @@
 			return poll.Success()
 		}, poll.WithTimeout(10*time.Second))
 	}
-	n := len(b.candidates())
+	n, ownReadsPerSecond := len(b.candidates()), ferrysubset.Default.ReadsPerSecond
 	read(ownReadsPerSecond)
 	assert.Equal(t, calls.Load(), int64(ownReadsPerSecond))
 	for want := ownReadsPerSecond; want < n; want += ownReadsPerSecond {
