--- a/ferry/ferrysubset/subset_test.go
+++ b/ferry/ferrysubset/subset_test.go
@@ -198,6 +198,9 @@
 	}
 	t.Logf("subsets of %d to %d engines; without one of eight domains an engine has %d to %d entries", least, most, slices.Min(worked), slices.Max(worked))
 	assert.Assert(t, slices.Min(worked) >= 1)
+	before := f.pairs()
+	less := fleetOf(349, 1600, 4, 8)
+	t.Logf("%d places, %d of them given up or taken where one entry goes", len(before), apart(before, less.pairs()))
 	for i := range f.engines {
 		f.engines[i].Out = f.engines[i].Domain == "domain-3"
 	}
--- a/ferryd/ferrynode/subset.go
+++ b/ferryd/ferrynode/subset.go
@@ -107,10 +107,13 @@
 
 // widen lets the entry work all engines of a service for a while.
 func (s *services) widen(sv *service) {
+	if sv.part.whole.Load() {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	if sv.part.whole.Load() || now.Before(sv.part.wideUntil) {
+	if now.Before(sv.part.wideUntil) {
 		return
 	}
 	sv.part.wideUntil = now.Add(wideFor)
