Fewer readings while an entry has no calls

Excluded: none at rest: the first calls would choose blind, and an engine that leaves would not be seen. Change: two readings a second without calls, ten with; 'ferrybench capacity' shows both. Seen failing: TestEntryReadsItsSubset with ten at rest and with two always.

--- a/ferry/ferrysubset/subset.go
+++ b/ferry/ferrysubset/subset.go
@@ -41,10 +41,12 @@
 	PerRange int
 	// ReadsPerSecond is how many engines an entry reads a second at the most where it works a subset.
 	ReadsPerSecond int
+	// IdleReadsPerSecond is the same while the entry has no calls.
+	IdleReadsPerSecond int
 }
 
 // Default is what the entries use; all entries must use the same.
-var Default = Config{AllUpTo: 48, Size: 20, Entries: 4, PerRange: 3, ReadsPerSecond: 10}
+var Default = Config{AllUpTo: 48, Size: 20, Entries: 4, PerRange: 3, ReadsPerSecond: 10, IdleReadsPerSecond: 2}
 
 // Grouped returns the configuration for candidates that are pipelines of so many engines each.
 func (c Config) Grouped(engines int) Config {
--- a/ferrybench/ferrycapacity/reading.go
+++ b/ferrybench/ferrycapacity/reading.go
@@ -106,6 +106,10 @@
 	Reads, EngineReads, MostEngineReads float64
 	// Age is how old a report is: the mean over engines and seconds, and the most.
 	Age, MostAge time.Duration
+	// The rest is while no entry has calls.
+	RestReads            float64
+	RestAge, MostRestAge time.Duration
+	RestBytes            float64
 	// Bytes are sent and received a second by an entry for its readings; what is passed on comes on top.
 	Bytes float64
 	// CPU is the share of a core of both ends.
@@ -123,6 +127,7 @@
 	} else {
 		r.readOwn()
 	}
+	r.RestBytes = r.RestReads * cost.Bytes
 	r.Bytes, r.CPU = r.Reads*cost.Bytes, r.Reads*cost.CPU.Seconds()
 	return r
 }
@@ -135,6 +140,7 @@
 	r.Reads = float64(r.Runners) / every / float64(r.Nodes)
 	r.MostAge = time.Duration(every * float64(time.Second))
 	r.Age = r.MostAge / 2
+	r.RestReads, r.RestAge, r.MostRestAge = r.Reads, r.Age, r.MostAge
 }
 
 func (r *Reading) readOwn() {
@@ -150,54 +156,76 @@
 			Domain: ferryid.DomainName(domainName(i/partsOfModel, r.Nodes)), Layers: ferryid.LayerRange{From: from, To: from + layersOfPart},
 		})
 	}
-	chooser := ferrysubset.New(ferrysubset.Default)
-	reads := make([]int, r.Runners)
-	total, ages, samples := 0, 0, 0
-	var subset, turn []int
+	cfg := ferrysubset.Default
+	chooser := ferrysubset.New(cfg)
+	busy, rest := turnsOf{reads: make([]int, r.Runners), perSecond: cfg.ReadsPerSecond}, turnsOf{reads: make([]int, r.Runners), perSecond: cfg.IdleReadsPerSecond}
+	var subset []int
 	for _, name := range names {
 		subset = chooser.Choose(name, names, engines, subset[:0])
 		r.Engines += float64(len(subset)) / float64(r.Nodes)
 		r.MostEngines = max(r.MostEngines, len(subset))
-		last := make([]int, len(subset))
-		var turns ferrysubset.Turns
-		for second := range readSeconds {
-			turn = turns.Next(len(subset), ferrysubset.Default.ReadsPerSecond, turn[:0])
-			for _, i := range turn {
-				last[i] = second
-				reads[subset[i]]++
-				total++
-			}
-			// Before all have been read once, and within the second that follows a reading, there is nothing to see.
-			if second < readSeconds/2 {
-				continue
-			}
-			for _, at := range last {
-				ages += second - at
-				samples++
-				r.MostAge = max(r.MostAge, time.Duration(second-at+1)*time.Second)
-			}
-		}
+		busy.take(subset)
+		rest.take(subset)
 	}
-	r.Reads = float64(total) / readSeconds / float64(r.Nodes)
-	r.Age = time.Duration((float64(ages)/float64(samples) + 0.5) * float64(time.Second))
-	for _, n := range reads {
+	r.Reads, r.RestReads = busy.total/readSeconds/float64(r.Nodes), rest.total/readSeconds/float64(r.Nodes)
+	r.Age, r.MostAge, r.RestAge, r.MostRestAge = busy.age(), busy.most, rest.age(), rest.most
+	for _, n := range busy.reads {
 		r.EngineReads += float64(n) / readSeconds / float64(r.Runners)
 		r.MostEngineReads = max(r.MostEngineReads, float64(n)/readSeconds)
 	}
 }
 
+// turnsOf are the readings of all entries at one rate.
+type turnsOf struct {
+	perSecond int
+	reads     []int
+	total     float64
+	ages      int
+	samples   int
+	most      time.Duration
+}
+
+// take lets one entry read its subset for a while; ages count from when all have been read.
+func (t *turnsOf) take(subset []int) {
+	last := make([]int, len(subset))
+	var turns ferrysubset.Turns
+	var turn []int
+	for second := range readSeconds {
+		turn = turns.Next(len(subset), t.perSecond, turn[:0])
+		for _, i := range turn {
+			last[i] = second
+			t.reads[subset[i]]++
+			t.total++
+		}
+		if second < readSeconds/2 {
+			continue
+		}
+		for _, at := range last {
+			t.ages += second - at
+			t.samples++
+			t.most = max(t.most, time.Duration(second-at+1)*time.Second)
+		}
+	}
+}
+
+// age is the mean over engines and time.
+func (t *turnsOf) age() time.Duration {
+	return time.Duration((float64(t.ages)/float64(t.samples) + 0.5) * float64(time.Second))
+}
+
 // Print writes the sizes as a table.
 func (rs Readings) Print(w io.Writer, cost ReadCost) {
 	fmt.Fprintf(w, "\nA reading of an engine's load: %.0f B, %s of processor time at both ends together.\n\n", cost.Bytes, cost.CPU.Round(time.Microsecond))
-	fmt.Fprintln(w, "| nodes | runners | engines an entry (most) | loads come | readings/s an entry | at an engine (most) | age of a report (most) | B/s an entry | core, both ends |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| nodes | runners | engines an entry (most) | loads come | readings/s an entry | at an engine (most) | age of a report (most) | B/s an entry | core, both ends | without calls: readings/s | age (most) | B/s |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, r := range rs {
 		way := "by reading"
 		if r.PassedOn {
 			way = "passed on"
 		}
-		fmt.Fprintf(w, "| %d | %d | %.1f (%d) | %s | %.2f | %.2f (%.2f) | %s (%s) | %.0f | %.3f%% |\n", r.Nodes, r.Runners, r.Engines, r.MostEngines, way,
-			r.Reads, r.EngineReads, r.MostEngineReads, r.Age.Round(10*time.Millisecond), r.MostAge, r.Bytes, 100*r.CPU)
+		fmt.Fprintf(w, "| %d | %d | %.1f (%d) | %s | %.2f | %.2f (%.2f) | %s (%s) | %.0f | %.3f%% | %.2f | %s (%s) | %.0f |\n", r.Nodes, r.Runners, r.Engines, r.MostEngines, way,
+			r.Reads, r.EngineReads, r.MostEngineReads, r.Age.Round(10*time.Millisecond), r.MostAge.Round(10*time.Millisecond), r.Bytes, 100*r.CPU,
+			r.RestReads, r.RestAge.Round(10*time.Millisecond), r.MostRestAge.Round(10*time.Millisecond), r.RestBytes)
 	}
 }
 
--- a/ferryd/ferrynode/load.go
+++ b/ferryd/ferrynode/load.go
@@ -118,7 +118,7 @@
 	candidate ferryroute.Candidate
 }
 
-// readOwn asks the next few engines of this entry's subsets, in turn.
+// readOwn asks the next few engines of this entry's subsets, in turn; fewer while it has no calls.
 func (n *Node) readOwn(ctx context.Context) {
 	var targets []target
 	for _, sv := range n.services.all() {
@@ -126,8 +126,12 @@
 			targets = append(targets, target{sv, c})
 		}
 	}
-	most := ferrysubset.Default.ReadsPerSecond
-	ttl := loadKept * (loadInterval + time.Duration(len(targets))*time.Second/time.Duration(most))
+	cfg := ferrysubset.Default
+	ttl := loadKept * (loadInterval + time.Duration(len(targets))*time.Second/time.Duration(cfg.IdleReadsPerSecond))
+	most := cfg.IdleReadsPerSecond
+	if running, _ := n.work(); running > 0 {
+		most = cfg.ReadsPerSecond
+	}
 	for _, i := range n.turns.Next(len(targets), most, nil) {
 		go n.readForSelf(ctx, targets[i], ttl)
 	}
@@ -199,12 +203,7 @@
 
 // tellLoad tells the other entries how busy this one is.
 func (n *Node) tellLoad(context.Context) {
-	running, capacity := 0, 0
-	for _, sv := range n.services.all() {
-		q := sv.admission.Snapshot()
-		running += q.Running + q.Waiting
-		capacity += q.Capacity
-	}
+	running, capacity := n.work()
 	streams, _ := n.callers.Open()
 	state := ferrypeer.Ready
 	if n.state() != StateReady || n.stopping.Load() {
@@ -213,3 +212,13 @@
 	share := min(math.MaxUint16, running*permille/max(1, capacity))
 	n.peer.SetState(state, ferrypeer.Load{Permille: uint16(share), Streams: uint32(streams)})
 }
+
+// work counts the calls that run or wait here, and the slots.
+func (n *Node) work() (calls, slots int) {
+	for _, sv := range n.services.all() {
+		q := sv.admission.Snapshot()
+		calls += q.Running + q.Waiting
+		slots += q.Capacity
+	}
+	return calls, slots
+}
--- a/ferryd/ferrynode/subset_test.go
+++ b/ferryd/ferrynode/subset_test.go
@@ -23,6 +23,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferrypipeline"
+	"cactusferry.dev/ferry/ferryqueue"
 	"cactusferry.dev/ferry/ferryservice"
 	"cactusferry.dev/ferry/ferrysubset"
 )
@@ -185,7 +186,7 @@
 	assert.Equal(t, len(b.pick(t).Stages), subsetParts)
 }
 
-// An entry reads its own engines in turn, so many a second, and chooses by what they say at once.
+// An entry reads its own engines in turn, so many a second, fewer while it has no calls, and chooses by what they say at once.
 func TestEntryReadsItsSubset(t *testing.T) {
 	listener, err := net.Listen("tcp", ":0")
 	assert.NilError(t, err)
@@ -218,10 +219,21 @@
 			return poll.Success()
 		}, poll.WithTimeout(10*time.Second))
 	}
-	n, ownReadsPerSecond := len(b.candidates()), ferrysubset.Default.ReadsPerSecond
-	read(ownReadsPerSecond)
-	assert.Equal(t, calls.Load(), int64(ownReadsPerSecond))
-	for want := ownReadsPerSecond; want < n; want += ownReadsPerSecond {
+	n, ownReadsPerSecond, idle := len(b.candidates()), ferrysubset.Default.ReadsPerSecond, ferrysubset.Default.IdleReadsPerSecond
+	read(idle)
+	assert.Equal(t, calls.Load(), int64(idle))
+	_, err = b.sv.admission.Acquire(t.Context(), ferryqueue.Item{ID: "r", Customer: "c", Predicted: 1})
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		b.clock.Advance(100 * time.Millisecond)
+		if calls, _ := b.node.work(); calls == 0 {
+			return poll.Continue("the queue has not shown the call yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	read(idle + ownReadsPerSecond)
+	assert.Equal(t, calls.Load(), int64(idle+ownReadsPerSecond))
+	for want := idle + ownReadsPerSecond; want < n; want += ownReadsPerSecond {
 		read(min(n, want+ownReadsPerSecond))
 	}
 	assert.Equal(t, len(b.node.loads.All()), 0, "nothing is passed on")
