A later digest is pulled while an earlier pull is unanswered

Cause: an entry that had asked one peer for a document did not ask for any other digest of that topic for 2 s, unless a push changed something. An entry that watches gets a version from the store while its pull is under way; the push then changes nothing, and a document accepted within those 2 s was left to the heartbeats' comparison. Excluded: the store (the entries were told by peers), the applying entry's offer (sent at once: the three entries that do not watch had it after 2 ms), Holder.Offer. Change: ferrypeer remembers which digest it pulled and leaves out only that one. TestEachDigestIsPulledOnce failed before ("0 != 1: a later one while the pull is unanswered").

--- a/ferry/ferrypeer/spread.go
+++ b/ferry/ferrypeer/spread.go
@@ -23,10 +23,26 @@
 	hash    uint64
 	hashAt  time.Time
 	pulling time.Time
+	// pulled is the hash of the digest that was last answered with a pull.
+	pulled uint64
 }
 
 func (t *topicState) offered() bool { return t.Fresh == nil }
 
+// pull reports whether a peer with this digest is to be asked for what it has: each digest once while its answer may be under way.
+func (t *topicState) pull(digest []byte, now time.Time) bool {
+	if !t.offered() {
+		return true
+	}
+	h := xxhash.Sum64(digest)
+	if h == t.pulled && now.Before(t.pulling) {
+		return false
+	}
+	t.pulled = h
+	t.pulling = now.Add(pullFor)
+	return true
+}
+
 // hashOf returns the hash of a topic's digest, computed at most once a step.
 func (o *Overlay) hashOf(t *topicState) uint64 {
 	if !t.hashAt.Equal(o.now) {
@@ -157,12 +173,9 @@
 		return
 	}
 	o.send(l, t.Name, t.Missing(m.Digest), true)
-	if m.Want || (t.offered() && o.now.Before(t.pulling)) {
+	if m.Want || !t.pull(m.Digest, o.now) {
 		return
 	}
-	if t.offered() {
-		t.pulling = o.now.Add(pullFor)
-	}
 	o.do(Send{Link: l.id, Message: &Digest{Topic: t.Name, Digest: own, Want: true}})
 }
 
