proof configuration: watches and lists that go back, and every step seen

Cause: `configuration` had never been seen failing over processes: it looked only at the end, 2 s after a restore, and peers had long put right what an entry had taken. Excluded: a check of the end state made stricter; an entry that steps back for 10 ms is not seen by it. Change: the case reads each entry's time line, in which every document taken stands, and refuses any step to an earlier generation; waits until the store holds what is in force after a restore; accepts a document after that.

--- a/ferry/ferryplatform/ferryplatformtest/fake_test.go
+++ b/ferry/ferryplatform/ferryplatformtest/fake_test.go
@@ -108,3 +108,27 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(c.Objects[0].Value), "b")
 }
+
+func TestWatchesAndListsGoBack(t *testing.T) {
+	f := ferryplatformtest.New(clockwork.NewFakeClockAt(start))
+	v, err := f.Put(t.Context(), "k", "n", ferryplatform.NoVersion, []byte("old"))
+	assert.NilError(t, err)
+	f.Snapshot()
+	saved := v
+	v, err = f.Put(t.Context(), "k", "n", v, []byte("new"))
+	assert.NilError(t, err)
+	f.SetFaults(ferryplatformtest.Faults{OldWatches: 1})
+	c, err := f.Watch(t.Context(), "k", v, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Version, v)
+	assert.Equal(t, string(c.Objects[0].Value), "old")
+	c, err = f.Watch(t.Context(), "k", v, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Objects), 0)
+	f.SetFaults(ferryplatformtest.Faults{OldReads: true})
+	c, err = f.List(t.Context(), "k")
+	assert.NilError(t, err)
+	assert.Equal(t, c.Version, saved)
+	_, err = f.Put(t.Context(), "k", "n", v, []byte("newer"))
+	assert.NilError(t, err)
+}
--- a/ferry/ferryplatform/ferryplatformtest/faults.go
+++ b/ferry/ferryplatform/ferryplatformtest/faults.go
@@ -16,6 +16,10 @@
 	WatchLagMS int `json:"WatchLagMS"`
 	// ListLagMS is the age in milliseconds that a change must have before the instance list shows it.
 	ListLagMS int `json:"ListLagMS"`
+	// OldWatches is the number of watches to come that show the objects of the last Snapshot as changes after the version asked for.
+	OldWatches int `json:"OldWatches"`
+	// OldReads makes lists and watches show the last Snapshot, versions included, while writes and gets see the present.
+	OldReads bool `json:"OldReads"`
 }
 
 func millis(n int) time.Duration {
--- a/ferry/ferryplatform/ferryplatformtest/watch.go
+++ b/ferry/ferryplatform/ferryplatformtest/watch.go
@@ -21,9 +21,21 @@
 }
 
 func (f *Fake) list(kind string) ferryplatform.Changes {
-	out := ferryplatform.Changes{Version: f.version, Objects: []ferryplatform.Object{}}
-	for k := range f.objects {
-		if o := f.latest(k); k.kind == kind && !o.Deleted {
+	return listOf(f.shown(), kind)
+}
+
+// shown is the state that lists and watches show.
+func (f *Fake) shown() snapshot {
+	if f.faults.OldReads && f.saved != nil {
+		return *f.saved
+	}
+	return snapshot{version: f.version, objects: f.objects}
+}
+
+func listOf(s snapshot, kind string) ferryplatform.Changes {
+	out := ferryplatform.Changes{Version: s.version, Objects: []ferryplatform.Object{}}
+	for k, cs := range s.objects {
+		if o := cs[len(cs)-1].object; k.kind == kind && !o.Deleted {
 			out.Objects = append(out.Objects, copyObject(o))
 		}
 	}
@@ -31,6 +43,20 @@
 	return out
 }
 
+// old is a watch's answer that goes back to the last Snapshot under the version asked for, if one is due.
+func (f *Fake) old(kind string, after ferryplatform.Version) (ferryplatform.Changes, bool) {
+	if f.faults.OldWatches == 0 || f.saved == nil {
+		return ferryplatform.Changes{}, false
+	}
+	out := listOf(*f.saved, kind)
+	if len(out.Objects) == 0 {
+		return out, false
+	}
+	f.faults.OldWatches--
+	out.Version = after
+	return out, true
+}
+
 // Watch waits until objects of a kind change after a version; a version from before a restore is answered with the whole list.
 func (f *Fake) Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error) {
 	op := "watch " + kind
@@ -61,13 +87,17 @@
 	if f.faults.Outage {
 		return ferryplatform.Changes{}, nil, &ferryplatform.UnavailableError{Op: op, Err: errOutage}
 	}
-	if after > f.version {
-		return f.list(kind), f.changed, nil
+	if out, ok := f.old(kind, after); ok {
+		return out, f.changed, nil
+	}
+	state := f.shown()
+	if after > state.version {
+		return listOf(state, kind), f.changed, nil
 	}
 	horizon := f.clock.Now().Add(-millis(f.faults.WatchLagMS))
 	out := ferryplatform.Changes{Version: after, Objects: []ferryplatform.Object{}}
 	hidden := time.Duration(-1)
-	for k, cs := range f.objects {
+	for k, cs := range state.objects {
 		if k.kind != kind {
 			continue
 		}
--- a/ferrystand/ferrydemo/demo.go
+++ b/ferrystand/ferrydemo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
+	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryplain"
 	"cactusferry.dev/ferrystand/ferryprocess"
 )
@@ -177,18 +178,29 @@
 
 // Status asks one entry for its status.
 func (f *Fleet) Status(ctx context.Context, e *Entry) (Status, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Peers+"/admin/status", nil)
+	var s Status
+	return s, f.admin(ctx, e, "/admin/status", &s)
+}
+
+// Events asks one entry for its part of the time line.
+func (f *Fleet) Events(ctx context.Context, e *Entry) (ferryevent.Events, error) {
+	var out ferryevent.Events
+	return out, f.admin(ctx, e, "/admin/events", &out)
+}
+
+// admin reads an operator's answer of one entry.
+func (f *Fleet) admin(ctx context.Context, e *Entry, path string, v any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Peers+path, nil)
 	if err != nil {
-		return Status{}, err
+		return err
 	}
 	r.Header.Set("Authorization", "Bearer "+token)
 	w, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return Status{}, err
+		return err
 	}
 	defer w.Body.Close()
-	var s Status
-	return s, json.NewDecoder(w.Body).Decode(&s)
+	return json.NewDecoder(w.Body).Decode(v)
 }
 
 // entry asks the system which entry to use, as a caller does.
--- a/ferrystand/ferryproof/config.go
+++ b/ferrystand/ferryproof/config.go
@@ -3,18 +3,29 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
+	"cactusferry.dev/ferry/ferrydocument"
+	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferryservice"
 	"cactusferry.dev/ferrystand/ferrydemo"
+	"cactusferry.dev/ferrystand/ferryprocess"
 	"cactusferry.dev/ferrystand/ferryproxy"
 )
 
-const inForceLimit = 2 * time.Second
+const (
+	inForceLimit = 2 * time.Second
+	// putBackLimit is how soon entries put what is in force back into a restored store: their pause after an outage and a list.
+	putBackLimit   = 10 * time.Second
+	oldWatches     = 12
+	documentObject = "/v1/objects/" + ferryservice.ObjectKind + "/" + ferrydemo.ModelService
+)
 
 var configuration = Case{
 	Name:    "configuration",
 	Promise: "accepted configuration is in force everywhere within seconds and never reverts",
-	Faults:  "two operators at once, lost answers, an outage with an entry replaced, a store restored to an older state, nine entries",
+	Faults:  "two operators at once, lost answers, watches and lists that go back, an outage with an entry replaced, a store restored to an older state, nine entries",
 	size:    ferrydemo.Config{Engines: 2, Entries: 9},
 	run: func(ctx context.Context, w *world) error {
 		if err := w.accepted(ctx, 1); err != nil {
@@ -35,17 +46,75 @@
 		if err := w.accepted(ctx, 4); err != nil {
 			return err
 		}
-		if err := w.outage(ctx, 5); err != nil {
+		if err := w.back(ctx, 5); err != nil {
+			return err
+		}
+		if err := w.outage(ctx, 6); err != nil {
 			return err
 		}
 		if err := w.PutJSON(ctx, "http://"+w.Platform+"/admin/restore", nil); err != nil {
 			return err
 		}
-		time.Sleep(inForceLimit)
-		return w.never(ctx, 5)
+		if err := w.putBack(ctx, 6); err != nil {
+			return err
+		}
+		if err := w.accepted(ctx, 6); err != nil {
+			return err
+		}
+		return w.never(ctx)
 	},
 }
 
+// back lets watches show an older generation as a change, then lists and watches an older state, while a document is accepted.
+func (w *world) back(ctx context.Context, base int) error {
+	if err := w.platformFaults(ctx, map[string]any{"OldWatches": oldWatches}); err != nil {
+		return err
+	}
+	time.Sleep(inForceLimit / 2)
+	if err := w.platformFaults(ctx, map[string]any{"OldReads": true}); err != nil {
+		return err
+	}
+	if err := w.accepted(ctx, base); err != nil {
+		return err
+	}
+	time.Sleep(inForceLimit / 2)
+	if err := w.platformFaults(ctx, map[string]any{}); err != nil {
+		return err
+	}
+	heard := 0
+	for _, e := range w.Entries {
+		events, err := w.Events(ctx, e)
+		if err != nil {
+			return err
+		}
+		if slices.ContainsFunc(events, func(ev ferryevent.Event) bool { return ev.Kind == ferrydocument.EventStoreBack }) {
+			heard++
+		}
+	}
+	w.note("watches and lists went back to generation 4: %d entries saw it", heard)
+	if heard == 0 {
+		return fmt.Errorf("no entry saw the platform go back, so nothing was proved")
+	}
+	return nil
+}
+
+// putBack waits until the entries have put the generation in force back into a store that was restored to an older state.
+func (w *world) putBack(ctx context.Context, generation int) error {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, putBackLimit)
+	defer cancel()
+	err := ferryprocess.Poll(ctx, func(ctx context.Context) error {
+		var stored struct{ Generation int }
+		err := w.GetJSON(ctx, "http://"+w.Platform+documentObject, &stored)
+		if err == nil && stored.Generation != generation {
+			err = fmt.Errorf("the store has generation %d and not %d", stored.Generation, generation)
+		}
+		return err
+	})
+	w.note("the store was restored to generation 4 and had %d again after %s", generation, time.Since(began).Round(time.Millisecond))
+	return err
+}
+
 // accepted applies a change from a base and measures until it is in force everywhere.
 func (w *world) accepted(ctx context.Context, base int) error {
 	if err := w.apply(ctx, ferrydemo.ModelService, w.ModelDocument(100+base), base, "morning"); err != nil {
@@ -97,20 +166,34 @@
 	return w.platformFaults(ctx, map[string]any{})
 }
 
-// never checks that no entry has stepped back.
-func (w *world) never(ctx context.Context, generation int) error {
+// never checks on the time line of every entry that it only ever went to later generations.
+func (w *world) never(ctx context.Context) error {
+	steps := 0
 	for _, e := range w.Entries {
-		s, err := w.Status(ctx, e)
+		events, err := w.Events(ctx, e)
 		if err != nil {
 			return err
 		}
-		for _, d := range s.Documents {
-			if d.Service == ferrydemo.ModelService && d.Generation < generation {
-				return fmt.Errorf("%s went back to generation %d", e.Name, d.Generation)
+		last := 0
+		for _, ev := range events {
+			if ev.Kind != ferrydocument.EventTaken || ev.Subject != ferrydemo.ModelService {
+				continue
+			}
+			g := 0
+			if _, err := fmt.Sscanf(ev.Detail, "generation %d", &g); err != nil {
+				return fmt.Errorf("event %s: %w", ev, err)
 			}
+			if g <= last {
+				return fmt.Errorf("%s went from generation %d to %d: %s", e.Name, last, g, ev)
+			}
+			last = g
+			steps++
 		}
 	}
-	w.note("after the store was restored to generation 4 every entry still has %d", generation)
+	w.note("%d steps from one generation to another at %d entries, none of them back", steps, len(w.Entries))
+	if steps < len(w.Entries) {
+		return fmt.Errorf("the time lines are not whole, so nothing was proved")
+	}
 	return nil
 }
 
