proof kinds: eight kinds of engines, each token's layers held against all engines' steps

Cause: layers on engines whose speeds and links differ a hundredfold were not proved over real processes; `layers` only looks for an application twice in an epoch, in the memory of engines that still run. Excluded: reading the steps from the engines' memory (gone with a kill); the proof tool's own guess of which epoch made a token (the event's id says it, and the tool has the fleet's key). Both ways of recovery must be seen.

--- a/ferrystand/engine.go
+++ b/ferrystand/engine.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -26,6 +27,7 @@
 	engineRegisterTimeout = 5 * time.Second
 	engineDrainPoll       = 50 * time.Millisecond
 	engineExitDied        = 3
+	journalMode           = 0o600
 )
 
 const engineHelp = `Runs one stand-in model engine that holds a range of layers. It registers itself in the platform's instance list, prints "ready ADDRESS" once it listens, and on SIGTERM marks itself leaving, finishes its streams and exits 0.
@@ -42,6 +44,7 @@
 	Accelerator     string  `long:"accelerator" description:"kind of accelerator"`
 	TokensPerSecond float64 `long:"tokens-per-second" default:"400" description:"rate of tokens through all its layers"`
 	Slots           int     `long:"slots" default:"16" description:"streams that share the rate at once"`
+	Journal         string  `long:"journal" description:"file to which a line is added for each step; it outlives the engine"`
 	Platform        string  `long:"platform" description:"URL of the platform; without one the engine registers nowhere"`
 }
 
@@ -62,9 +65,13 @@
 	if err != nil {
 		return err
 	}
+	journal, err := c.journal()
+	if err != nil {
+		return err
+	}
 	e := ferrystandengine.New(ferrystandengine.Config{
 		Name: ferryid.UpstreamName(c.Name), Service: ferryid.ServiceName(c.Service), Layers: layers,
-		Accelerator: c.Accelerator, TokensPerSecond: ferryid.TokensPerSecond(c.TokensPerSecond), Slots: c.Slots,
+		Accelerator: c.Accelerator, TokensPerSecond: ferryid.TokensPerSecond(c.TokensPerSecond), Slots: c.Slots, Journal: journal,
 		OnDie: func() { os.Exit(engineExitDied) },
 	})
 	defer e.Close()
@@ -94,6 +101,14 @@
 	return srv.Shutdown(context.Background())
 }
 
+// journal opens the file for steps, if one is named.
+func (c *engineCommand) journal() (io.Writer, error) {
+	if c.Journal == "" {
+		return nil, nil
+	}
+	return os.OpenFile(c.Journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, journalMode)
+}
+
 // register writes the engine's row of the instance list.
 func (c *engineCommand) register(e *ferrystandengine.Engine, layers ferryid.LayerRange, address string, state ferryplatform.InstanceState) error {
 	if c.Platform == "" {
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -31,7 +32,8 @@
 	Operator     = "morning"
 	token        = "demo-operator-token"
 	Layers       = 16
-	sealKey      = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+	// SealKey is the key with which the entries seal resume tokens and tickets, in hexadecimal.
+	SealKey = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 )
 
 var domains = []string{"ruse-a", "varna-b", "pleven-c"}
@@ -47,6 +49,7 @@
 	Process         *ferryprocess.Process
 	// Proxy, if any, is what entries and other engines connect to.
 	Proxy *ferryproxy.Proxy
+	link  time.Duration
 }
 
 // Reached is the address that the service document names.
@@ -86,8 +89,10 @@
 	PlainProxy *ferryproxy.Proxy
 	Engines    []*Engine
 	Entries    []*Entry
-	slots      int
-	policy     string
+	// Journals, if set, is the directory in which each engine writes its steps to a file of its name.
+	Journals string
+	slots    int
+	policy   string
 }
 
 // Config says how large a fleet is.
@@ -102,6 +107,8 @@
 	Policy string
 	// TokensPerSecond is the rate of every engine; if 0 they differ.
 	TokensPerSecond int
+	// Kinds makes the engines of eight kinds whose rates differ a hundredfold, and with EngineProxies their links too.
+	Kinds bool
 	// PeerProxies puts a fault proxy before each entry's peers' listener.
 	PeerProxies bool
 	// EngineProxies puts a fault proxy before each engine.
@@ -126,6 +133,9 @@
 	addresses = addresses[2:]
 	for i := range cfg.Engines {
 		e := newEngine(i, addresses[i])
+		if cfg.Kinds {
+			e.setKind(kinds[(i/2)%len(kinds)], i%2)
+		}
 		if cfg.TokensPerSecond > 0 {
 			e.TokensPerSecond = cfg.TokensPerSecond
 		}
@@ -165,6 +175,7 @@
 			if err != nil {
 				return err
 			}
+			e.Proxy.SetAll(e.Link())
 		}
 	}
 	return nil
@@ -194,18 +205,53 @@
 	if i%2 == 1 {
 		layers = ferryid.LayerRange{From: half, To: Layers}
 	}
-	kinds := []string{"h100", "a100", "l40s"}
-	k := (i / 2) % len(kinds)
+	accelerators := []string{"h100", "a100", "l40s"}
+	k := (i / 2) % len(accelerators)
 	return &Engine{
 		Name:            fmt.Sprintf("engine-%d", i+1),
 		Address:         address,
 		Domain:          domains[(i/2)%len(domains)],
 		Layers:          layers,
-		Accelerator:     kinds[k],
+		Accelerator:     accelerators[k],
 		TokensPerSecond: []int{2000, 1000, 400}[k],
 	}
 }
 
+// kind is a kind of accelerator with its rate, the time a piece takes on its link, and where its two engines share the layers.
+type kind struct {
+	name            string
+	tokensPerSecond int
+	link            time.Duration
+	split           ferryid.Layer
+}
+
+var kinds = []kind{
+	{"h200", 4000, 6 * time.Millisecond, 8},
+	{"h100", 2000, 200 * time.Microsecond, 8},
+	{"a100", 1000, 3 * time.Millisecond, 4},
+	{"l40s", 600, 400 * time.Microsecond, 8},
+	{"a10", 300, 12 * time.Millisecond, 12},
+	{"l4", 150, 800 * time.Microsecond, 8},
+	{"t4", 80, 20 * time.Millisecond, 8},
+	{"cpu", 40, 1500 * time.Microsecond, 4},
+}
+
+func (e *Engine) setKind(k kind, half int) {
+	e.Accelerator, e.TokensPerSecond, e.link = k.name, k.tokensPerSecond, k.link
+	e.Layers = ferryid.LayerRange{From: 0, To: k.split}
+	if half == 1 {
+		e.Layers = ferryid.LayerRange{From: k.split, To: Layers}
+	}
+}
+
+// Link is what the engine's proxy does while nothing is wrong.
+func (e *Engine) Link() ferryproxy.Fault {
+	if e.link > 0 {
+		return ferryproxy.Delay{Time: e.link}
+	}
+	return ferryproxy.Pass{}
+}
+
 // StartUpstreams starts the platform, the plain service and the engines, and waits for each.
 func (f *Fleet) StartUpstreams(ctx context.Context) error {
 	if _, err := f.StartReady(ctx, "platform", "ferrystand", "platform", "--listen", f.Platform); err != nil {
@@ -236,10 +282,16 @@
 
 // StartEngine starts one engine and waits for it.
 func (f *Fleet) StartEngine(ctx context.Context, e *Engine) error {
-	p, err := f.StartReady(ctx, e.Name, "ferrystand", "engine", "--name", e.Name, "--listen", e.Address,
+	args := []string{
+		"engine", "--name", e.Name, "--listen", e.Address,
 		"--domain", e.Domain, "--service", ModelService, "--layers", fmt.Sprintf("%d:%d", e.Layers.From, e.Layers.To),
 		"--accelerator", e.Accelerator, "--tokens-per-second", fmt.Sprint(e.TokensPerSecond), "--slots", fmt.Sprint(f.slots),
-		"--platform", "http://"+f.Platform)
+		"--platform", "http://" + f.Platform,
+	}
+	if f.Journals != "" {
+		args = append(args, "--journal", filepath.Join(f.Journals, e.Name))
+	}
+	p, err := f.StartReady(ctx, e.Name, "ferrystand", args...)
 	e.Process = p
 	if err != nil || e.Proxy == nil {
 		return err
@@ -259,7 +311,7 @@
 func (f *Fleet) StartEntry(ctx context.Context, e *Entry) error {
 	args := []string{
 		"--name", e.Name, "--failure-domain", e.Domain, "--callers.listen", e.Callers, "--peers.listen", e.Peers, "--peers.advertise", e.reached(),
-		"--platform.url", "http://" + f.Platform, "--keys.seal", sealKey, "--keys.operator-token", token,
+		"--platform.url", "http://" + f.Platform, "--keys.seal", SealKey, "--keys.operator-token", token,
 		"--stop.grace", "300ms", "--log.level", "info",
 	}
 	for _, other := range f.Entries {
--- a/ferrystand/ferryproof/proof.go
+++ b/ferrystand/ferryproof/proof.go
@@ -26,11 +26,13 @@
 	Faults string
 	run    func(ctx context.Context, w *world) error
 	size   ferrydemo.Config
+	// journals says that engines write their steps to files, which outlive them.
+	journals bool
 }
 
 // Cases are all cases, in the order of the brief's promises.
 var Cases = []Case{
-	layers, wholeAnswers, notRun, atMostOnce, leaving, leavingCut, plannedStops, configuration, partition, silence, orders, together,
+	layers, kinds, wholeAnswers, notRun, atMostOnce, leaving, leavingCut, plannedStops, configuration, partition, silence, orders, together,
 }
 
 // Report says how one case went.
@@ -79,6 +81,9 @@
 		return err
 	}
 	defer os.RemoveAll(w.dir)
+	if c.journals {
+		w.Journals = w.dir
+	}
 	if err := w.begin(ctx); err != nil {
 		return err
 	}
--- a/ferrystand/ferrystandengine/engine.go
+++ b/ferrystand/ferrystandengine/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	Clock        clockwork.Clock
 	// HTTP sends the calls to the next stage of a chain.
 	HTTP *http.Client
+	// Journal, if set, is written one JSON line for each step before its result leaves the engine, so that it outlives a killed process.
+	Journal io.Writer
 	// OnDie runs when a fault kills the engine, in place of the usual broken connections only.
 	OnDie func()
 }
--- a/ferrystand/ferrystandengine/record.go
+++ b/ferrystand/ferrystandengine/record.go
@@ -12,22 +12,36 @@
 // Record says that the engine applied one layer to one position of a stream.
 type Record = ferrypipeline.Applied
 
-type step struct {
-	Stream  ferryid.StreamID
-	Epoch   ferryid.Epoch
-	From    ferryid.Position
-	N       int
-	Layers  ferryid.LayerRange
-	AtNanos int64
+// Step says that the engine applied its layers to N positions of a stream, of which the last yields a token.
+type Step struct {
+	Stream  ferryid.StreamID   `json:"Stream"`
+	Epoch   ferryid.Epoch      `json:"Epoch"`
+	From    ferryid.Position   `json:"From"`
+	N       int                `json:"N"`
+	Layers  ferryid.LayerRange `json:"Layers"`
+	AtNanos int64              `json:"AtNanos"`
+}
+
+// Append appends a record for each layer and position of the step.
+func (s Step) Append(out []Record) []Record {
+	for p := range s.N {
+		for layer := s.Layers.From; layer < s.Layers.To; layer++ {
+			out = append(out, Record{
+				Stream: s.Stream, Epoch: s.Epoch, Position: s.From + ferryid.Position(p),
+				Layer: layer, Prefill: p < s.N-1, AtNanos: s.AtNanos,
+			})
+		}
+	}
+	return out
 }
 
 // recordLog keeps the last steps; the oldest give way.
 type recordLog struct {
-	steps []step
+	steps []Step
 	head  int
 }
 
-func (l *recordLog) add(s step) {
+func (l *recordLog) add(s Step) {
 	if len(l.steps) < maxSteps {
 		l.steps = append(l.steps, s)
 		return
@@ -43,14 +57,7 @@
 		if stream != "" && s.Stream != stream {
 			continue
 		}
-		for p := range s.N {
-			for layer := s.Layers.From; layer < s.Layers.To; layer++ {
-				out = append(out, Record{
-					Stream: s.Stream, Epoch: s.Epoch, Position: s.From + ferryid.Position(p),
-					Layer: layer, Prefill: p < s.N-1, AtNanos: s.AtNanos,
-				})
-			}
-		}
+		out = s.Append(out)
 	}
 	return out
 }
--- a/ferrystand/ferrystandengine/run.go
+++ b/ferrystand/ferrystandengine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -231,10 +232,16 @@
 	if ru.req.Epoch <= st.cancelled {
 		return context.Canceled
 	}
-	e.records.add(step{
+	s := Step{
 		Stream: ru.req.Stream, Epoch: ru.req.Epoch, From: from, N: n,
 		Layers: ru.layers, AtNanos: time.Now().UnixNano(),
-	})
+	}
+	e.records.add(s)
+	if e.cfg.Journal != nil {
+		if err := json.NewEncoder(e.cfg.Journal).Encode(s); err != nil {
+			return err
+		}
+	}
 	if st.epoch == ru.req.Epoch {
 		st.ran = true
 		st.kv = ru.kv
