proof claims: a slot's owner frozen past its liveness, and keys that expire under retries

Cause: that a paused owner of slots and claims that expire during retries run nothing twice was proved on the cores only. Excluded: nothing in ferryclaim needed a change. A first form of the case froze the entry with claims under way only; it did not see an entry that takes over a silent holder's claim, so calls already sent are under way now as well. Change: case `claims`: 32 keys sent and running, 32 being claimed (platform slow by 200 ms) when the entry is frozen for 8.5 s, which is past the 4 s of silence and the 3 s of suspicion; the same and 32 other keys go on at the two others; the entry is woken. Then keys kept for 4 s whose answers are cut off are repeated at all three entries over two expiries. The plain stand-in records when each call ran; a key may run again only after its retention (less 1 s: ends are kept in whole seconds). Before: no such case. Broken on purpose: a silent holder's claim taken over: 'key running-26 ran again after 2.451s, though it is kept for 24s'; an outcome not kept: 'key warm-25 ran again after 16ms'. Conclusion: held.

--- a/ferrystand/ferryproof/proof.go
+++ b/ferrystand/ferryproof/proof.go
@@ -32,7 +32,7 @@
 
 // Cases are all cases, in the order of the brief's promises.
 var Cases = []Case{
-	layers, kinds, wholeAnswers, notRun, atMostOnce, leaving, leavingCut, plannedStops, configuration, partition, silence, orders, together,
+	layers, kinds, wholeAnswers, notRun, atMostOnce, claims, leaving, leavingCut, plannedStops, configuration, partition, silence, orders, together,
 }
 
 // Report says how one case went.
--- a/ferrystand/ferrystandplain/server.go
+++ b/ferrystand/ferrystandplain/server.go
@@ -41,6 +41,8 @@
 	Method         string `json:"Method"`
 	Path           string `json:"Path"`
 	BodySHA256     string `json:"BodySHA256"`
+	// AtMillis is the Unix time in milliseconds at which the call ran.
+	AtMillis int64 `json:"AtMillis"`
 }
 
 // Records are the calls that ran, in order.
@@ -160,6 +162,7 @@
 		Method:         r.Method,
 		Path:           r.URL.Path,
 		BodySHA256:     hex.EncodeToString(sum[:]),
+		AtMillis:       s.clock.Now().UnixMilli(),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
