proof keys: TLS on a whole fleet, a stranger kept out, keys replaced without a restart

Cause: TLS was tested in ferrykeys and ferrycert and run by hand, and by no case over processes. Excluded: a stranger that runs for 3 s only: entries that verified nobody's certificate passed then, since they had not read the list that names it; it runs to the end of the case now. Callers and administrators of ferrydemo take TLS. Before: no such case. Broken on purpose: certificates verified only if given: 'entry-1 still takes the old certificate'; any certificate taken: 'the stranger has links: [entry-3]'; peers' certificates not verified when dialling: 'the stranger has links: [entry-1 entry-2 entry-3]'; files not read again: 'still shows a certificate of "old"'.

--- a/ferrystand/ferrydemo/caller.go
+++ b/ferrystand/ferrydemo/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,13 +19,26 @@
 
 // Caller calls one entry as a customer's program would.
 type Caller struct {
-	Entry string
-	Key   string
+	Entry  string
+	Key    string
+	http   *http.Client
+	scheme string
+}
+
+func (c Caller) client() *http.Client {
+	if c.http == nil {
+		return http.DefaultClient
+	}
+	return c.http
+}
+
+func (c Caller) url(path string) string {
+	return cmp.Or(c.scheme, "http://") + c.Entry + path
 }
 
 // Do sends one call and returns the whole answer.
 func (c Caller) Do(ctx context.Context, method, path, body string, header http.Header) (int, http.Header, string, error) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.Entry+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, c.url(path), strings.NewReader(body))
 	if err != nil {
 		return 0, nil, "", err
 	}
@@ -32,7 +46,7 @@
 		r.Header[k] = v
 	}
 	r.Header.Set("Authorization", "Bearer "+c.Key)
-	w, err := http.DefaultClient.Do(r)
+	w, err := c.client().Do(r)
 	if err != nil {
 		return 0, nil, "", err
 	}
@@ -43,7 +57,7 @@
 
 // Stream asks for a completion and calls each for every piece; it returns an error unless the stream ended with [DONE].
 func (c Caller) Stream(ctx context.Context, body, lastEventID string, each func(Chunk)) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Entry+"/v1/completions", strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url("/v1/completions"), strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -51,7 +65,7 @@
 	if lastEventID != "" {
 		r.Header.Set("Last-Event-ID", lastEventID)
 	}
-	w, err := http.DefaultClient.Do(r)
+	w, err := c.client().Do(r)
 	if err != nil {
 		return err
 	}
--- a/ferrystand/ferrydemo/demo.go
+++ b/ferrystand/ferrydemo/demo.go
@@ -190,12 +190,12 @@
 
 // admin reads an operator's answer of one entry.
 func (f *Fleet) admin(ctx context.Context, e *Entry, path string, v any) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Peers+path, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.scheme()+e.Peers+path, nil)
 	if err != nil {
 		return err
 	}
 	r.Header.Set("Authorization", "Bearer "+token)
-	w, err := http.DefaultClient.Do(r)
+	w, err := f.HTTP().Do(r)
 	if err != nil {
 		return err
 	}
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -91,8 +91,11 @@
 	Entries    []*Entry
 	// Journals, if set, is the directory in which each engine writes its steps to a file of its name.
 	Journals string
-	slots    int
-	policy   string
+	// Keys, if set before entries start, make both of their listeners use TLS.
+	Keys   *Keys
+	client *http.Client
+	slots  int
+	policy string
 }
 
 // Config says how large a fleet is.
@@ -314,6 +317,9 @@
 		"--platform.url", "http://" + f.Platform, "--keys.seal", SealKey, "--keys.operator-token", token,
 		"--stop.grace", "300ms", "--log.level", "info",
 	}
+	if f.Keys != nil {
+		args = append(args, f.Keys.entryFlags()...)
+	}
 	for _, other := range f.Entries {
 		if other != e {
 			args = append(args, "--peers.seed", other.reached())
@@ -327,7 +333,34 @@
 	if err := f.Register(ctx, e, ferryplatform.StateLive); err != nil {
 		return err
 	}
-	return p.WaitHTTP(ctx, "http://"+e.Callers+"/readyz")
+	return p.WaitHTTP(ctx, f.HTTP(), f.scheme()+e.Callers+"/readyz")
+}
+
+// UseKeys makes the entries to be started, and all that connects to them, use TLS with the keys.
+func (f *Fleet) UseKeys(k *Keys) error {
+	client, err := k.client()
+	f.Keys, f.client = k, client
+	return err
+}
+
+// HTTP is the client for connecting to entries.
+func (f *Fleet) HTTP() *http.Client {
+	if f.client == nil {
+		return http.DefaultClient
+	}
+	return f.client
+}
+
+func (f *Fleet) scheme() string {
+	if f.Keys != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+// Caller calls an entry's callers' address with a customer's key.
+func (f *Fleet) Caller(address, key string) Caller {
+	return Caller{Entry: address, Key: key, http: f.HTTP(), scheme: f.scheme()}
 }
 
 // Register writes an entry's row of the instance list, as the users' platform would.
@@ -382,9 +415,12 @@
 func (f *Fleet) Ctl(ctx context.Context, args ...string) (string, error) {
 	var peers []string
 	for _, e := range f.Entries {
-		peers = append(peers, "http://"+e.Peers)
+		peers = append(peers, f.scheme()+e.Peers)
 	}
 	args = append(args, "--entry", strings.Join(peers, ","), "--token", token)
+	if f.Keys != nil {
+		args = append(args, f.Keys.ctlFlags()...)
+	}
 	return f.Run(ctx, "ferryctl", args...)
 }
 
--- a/ferrystand/ferryprocess/process.go
+++ b/ferrystand/ferryprocess/process.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// WaitHTTP waits until a GET of the URL answers 200 or the process ends.
-func (p *Process) WaitHTTP(ctx context.Context, url string) error {
+// WaitHTTP waits until a GET of the URL with the client answers 200 or the process ends.
+func (p *Process) WaitHTTP(ctx context.Context, client *http.Client, url string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -162,20 +162,20 @@
 		case <-ctx.Done():
 		}
 	}()
-	err := pollHTTP(ctx, url)
+	err := pollHTTP(ctx, client, url)
 	if err != nil {
 		return fmt.Errorf("%s: %w\n%s", p.Name, err, p.Log())
 	}
 	return nil
 }
 
-func pollHTTP(ctx context.Context, url string) error {
+func pollHTTP(ctx context.Context, client *http.Client, url string) error {
 	return Poll(ctx, func(ctx context.Context) error {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
 			return err
 		}
-		w, err := http.DefaultClient.Do(r)
+		w, err := client.Do(r)
 		if err != nil {
 			return err
 		}
--- a/ferrystand/ferryproof/load.go
+++ b/ferrystand/ferryproof/load.go
@@ -100,7 +100,7 @@
 	var text strings.Builder
 	last := ""
 	for try := 0; ctx.Err() == nil; try++ {
-		c := ferrydemo.Caller{Entry: w.Entries[(q.at+try)%len(w.Entries)].Callers, Key: q.key}
+		c := w.Caller(w.Entries[(q.at+try)%len(w.Entries)].Callers, q.key)
 		if try == 0 && q.first != "" {
 			c.Entry = q.first
 		}
@@ -207,7 +207,7 @@
 func (w *world) sendTo(ctx context.Context, entry int, cow, key, body string, header http.Header) plainCall {
 	ctx, cancel := context.WithTimeout(ctx, postLimit)
 	defer cancel()
-	c := ferrydemo.Caller{Entry: w.Entries[entry%len(w.Entries)].Callers, Key: ferrydemo.CustomerKey}
+	c := w.Caller(w.Entries[entry%len(w.Entries)].Callers, ferrydemo.CustomerKey)
 	status, h, body, err := c.Do(ctx, http.MethodPost, "/v1/services/"+ferrydemo.PlainService+"/rations/"+cow, body, header)
 	out := plainCall{key: key, status: status, err: err, body: body}
 	if status >= http.StatusBadRequest {
--- a/ferrystand/ferryproof/proof.go
+++ b/ferrystand/ferryproof/proof.go
@@ -28,11 +28,13 @@
 	size   ferrydemo.Config
 	// journals says that engines write their steps to files, which outlive them.
 	journals bool
+	// prepare, if set, runs before anything is started.
+	prepare func(w *world) error
 }
 
 // Cases are all cases, in the order of the brief's promises.
 var Cases = []Case{
-	layers, kinds, wholeAnswers, notRun, atMostOnce, claims, leaving, leavingCut, plannedStops, configuration, partition, silence, orders, together,
+	layers, kinds, wholeAnswers, notRun, atMostOnce, claims, leaving, leavingCut, plannedStops, configuration, partition, silence, orders, keys, together,
 }
 
 // Report says how one case went.
@@ -50,6 +52,9 @@
 	rand  *rand.Rand
 	dir   string
 	notes []string
+	// authorities and served belong to the case with TLS.
+	authorities authorities
+	served      int
 }
 
 func (w *world) note(format string, args ...any) {
@@ -84,6 +89,11 @@
 	if c.journals {
 		w.Journals = w.dir
 	}
+	if c.prepare != nil {
+		if err := c.prepare(w); err != nil {
+			return err
+		}
+	}
 	if err := w.begin(ctx); err != nil {
 		return err
 	}
