proof stale: callers that keep an entry list through a planned stop see no error

Cause: planned stops over processes ran with a grace of 0.3 s, in which a caller with an older list meets a closed port. Change: case `stale`: 24 callers keep each /v1/entries answer for exactly its LifetimeSeconds, use its first entry alone and try no other; one of three entries is stopped with ferryd's own Stop.Grace (30 s). Before: no such case.

--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -94,6 +94,7 @@
 	// Keys, if set before entries start, make both of their listeners use TLS.
 	Keys   *Keys
 	client *http.Client
+	grace  []string
 	slots  int
 	policy string
 }
@@ -112,6 +113,8 @@
 	TokensPerSecond int
 	// Kinds makes the engines of eight kinds whose rates differ a hundredfold, and with EngineProxies their links too.
 	Kinds bool
+	// DefaultGrace leaves ferryd's own time of grace in a planned stop in place of a short one.
+	DefaultGrace bool
 	// PeerProxies puts a fault proxy before each entry's peers' listener.
 	PeerProxies bool
 	// EngineProxies puts a fault proxy before each engine.
@@ -132,6 +135,9 @@
 	if f.slots == 0 {
 		f.slots = defaultSlots
 	}
+	if !cfg.DefaultGrace {
+		f.grace = []string{"--stop.grace", "300ms"}
+	}
 	f.Platform, f.Plain = addresses[0], addresses[1]
 	addresses = addresses[2:]
 	for i := range cfg.Engines {
@@ -315,8 +321,9 @@
 	args := []string{
 		"--name", e.Name, "--failure-domain", e.Domain, "--callers.listen", e.Callers, "--peers.listen", e.Peers, "--peers.advertise", e.reached(),
 		"--platform.url", "http://" + f.Platform, "--keys.seal", SealKey, "--keys.operator-token", token,
-		"--stop.grace", "300ms", "--log.level", "info",
+		"--log.level", "info",
 	}
+	args = append(args, f.grace...)
 	if f.Keys != nil {
 		args = append(args, f.Keys.entryFlags()...)
 	}
--- a/ferrystand/ferryproof/proof.go
+++ b/ferrystand/ferryproof/proof.go
@@ -34,7 +34,7 @@
 
 // Cases are all cases, in the order of the brief's promises.
 var Cases = []Case{
-	layers, kinds, wholeAnswers, notRun, atMostOnce, claims, leaving, leavingCut, plannedStops, configuration, partition, silence, orders, keys, together,
+	layers, kinds, wholeAnswers, notRun, atMostOnce, claims, leaving, leavingCut, plannedStops, staleAnswers, configuration, partition, silence, orders, keys, together,
 }
 
 // Report says how one case went.
