Faults, resumes and a table of targets over real processes

Excluded: stand-in engines of mixed rates, since all engines of a stand-in fleet have the same slots. The virtual clock takes what is frozen or drained for gone. Existing tests: the golden fault lists name the two new kinds; the table's test gives the command, which is a field now; the steering test names its caller by the new key. All hold what they held before.

--- a/ferrybench/ferryexperiment/simulation.go
+++ b/ferrybench/ferryexperiment/simulation.go
@@ -241,15 +241,16 @@
 
 func (s *simulation) fault(f ferryworkload.Fault) {
 	for i := f.First; i < f.First+f.Count; i++ {
+		// On the virtual clock what is frozen or drained is gone at once.
 		switch f.Kind {
-		case ferryworkload.FaultKill:
+		case ferryworkload.FaultKill, ferryworkload.FaultFreeze:
 			s.kill(s.units[i])
 		case ferryworkload.FaultSlow:
 			s.setFactor(s.units[i], f.Factor)
 		case ferryworkload.FaultHeal:
 			s.units[i].alive = true
 			s.setFactor(s.units[i], 1)
-		case ferryworkload.FaultKillEntry:
+		case ferryworkload.FaultKillEntry, ferryworkload.FaultDrainEntry:
 			s.killEntry(s.entries[i])
 		}
 	}
--- a/ferrybench/ferryload/entry.go
+++ b/ferrybench/ferryload/entry.go
@@ -62,9 +62,11 @@
 	next int
 }
 
+// steerKey names one caller of a customer, each of which keeps an answer of its own.
 type steerKey struct {
 	customer ferryid.CustomerName
 	service  ferryid.ServiceName
+	caller   int
 }
 
 type kept struct {
@@ -78,8 +80,7 @@
 }
 
 // address returns the entry to use; without an answer it is one of the seeds in turn.
-func (e *entries) address(ctx context.Context, c ferryid.CustomerName, s ferryid.ServiceName) string {
-	key := steerKey{c, s}
+func (e *entries) address(ctx context.Context, key steerKey) string {
 	e.mu.Lock()
 	k := e.kept[key]
 	if k == nil {
@@ -101,23 +102,30 @@
 	return e.cfg.Entries[e.next%len(e.cfg.Entries)]
 }
 
-// failed puts an entry that could not be reached last in a customer's order.
-func (e *entries) failed(c ferryid.CustomerName, s ferryid.ServiceName, address string) {
+// failed puts an entry that could not be reached last in a caller's order.
+func (e *entries) failed(key steerKey, address string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	k := e.kept[steerKey{c, s}]
+	k := e.kept[key]
 	if k != nil && len(k.addresses) > 1 && k.addresses[0] == address {
 		k.addresses = append(k.addresses[1:], address)
 	}
 }
 
+// ask asks one seed after the other; if none answers, the old answer stays in use.
 func (e *entries) ask(ctx context.Context, key steerKey) {
-	s, err := e.get(ctx, key)
+	var s Steering
+	var err error
+	for range e.cfg.Entries {
+		if s, err = e.get(ctx, key); err == nil {
+			break
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	k := e.kept[key]
 	k.asking = false
-	k.until = e.cfg.Clock.Now().Add(s.lifetime())
+	k.until = e.cfg.Clock.Now().Add(max(e.cfg.Keep, s.lifetime()))
 	if err != nil {
 		return
 	}
--- a/ferrybench/ferryload/load_test.go
+++ b/ferrybench/ferryload/load_test.go
@@ -126,10 +126,59 @@
 	clock := clockwork.NewFakeClock()
 	e := newEntries(Config{Entries: []string{f.address}, Clock: clock, Client: srv.Client()})
 	for range 5 {
-		assert.Equal(t, e.address(context.Background(), "c", "m"), f.address)
+		assert.Equal(t, e.address(context.Background(), steerKey{customer: "c", service: "m"}), f.address)
 	}
 	assert.Equal(t, f.asked, 1)
 	clock.Advance(time.Hour + time.Second)
-	e.address(context.Background(), "c", "m")
+	e.address(context.Background(), steerKey{customer: "c", service: "m"})
 	assert.Equal(t, f.asked, 2)
 }
+
+// breakingEntry cuts each stream after its first token and goes on after the event that the caller names; it refuses the first resume.
+type breakingEntry struct {
+	mu      sync.Mutex
+	resumed []string
+}
+
+func (f *breakingEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := r.Header.Get("Last-Event-ID")
+	switch {
+	case r.URL.Path == "/v1/entries":
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case last == "":
+		fmt.Fprint(w, "id: one\ndata: {\"finish_reason\":null}\n\n")
+	case len(f.resumed) == 0:
+		f.resumed = append(f.resumed, last)
+		ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "full").After(time.Second).Write(w)
+	default:
+		f.resumed = append(f.resumed, last)
+		fmt.Fprint(w, "id: two\ndata: {\"finish_reason\":null}\n\ndata: {\"finish_reason\":\"length\"}\n\ndata: [DONE]\n\n")
+	}
+}
+
+func TestCutStreamsGoOnAfterTheirLastEvent(t *testing.T) {
+	f := &breakingEntry{}
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	w := &ferryworkload.Workload{
+		Kinds: ferryworkload.Kinds{{Name: "q", Repeatable: true}}, Customers: ferryworkload.Customers{{Name: "c", Share: 1, Load: 1}},
+		Retry: ferryworkload.Retry{Attempts: 2},
+	}
+	clock := clockwork.NewFakeClock()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for clock.BlockUntilContext(ctx, 1) == nil {
+			clock.Advance(time.Second)
+		}
+	}()
+	cfg := Config{Entries: []string{strings.TrimPrefix(srv.URL, "http://")}, Model: "m", MaxOpen: 1, Clock: clock, Client: srv.Client()}
+	s := Run(ctx, cfg, w, []ferryworkload.Arrival{{Customer: "c", Kind: &w.Kinds[0], Prompt: 3, Tokens: 2}})
+	assert.Equal(t, s.Result.All.InTime, 1)
+	assert.Equal(t, s.Resumed, 1)
+	assert.Equal(t, s.RefusedResumes, 1)
+	assert.Equal(t, s.Uneven, 0)
+	assert.DeepEqual(t, f.resumed, []string{"one", "one"})
+}
--- a/ferrybench/ferryload/request.go
+++ b/ferrybench/ferryload/request.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,17 +17,49 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferrybench/ferryexperiment"
+	"cactusferry.dev/ferrybench/ferryworkload"
 )
 
-// maxEventBytes bounds one line of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one line of a stream.
+	maxEventBytes = 1 << 20
+	// finished marks the event that gives the reason of the end, and no token.
+	finished = `"finish_reason":"`
+	// promptWords is how many words of three hexadecimal digits there are.
+	promptWords = 1 << 12
+)
 
-// answer is how one try ended.
+// answer is how one try ended; text says of a bad one what it was.
 type answer struct {
 	ok         bool
 	notRun     bool
 	ran        bool
 	retryAfter time.Duration
+	text       string
+}
+
+// call is one call from its first try to its end.
+type call struct {
+	*ferryexperiment.Sample
+	key steerKey
+	// id is the idempotency key of all tries.
+	id ferryid.RequestID
+	// last is the id of the last event that came, and got how many tokens did.
+	last    string
+	got     ferryid.Tokens
+	tries   int
+	breaks  int
+	resumed bool
+	failure string
+}
+
+func (l *Load) newCall(a *ferryworkload.Arrival, index int) *call {
+	service := l.cfg.Model
+	if a.Kind.Path != "" {
+		service = l.cfg.Plain
+	}
+	key := steerKey{customer: a.Customer, service: service, caller: index % max(1, l.cfg.Callers)}
+	return &call{Sample: &ferryexperiment.Sample{Arrival: a}, key: key, id: ferryid.NewRequestID()}
 }
 
 // completion is the body of POST /v1/completions.
@@ -37,36 +70,35 @@
 	Stream    bool           `json:"stream"`
 }
 
-func (l *Load) send(ctx context.Context, x *ferryexperiment.Sample) answer {
-	service := l.cfg.Model
-	if x.Arrival.Kind.Path != "" {
-		service = l.cfg.Plain
-	}
-	address := l.entries.address(ctx, x.Arrival.Customer, service)
-	req, err := l.request(ctx, x, address)
+func (l *Load) send(ctx context.Context, c *call) answer {
+	address := l.entries.address(ctx, c.key)
+	req, err := l.request(ctx, c, address)
 	if err != nil {
-		return answer{notRun: true}
+		return answer{notRun: true, text: err.Error()}
 	}
+	l.sent(address)
 	res, err := l.cfg.Client.Do(req)
 	if err != nil {
-		l.entries.failed(x.Arrival.Customer, service, address)
-		return answer{notRun: notConnected(err), retryAfter: time.Millisecond}
+		l.entries.failed(c.key, address)
+		return answer{notRun: notConnected(err), retryAfter: time.Millisecond, text: "no answer"}
 	}
 	defer res.Body.Close()
 	if res.StatusCode >= http.StatusBadRequest {
 		return refusal(res)
 	}
-	x.Started, x.Admitted = true, l.now()
-	if x.Arrival.Kind.Path != "" {
-		return l.readPlain(x, res.Body)
+	if !c.Started {
+		c.Started, c.Admitted = true, l.now()
+	}
+	if c.Arrival.Kind.Path != "" {
+		return l.readPlain(c, res.Body)
 	}
-	return l.readStream(x, res.Body)
+	return l.readStream(c, res.Body)
 }
 
-func (l *Load) request(ctx context.Context, x *ferryexperiment.Sample, address string) (*http.Request, error) {
-	k := x.Arrival.Kind
+func (l *Load) request(ctx context.Context, c *call, address string) (*http.Request, error) {
+	k := c.Arrival.Kind
 	method, target := http.MethodPost, "http://"+address+"/v1/completions"
-	body, err := json.Marshal(completion{Model: string(l.cfg.Model), Prompt: prompt(x), MaxTokens: x.Arrival.Tokens, Stream: true})
+	body, err := json.Marshal(completion{Model: string(l.cfg.Model), Prompt: prompt(c.Sample), MaxTokens: c.Arrival.Tokens, Stream: true})
 	if k.Path != "" {
 		method, target = k.Method, "http://"+address+"/v1/services/"+string(l.cfg.Plain)+k.Path
 		body = nil
@@ -80,21 +112,29 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	if k.Path != "" && !k.Repeatable {
-		req.Header.Set("Idempotency-Key", string(ferryid.NewRequestID()))
+		req.Header.Set("Idempotency-Key", string(c.id))
 	}
-	authorize(req, l.cfg, x.Arrival.Customer)
+	if c.last != "" {
+		req.Header.Set("Last-Event-ID", c.last)
+	}
+	authorize(req, l.cfg, c.Arrival.Customer)
 	return req, nil
 }
 
-// prompt is a text of as many words as the call has prompt tokens, the shared ones first.
+// prompt is a text of as many words of four bytes as the call has prompt tokens, the shared ones first and the next unlike any
+// other call's.
 func prompt(x *ferryexperiment.Sample) string {
 	var b strings.Builder
-	for i := range x.Arrival.Prompt {
-		if i < x.Arrival.Kind.Shared {
-			b.WriteString("p" + strconv.FormatUint(x.Arrival.Prefix, 10) + " ")
-			continue
+	a := x.Arrival
+	for i := range a.Prompt {
+		switch {
+		case i < a.Kind.Shared:
+			fmt.Fprintf(&b, "%03x ", (a.Prefix+uint64(i))%promptWords)
+		case i == a.Kind.Shared:
+			fmt.Fprintf(&b, "%x ", uint64(a.At))
+		default:
+			fmt.Fprintf(&b, "%03x ", i%promptWords)
 		}
-		b.WriteString("w" + strconv.Itoa(int(i)) + " ")
 	}
 	return b.String()
 }
@@ -107,7 +147,7 @@
 
 func refusal(res *http.Response) answer {
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswerBytes))
-	a := answer{}
+	a := answer{text: res.Status}
 	switch ferryoutcome.Outcome(res.Header.Get(ferryoutcome.Header)) {
 	case ferryoutcome.NotRun:
 		a.notRun = true
@@ -120,31 +160,47 @@
 	return a
 }
 
-func (l *Load) readPlain(x *ferryexperiment.Sample, r io.Reader) answer {
+func (l *Load) readPlain(c *call, r io.Reader) answer {
 	if _, err := io.Copy(io.Discard, r); err != nil {
-		return answer{}
+		return answer{text: "cut off"}
 	}
-	x.First = l.now()
-	l.serve(x, 1)
+	c.First = l.now()
+	l.serve(c, 1)
 	return answer{ok: true}
 }
 
-// readStream counts the events of a stream; one that ends without [DONE] was cut off.
-func (l *Load) readStream(x *ferryexperiment.Sample, r io.Reader) answer {
+// readStream counts the tokens of a stream; one that ends without [DONE] was cut off.
+func (l *Load) readStream(c *call, r io.Reader) answer {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, maxEventBytes)
+	id := ""
 	for sc.Scan() {
-		data, ok := strings.CutPrefix(sc.Text(), "data:")
-		if !ok {
-			continue
-		}
-		if strings.TrimSpace(data) == "[DONE]" {
+		field, value, _ := strings.Cut(sc.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch {
+		case field == "id":
+			id = value
+		case field == "event" && value == "error":
+			return answer{text: "error event"}
+		case field != "data" || strings.Contains(value, finished):
+		case value == "[DONE]":
 			return answer{ok: true}
+		default:
+			l.token(c, id)
 		}
-		if x.First == 0 {
-			x.First = l.now()
-		}
-		l.serve(x, 1)
 	}
-	return answer{}
+	return answer{text: "cut off"}
+}
+
+// token takes one token; the first one stands for the reading of the prompt, too.
+func (l *Load) token(c *call, id string) {
+	work := 1.0
+	if c.First == 0 {
+		c.First = l.now()
+		work += ferryworkload.PrefillShare * float64(c.Arrival.Prompt)
+	}
+	c.resumed = c.resumed || c.breaks > 0 && c.last != ""
+	c.last = id
+	c.got++
+	l.serve(c, work)
 }
--- a/ferrybench/ferryworkload/workload.go
+++ b/ferrybench/ferryworkload/workload.go
@@ -145,10 +145,12 @@
 
 // The kinds of faults.
 const (
-	FaultKill      FaultKind = "Kill"
-	FaultSlow      FaultKind = "Slow"
-	FaultHeal      FaultKind = "Heal"
-	FaultKillEntry FaultKind = "KillEntry"
+	FaultKill       FaultKind = "Kill"
+	FaultFreeze     FaultKind = "Freeze"
+	FaultSlow       FaultKind = "Slow"
+	FaultHeal       FaultKind = "Heal"
+	FaultKillEntry  FaultKind = "KillEntry"
+	FaultDrainEntry FaultKind = "DrainEntry"
 )
 
 // Fault happens at a time to Count runners or entries, from the index First on.
@@ -308,13 +310,13 @@
 		inRange(c, f+"At", time.Duration(x.At).Seconds(), 0, time.Duration(w.Duration).Seconds())
 		most := w.Units()
 		switch x.Kind {
-		case FaultKill, FaultHeal:
-		case FaultKillEntry:
+		case FaultKill, FaultFreeze, FaultHeal:
+		case FaultKillEntry, FaultDrainEntry:
 			most = w.Entries
 		case FaultSlow:
 			inRange(c, f+"Factor", x.Factor, 1e-3, 1)
 		default:
-			c.Fault(f+"Kind", "must be Kill, Slow, Heal or KillEntry, is %q", x.Kind)
+			c.Fault(f+"Kind", "must be Kill, Freeze, Slow, Heal, KillEntry or DrainEntry, is %q", x.Kind)
 		}
 		if x.First < 0 || x.Count < 1 || x.First+x.Count > most {
 			c.Fault(f+"Count", "must name 1 or more of the %d there are, from First on", most)
--- a/ferrybench/figure.go
+++ b/ferrybench/figure.go
@@ -18,6 +18,7 @@
 	Met      bool    `json:"Met"`
 	Workload string  `json:"Workload"`
 	Seed     uint64  `json:"Seed"`
+	Command  string  `json:"Command"`
 }
 
 // target is the stated bound of a measure; none has an empty Op.
@@ -47,7 +48,10 @@
 }
 
 func amount(x float64, unit string) string {
-	if math.IsNaN(x) || math.IsInf(x, 0) {
+	if math.IsNaN(x) {
+		return "-"
+	}
+	if math.IsInf(x, 0) {
 		return "never"
 	}
 	return fmt.Sprintf("%.4g %s", x, unit)
@@ -70,8 +74,8 @@
 	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
 	for i := range fs {
 		f := &fs[i]
-		fmt.Fprintf(tw, "| %s\t| %s\t| %s\t| %s\t| %s\t| %s\t| `ferrybench policy --point %s`\t| %d\t|\n",
-			f.Point, f.Measure, f.Target.text(f.Unit), amount(f.Baseline, f.Unit), amount(f.Now, f.Unit), f.judge(), f.Point, f.Seed)
+		fmt.Fprintf(tw, "| %s\t| %s\t| %s\t| %s\t| %s\t| %s\t| `%s`\t| %d\t|\n",
+			f.Point, f.Measure, f.Target.text(f.Unit), amount(f.Baseline, f.Unit), amount(f.Now, f.Unit), f.judge(), f.Command, f.Seed)
 	}
 	return tw.Flush()
 }
--- /dev/null
+++ b/ferrybench/livefault.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferry/ferryroute"
+	"cactusferry.dev/ferrybench/ferryworkload"
+	"cactusferry.dev/ferrystand/ferrydemo"
+	"cactusferry.dev/ferrystand/ferrystandengine"
+)
+
+// watchEvery is how often the entries are asked for the state of their upstreams.
+const watchEvery = 500 * time.Millisecond
+
+// liveFleet is a fleet of processes that meets the faults of a workload, whose runners are its engines.
+type liveFleet struct {
+	*ferrydemo.Fleet
+	w       *ferryworkload.Workload
+	policy  livePolicy
+	tenants []ferrydemo.Tenant
+	mu      sync.Mutex
+	found   map[string]time.Duration
+}
+
+// bound is what the engines can do at a time by their stated rates and the faults so far, in tokens/s: each half of the layers
+// is held by half of them.
+func (l *liveFleet) bound(at time.Duration) float64 {
+	rates := make([]float64, len(l.Engines))
+	for i, e := range l.Engines {
+		rates[i] = float64(e.TokensPerSecond)
+	}
+	for _, f := range l.w.Faults {
+		if time.Duration(f.At) > at {
+			continue
+		}
+		for i := f.First; i < f.First+f.Count && i < len(rates); i++ {
+			switch f.Kind {
+			case ferryworkload.FaultKill, ferryworkload.FaultFreeze:
+				rates[i] = 0
+			case ferryworkload.FaultSlow:
+				rates[i] = f.Factor * float64(l.Engines[i].TokensPerSecond)
+			case ferryworkload.FaultHeal:
+				rates[i] = float64(l.Engines[i].TokensPerSecond)
+			}
+		}
+	}
+	var halves [2]float64
+	for i, r := range rates {
+		halves[i%2] += r
+	}
+	return min(halves[0], halves[1])
+}
+
+// playFaults brings the faults of the workload about, each at its time.
+func (l *liveFleet) playFaults(ctx context.Context) {
+	start := time.Now()
+	for _, f := range l.w.Faults {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(f.At) - time.Since(start)):
+		}
+		for i := f.First; i < f.First+f.Count; i++ {
+			if err := l.fault(ctx, f, i); err != nil {
+				fmt.Fprintf(os.Stderr, "fault %s %d: %v\n", f.Kind, i, err)
+			}
+		}
+	}
+}
+
+func (l *liveFleet) fault(ctx context.Context, f ferryworkload.Fault, i int) error {
+	switch f.Kind {
+	case ferryworkload.FaultKill:
+		l.Engines[i].Process.Kill()
+		return nil
+	case ferryworkload.FaultFreeze:
+		return l.Engines[i].Process.Signal(syscall.SIGSTOP)
+	case ferryworkload.FaultSlow:
+		rate := f.Factor * float64(l.Engines[i].TokensPerSecond)
+		return l.setFaults(ctx, l.Engines[i], ferrystandengine.Faults{TokensPerSecond: ferryid.TokensPerSecond(rate)})
+	case ferryworkload.FaultHeal:
+		return l.heal(ctx, l.Engines[i])
+	case ferryworkload.FaultKillEntry:
+		l.Entries[i].Process.Kill()
+		return nil
+	case ferryworkload.FaultDrainEntry:
+		return l.drain(ctx, l.Entries[i])
+	}
+	return fmt.Errorf("no such fault")
+}
+
+// heal starts a dead engine anew, and lets another go on as before.
+func (l *liveFleet) heal(ctx context.Context, e *ferrydemo.Engine) error {
+	if err := e.Process.Signal(syscall.SIGCONT); err != nil {
+		return l.StartEngine(ctx, e)
+	}
+	return l.setFaults(ctx, e, ferrystandengine.Faults{})
+}
+
+func (l *liveFleet) setFaults(ctx context.Context, e *ferrydemo.Engine, f ferrystandengine.Faults) error {
+	return l.PutJSON(ctx, "http://"+e.Address+"/admin/faults", f)
+}
+
+// drain takes an entry away as the platform does: its row says so first.
+func (l *liveFleet) drain(ctx context.Context, e *ferrydemo.Entry) error {
+	if err := l.Register(ctx, e, ferryplatform.StateLeaving); err != nil {
+		return err
+	}
+	return e.Process.Signal(syscall.SIGTERM)
+}
+
+// watch notes when an entry first takes an engine for slow.
+func (l *liveFleet) watch(ctx context.Context) {
+	start := time.Now()
+	t := time.NewTicker(watchEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, e := range l.Entries {
+			l.look(ctx, e, start)
+		}
+	}
+}
+
+func (l *liveFleet) look(ctx context.Context, e *ferrydemo.Entry, start time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, watchEvery)
+	defer cancel()
+	st, err := l.Admin(e).Status(ctx)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, sv := range st.Services {
+		for _, u := range sv.Upstreams {
+			if _, ok := l.found[string(u.Name)]; !ok && u.State == ferryroute.StateSlow {
+				l.found[string(u.Name)] = time.Since(start)
+			}
+		}
+	}
+}
+
+func (l *liveFleet) slowFound() map[string]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.found)
+}
--- a/ferrybench/point.go
+++ b/ferrybench/point.go
@@ -52,6 +52,7 @@
 		out = append(out, figure{
 			Point: strconv.Itoa(p.number), Measure: m.name, Unit: m.unit, Target: m.target,
 			Baseline: base[i].value, Now: m.value, Met: m.target.met(m.value), Workload: p.workload, Seed: w.Seed,
+			Command: fmt.Sprintf("ferrybench policy --point %d", p.number),
 		})
 	}
 	return out, []*ferryexperiment.Result{baseResult, nowResult}, nil
@@ -99,17 +100,22 @@
 
 func measureCrest(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
 	r := ferryexperiment.Run(w, w.Arrivals(), p)
+	return crestMeasures(w, r, crestFrom, crestTo), r
+}
+
+// crestMeasures are the figures of a run whose crest is between two times.
+func crestMeasures(w *ferryworkload.Workload, r *ferryexperiment.Result, from, to time.Duration) measures {
 	g := &r.All
 	return measures{
 		{"admitted work that meets its deadline", "of admitted", atLeast(0.95), share(g.InTime, g.Admitted)},
 		{"first token p95 of admitted work, from the try that was admitted", "s", target{}, g.FirstTry.P95.Seconds()},
 		{"first token p95 of admitted work, from the first try", "s", atMost(1.6), g.First.P95.Seconds()},
 		{"between tokens p95", "ms", atMost(46), g.Between.P95.Seconds() * 1000},
-		{"goodput from the end of the rise to the fall", "of capacity", atLeast(0.95), r.Mean(crestFrom, crestTo, inTime) / r.Bound},
+		{"goodput from the end of the rise to the fall", "of capacity", atLeast(0.95), r.Mean(from, to, inTime) / r.Bound},
 		{"refusals within 100 ms", "of refusals", atLeast(1), 1 - share(r.LateRefusals, r.Refusals)},
 		{"tries for each call", "x", target{}, 1 + share(r.Refusals, g.Offered)},
 		{"least admitted share of a customer over its fair part", "x", target{}, leastFair(w, r)},
-	}, r
+	}
 }
 
 // leastFair is the work in time of the customer that got least for its share, over what its share stands for.
--- a/ferrybench/point_test.go
+++ b/ferrybench/point_test.go
@@ -21,9 +21,9 @@
 
 func TestTableOfFigures(t *testing.T) {
 	fs := []figure{
-		{Point: "1", Measure: "a", Unit: "x", Target: atMost(1.5), Baseline: 2, Now: 1, Met: true, Seed: 3},
-		{Point: "2", Measure: "b", Unit: "s", Target: atLeast(0.95), Baseline: math.Inf(1), Now: 0.5, Seed: 3},
-		{Point: "3", Measure: "c", Unit: "ms", Now: 12.3456},
+		{Point: "1", Measure: "a", Unit: "x", Target: atMost(1.5), Baseline: 2, Now: 1, Met: true, Seed: 3, Command: "ferrybench policy --point 1"},
+		{Point: "2", Measure: "b", Unit: "s", Target: atLeast(0.95), Baseline: math.Inf(1), Now: 0.5, Seed: 3, Command: "ferrybench policy --point 2"},
+		{Point: "3", Measure: "c", Unit: "ms", Now: 12.3456, Command: "ferrybench policy --point 3"},
 	}
 	var b writer
 	assert.NilError(t, writeTable(&b, fs))
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"cactusferry.dev/ferry/ferryadmin"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferrystand/ferryprocess"
@@ -88,6 +89,14 @@
 	Entries    []*Entry
 	slots      int
 	policy     string
+	customers  []Tenant
+}
+
+// Tenant is one customer of both services.
+type Tenant struct {
+	Name  string
+	Key   string
+	Share float64
 }
 
 // Config says how large a fleet is.
@@ -100,6 +109,8 @@
 	Slots int
 	// Policy is the text of the section [Policy] of the model's document, if any.
 	Policy string
+	// Customers are those of both services; if there are none, the demo's two.
+	Customers []Tenant
 	// TokensPerSecond is the rate of every engine; if 0 they differ.
 	TokensPerSecond int
 	// PeerProxies puts a fault proxy before each entry's peers' listener.
@@ -118,7 +129,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots, policy: cfg.Policy}
+	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots, policy: cfg.Policy, customers: cfg.Customers}
+	if len(f.customers) == 0 {
+		f.customers = []Tenant{{Customer, CustomerKey, 1}, {"smolyan", OtherKey, 1}}
+	}
 	if f.slots == 0 {
 		f.slots = defaultSlots
 	}
@@ -365,7 +379,7 @@
 		fmt.Fprintf(&b, "[[Upstreams]]\nName = %q\nAddress = %q\nFailureDomain = %q\nAccelerator = %q\n", e.Name, e.Reached(), e.Domain, e.Accelerator)
 		fmt.Fprintf(&b, "Layers = { From = %d, To = %d }\nTokensPerSecond = %d.0\nSlots = %d\n\n", e.Layers.From, e.Layers.To, e.TokensPerSecond, f.slots)
 	}
-	return b.String() + customers()
+	return b.String() + f.customerRows()
 }
 
 // PlainDocument is the document of the plain service.
@@ -390,7 +404,7 @@
 Path = "/rations/*"
 Idempotent = false
 
-`, PlainService, f.plainReached(), domains[0]) + customers()
+`, PlainService, f.plainReached(), domains[0]) + f.customerRows()
 }
 
 func (f *Fleet) plainReached() string {
@@ -400,11 +414,16 @@
 	return f.Plain
 }
 
-func customers() string {
+func (f *Fleet) customerRows() string {
 	var b strings.Builder
-	for _, c := range [][2]string{{Customer, CustomerKey}, {"smolyan", OtherKey}} {
-		sum := sha256.Sum256([]byte(c[1]))
-		fmt.Fprintf(&b, "[[Customers]]\nName = %q\nKeySHA256 = [%q]\nShare = 1.0\n\n", c[0], hex.EncodeToString(sum[:]))
+	for _, c := range f.customers {
+		sum := sha256.Sum256([]byte(c.Key))
+		fmt.Fprintf(&b, "[[Customers]]\nName = %q\nKeySHA256 = [%q]\nShare = %.3f\n\n", c.Name, hex.EncodeToString(sum[:]), c.Share)
 	}
 	return b.String()
 }
+
+// Admin is a client of an entry's operators' interface.
+func (f *Fleet) Admin(e *Entry) *ferryadmin.Client {
+	return ferryadmin.NewClient("http://"+e.Peers, token, nil)
+}
