A resumed stream is not refused for load

Cause: ferryd did not tell the queue that a call resumes a stream, the published view turned resumed work away, and a full queue could evict it. Excluded: a slot ahead of the customer's other work; shares stay as they are. Change: completions set Item.Resumed; the view lets resumed work pass; eviction passes over it. Conclusion: a resume is still refused where no upstream takes work, where the customer's calls/s are used up, and by an entry that stops.

--- a/ferry/ferryqueue/admission_test.go
+++ b/ferry/ferryqueue/admission_test.go
@@ -122,4 +122,5 @@
 	assert.Assert(t, p.RetryAfter > 0)
 	assert.Equal(t, a.Snapshot().TurnedAway, uint64(1))
 	assert.Assert(t, a.turnAway(&Item{Customer: "b", Class: "short"}) == nil)
+	assert.Assert(t, a.turnAway(&Item{Customer: "a", Class: "short", Resumed: true}) == nil)
 }
--- a/ferry/ferryqueue/queue_test.go
+++ b/ferry/ferryqueue/queue_test.go
@@ -203,6 +203,20 @@
 	assert.Equal(t, q.Waiting(), 10)
 }
 
+func TestFullQueueKeepsResumedWork(t *testing.T) {
+	q := New(Config{Capacity: 1, Length: 3, MaxWait: time.Hour})
+	fill(t, q, "hog", 2, 10)
+	resumed := item("resumed", "hog", 10)
+	resumed.Resumed = true
+	assert.Assert(t, q.Enqueue(resumed, start) == nil)
+	r := q.Enqueue(item("x", "other", 10), start)
+	assert.Assert(t, r != nil)
+	assert.Equal(t, len(q.Dropped()), 0)
+	again := item("again", "hog", 10)
+	again.Resumed = true
+	assert.Assert(t, q.Enqueue(again, start) == nil)
+}
+
 func TestOutgrownWorkChangesClassAndGivesWay(t *testing.T) {
 	q := New(Config{Classes: twoClasses(), Capacity: 4})
 	fill(t, q, "a", 4, 10)
--- a/ferry/ferryqueue/refuse.go
+++ b/ferry/ferryqueue/refuse.go
@@ -109,7 +109,7 @@
 func (q *Queue) newest(c ferryid.CustomerName) *entry {
 	var best *flow
 	for _, l := range q.lanes {
-		if f := l.flows[c]; f != nil && f.n > 0 && f.tail.preempted == 0 && (best == nil || f.n > best.n) {
+		if f := l.flows[c]; f != nil && f.n > 0 && f.tail.preempted == 0 && !f.tail.Resumed && (best == nil || f.n > best.n) {
 			best = f
 		}
 	}
--- a/ferry/ferryqueue/snapshot.go
+++ b/ferry/ferryqueue/snapshot.go
@@ -70,7 +70,7 @@
 
 // refuses reports whether work of the item's class is refused for its customer at present.
 func (v *view) refuses(it *Item, now time.Time) (time.Duration, bool) {
-	if len(v.lanes) == 0 || now.Sub(v.at) > viewLifetime {
+	if len(v.lanes) == 0 || it.Resumed || now.Sub(v.at) > viewLifetime {
 		return 0, false
 	}
 	for i := range v.lanes {
--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -156,6 +156,7 @@
 	return ferryqueue.Item{
 		ID: st.caller.id, Customer: st.caller.customer.Name, Prompt: ferryid.Tokens(1 + len(st.job.Prompt)/bytesPerToken),
 		MaxTokens: ferryid.Tokens(st.job.MaxTokens), Deadline: st.job.Deadline, Arrived: st.server.Clock.Now(),
+		Resumed: st.resume != nil,
 	}
 }
 
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -43,6 +43,7 @@
 	docs      map[ferryid.ServiceName]*ferryservice.Document
 	admission *ferryqueue.Admission
 	words     []string
+	asked     ferryqueue.Item
 	failAt    int
 	upstream  string
 }
@@ -70,6 +71,7 @@
 func (f *fakes) Retry(*ferryservice.Document) bool { return true }
 
 func (f *fakes) Acquire(ctx context.Context, _ *ferryservice.Document, it ferryqueue.Item) (*ferryqueue.Grant, error) {
+	f.asked = it
 	return f.admission.Acquire(ctx, it)
 }
 
@@ -225,8 +227,10 @@
 	ids := eventIDs(whole)
 	assert.Equal(t, len(ids), 3)
 	assert.Equal(t, texts(t, whole), "a b c")
+	assert.Assert(t, !f.asked.Resumed)
 	_, rest := send(t, http.MethodPost, url+"/v1/completions", keyA, body, EventIDHeader, ids[0])
 	assert.Equal(t, texts(t, rest), " b c")
+	assert.Assert(t, f.asked.Resumed)
 	_, end := send(t, http.MethodPost, url+"/v1/completions", keyA, body, EventIDHeader, ids[2])
 	assert.Equal(t, texts(t, end), "")
 	assert.Assert(t, strings.HasSuffix(end, "data: [DONE]\n\n"))
