Engines get no more streams than their slots while others have room

Cause: the pool of engines chose by outstanding work alone. With all slots granted, some engines had more streams than slots and others fewer; a stream that waits for a slot at its second stage holds one at its first. Excluded: admission, which grants no more than the slots of the whole fleet. Change: the pool knows this entry's part of each engine's slots (Candidate.Credit) and how many streams it has there; a full engine comes after all that have room. TestPoolKeepsToSlots seen failing without the rule. Conclusion: over processes still to be measured.

--- a/ferry/ferrypipeline/plan.go
+++ b/ferry/ferrypipeline/plan.go
@@ -26,6 +26,9 @@
 	Rate ferryid.TokensPerSecond
 	// Outstanding is the predicted work given to the candidate and not done.
 	Outstanding ferryid.Tokens
+	// Slots is how many jobs this entry may have on the candidate while others have room, unbounded if 0, and Running how many it has.
+	Slots   int
+	Running int
 	// Avoid keeps new work away.
 	Avoid bool
 }
--- a/ferry/ferrypipeline/planner.go
+++ b/ferry/ferrypipeline/planner.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	maxDomains   = 16
-	sumWeight    = 0.5
+	maxDomains = 16
+	sumWeight  = 0.5
+	// noSlot is what a job without a slot costs, in seconds, so that full engines come after all that have room.
+	noSlot       = 10.0
 	noPlan       = -1
 	startOfChain = -2
 )
@@ -194,7 +196,11 @@
 
 // seconds is how long the candidate takes until it has done its work and this job's share.
 func seconds(l *Load, share float64, tokens ferryid.Tokens) float64 {
-	return (float64(l.Outstanding) + float64(tokens)*share) / float64(l.Rate)
+	s := (float64(l.Outstanding) + float64(tokens)*share) / float64(l.Rate)
+	if l.Slots > 0 && l.Running >= l.Slots {
+		s += float64(1+l.Running-l.Slots) * noSlot
+	}
+	return s
 }
 
 // chooseChain goes over the boundaries from layer 0 and keeps the best chain to each boundary and last failure domain.
--- a/ferry/ferrypipeline/planner_test.go
+++ b/ferry/ferrypipeline/planner_test.go
@@ -174,6 +174,34 @@
 	assert.Equal(t, pick(), ferryid.UpstreamName("slow"), "the second time it is avoided for longer")
 }
 
+// An engine whose slots are taken comes after a slower one that has room, and the least overfull one first.
+func TestPoolKeepsToSlots(t *testing.T) {
+	cfg := ferrypipeline.PlannerConfig{Layers: 4, Candidates: ferrypipeline.Candidates{
+		{Name: "quick", Layers: ferryid.LayerRange{To: 4}}, {Name: "slow", Layers: ferryid.LayerRange{To: 4}},
+	}}
+	pool, err := ferrypipeline.NewPool(cfg, []ferrypipeline.Load{{Rate: 1000, Slots: 2}, {Rate: 100, Slots: 1}}, clockwork.NewFakeClock())
+	assert.NilError(t, err)
+	var plans []ferrypipeline.Plan
+	var names []ferryid.UpstreamName
+	for range 5 {
+		plan, err := pool.Pick(&ferrypipeline.Job{MaxTokens: 10}, nil)
+		assert.NilError(t, err)
+		plans, names = append(plans, plan), append(names, plan.Stages[0].Name)
+	}
+	assert.DeepEqual(t, names, []ferryid.UpstreamName{"quick", "quick", "slow", "quick", "slow"})
+	assert.NilError(t, pool.Set(cfg, pool.Loads()))
+	for _, p := range plans {
+		pool.Done(p, 10)
+	}
+	assert.Equal(t, pool.Loads()[0].Running+pool.Loads()[1].Running, 0)
+	pool.SetSlots("quick", 0)
+	for range 3 {
+		plan, err := pool.Pick(&ferrypipeline.Job{MaxTokens: 10}, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, plan.Stages[0].Name, ferryid.UpstreamName("quick"), "no slots stated is no bound")
+	}
+}
+
 // Measured links turn the choice; a measurement that can't be right changes nothing.
 func TestPoolLearnsLinks(t *testing.T) {
 	cfg := ferrypipeline.PlannerConfig{Layers: 4, Candidates: ferrypipeline.Candidates{
--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -67,6 +67,7 @@
 		index[c.Name] = i
 		if old, ok := p.index[c.Name]; ok {
 			loads[i].Outstanding = p.loads[old].Outstanding - p.others[old]
+			loads[i].Running = p.loads[old].Running
 		}
 	}
 	p.planner, p.index, p.loads = planner, index, loads
@@ -148,6 +149,7 @@
 		if i, ok := p.index[s.Name]; ok {
 			work := ferryid.Tokens(sign * float64(plan.Tokens) * s.Share)
 			p.loads[i].Outstanding = max(p.others[i], p.loads[i].Outstanding+work)
+			p.loads[i].Running = max(0, p.loads[i].Running+int(sign))
 		}
 	}
 }
@@ -161,6 +163,15 @@
 	}
 }
 
+// SetSlots sets how many jobs this entry may have on an engine while others have room.
+func (p *Pool) SetSlots(name ferryid.UpstreamName, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i, ok := p.index[name]; ok {
+		p.loads[i].Slots = n
+	}
+}
+
 // Loads returns a copy of the present loads, parallel to the candidates.
 func (p *Pool) Loads() []Load {
 	p.mu.Lock()
--- a/ferry/ferryroute/snapshot.go
+++ b/ferry/ferryroute/snapshot.go
@@ -32,6 +32,8 @@
 	FailureDomain ferryid.DomainName      `json:"FailureDomain"`
 	Layers        ferryid.LayerRange      `json:"Layers"`
 	Slots         int                     `json:"Slots"`
+	// Credit is this entry's part of the slots, one while the upstream is probed.
+	Credit        int                     `json:"Credit"`
 	State         State                   `json:"State"`
 	Rate          ferryid.TokensPerSecond `json:"Rate"`
 	Outstanding   ferryid.Tokens          `json:"Outstanding"`
@@ -90,8 +92,12 @@
 // At returns the upstream at an index that Choose returned.
 func (s *Snapshot) At(i int) Candidate {
 	r := &s.rows[i]
+	credit := r.credit
+	if r.state == StateProbing {
+		credit = 1
+	}
 	return Candidate{
-		Name: r.name, Address: r.address, FailureDomain: r.domain, Layers: r.layers, Slots: r.slots, State: r.state,
+		Name: r.name, Address: r.address, FailureDomain: r.domain, Layers: r.layers, Slots: r.slots, Credit: credit, State: r.state,
 		Rate:        ferryid.TokensPerSecond(r.load.rate()),
 		Outstanding: ferryid.Tokens(r.load.outstanding()),
 		Running:     r.load.running(),
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -60,6 +60,7 @@
 	if reflect.DeepEqual(cfg, m.cfg) {
 		for i, c := range cfg.Candidates {
 			m.pool.Avoid(c.Name, loads[i].Avoid)
+			m.pool.SetSlots(c.Name, loads[i].Slots)
 		}
 		return nil
 	}
@@ -88,7 +89,9 @@
 			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
 			Incarnation: s.incarnations[upstreamKey(d.Service, c.Name)],
 		})
-		loads = append(loads, ferrypipeline.Load{Rate: max(c.Rate, unknownRate), Avoid: c.State != ferryroute.StateLive && c.State != ferryroute.StateProbing})
+		loads = append(loads, ferrypipeline.Load{
+			Rate: max(c.Rate, unknownRate), Slots: c.Credit, Avoid: c.State != ferryroute.StateLive && c.State != ferryroute.StateProbing,
+		})
 	}
 	return cfg, loads
 }
