Engines that fail or turn slow are known to the table

Cause: ferryd ran streams through the pool of engines and told the table of upstreams nothing: dead engines stayed in the slots that admission grants, and no engine was ever found slow (the pool hears of an engine's rate at the end of a stream, which a slow one puts off). Excluded: the load reports, whose rate is the stated one. Where nothing else holds a layer, failed engines are tried with one stream. Slow means now that each slot and all slots together are slow, since streams that share an engine's rate are not a fault of the engine.

--- a/ferry/ferryroute/health.go
+++ b/ferry/ferryroute/health.go
@@ -23,20 +23,23 @@
 	maxTimeOut     = 30 * time.Second
 )
 
-// speed is what one slot of an upstream serves, in tokens/s.
+// speed is what one slot of an upstream serves, in tokens/s; whole is the same over all slots, of those that are taken.
 type speed struct {
 	expected float64
 	baseline float64
 	recent   float64
+	whole    float64
 	samples  int
 }
 
-func (s *speed) observe(r float64) {
+func (s *speed) observe(r float64, running int) {
 	s.samples++
+	whole := r * float64(max(1, running))
 	if s.samples == 1 {
-		s.recent = r
+		s.recent, s.whole = r, whole
 	}
 	s.recent += recentWeight * (r - s.recent)
+	s.whole += recentWeight * (whole - s.whole)
 	if s.baseline == 0 {
 		s.baseline = r
 	}
@@ -44,19 +47,20 @@
 }
 
 func (s *speed) restart() {
-	s.samples, s.recent = 0, 0
+	s.samples, s.recent, s.whole = 0, 0, 0
 }
 
-// relative is the recent speed over the expected one.
-func (s *speed) relative() (float64, bool) {
+// relative is the recent speed of a slot, and that of all slots together, over the expected one.
+func (u *upstream) relative() (slot, whole float64, ok bool) {
+	s := &u.speed
 	want := s.expected
 	if want <= 0 {
 		want = s.baseline
 	}
 	if s.samples < minSamples || want <= 0 {
-		return 0, false
+		return 0, 0, false
 	}
-	return s.recent / want, true
+	return s.recent / want, s.whole / (want * float64(max(1, u.row.slots))), true
 }
 
 // health is whether an upstream is out, and for how long.
@@ -84,7 +88,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u.speed.observe(float64(n) / d.Seconds())
+	u.speed.observe(float64(n)/d.Seconds(), u.row.load.running())
 	u.setRate()
 	if u.health.state != "" && u.health.state != StateProbing {
 		return
@@ -95,27 +99,30 @@
 	}
 }
 
-// slow compares an upstream's relative speed with the median of all, so that a busy hour takes nobody out.
+// slow compares an upstream's relative speed with the median of all, so that a busy hour takes nobody out; each slot must be slow
+// and all of them together, so that nobody is out for having more streams than others, or fewer.
 func (t *Table) slow(u *upstream) bool {
-	mine, ok := u.speed.relative()
+	mine, mineWhole, ok := u.relative()
 	if !ok {
 		return false
 	}
 	out := 0
 	all := make([]float64, 0, len(t.upstreams))
+	wholes := make([]float64, 0, len(t.upstreams))
 	for _, o := range t.upstreams {
 		if o.health.state == StateSlow {
 			out++
 		}
-		if r, ok := o.speed.relative(); ok {
-			all = append(all, r)
+		if r, whole, ok := o.relative(); ok {
+			all, wholes = append(all, r), append(wholes, whole)
 		}
 	}
 	if len(all) < 3 || float64(out+1) > maxSlowShare*float64(len(t.upstreams)) {
 		return false
 	}
 	slices.Sort(all)
-	return mine < slowShare*all[len(all)/2]
+	slices.Sort(wholes)
+	return mine < slowShare*all[len(all)/2] && mineWhole < slowShare*wholes[len(wholes)/2]
 }
 
 func (t *Table) succeeded(u *upstream) {
--- a/ferry/ferryroute/slots.go
+++ b/ferry/ferryroute/slots.go
@@ -1,6 +1,10 @@
 package ferryroute
 
-import "cactusferry.dev/ferry/ferryid"
+import (
+	"slices"
+
+	"cactusferry.dev/ferry/ferryid"
+)
 
 // defaultSlots is how many calls an upstream takes at once whose document states no slots.
 const defaultSlots = 64
@@ -45,6 +49,21 @@
 	return max(1, n)
 }
 
+// TrialSlots is 1 if upstreams that do not leave, failed or not, hold every layer, and 0 otherwise.
+func (s *Snapshot) TrialSlots() int {
+	stays := func(layer ferryid.Layer) bool {
+		return slices.ContainsFunc(s.rows, func(r row) bool {
+			return r.state != StateLeaving && (r.layers.Len() == 0 || r.layers.Contains(layer))
+		})
+	}
+	for layer := range max(1, s.layers()) {
+		if !stays(layer) {
+			return 0
+		}
+	}
+	return 1
+}
+
 // layers is one more than the last layer that any upstream holds.
 func (s *Snapshot) layers() ferryid.Layer {
 	last := ferryid.Layer(0)
--- a/ferry/ferryroute/snapshot.go
+++ b/ferry/ferryroute/snapshot.go
@@ -27,17 +27,17 @@
 
 // Candidate is one upstream as a choice sees it.
 type Candidate struct {
-	Name          ferryid.UpstreamName    `json:"Name"`
-	Address       string                  `json:"Address"`
-	FailureDomain ferryid.DomainName      `json:"FailureDomain"`
-	Layers        ferryid.LayerRange      `json:"Layers"`
-	Slots         int                     `json:"Slots"`
+	Name          ferryid.UpstreamName `json:"Name"`
+	Address       string               `json:"Address"`
+	FailureDomain ferryid.DomainName   `json:"FailureDomain"`
+	Layers        ferryid.LayerRange   `json:"Layers"`
+	Slots         int                  `json:"Slots"`
 	// Credit is this entry's part of the slots, one while the upstream is probed.
-	Credit        int                     `json:"Credit"`
-	State         State                   `json:"State"`
-	Rate          ferryid.TokensPerSecond `json:"Rate"`
-	Outstanding   ferryid.Tokens          `json:"Outstanding"`
-	Running       int                     `json:"Running"`
+	Credit      int                     `json:"Credit"`
+	State       State                   `json:"State"`
+	Rate        ferryid.TokensPerSecond `json:"Rate"`
+	Outstanding ferryid.Tokens          `json:"Outstanding"`
+	Running     int                     `json:"Running"`
 }
 
 // Candidates is a list of candidates.
@@ -104,6 +104,16 @@
 	}
 }
 
+// NameOf returns the upstream at an address.
+func (s *Snapshot) NameOf(address string) (ferryid.UpstreamName, bool) {
+	for i := range s.rows {
+		if s.rows[i].address == address {
+			return s.rows[i].name, true
+		}
+	}
+	return "", false
+}
+
 // Candidates returns every upstream that may take work now; a probing one only while it is idle.
 func (s *Snapshot) Candidates() Candidates {
 	out := make(Candidates, 0, len(s.rows))
--- a/ferry/ferryroute/table_test.go
+++ b/ferry/ferryroute/table_test.go
@@ -153,6 +153,31 @@
 	assert.Equal(t, tb.Snapshot().At(2).State, StateLive)
 }
 
+// An upstream whose streams share its rate is not slow for having ten of them.
+func TestBusyUpstreamIsNotSlow(t *testing.T) {
+	tb := table(6, Options{})
+	for range 3 * minSamples {
+		for i := range 6 {
+			n := 1
+			if i == 0 {
+				n = 10
+			}
+			var ds []*Dispatch
+			for range n {
+				ds = append(ds, tb.Start(ferryid.UpstreamName(fmt.Sprintf("u%d", i)), 100, start))
+			}
+			for _, d := range ds {
+				d.Progress(1, start)
+				d.Progress(101, start.Add(time.Duration(n)*time.Second))
+				d.Cancel(start)
+			}
+		}
+	}
+	for _, c := range tb.Snapshot().All() {
+		assert.Equal(t, c.State, StateLive, "%s", c.Name)
+	}
+}
+
 func TestAtMostAThirdIsTakenOutForSlowness(t *testing.T) {
 	tb := table(6, Options{})
 	for range 100 {
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -38,7 +38,7 @@
 		}
 	}
 	engines := &observedEngines{
-		Client: s.engines, table: table,
+		Client: s.engines, table: table, clock: s.clock,
 		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
 	}
 	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
@@ -84,18 +84,32 @@
 func (s *services) planner(d *ferryservice.Document, table *ferryroute.Table) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
 	cfg := ferrypipeline.PlannerConfig{Layers: d.Model.Layers, Fixed: d.Pipelines}
 	var loads []ferrypipeline.Load
-	for _, c := range table.Snapshot().All() {
+	snap := table.Snapshot()
+	// Where nothing else holds a layer, engines that failed are better than none.
+	none := snap.Slots() == 0
+	for _, c := range snap.All() {
 		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{
 			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
 			Incarnation: s.incarnations[upstreamKey(d.Service, c.Name)],
 		})
 		loads = append(loads, ferrypipeline.Load{
-			Rate: max(c.Rate, unknownRate), Slots: c.Credit, Avoid: c.State != ferryroute.StateLive && c.State != ferryroute.StateProbing,
+			Rate: max(c.Rate, unknownRate), Slots: c.Credit, Avoid: avoided(c.State, none),
 		})
 	}
 	return cfg, loads
 }
 
+// avoided reports whether an engine in this state gets no new work.
+func avoided(s ferryroute.State, none bool) bool {
+	switch s {
+	case ferryroute.StateLive, ferryroute.StateProbing:
+		return false
+	case ferryroute.StateLeaving:
+		return true
+	}
+	return !none
+}
+
 // models admits calls and runs completions of all services.
 type models struct{ node *Node }
 
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -247,13 +247,17 @@
 	}
 }
 
-// slots is how many calls may run at once; where every upstream that does not leave has failed, one for each, so that calls find out which is back.
+// slots is how many calls may run at once; where every upstream that does not leave has failed, one for each, or one for all layers of a
+// model, so that calls find out which is back.
 func (sv *service) slots() int {
 	snap := sv.table.Snapshot()
 	n := snap.Slots()
-	if n > 0 || sv.doc.Load().Kind != ferryservice.KindPlain {
+	if n > 0 {
 		return n
 	}
+	if sv.doc.Load().Kind == ferryservice.KindModel {
+		return snap.TrialSlots()
+	}
 	for _, c := range snap.All() {
 		if c.State != ferryroute.StateLeaving {
 			n++
