A dead failure domain's streams are moved by their entry

Cause: the budget of retries began with 10 whatever the size of the fleet; when several engines died, most of their streams ended with an error event and were resumed by their callers, which generates them anew from their first token. Excluded: more retries in the long run; RetryShare stays. TestAsManyStreamsAsSlotsMayBeMovedAtOnce seen failing with the constant burst. Conclusion: over processes still to be measured.

--- a/ferry/ferrypipeline/budget.go
+++ b/ferry/ferrypipeline/budget.go
@@ -27,6 +27,15 @@
 	return &RetryBudget{share: share, burst: float64(burst), left: float64(burst)}
 }
 
+// SetBurst changes the burst; what a larger one adds may be used at once.
+func (b *RetryBudget) SetBurst(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left += max(0, float64(n)-b.burst)
+	b.burst = float64(n)
+	b.left = min(b.left, b.burst)
+}
+
 // First counts a first try.
 func (b *RetryBudget) First() {
 	b.mu.Lock()
--- a/ferryd/ferrynode/engine_test.go
+++ b/ferryd/ferrynode/engine_test.go
@@ -177,3 +177,19 @@
 	assert.DeepEqual(t, states(sv), map[ferryid.UpstreamName]ferryroute.State{"a": "Live", "b": "Slow", "c": "Live"})
 	assert.Equal(t, sv.slots(), 8)
 }
+
+// When a failure domain dies, every stream that runs may be moved once.
+func TestAsManyStreamsAsSlotsMayBeMovedAtOnce(t *testing.T) {
+	sv, _, _ := observedService(t)
+	b := sv.model.Load().runner.Budget
+	for range 3 * 8 {
+		assert.NilError(t, b.Retry())
+	}
+	assert.Assert(t, b.Retry() != nil)
+	b.SetBurst(30)
+	for range 6 {
+		assert.NilError(t, b.Retry())
+	}
+	b.SetBurst(10)
+	assert.Assert(t, b.Retry() != nil)
+}
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -43,10 +43,20 @@
 	}
 	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
 		Engines: engines, Picker: picker, Clock: s.clock, Log: s.events,
-		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, retryBurst),
+		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, burst(loads)),
 	}}, nil
 }
 
+// burst is how many streams may be moved at once: when a failure domain dies, one for each slot, since a caller that resumes a stream
+// costs more than the entry that moves it.
+func burst(loads []ferrypipeline.Load) int {
+	n := 0
+	for _, l := range loads {
+		n += l.Slots
+	}
+	return max(retryBurst, n)
+}
+
 // outdated reports whether the model has to be made anew: for another policy, or for other engines where the policy keeps no account.
 func (m *model) outdated(d *ferryservice.Document, cfg ferrypipeline.PlannerConfig) bool {
 	if m.policy != d.Policy.Route {
@@ -57,6 +67,7 @@
 
 // set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
 func (m *model) set(cfg ferrypipeline.PlannerConfig, loads []ferrypipeline.Load) error {
+	m.runner.Budget.SetBurst(burst(loads))
 	if reflect.DeepEqual(cfg, m.cfg) {
 		for i, c := range cfg.Candidates {
 			m.pool.Avoid(c.Name, loads[i].Avoid)
