--- a/ferry/ferrysubset/subset.go
+++ b/ferry/ferrysubset/subset.go
@@ -57,11 +57,11 @@
 
 // Whole reports whether so many entries all work all of the candidates that get work.
 func (c Config) Whole(entries, candidates int) bool {
-	return candidates <= c.AllUpTo || c.copies(entries, candidates) >= float64(entries)
+	return candidates <= c.AllUpTo || c.Copies(entries, candidates) >= float64(entries)
 }
 
-// copies is the mean number of entries that work a candidate.
-func (c Config) copies(entries, candidates int) float64 {
+// Copies is the mean number of entries that work a candidate.
+func (c Config) Copies(entries, candidates int) float64 {
 	return max(float64(c.Entries), float64(entries)*float64(c.Size)/float64(max(1, candidates)))
 }
 
@@ -107,7 +107,7 @@
 		return out
 	}
 	own := xxhash.Sum64String(string(self))
-	copies := c.cfg.copies(len(entries), working)
+	copies := c.cfg.Copies(len(entries), working)
 	for i, h := range c.hashes {
 		if c.worked(own, h, int(copies+unit(h))) {
 			c.add(i)
