--- a/ferry/ferrypeer/overlay.go
+++ b/ferry/ferrypeer/overlay.go
@@ -45,6 +45,7 @@
 	topics map[TopicName]*topicState
 	names  []TopicName
 	links  map[LinkID]*link
+	ids    []LinkID
 	byName map[ferryid.EntryName]*link
 	listed map[ferryid.EntryName]listedEntry
 	wanted map[ferryid.EntryName]time.Time
@@ -266,19 +267,19 @@
 
 func (o *Overlay) leave() {
 	o.leaving = true
+	// There is no later digest for a peer that asked not to be pushed to.
+	for _, l := range o.links {
+		l.eager = true
+	}
 	o.table.self.Status = Left
 	o.table.self.Until = o.now.Add(tombstoneFor).Unix()
 	o.table.announce(true)
 	o.drainOwn()
-	for _, l := range o.links {
-		l.eager = true
-	}
 	o.flush()
 }
 
-func (o *Overlay) linkIDs() []LinkID {
-	return slices.Sorted(maps.Keys(o.links))
-}
+// linkIDs returns the links' ids, ordered; the slice stays as it is while links come and go.
+func (o *Overlay) linkIDs() []LinkID { return o.ids }
 
 func sortedByName(m map[ferryid.EntryName]time.Time) []ferryid.EntryName {
 	return slices.SortedFunc(maps.Keys(m), cmp.Compare)
--- a/ferry/ferrypipeline/pool.go
+++ b/ferry/ferrypipeline/pool.go
@@ -67,6 +67,7 @@
 		index[c.Name] = i
 		if old, ok := p.index[c.Name]; ok {
 			loads[i].Outstanding = p.loads[old].Outstanding - p.others[old]
+			loads[i].Running = p.loads[old].Running
 		}
 	}
 	p.planner, p.index, p.loads = planner, index, loads
@@ -78,6 +79,15 @@
 
 // Pick chooses the plan whose slowest stage is done first; an engine that one job excludes is avoided by all for a while, unless there is no chain without it.
 func (p *Pool) Pick(job *Job, exclude []ferryid.UpstreamName) (Plan, error) {
+	return p.pick(job, exclude, true)
+}
+
+// PickUnsuspected is Pick, but returns a *NoChainError rather than a plan with an engine that other jobs failed on.
+func (p *Pool) PickUnsuspected(job *Job, exclude []ferryid.UpstreamName) (Plan, error) {
+	return p.pick(job, exclude, false)
+}
+
+func (p *Pool) pick(job *Job, exclude []ferryid.UpstreamName, suspectsToo bool) (Plan, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -87,7 +97,7 @@
 	tokens := ferryid.Tokens(job.MaxTokens - len(job.Resume))
 	p.mark(exclude, now)
 	err := p.planner.Choose(p.loads, p.excluded, tokens, &p.scratch)
-	if err != nil && len(p.suspects) > 0 {
+	if err != nil && suspectsToo && len(p.suspects) > 0 {
 		p.mark(exclude, time.Time{})
 		err = p.planner.Choose(p.loads, p.excluded, tokens, &p.scratch)
 	}
@@ -148,6 +158,7 @@
 		if i, ok := p.index[s.Name]; ok {
 			work := ferryid.Tokens(sign * float64(plan.Tokens) * s.Share)
 			p.loads[i].Outstanding = max(p.others[i], p.loads[i].Outstanding+work)
+			p.loads[i].Running = max(0, p.loads[i].Running+int(sign))
 		}
 	}
 }
@@ -161,6 +172,15 @@
 	}
 }
 
+// SetSlots sets how many jobs this entry may have on an engine while others have room.
+func (p *Pool) SetSlots(name ferryid.UpstreamName, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i, ok := p.index[name]; ok {
+		p.loads[i].Slots = n
+	}
+}
+
 // Loads returns a copy of the present loads, parallel to the candidates.
 func (p *Pool) Loads() []Load {
 	p.mu.Lock()
--- a/ferry/ferryservice/upstream.go
+++ b/ferry/ferryservice/upstream.go
@@ -17,6 +17,9 @@
 	maxRate      = 1e9
 )
 
+// DefaultSlots is how many calls an upstream is taken to run at once whose document states no slots.
+const DefaultSlots = 64
+
 // Upstream is one engine or plain back end of a service.
 type Upstream struct {
 	Name            ferryid.UpstreamName    `toml:"Name" json:"Name"`
--- a/ferrystand/ferrydemo/fleet.go
+++ b/ferrystand/ferrydemo/fleet.go
@@ -12,9 +12,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"cactusferry.dev/ferry/ferryadmin"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferrystand/ferryprocess"
@@ -31,7 +33,8 @@
 	Operator     = "morning"
 	token        = "demo-operator-token"
 	Layers       = 16
-	sealKey      = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+	// SealKey is the key with which the entries seal resume tokens and tickets, in hexadecimal.
+	SealKey = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 )
 
 var domains = []string{"ruse-a", "varna-b", "pleven-c"}
@@ -47,6 +50,7 @@
 	Process         *ferryprocess.Process
 	// Proxy, if any, is what entries and other engines connect to.
 	Proxy *ferryproxy.Proxy
+	link  time.Duration
 }
 
 // Reached is the address that the service document names.
@@ -86,8 +90,22 @@
 	PlainProxy *ferryproxy.Proxy
 	Engines    []*Engine
 	Entries    []*Entry
-	slots      int
-	policy     string
+	// Journals, if set, is the directory in which each engine writes its steps to a file of its name.
+	Journals string
+	// Keys, if set before entries start, make both of their listeners use TLS.
+	Keys      *Keys
+	client    *http.Client
+	grace     []string
+	slots     int
+	policy    string
+	customers []Tenant
+}
+
+// Tenant is one customer of both services.
+type Tenant struct {
+	Name  string
+	Key   string
+	Share float64
 }
 
 // Config says how large a fleet is.
@@ -100,8 +118,14 @@
 	Slots int
 	// Policy is the text of the section [Policy] of the model's document, if any.
 	Policy string
+	// Customers are those of both services; if there are none, the demo's two.
+	Customers []Tenant
 	// TokensPerSecond is the rate of every engine; if 0 they differ.
 	TokensPerSecond int
+	// Kinds makes the engines of eight kinds whose rates differ a hundredfold, and with EngineProxies their links too.
+	Kinds bool
+	// DefaultGrace leaves ferryd's own time of grace in a planned stop in place of a short one.
+	DefaultGrace bool
 	// PeerProxies puts a fault proxy before each entry's peers' listener.
 	PeerProxies bool
 	// EngineProxies puts a fault proxy before each engine.
@@ -118,14 +142,23 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots, policy: cfg.Policy}
+	f := &Fleet{Group: ferryprocess.Group{Dir: cfg.Dir}, slots: cfg.Slots, policy: cfg.Policy, customers: cfg.Customers}
+	if len(f.customers) == 0 {
+		f.customers = []Tenant{{Customer, CustomerKey, 1}, {"smolyan", OtherKey, 1}}
+	}
 	if f.slots == 0 {
 		f.slots = defaultSlots
 	}
+	if !cfg.DefaultGrace {
+		f.grace = []string{"--stop.grace", "300ms"}
+	}
 	f.Platform, f.Plain = addresses[0], addresses[1]
 	addresses = addresses[2:]
 	for i := range cfg.Engines {
 		e := newEngine(i, addresses[i])
+		if cfg.Kinds {
+			e.setKind(kinds[(i/2)%len(kinds)], i%2)
+		}
 		if cfg.TokensPerSecond > 0 {
 			e.TokensPerSecond = cfg.TokensPerSecond
 		}
@@ -165,6 +198,7 @@
 			if err != nil {
 				return err
 			}
+			e.Proxy.SetAll(e.Link())
 		}
 	}
 	return nil
@@ -194,18 +228,53 @@
 	if i%2 == 1 {
 		layers = ferryid.LayerRange{From: half, To: Layers}
 	}
-	kinds := []string{"h100", "a100", "l40s"}
-	k := (i / 2) % len(kinds)
+	accelerators := []string{"h100", "a100", "l40s"}
+	k := (i / 2) % len(accelerators)
 	return &Engine{
 		Name:            fmt.Sprintf("engine-%d", i+1),
 		Address:         address,
 		Domain:          domains[(i/2)%len(domains)],
 		Layers:          layers,
-		Accelerator:     kinds[k],
+		Accelerator:     accelerators[k],
 		TokensPerSecond: []int{2000, 1000, 400}[k],
 	}
 }
 
+// kind is a kind of accelerator with its rate, the time a piece takes on its link, and where its two engines share the layers.
+type kind struct {
+	name            string
+	tokensPerSecond int
+	link            time.Duration
+	split           ferryid.Layer
+}
+
+var kinds = []kind{
+	{"h200", 4000, 6 * time.Millisecond, 8},
+	{"h100", 2000, 200 * time.Microsecond, 8},
+	{"a100", 1000, 3 * time.Millisecond, 4},
+	{"l40s", 600, 400 * time.Microsecond, 8},
+	{"a10", 300, 12 * time.Millisecond, 12},
+	{"l4", 150, 800 * time.Microsecond, 8},
+	{"t4", 80, 20 * time.Millisecond, 8},
+	{"cpu", 40, 1500 * time.Microsecond, 4},
+}
+
+func (e *Engine) setKind(k kind, half int) {
+	e.Accelerator, e.TokensPerSecond, e.link = k.name, k.tokensPerSecond, k.link
+	e.Layers = ferryid.LayerRange{From: 0, To: k.split}
+	if half == 1 {
+		e.Layers = ferryid.LayerRange{From: k.split, To: Layers}
+	}
+}
+
+// Link is what the engine's proxy does while nothing is wrong.
+func (e *Engine) Link() ferryproxy.Fault {
+	if e.link > 0 {
+		return ferryproxy.Delay{Time: e.link}
+	}
+	return ferryproxy.Pass{}
+}
+
 // StartUpstreams starts the platform, the plain service and the engines, and waits for each.
 func (f *Fleet) StartUpstreams(ctx context.Context) error {
 	if _, err := f.StartReady(ctx, "platform", "ferrystand", "platform", "--listen", f.Platform); err != nil {
@@ -236,10 +305,16 @@
 
 // StartEngine starts one engine and waits for it.
 func (f *Fleet) StartEngine(ctx context.Context, e *Engine) error {
-	p, err := f.StartReady(ctx, e.Name, "ferrystand", "engine", "--name", e.Name, "--listen", e.Address,
+	args := []string{
+		"engine", "--name", e.Name, "--listen", e.Address,
 		"--domain", e.Domain, "--service", ModelService, "--layers", fmt.Sprintf("%d:%d", e.Layers.From, e.Layers.To),
 		"--accelerator", e.Accelerator, "--tokens-per-second", fmt.Sprint(e.TokensPerSecond), "--slots", fmt.Sprint(f.slots),
-		"--platform", "http://"+f.Platform)
+		"--platform", "http://" + f.Platform,
+	}
+	if f.Journals != "" {
+		args = append(args, "--journal", filepath.Join(f.Journals, e.Name))
+	}
+	p, err := f.StartReady(ctx, e.Name, "ferrystand", args...)
 	e.Process = p
 	if err != nil || e.Proxy == nil {
 		return err
@@ -259,8 +334,12 @@
 func (f *Fleet) StartEntry(ctx context.Context, e *Entry) error {
 	args := []string{
 		"--name", e.Name, "--failure-domain", e.Domain, "--callers.listen", e.Callers, "--peers.listen", e.Peers, "--peers.advertise", e.reached(),
-		"--platform.url", "http://" + f.Platform, "--keys.seal", sealKey, "--keys.operator-token", token,
-		"--stop.grace", "300ms", "--log.level", "info",
+		"--platform.url", "http://" + f.Platform, "--keys.seal", SealKey, "--keys.operator-token", token,
+		"--log.level", "info",
+	}
+	args = append(args, f.grace...)
+	if f.Keys != nil {
+		args = append(args, f.Keys.entryFlags()...)
 	}
 	for _, other := range f.Entries {
 		if other != e {
@@ -275,7 +354,34 @@
 	if err := f.Register(ctx, e, ferryplatform.StateLive); err != nil {
 		return err
 	}
-	return p.WaitHTTP(ctx, "http://"+e.Callers+"/readyz")
+	return p.WaitHTTP(ctx, f.HTTP(), f.scheme()+e.Callers+"/readyz")
+}
+
+// UseKeys makes the entries to be started, and all that connects to them, use TLS with the keys.
+func (f *Fleet) UseKeys(k *Keys) error {
+	client, err := k.client()
+	f.Keys, f.client = k, client
+	return err
+}
+
+// HTTP is the client for connecting to entries.
+func (f *Fleet) HTTP() *http.Client {
+	if f.client == nil {
+		return http.DefaultClient
+	}
+	return f.client
+}
+
+func (f *Fleet) scheme() string {
+	if f.Keys != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+// Caller calls an entry's callers' address with a customer's key.
+func (f *Fleet) Caller(address, key string) Caller {
+	return Caller{Entry: address, Key: key, http: f.HTTP(), scheme: f.scheme()}
 }
 
 // Register writes an entry's row of the instance list, as the users' platform would.
@@ -330,9 +436,12 @@
 func (f *Fleet) Ctl(ctx context.Context, args ...string) (string, error) {
 	var peers []string
 	for _, e := range f.Entries {
-		peers = append(peers, "http://"+e.Peers)
+		peers = append(peers, f.scheme()+e.Peers)
 	}
 	args = append(args, "--entry", strings.Join(peers, ","), "--token", token)
+	if f.Keys != nil {
+		args = append(args, f.Keys.ctlFlags()...)
+	}
 	return f.Run(ctx, "ferryctl", args...)
 }
 
@@ -365,7 +474,7 @@
 		fmt.Fprintf(&b, "[[Upstreams]]\nName = %q\nAddress = %q\nFailureDomain = %q\nAccelerator = %q\n", e.Name, e.Reached(), e.Domain, e.Accelerator)
 		fmt.Fprintf(&b, "Layers = { From = %d, To = %d }\nTokensPerSecond = %d.0\nSlots = %d\n\n", e.Layers.From, e.Layers.To, e.TokensPerSecond, f.slots)
 	}
-	return b.String() + customers()
+	return b.String() + f.customerRows()
 }
 
 // PlainDocument is the document of the plain service.
@@ -390,7 +499,7 @@
 Path = "/rations/*"
 Idempotent = false
 
-`, PlainService, f.plainReached(), domains[0]) + customers()
+`, PlainService, f.plainReached(), domains[0]) + f.customerRows()
 }
 
 func (f *Fleet) plainReached() string {
@@ -400,11 +509,16 @@
 	return f.Plain
 }
 
-func customers() string {
+func (f *Fleet) customerRows() string {
 	var b strings.Builder
-	for _, c := range [][2]string{{Customer, CustomerKey}, {"smolyan", OtherKey}} {
-		sum := sha256.Sum256([]byte(c[1]))
-		fmt.Fprintf(&b, "[[Customers]]\nName = %q\nKeySHA256 = [%q]\nShare = 1.0\n\n", c[0], hex.EncodeToString(sum[:]))
+	for _, c := range f.customers {
+		sum := sha256.Sum256([]byte(c.Key))
+		fmt.Fprintf(&b, "[[Customers]]\nName = %q\nKeySHA256 = [%q]\nShare = %.3f\n\n", c.Name, hex.EncodeToString(sum[:]), c.Share)
 	}
 	return b.String()
 }
+
+// Admin is a client of an entry's operators' interface.
+func (f *Fleet) Admin(e *Entry) *ferryadmin.Client {
+	return ferryadmin.NewClient("http://"+e.Peers, token, nil)
+}
