A key refused for want of platform calls says so

Cause: a key that could not be claimed since this entry's or its slot owner's budget of platform calls was used up was refused as PlatformDown, 'while the platform is away'. Excluded: a larger budget, which is the fleet's by settings. Change: Overloaded with the budget's own Retry-After; the owner's decision carries it to the entry that passed the write on. After: go test -race ./ferry/ferryclaim passes. Conclusion: operators and callers can tell an outage from too many keyed calls.

--- a/ferry/ferryclaim/attempt.go
+++ b/ferry/ferryclaim/attempt.go
@@ -123,10 +123,10 @@
 	}
 	if v.sent {
 		a.t.release(a.mine.Ref)
-		return endStep{err: platformDown(v.err), release: &a.mine}
+		return endStep{err: unclaimed(v.err), release: &a.mine}
 	}
 	a.t.forget(a.mine.Ref)
-	return end(platformDown(v.err))
+	return end(unclaimed(v.err))
 }
 
 func (a *attempt) heldBy(rec Record) step {
--- a/ferry/ferryclaim/forward.go
+++ b/ferry/ferryclaim/forward.go
@@ -33,6 +33,8 @@
 	Held Record `cbor:"2,keyasint"`
 	// Sent is true after DecisionRefused if the record may be on the platform all the same.
 	Sent bool `cbor:"3,keyasint"`
+	// RetryAfter is set after DecisionRefused if the owner may not ask the platform before then.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // DecisionKind says which answer a Decision is.
@@ -58,7 +60,12 @@
 	case held:
 		return Decision{Kind: DecisionHeld, Held: v.rec}
 	case refused:
-		return Decision{Kind: DecisionRefused, Sent: v.sent}
+		d := Decision{Kind: DecisionRefused, Sent: v.sent}
+		var budget *ferryplatform.BudgetError
+		if errors.As(v.err, &budget) {
+			d.RetryAfter = budget.RetryAfter
+		}
+		return d
 	}
 	return Decision{Kind: DecisionGranted}
 }
@@ -68,6 +75,9 @@
 	case DecisionHeld:
 		return held{d.Held}
 	case DecisionRefused:
+		if d.RetryAfter > 0 {
+			return refused{&ferryplatform.BudgetError{Op: "claim", RetryAfter: d.RetryAfter}, d.Sent}
+		}
 		return refused{errOwnerDown, d.Sent}
 	}
 	return granted{}
--- a/ferry/ferryclaim/replay.go
+++ b/ferry/ferryclaim/replay.go
@@ -1,12 +1,14 @@
 package ferryclaim
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferryplatform"
 )
 
 const (
@@ -51,7 +53,15 @@
 		"the key or ticket was used for another method, path or body; this call was not run")
 }
 
-func platformDown(err error) error {
+// unclaimed is the refusal of a key that could not be claimed, for want of the platform or of calls to it.
+func unclaimed(err error) error {
+	var budget *ferryplatform.BudgetError
+	if errors.As(err, &budget) {
+		return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun,
+			"more keys are being claimed than the platform may be asked about; this call was not run, "+
+				"and earlier calls with the key were not looked up: retry with the same key").
+			After(max(budget.RetryAfter, progressRetryAfter)).Because(err)
+	}
 	return ferryoutcome.New(ferryoutcome.KindPlatformDown, ferryoutcome.NotRun,
 		"the key can't be claimed while the platform is away; this call was not run, "+
 			"and earlier calls with the key were not looked up: retry with the same key").
