--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,11 +44,15 @@
 	TLS *tls.Config
 	// Lister gives the instance list, or is nil.
 	Lister ferryplatform.Lister
-	// Secret is the key that all entries share; each side proves it at hello.
+	// Dial opens connections to peers, or is nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Secret is the key that this entry proves at hello.
 	Secret []byte
-	Log    zerolog.Logger
-	Events *ferryevent.Log
-	Topics []Topic
+	// OtherSecrets are further keys that a peer may prove, so that a key can be replaced entry by entry.
+	OtherSecrets [][]byte
+	Log          zerolog.Logger
+	Events       *ferryevent.Log
+	Topics       []Topic
 	// Handlers answer the Asks of peers.
 	Handlers map[AskKind]Handler
 	// OnMembers, if set, is called with each new snapshot of the membership by the overlay's goroutine, and must not block.
@@ -110,7 +115,7 @@
 		answers:  make(chan struct{}, maxAnswering), askers: make(chan struct{}, maxAskers), hellos: make(chan struct{}, maxHellos), left: make(chan struct{}), done: make(chan struct{}),
 		conns: map[LinkID]*conn{}, byTag: map[Tag]*conn{}, asks: map[Tag]*conn{},
 	}
-	n.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.TLS}}
+	n.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.TLS, DialContext: cfg.Dial}}
 	n.overlay = NewOverlay(OverlayConfig{Self: cfg.Self, Seeds: cfg.Seeds, Topics: cfg.Topics}, cfg.Clock.Now())
 	for _, t := range n.overlay.topics {
 		n.volatile[t.Name] = t.Volatile
