--- a/ferry/ferryroute/slots.go
+++ b/ferry/ferryroute/slots.go
@@ -1,9 +1,11 @@
 package ferryroute
 
-import "cactusferry.dev/ferry/ferryid"
+import (
+	"slices"
 
-// defaultSlots is how many calls an upstream takes at once whose document states no slots.
-const defaultSlots = 64
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryservice"
+)
 
 // SetShare tells that this entry is the one of the given index, from 0, among so many that share the upstreams; all entries
 // must count in the same order.
@@ -18,7 +20,7 @@
 func (t *Table) credit(u *upstream) int {
 	slots := u.row.slots
 	if slots == 0 {
-		slots = defaultSlots
+		slots = ferryservice.DefaultSlots
 	}
 	n := slots / t.entries
 	place := (t.entry + int(u.row.seed%uint64(t.entries))) % t.entries
@@ -45,6 +47,21 @@
 	return max(1, n)
 }
 
+// TrialSlots is 1 if upstreams that do not leave, failed or not, hold every layer, and 0 otherwise.
+func (s *Snapshot) TrialSlots() int {
+	stays := func(layer ferryid.Layer) bool {
+		return slices.ContainsFunc(s.rows, func(r row) bool {
+			return r.state != StateLeaving && (r.layers.Len() == 0 || r.layers.Contains(layer))
+		})
+	}
+	for layer := range max(1, s.layers()) {
+		if !stays(layer) {
+			return 0
+		}
+	}
+	return 1
+}
+
 // layers is one more than the last layer that any upstream holds.
 func (s *Snapshot) layers() ferryid.Layer {
 	last := ferryid.Layer(0)
--- a/ferry/ferryroute/slots_test.go
+++ b/ferry/ferryroute/slots_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryservice"
 )
 
 func TestSlots(t *testing.T) {
@@ -20,7 +21,7 @@
 	}{
 		{"sum of whole runners", []int{8, 4}, nil, -1, 1, 12},
 		{"a leaving one does not count", []int{8, 4}, nil, 0, 1, 4},
-		{"none stated", []int{0, 0}, nil, -1, 1, 2 * defaultSlots},
+		{"none stated", []int{0, 0}, nil, -1, 1, 2 * ferryservice.DefaultSlots},
 		{"fewer slots than entries", []int{1, 1}, nil, -1, 9, 1},
 		{"the scarcest layer decides", []int{8, 4, 4}, []ferryid.LayerRange{layers(0, 4), layers(4, 8), layers(4, 6)}, -1, 1, 4},
 		{"a layer that none holds", []int{8, 4}, []ferryid.LayerRange{layers(0, 4), layers(4, 8)}, 1, 1, 0},
--- a/ferryd/ferrynode/subset_test.go
+++ b/ferryd/ferrynode/subset_test.go
@@ -107,6 +107,18 @@
 	assert.Equal(t, len(b.sv.part.own()), 0, "the entries read for each other")
 }
 
+// The entries that work an engine share its slots, not all entries.
+func TestSlotsOfASubsetAreSharedByFew(t *testing.T) {
+	const engines, slots, entries = 200, 8, 100
+	b := newSubsetBed(t, engineText(engines, "1"))
+	sum := 0
+	for _, l := range b.sv.model.Load().pool.Loads() {
+		assert.Assert(t, l.Slots > 0 && l.Slots < slots, "%d slots", l.Slots)
+		sum += l.Slots
+	}
+	assert.Assert(t, sum >= engines*slots/entries && sum <= 2*engines*slots/entries, "%d slots of the subset", sum)
+}
+
 // Where no engine of the subset can take a job the entry takes others, and comes back to its subset later.
 func TestSubsetFallsBackToAllEngines(t *testing.T) {
 	b := newSubsetBed(t, engineText(200, "1"))
