A claim is kept for at least twice the deadline

Excluded: refusing such documents, which would take accepted ones out of force at the next release. Change: Limits.Retention, used by callers' handlers, is ClaimRetention but at least twice the Deadline; dispatch is allowed in its first half only, so a call has ended when its key expires. Before: the handlers passed ClaimRetention on as it stood.

--- a/ferry/ferryservice/limits.go
+++ b/ferry/ferryservice/limits.go
@@ -78,3 +78,8 @@
 		c.Fault("Limits.RetryShare", "must be from 0 to 1, is %v", l.RetryShare)
 	}
 }
+
+// Retention is how long a claimed key is kept: ClaimRetention, but at least twice the deadline, so that no call outlives its claim.
+func (l Limits) Retention() time.Duration {
+	return max(time.Duration(l.ClaimRetention), 2*time.Duration(l.Deadline))
+}
--- a/ferryd/ferrycaller/claim.go
+++ b/ferryd/ferrycaller/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"cactusferry.dev/ferry/ferryclaim"
 	"cactusferry.dev/ferry/ferryoutcome"
@@ -25,7 +24,7 @@
 	}
 	claim, err := s.Claims.Begin(ctx, ferryclaim.Call{
 		Customer: c.customer.Name, Service: c.doc.Service, Key: key, Ticket: ticket,
-		Digest: digest(call), Retention: time.Duration(c.doc.Limits.ClaimRetention),
+		Digest: digest(call), Retention: c.doc.Limits.Retention(),
 	})
 	if err != nil {
 		return s.notBegun(c, err)
