--- a/ferry/ferrypeer/secret_test.go
+++ b/ferry/ferrypeer/secret_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -32,14 +33,16 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			a := startNode(t, "entry-a", "domain-1", nil, with(tt.before))
-			b := startNode(t, "entry-b", "domain-1", []string{a.address}, with(tt.after))
-			if tt.meet {
-				waitFor(t, "both see both", func() bool { return sees(a, 2) && sees(b, 2) })
-				return
-			}
-			waitFor(t, "the refusal is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] > 0 })
-			assert.Assert(t, sees(a, 1) && sees(b, 1))
+			synctest.Test(t, func(t *testing.T) {
+				a := startNode(t, "entry-a", "domain-1", nil, with(tt.before))
+				b := startNode(t, "entry-b", "domain-1", []string{a.address}, with(tt.after))
+				if tt.meet {
+					waitFor(t, "both see both", func() bool { return sees(a, 2) && sees(b, 2) })
+					return
+				}
+				waitFor(t, "the refusal is counted", func() bool { return a.Counts()[string(ferrypeer.CloseUnauthenticated)] > 0 })
+				assert.Assert(t, sees(a, 1) && sees(b, 1))
+			})
 		})
 	}
 }
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -25,34 +25,34 @@
 	runner *ferrypipeline.Runner
 }
 
-func (s *services) newModel(d *ferryservice.Document, table *ferryroute.Table) (*model, error) {
-	cfg, loads := s.planner(d, table)
+func (s *services) newModel(sv *service, d *ferryservice.Document) (*model, error) {
+	cfg, loads := s.planner(sv, d)
 	pool, err := ferrypipeline.NewPool(cfg, loads, s.clock)
 	if err != nil {
 		return nil, err
 	}
-	var picker ferrypipeline.Picker = pool
+	var picker ferrypipeline.Picker = &subsetPicker{Pool: pool, widen: func() { s.widen(sv) }}
 	if d.Policy.Route == ferryservice.RouteRandom {
 		if picker, err = newRandomPicker(cfg, loads); err != nil {
 			return nil, err
 		}
 	}
 	engines := &observedEngines{
-		Client: s.engines, table: table, clock: s.clock,
+		Client: s.engines, table: sv.table, clock: s.clock,
 		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
 	}
 	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
 		Engines: engines, Picker: picker, Clock: s.clock, Log: s.events,
-		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, burst(loads)),
+		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, burst(sv.table)),
 	}}, nil
 }
 
 // burst is how many streams may be moved at once: when a failure domain dies, one for each slot, since a caller that resumes a stream
 // costs more than the entry that moves it.
-func burst(loads []ferrypipeline.Load) int {
+func burst(t *ferryroute.Table) int {
 	n := 0
-	for _, l := range loads {
-		n += l.Slots
+	for _, c := range t.Snapshot().All() {
+		n += c.Credit
 	}
 	return max(retryBurst, n)
 }
@@ -67,7 +67,6 @@
 
 // set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
 func (m *model) set(cfg ferrypipeline.PlannerConfig, loads []ferrypipeline.Load) error {
-	m.runner.Budget.SetBurst(burst(loads))
 	if reflect.DeepEqual(cfg, m.cfg) {
 		for i, c := range cfg.Candidates {
 			m.pool.Avoid(c.Name, loads[i].Avoid)
@@ -91,25 +90,32 @@
 	return nil
 }
 
-// planner describes the engines to the pool; an engine the table would not choose gets no new work. The caller holds the lock.
-func (s *services) planner(d *ferryservice.Document, table *ferryroute.Table) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
+// planner describes the engines that this entry works to the pool; an engine the table would not choose gets no new work. The caller holds the lock.
+func (s *services) planner(sv *service, d *ferryservice.Document) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
 	cfg := ferrypipeline.PlannerConfig{Layers: d.Model.Layers, Fixed: d.Pipelines}
 	var loads []ferrypipeline.Load
-	snap := table.Snapshot()
 	// Where nothing else holds a layer, engines that failed are better than none.
-	none := snap.Slots() == 0
-	for _, c := range snap.All() {
+	none := sv.table.Snapshot().Slots() == 0
+	for _, c := range s.worked(sv, d) {
 		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{
 			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
 			Incarnation: s.incarnations[upstreamKey(d.Service, c.Name)],
 		})
 		loads = append(loads, ferrypipeline.Load{
-			Rate: max(c.Rate, unknownRate), Slots: c.Credit, Avoid: avoided(c.State, none),
+			Rate: max(c.Rate, unknownRate), Slots: room(sv, c), Avoid: avoided(c.State, none),
 		})
 	}
 	return cfg, loads
 }
 
+// room is this entry's part of an engine's slots; where entries work different engines, those parts mean nothing and there is no bound.
+func room(sv *service, c ferryroute.Candidate) int {
+	if !sv.part.whole.Load() {
+		return 0
+	}
+	return max(1, c.Credit)
+}
+
 // avoided reports whether an engine in this state gets no new work.
 func avoided(s ferryroute.State, none bool) bool {
 	switch s {
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -13,7 +13,6 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplatform"
-	"cactusferry.dev/ferry/ferryservice"
 )
 
 // The topics and requests that entries exchange.
@@ -77,6 +76,7 @@
 func (n *Node) onMembers(ms ferrypeer.Members) {
 	live := len(ms.Live())
 	n.services.setShare(place(ms))
+	n.services.setMembers(usable(ms))
 	n.watcher.SetLive(live)
 	n.watcher.Watching(live <= 1 || ferryduty.HoldsInDomain(ms, dutyWatch, watchers))
 	n.platform.SetBudget(platformBudget(n.cfg.Platform.CallsPerSecond, live))
@@ -126,22 +126,25 @@
 		d = nil
 	}
 	var items []ferrypeer.Item
-	for _, a := range h.Missing(d) {
-		items = append(items, encode(a))
+	for _, u := range h.Updates(d) {
+		items = append(items, encode(u))
 	}
 	return items
 }
 
 func applyDocument(h *ferrydocument.Holder, it ferrypeer.Item) (bool, error) {
-	var a ferryservice.Accepted
-	if err := cbor.Unmarshal(it, &a); err != nil {
+	var u ferrydocument.Update
+	if err := cbor.Unmarshal(it, &u); err != nil {
 		return false, err
 	}
-	switch h.Offer(a, "peer") {
-	case ferrydocument.Taken:
+	v, err := h.Take(u, "peer")
+	switch {
+	case err != nil:
+		return false, err
+	case v == ferrydocument.Taken:
 		return true, nil
-	case ferrydocument.Invalid:
-		return false, fmt.Errorf("document of %q does not pass its checks", a.Service)
+	case v == ferrydocument.Invalid:
+		return false, fmt.Errorf("document of %q does not pass its checks", u.Service)
 	}
 	return false, nil
 }
