Failed connections are not counted as refusals

Cause: ferrybench counted a connection that nobody accepted as a refusal, so that each stream cut by an entry's death added a refusal of a stream that had begun. Change: only answers count as refusals. After: TestUnreachedEntriesAreNoRefusals, seen failing before the change.

--- a/ferrybench/ferryload/load.go
+++ b/ferrybench/ferryload/load.go
@@ -153,7 +153,9 @@
 // turnedAway waits as long as a refusal asked for; a stream that has begun is lost if it can't go on.
 func (l *Load) turnedAway(ctx context.Context, c *call, ans answer, after time.Duration) bool {
 	c.failure = ans.text
-	l.refuse(c, after)
+	if !ans.unreached {
+		l.refuse(c, after)
+	}
 	if l.comeBack(ctx, c, ans.retryAfter) {
 		return true
 	}
--- a/ferrybench/ferryload/load_test.go
+++ b/ferrybench/ferryload/load_test.go
@@ -182,3 +182,15 @@
 	assert.Equal(t, s.Uneven, 0)
 	assert.DeepEqual(t, f.resumed, []string{"one", "one"})
 }
+
+func TestUnreachedEntriesAreNoRefusals(t *testing.T) {
+	srv := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(srv.URL, "http://")
+	srv.Close()
+	w := &ferryworkload.Workload{Kinds: ferryworkload.Kinds{{Name: "q"}}, Customers: ferryworkload.Customers{{Name: "c", Share: 1, Load: 1}}}
+	cfg := Config{Entries: []string{address}, Model: "m", MaxOpen: 1, Clock: clockwork.NewFakeClock(), Client: http.DefaultClient}
+	s := Run(context.Background(), cfg, w, []ferryworkload.Arrival{{Customer: "c", Kind: &w.Kinds[0], Prompt: 3, Tokens: 2}})
+	assert.Equal(t, s.Result.Refusals, 0)
+	assert.DeepEqual(t, s.Failures, map[string]int{})
+	assert.Equal(t, s.Result.All.Refused, 1)
+}
--- a/ferrybench/ferryload/request.go
+++ b/ferrybench/ferryload/request.go
@@ -31,9 +31,11 @@
 
 // answer is how one try ended; text says of a bad one what it was.
 type answer struct {
-	ok         bool
-	notRun     bool
-	ran        bool
+	ok     bool
+	notRun bool
+	ran    bool
+	// unreached says that nothing answered, which is no refusal.
+	unreached  bool
 	retryAfter time.Duration
 	text       string
 }
@@ -80,7 +82,7 @@
 	res, err := l.cfg.Client.Do(req)
 	if err != nil {
 		l.entries.failed(c.key, address)
-		return answer{notRun: notConnected(err), retryAfter: time.Millisecond, text: "no answer"}
+		return answer{notRun: notConnected(err), unreached: true, retryAfter: time.Millisecond, text: "no answer"}
 	}
 	defer res.Body.Close()
 	if res.StatusCode >= http.StatusBadRequest {
