--- a/ferry/ferryroute/slots.go
+++ b/ferry/ferryroute/slots.go
@@ -4,11 +4,9 @@
 	"slices"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryservice"
 )
 
-// defaultSlots is how many calls an upstream takes at once whose document states no slots.
-const defaultSlots = 64
-
 // SetShare tells that this entry is the one of the given index, from 0, among so many that share the upstreams; all entries
 // must count in the same order.
 func (t *Table) SetShare(index, entries int) {
@@ -22,7 +20,7 @@
 func (t *Table) credit(u *upstream) int {
 	slots := u.row.slots
 	if slots == 0 {
-		slots = defaultSlots
+		slots = ferryservice.DefaultSlots
 	}
 	n := slots / t.entries
 	place := (t.entry + int(u.row.seed%uint64(t.entries))) % t.entries
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -43,16 +43,16 @@
 	}
 	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
 		Engines: engines, Picker: picker, Clock: s.clock, Log: s.events,
-		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, burst(sv.table)),
+		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, burst(loads)),
 	}}, nil
 }
 
 // burst is how many streams may be moved at once: when a failure domain dies, one for each slot, since a caller that resumes a stream
 // costs more than the entry that moves it.
-func burst(t *ferryroute.Table) int {
+func burst(loads []ferrypipeline.Load) int {
 	n := 0
-	for _, c := range t.Snapshot().All() {
-		n += c.Credit
+	for _, l := range loads {
+		n += l.Slots
 	}
 	return max(retryBurst, n)
 }
@@ -67,6 +67,7 @@
 
 // set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
 func (m *model) set(cfg ferrypipeline.PlannerConfig, loads []ferrypipeline.Load) error {
+	m.runner.Budget.SetBurst(burst(loads))
 	if reflect.DeepEqual(cfg, m.cfg) {
 		for i, c := range cfg.Candidates {
 			m.pool.Avoid(c.Name, loads[i].Avoid)
@@ -102,20 +103,12 @@
 			Incarnation: s.incarnations[upstreamKey(d.Service, c.Name)],
 		})
 		loads = append(loads, ferrypipeline.Load{
-			Rate: max(c.Rate, unknownRate), Slots: room(sv, c), Avoid: avoided(c.State, none),
+			Rate: max(c.Rate, unknownRate), Slots: sv.part.slots(c, len(s.members)), Avoid: avoided(c.State, none),
 		})
 	}
 	return cfg, loads
 }
 
-// room is this entry's part of an engine's slots; where entries work different engines, those parts mean nothing and there is no bound.
-func room(sv *service, c ferryroute.Candidate) int {
-	if !sv.part.whole.Load() {
-		return 0
-	}
-	return max(1, c.Credit)
-}
-
 // avoided reports whether an engine in this state gets no new work.
 func avoided(s ferryroute.State, none bool) bool {
 	switch s {
--- a/ferryd/ferrynode/service.go
+++ b/ferryd/ferrynode/service.go
@@ -214,7 +214,6 @@
 func (s *services) refreshModel(sv *service, d *ferryservice.Document) {
 	cfg, loads := s.planner(sv, d)
 	if md := sv.model.Load(); md != nil && !md.outdated(d, cfg) {
-		md.runner.Budget.SetBurst(burst(sv.table))
 		if err := md.set(cfg, loads); err != nil {
 			s.events.Add("EnginesInvalid", string(sv.name), "%v", err)
 		}
--- a/ferryd/ferrynode/subset.go
+++ b/ferryd/ferrynode/subset.go
@@ -1,7 +1,9 @@
 package ferrynode
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -67,6 +69,15 @@
 	return p.Pool.Pick(job, exclude)
 }
 
+// slots is this entry's part of an engine's slots, at least one; an engine of a subset is shared with the few entries that work it.
+func (p *subset) slots(c ferryroute.Candidate, entries int) int {
+	if p.whole.Load() {
+		return max(1, c.Credit)
+	}
+	slots := float64(cmp.Or(c.Slots, ferryservice.DefaultSlots))
+	return max(1, int(math.Ceil(slots/p.cfg.Copies(entries, p.working()))))
+}
+
 // usable lists the entries that take calls.
 func usable(ms ferrypeer.Members) []ferryid.EntryName {
 	out := make([]ferryid.EntryName, 0, len(ms.List))
