The measured rate of a slot falls faster than it rises

Cause: over processes a stream has an engine nearly to itself before a crest and a twelfth of it at the crest; the rate of a slot followed by 1/64 a finished call, so that the wait was predicted several times too short and too much was admitted. Excluded: the stated rate over the slots as a bound, since stated rates are a first guess only. Change: a finished call slower than the rate counts 1/16. TestRateOfASlotFallsFasterThanItRises seen failing with one weight.

--- a/ferry/ferryqueue/lane.go
+++ b/ferry/ferryqueue/lane.go
@@ -15,6 +15,8 @@
 	demandMargin = 1.25
 	// slotRateWeight is the weight of one finished item in the measured rate of a slot.
 	slotRateWeight = 1.0 / 64
+	// slotFallWeight is that of one slower than the rate, since a rate taken for too high admits work that will be late.
+	slotFallWeight = 1.0 / 16
 )
 
 // lane is the waiting work of one class; its customers share it by start-time fair queueing.
@@ -112,7 +114,11 @@
 		l.slotRate = r
 		return
 	}
-	l.slotRate += slotRateWeight * (r - l.slotRate)
+	w := slotRateWeight
+	if r < l.slotRate {
+		w = slotFallWeight
+	}
+	l.slotRate += w * (r - l.slotRate)
 }
 
 func (l *lane) trackDemand(now time.Time) {
--- a/ferry/ferryqueue/queue_test.go
+++ b/ferry/ferryqueue/queue_test.go
@@ -261,3 +261,17 @@
 	assert.Equal(t, len(drain(q, start, 5)), 2)
 	assert.Equal(t, q.Snapshot(start).Classes[1].Running, 3)
 }
+
+// A fleet that fills up shares its rate among more streams; the rate of a slot must be known before too much is admitted.
+func TestRateOfASlotFallsFasterThanItRises(t *testing.T) {
+	l := newLane(twoClasses()[0])
+	l.observe(100, time.Second)
+	for range 32 {
+		l.observe(10, time.Second)
+	}
+	assert.Assert(t, l.slotRate < 25, "%v", l.slotRate)
+	for range 32 {
+		l.observe(100, time.Second)
+	}
+	assert.Assert(t, l.slotRate < 55, "%v", l.slotRate)
+}
