--- a/ferryd/ferrycaller/claim.go
+++ b/ferryd/ferrycaller/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"cactusferry.dev/ferry/ferryclaim"
 	"cactusferry.dev/ferry/ferryoutcome"
