--- a/ferry/ferryengine/client.go
+++ b/ferry/ferryengine/client.go
@@ -48,7 +48,7 @@
 func New(cfg ClientConfig) *Client {
 	c := &Client{http: cfg.HTTP, clock: cfg.Clock, idle: cfg.IdleTimeout}
 	if c.http == nil {
-		c.http = &http.Client{Transport: NewTransport()}
+		c.http = &http.Client{Transport: NewTransport(nil)}
 	}
 	if c.clock == nil {
 		c.clock = clockwork.NewRealClock()
--- a/ferry/ferryengine/client_test.go
+++ b/ferry/ferryengine/client_test.go
@@ -85,7 +85,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n")
 		}, ferryoutcome.Ran},
 	} {
-		s, err := ferryengine.New(ferryengine.ClientConfig{}).Run(context.Background(), runRequest(scripted(t, tt.script)))
+		s, err := ferryengine.New(ferryengine.ClientConfig{Clock: clockwork.NewFakeClock()}).Run(context.Background(), runRequest(scripted(t, tt.script)))
 		if err == nil {
 			_, err = s.Next()
 			assert.NilError(t, s.Close())
@@ -108,7 +108,7 @@
 func TestCancelledBeforeConnectIsNotRun(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err := ferryengine.New(ferryengine.ClientConfig{}).Run(ctx, runRequest(scripted(t, readRequest)))
+	_, err := ferryengine.New(ferryengine.ClientConfig{Clock: clockwork.NewFakeClock()}).Run(ctx, runRequest(scripted(t, readRequest)))
 	var dispatch *ferryengine.DispatchError
 	assert.Assert(t, errors.As(err, &dispatch))
 	assert.Equal(t, dispatch.Outcome(), ferryoutcome.NotRun)
@@ -144,7 +144,7 @@
 		_, _ = io.WriteString(w, body)
 	}))
 	defer srv.Close()
-	c := ferryengine.New(ferryengine.ClientConfig{})
+	c := ferryengine.New(ferryengine.ClientConfig{Clock: clockwork.NewFakeClock()})
 	address := strings.TrimPrefix(srv.URL, "http://")
 	load := func() error { _, err := c.Load(context.Background(), address); return err }
 	order := func() error {
--- a/ferry/ferryengine/transport.go
+++ b/ferry/ferryengine/transport.go
@@ -78,12 +78,17 @@
 	return c.written
 }
 
-// NewTransport returns an HTTP/1.1 transport whose connections count what is written, so that a failed call's phase is exact.
-func NewTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+// Dial opens a connection, as net.Dialer's DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransport returns an HTTP/1.1 transport whose connections count what is written, so that a failed call's phase is exact; a nil dial stands for TCP.
+func NewTransport(dial Dial) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := d.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/ferry/ferrypeer/memory_test.go
+++ b/ferry/ferrynettest/memory.go
@@ -1,4 +1,4 @@
-package ferrypeer_test
+package ferrynettest
 
 import (
 	"bytes"
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -14,7 +15,9 @@
 	"time"
 )
 
-// memory joins the nodes of all tests without sockets, so that a synctest bubble sees when all of its goroutines wait.
+const latency = time.Microsecond
+
+// memory holds the listeners by address.
 var memory sync.Map
 
 var listeners atomic.Int64
@@ -91,7 +94,6 @@
 	near, peer address
 }
 
-func (c *memoryConn) Read(b []byte) (int, error)        { return c.in.Read(b) }
 func (c *memoryConn) Write(b []byte) (int, error)       { return c.out.Write(b) }
 func (c *memoryConn) LocalAddr() net.Addr               { return c.near }
 func (c *memoryConn) RemoteAddr() net.Addr              { return c.peer }
@@ -99,6 +101,14 @@
 func (c *memoryConn) SetDeadline(t time.Time) error     { return c.SetReadDeadline(t) }
 func (c *memoryConn) SetWriteDeadline(time.Time) error  { return nil }
 
+// Read takes time, so that what follows from a message is later than the message in a bubble too.
+// Write takes none, since callers hold locks over it, and a bubble's time stands still while one waits for a lock.
+func (c *memoryConn) Read(b []byte) (int, error) {
+	n, err := c.in.Read(b)
+	time.Sleep(latency)
+	return n, err
+}
+
 func (c *memoryConn) Close() error {
 	c.out.close()
 	c.in.close()
@@ -112,8 +122,9 @@
 	end   sync.Once
 }
 
-func listen() *memoryListener {
-	l := &memoryListener{at: address(fmt.Sprintf("memory:%d", listeners.Add(1))), conns: make(chan net.Conn), ended: make(chan struct{})}
+// Listen returns a listener with an address of its own.
+func Listen() net.Listener {
+	l := &memoryListener{at: address(fmt.Sprintf("memory-%d:80", listeners.Add(1))), conns: make(chan net.Conn), ended: make(chan struct{})}
 	memory.Store(l.at.String(), l)
 	return l
 }
@@ -137,7 +148,8 @@
 	return nil
 }
 
-func dial(ctx context.Context, _, to string) (net.Conn, error) {
+// Dial connects to a listener of this process; it fails at once where there is none.
+func Dial(ctx context.Context, _, to string) (net.Conn, error) {
 	refused := &net.OpError{Op: "dial", Net: "memory", Addr: address(to), Err: syscall.ECONNREFUSED}
 	at, ok := memory.Load(to)
 	if !ok {
@@ -155,7 +167,14 @@
 	}
 }
 
-// client is an HTTP client of the memory network, for one call.
-func client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+// Client returns an HTTP client of this network that keeps no connection.
+func Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: Dial, DisableKeepAlives: true}}
+}
+
+// Serve starts a server of this network; its address is that of its Listener.
+func Serve(h http.Handler) *httptest.Server {
+	s := &httptest.Server{Listener: Listen(), Config: &http.Server{Handler: h}}
+	s.Start()
+	return s
 }
--- a/ferry/ferrypeer/hello_test.go
+++ b/ferry/ferrypeer/hello_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferrypeer"
 )
 
@@ -24,7 +25,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
-	ws, _, err := websocket.Dial(ctx, "ws://"+to.address+"/peer", &websocket.DialOptions{HTTPClient: client()})
+	ws, _, err := websocket.Dial(ctx, "ws://"+to.address+"/peer", &websocket.DialOptions{HTTPClient: ferrynettest.Client()})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ws.CloseNow() })
 	return &stranger{t: t, ws: ws, m: ferrypeer.Member{
--- a/ferry/ferrypeer/node_test.go
+++ b/ferry/ferrypeer/node_test.go
@@ -17,6 +17,7 @@
 
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferrypeer"
 )
 
@@ -32,7 +33,7 @@
 
 func startNode(t *testing.T, name, domain string, seeds []string, change func(*ferrypeer.Config)) *realNode {
 	t.Helper()
-	listener := listen()
+	listener := ferrynettest.Listen()
 	clock := clockwork.NewRealClock()
 	r := &realNode{address: listener.Addr().String()}
 	cfg := ferrypeer.Config{
@@ -40,7 +41,7 @@
 			Name: ferryid.EntryName(name), Incarnation: ferryid.NewIncarnation(), FailureDomain: ferryid.DomainName(domain),
 			PeerAddress: r.address, CallerAddress: "127.0.0.1:1",
 		},
-		Seeds: seeds, Clock: clock, Dial: dial, Secret: []byte("shared"), Log: zerolog.Nop(),
+		Seeds: seeds, Clock: clock, Dial: ferrynettest.Dial, Secret: []byte("shared"), Log: zerolog.Nop(),
 		Events: ferryevent.NewLog(clock, name, 1000),
 		Handlers: map[ferrypeer.AskKind]ferrypeer.Handler{
 			testAsk: func(_ context.Context, from ferrypeer.Member, body []byte) ([]byte, error) {
--- a/ferry/ferrypeer/tap_test.go
+++ b/ferry/ferrypeer/tap_test.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"testing"
 
 	"github.com/coder/websocket"
+
+	"cactusferry.dev/ferry/ferrynettest"
 )
 
 // tap passes WebSocket messages on to a node and keeps what the dialling side sent.
@@ -23,11 +24,9 @@
 func newTap(t *testing.T, target string) *tap {
 	t.Helper()
 	p := &tap{t: t, target: target, frames: map[*websocket.Conn][][]byte{}}
-	listener := listen()
-	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(p.pass)}}
-	server.Start()
+	server := ferrynettest.Serve(http.HandlerFunc(p.pass))
 	t.Cleanup(server.Close)
-	p.address = listener.Addr().String()
+	p.address = server.Listener.Addr().String()
 	return p
 }
 
@@ -36,7 +35,7 @@
 	if err != nil {
 		return
 	}
-	out, _, err := websocket.Dial(r.Context(), "ws://"+p.target+"/peer", &websocket.DialOptions{HTTPClient: client()})
+	out, _, err := websocket.Dial(r.Context(), "ws://"+p.target+"/peer", &websocket.DialOptions{HTTPClient: ferrynettest.Client()})
 	if err != nil {
 		_ = in.CloseNow()
 		return
--- a/ferry/ferrypeer/tls_test.go
+++ b/ferry/ferrypeer/tls_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferrypeer"
 )
 
@@ -53,7 +54,7 @@
 		b := startNode(t, "entry-b", "domain-1", []string{a.address}, withTLS)
 		waitFor(t, "both see both", func() bool { return sees(a, 2) && sees(b, 2) })
 
-		client := &http.Client{Transport: &http.Transport{DialContext: dial, TLSClientConfig: &tls.Config{RootCAs: pool, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS13}}}
+		client := &http.Client{Transport: &http.Transport{DialContext: ferrynettest.Dial, TLSClientConfig: &tls.Config{RootCAs: pool, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS13}}}
 		defer client.CloseIdleConnections()
 		res, err := client.Get("https://" + a.address + "/peer")
 		assert.NilError(t, err)
--- a/ferrystand/ferrystandengine/dispatch_test.go
+++ b/ferrystand/ferrystandengine/dispatch_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypipeline"
 )
@@ -30,8 +32,7 @@
 
 func newCutter(tb testing.TB, to string, request, answer, sound int64) *cutter {
 	tb.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(tb, err)
+	ln := ferrynettest.Listen()
 	c := &cutter{ln: ln, to: to, request: request, answer: answer, sound: sound}
 	go c.serve()
 	tb.Cleanup(func() { _ = ln.Close() })
@@ -54,7 +55,7 @@
 
 func pass(in net.Conn, to string, request, answer int64) {
 	defer in.Close()
-	out, err := net.Dial("tcp", to)
+	out, err := ferrynettest.Dial(context.Background(), "tcp", to)
 	if err != nil {
 		return
 	}
@@ -87,7 +88,7 @@
 	}, []ferrypipeline.Load{{Rate: 1}}, clock)
 	assert.NilError(tb, err)
 	r := &ferrypipeline.Runner{
-		Engines: ferryengine.New(ferryengine.ClientConfig{}), Picker: pool, Clock: clock,
+		Engines: newClient(tb, clock), Picker: pool, Clock: clock,
 		Core: ferrypipeline.CoreConfig{MaxEpochs: 1},
 	}
 	_, err = r.Run(context.Background(), ferrypipeline.Job{Stream: "s", Prompt: "p", MaxTokens: 2}, func(ferrypipeline.Token) error { return nil })
@@ -100,54 +101,59 @@
 
 // A dispatch is cut at every byte of its request and its answer: NotRun and Ran are true, and nothing is Unknown while the engine can be asked.
 func TestOutcomeAtEveryByte(t *testing.T) {
-	count := map[ferryoutcome.Outcome]int{}
-	try := func(request, answer int64) {
-		outcome, ran := dispatch(t, request, answer, 1)
-		count[outcome]++
-		switch outcome {
-		case ferryoutcome.NotRun:
-			assert.Equal(t, ran, 0, "NotRun, cut after %d and %d bytes", request, answer)
-		case ferryoutcome.Ran, "":
-			assert.Assert(t, ran > 0, "%s, cut after %d and %d bytes", outcome, request, answer)
-		default:
-			t.Errorf("%s, cut after %d and %d bytes", outcome, request, answer)
+	synctest.Test(t, func(t *testing.T) {
+		count := map[ferryoutcome.Outcome]int{}
+		try := func(request, answer int64) {
+			outcome, ran := dispatch(t, request, answer, 1)
+			count[outcome]++
+			switch outcome {
+			case ferryoutcome.NotRun:
+				assert.Equal(t, ran, 0, "NotRun, cut after %d and %d bytes", request, answer)
+			case ferryoutcome.Ran, "":
+				assert.Assert(t, ran > 0, "%s, cut after %d and %d bytes", outcome, request, answer)
+			default:
+				t.Errorf("%s, cut after %d and %d bytes", outcome, request, answer)
+			}
 		}
-	}
-	for n := int64(0); n < 420; n += 7 {
-		try(n, -1)
-	}
-	for n := int64(0); n < 520; n += 7 {
-		try(-1, n)
-	}
-	assert.Assert(t, count[ferryoutcome.NotRun] > 0 && count[ferryoutcome.Ran] > 0, "%v", count)
-	assert.Equal(t, count[ferryoutcome.Unknown], 0)
-	t.Logf("outcomes %v", count)
+		for n := int64(0); n < 420; n += 7 {
+			try(n, -1)
+		}
+		for n := int64(0); n < 520; n += 7 {
+			try(-1, n)
+		}
+		assert.Assert(t, count[ferryoutcome.NotRun] > 0 && count[ferryoutcome.Ran] > 0, "%v", count)
+		assert.Equal(t, count[ferryoutcome.Unknown], 0)
+		t.Logf("outcomes %v", count)
+	})
 }
 
 // Where the cancel is cut off as well, Unknown is allowed, and NotRun and Ran are still true.
 func TestOutcomeWithoutAnAnswerToCancel(t *testing.T) {
-	count := map[ferryoutcome.Outcome]int{}
-	for n := int64(0); n < 420; n += 35 {
-		outcome, ran := dispatch(t, n, 0, 1<<30)
-		count[outcome]++
-		assert.Assert(t, outcome != ferryoutcome.NotRun || ran == 0)
-		assert.Assert(t, outcome != ferryoutcome.Ran || ran > 0)
-	}
-	t.Logf("outcomes %v", count)
+	synctest.Test(t, func(t *testing.T) {
+		count := map[ferryoutcome.Outcome]int{}
+		for n := int64(0); n < 420; n += 35 {
+			outcome, ran := dispatch(t, n, 0, 1<<30)
+			count[outcome]++
+			assert.Assert(t, outcome != ferryoutcome.NotRun || ran == 0)
+			assert.Assert(t, outcome != ferryoutcome.Ran || ran > 0)
+		}
+		t.Logf("outcomes %v", count)
+	})
 }
 
 // Nothing listens: no byte was written, so nothing ran.
 func TestNoConnectionIsNotRun(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := ln.Addr().String()
-	assert.NilError(t, ln.Close())
-	req := ferryengine.RunRequest{
-		Stream: "s", Epoch: 1, MaxTokens: 1,
-		Stages: ferryengine.Stages{{Address: address, Layers: ferryid.LayerRange{To: 1}}},
-	}
-	_, err = ferryengine.New(ferryengine.ClientConfig{}).Run(context.Background(), req)
-	var dispatchErr *ferryengine.DispatchError
-	assert.Assert(t, errors.As(err, &dispatchErr))
-	assert.Equal(t, dispatchErr.Outcome(), ferryoutcome.NotRun)
+	synctest.Test(t, func(t *testing.T) {
+		ln := ferrynettest.Listen()
+		address := ln.Addr().String()
+		assert.NilError(t, ln.Close())
+		req := ferryengine.RunRequest{
+			Stream: "s", Epoch: 1, MaxTokens: 1,
+			Stages: ferryengine.Stages{{Address: address, Layers: ferryid.LayerRange{To: 1}}},
+		}
+		_, err := newClient(t, clockwork.NewRealClock()).Run(context.Background(), req)
+		var dispatchErr *ferryengine.DispatchError
+		assert.Assert(t, errors.As(err, &dispatchErr))
+		assert.Equal(t, dispatchErr.Outcome(), ferryoutcome.NotRun)
+	})
 }
--- a/ferrystand/ferrystandengine/engine_test.go
+++ b/ferrystand/ferrystandengine/engine_test.go
@@ -4,9 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -14,6 +15,7 @@
 	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferrystand/ferrystandengine"
 )
@@ -38,15 +40,26 @@
 	return c
 }
 
+// newHTTP returns a client of the network in memory.
+func newHTTP(tb testing.TB) *http.Client {
+	c := &http.Client{Transport: ferryengine.NewTransport(ferrynettest.Dial)}
+	tb.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+func newClient(tb testing.TB, clock clockwork.Clock) *ferryengine.Client {
+	return ferryengine.New(ferryengine.ClientConfig{HTTP: newHTTP(tb), Clock: clock})
+}
+
 func (c *chain) add(tb testing.TB, layers ferryid.LayerRange, clock clockwork.Clock) ferryengine.Stage {
-	e := ferrystandengine.New(ferrystandengine.Config{Name: "engine", Layers: layers, Slots: 256, Clock: clock})
-	srv := httptest.NewServer(e)
+	e := ferrystandengine.New(ferrystandengine.Config{Name: "engine", Layers: layers, Slots: 256, Clock: clock, HTTP: newHTTP(tb)})
+	srv := ferrynettest.Serve(e)
 	tb.Cleanup(func() {
 		e.Close()
 		srv.CloseClientConnections()
 		srv.Close()
 	})
-	st := ferryengine.Stage{Address: strings.TrimPrefix(srv.URL, "http://"), Layers: layers}
+	st := ferryengine.Stage{Address: srv.Listener.Addr().String(), Layers: layers}
 	c.engines = append(c.engines, e)
 	c.servers = append(c.servers, srv)
 	c.stages = append(c.stages, st)
@@ -77,88 +90,94 @@
 }
 
 func TestChain(t *testing.T) {
-	for _, n := range []int{1, 2, 3, 4} {
-		c := newChain(t, n)
-		s, err := ferryengine.New(ferryengine.ClientConfig{}).Run(context.Background(), c.request(1, 20))
-		assert.NilError(t, err)
-		texts, last, err := collect(s)
-		assert.NilError(t, err)
-		assert.Assert(t, last.Done)
-		assert.DeepEqual(t, texts, ferryenginetest.Reference(7, "why did the yield drop", 20, testLayers))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		for _, n := range []int{1, 2, 3, 4} {
+			c := newChain(t, n)
+			s, err := newClient(t, clockwork.NewRealClock()).Run(context.Background(), c.request(1, 20))
+			assert.NilError(t, err)
+			texts, last, err := collect(s)
+			assert.NilError(t, err)
+			assert.Assert(t, last.Done)
+			assert.DeepEqual(t, texts, ferryenginetest.Reference(7, "why did the yield drop", 20, testLayers))
+		}
+	})
 }
 
 func TestRebuildAndImport(t *testing.T) {
-	want := ferryenginetest.Reference(7, "why did the yield drop", 20, testLayers)
-	c := newChain(t, 2)
-	client := ferryengine.New(ferryengine.ClientConfig{})
-	req := c.request(1, 20)
-	req.MaxTokens = 9
-	s, err := client.Run(context.Background(), req)
-	assert.NilError(t, err)
-	_, _, err = collect(s)
-	assert.NilError(t, err)
-
-	for _, im := range []bool{true, false} {
-		other := newChain(t, 2)
-		req := other.request(2, 20)
-		req.Generated, req.Import = want[:7], im
-		for i := range other.stages {
-			kv, err := client.ExportKV(context.Background(), c.stages[i].Address, "s")
-			assert.NilError(t, err)
-			assert.NilError(t, client.ImportKV(context.Background(), other.stages[i].Address, kv))
-		}
+	synctest.Test(t, func(t *testing.T) {
+		want := ferryenginetest.Reference(7, "why did the yield drop", 20, testLayers)
+		c := newChain(t, 2)
+		client := newClient(t, clockwork.NewRealClock())
+		req := c.request(1, 20)
+		req.MaxTokens = 9
 		s, err := client.Run(context.Background(), req)
 		assert.NilError(t, err)
-		texts, _, err := collect(s)
+		_, _, err = collect(s)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, texts, want[7:])
-		prefill := 0
-		for _, r := range other.engines[0].Records("s") {
-			if r.Prefill {
-				prefill++
+
+		for _, im := range []bool{true, false} {
+			other := newChain(t, 2)
+			req := other.request(2, 20)
+			req.Generated, req.Import = want[:7], im
+			for i := range other.stages {
+				kv, err := client.ExportKV(context.Background(), c.stages[i].Address, "s")
+				assert.NilError(t, err)
+				assert.NilError(t, client.ImportKV(context.Background(), other.stages[i].Address, kv))
+			}
+			s, err := client.Run(context.Background(), req)
+			assert.NilError(t, err)
+			texts, _, err := collect(s)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, texts, want[7:])
+			prefill := 0
+			for _, r := range other.engines[0].Records("s") {
+				if r.Prefill {
+					prefill++
+				}
 			}
+			assert.Equal(t, prefill == 0, im)
 		}
-		assert.Equal(t, prefill == 0, im)
-	}
+	})
 }
 
 func TestRefusals(t *testing.T) {
-	c := newChain(t, 2)
-	client := ferryengine.New(ferryengine.ClientConfig{})
-	for i, tt := range []struct {
-		name   string
-		before func(*ferryengine.RunRequest)
-		first  ferryoutcome.Kind
-		later  ferryengine.FailureKind
-	}{
-		{"wrong incarnation", func(r *ferryengine.RunRequest) {
-			r.Incarnations = map[string]ferryid.Incarnation{c.stages[0].Address: "another"}
-		}, ferryoutcome.KindNotFound, ""},
-		{"second stage's incarnation", func(r *ferryengine.RunRequest) {
-			r.Incarnations = map[string]ferryid.Incarnation{c.stages[1].Address: "another"}
-		}, "", ferryengine.FailureEmpty},
-		{"import without a cache", func(r *ferryengine.RunRequest) {
-			r.Import, r.Generated = true, []string{" x"}
-		}, "", ferryengine.FailureEmpty},
-		{"old epoch", func(r *ferryengine.RunRequest) { r.Epoch = 1 }, ferryoutcome.KindConflict, ""},
-		{"second stage leaving", func(*ferryengine.RunRequest) { c.engines[1].Leave() }, "", ferryengine.FailureDraining},
-		{"leaving", func(*ferryengine.RunRequest) { c.engines[0].Leave() }, ferryoutcome.KindDraining, ""},
-	} {
-		req := c.request(ferryid.Epoch(i+2), 4)
-		tt.before(&req)
-		s, err := client.Run(context.Background(), req)
-		var refused *ferryengine.RefusedError
-		if tt.first != "" {
-			assert.Assert(t, errors.As(err, &refused), "%s: %v", tt.name, err)
-			assert.Equal(t, refused.Kind, tt.first, tt.name)
-			continue
+	synctest.Test(t, func(t *testing.T) {
+		c := newChain(t, 2)
+		client := newClient(t, clockwork.NewRealClock())
+		for i, tt := range []struct {
+			name   string
+			before func(*ferryengine.RunRequest)
+			first  ferryoutcome.Kind
+			later  ferryengine.FailureKind
+		}{
+			{"wrong incarnation", func(r *ferryengine.RunRequest) {
+				r.Incarnations = map[string]ferryid.Incarnation{c.stages[0].Address: "another"}
+			}, ferryoutcome.KindNotFound, ""},
+			{"second stage's incarnation", func(r *ferryengine.RunRequest) {
+				r.Incarnations = map[string]ferryid.Incarnation{c.stages[1].Address: "another"}
+			}, "", ferryengine.FailureEmpty},
+			{"import without a cache", func(r *ferryengine.RunRequest) {
+				r.Import, r.Generated = true, []string{" x"}
+			}, "", ferryengine.FailureEmpty},
+			{"old epoch", func(r *ferryengine.RunRequest) { r.Epoch = 1 }, ferryoutcome.KindConflict, ""},
+			{"second stage leaving", func(*ferryengine.RunRequest) { c.engines[1].Leave() }, "", ferryengine.FailureDraining},
+			{"leaving", func(*ferryengine.RunRequest) { c.engines[0].Leave() }, ferryoutcome.KindDraining, ""},
+		} {
+			req := c.request(ferryid.Epoch(i+2), 4)
+			tt.before(&req)
+			s, err := client.Run(context.Background(), req)
+			var refused *ferryengine.RefusedError
+			if tt.first != "" {
+				assert.Assert(t, errors.As(err, &refused), "%s: %v", tt.name, err)
+				assert.Equal(t, refused.Kind, tt.first, tt.name)
+				continue
+			}
+			assert.NilError(t, err)
+			texts, last, err := collect(s)
+			assert.NilError(t, err)
+			assert.Equal(t, len(texts), 0)
+			assert.Equal(t, last.Failed.Kind, tt.later, tt.name)
 		}
-		assert.NilError(t, err)
-		texts, last, err := collect(s)
-		assert.NilError(t, err)
-		assert.Equal(t, len(texts), 0)
-		assert.Equal(t, last.Failed.Kind, tt.later, tt.name)
-	}
-	assert.Equal(t, len(c.engines[0].Records("s")), 0)
+		assert.Equal(t, len(c.engines[0].Records("s")), 0)
+	})
 }
--- a/ferrystand/ferrystandengine/job_test.go
+++ b/ferrystand/ferrystandengine/job_test.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"cactusferry.dev/ferry/ferryengine"
 	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
@@ -25,25 +25,27 @@
 
 // Eight kinds of engines in one chain, with speeds and links a hundredfold apart.
 func TestEightKinds(t *testing.T) {
-	c := &chain{}
-	var plan ferrypipeline.Plan
-	plan.Layers = testLayers
-	next := ferryid.Layer(0)
-	for i, rate := range []ferryid.TokensPerSecond{100, 10000, 200, 5000, 400, 2500, 800, 1200} {
-		layers := ferryid.LayerRange{From: next, To: next + 1}
-		if i%2 == 0 {
-			layers.To++
+	synctest.Test(t, func(t *testing.T) {
+		c := &chain{}
+		var plan ferrypipeline.Plan
+		plan.Layers = testLayers
+		next := ferryid.Layer(0)
+		for i, rate := range []ferryid.TokensPerSecond{100, 10000, 200, 5000, 400, 2500, 800, 1200} {
+			layers := ferryid.LayerRange{From: next, To: next + 1}
+			if i%2 == 0 {
+				layers.To++
+			}
+			next = layers.To
+			st := c.add(t, layers, clockwork.NewRealClock())
+			c.engines[i].SetFaults(ferrystandengine.Faults{TokensPerSecond: rate, DelayMS: i % 3 * 2})
+			plan.Stages = append(plan.Stages, ferrypipeline.Stage{Name: ferryid.UpstreamName(fmt.Sprintf("e%d", i)), Address: st.Address, Layers: layers})
 		}
-		next = layers.To
-		st := c.add(t, layers, clockwork.NewRealClock())
-		c.engines[i].SetFaults(ferrystandengine.Faults{TokensPerSecond: rate, DelayMS: i % 3 * 2})
-		plan.Stages = append(plan.Stages, ferrypipeline.Stage{Name: ferryid.UpstreamName(fmt.Sprintf("e%d", i)), Address: st.Address, Layers: layers})
-	}
-	f := &fleet{chain: *c, stream: "s"}
-	f.runner = &ferrypipeline.Runner{Engines: ferryengine.New(ferryengine.ClientConfig{}), Picker: fixedPlan{plan}, Clock: clockwork.NewRealClock()}
-	got, _, err := f.run(context.Background())
-	assert.NilError(t, err)
-	f.verify(t, got)
+		f := &fleet{chain: *c, stream: "s"}
+		f.runner = &ferrypipeline.Runner{Engines: newClient(t, clockwork.NewRealClock()), Picker: fixedPlan{plan}, Clock: clockwork.NewRealClock()}
+		got, _, err := f.run(context.Background())
+		assert.NilError(t, err)
+		f.verify(t, got)
+	})
 }
 
 type fixedPlan struct{ plan ferrypipeline.Plan }
@@ -56,114 +58,122 @@
 
 // Both engines of a stage die in mid-stream; the stream waits for one that joins and goes on there.
 func TestRunnerJoins(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	f.engines[1].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
-	f.engines[4].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
-	f.runner.Trace = func(_ time.Time, m ferrypipeline.Message) {
-		if _, ok := m.(ferrypipeline.NoPlan); !ok {
-			return
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		f.engines[1].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
+		f.engines[4].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
+		f.runner.Trace = func(_ time.Time, m ferrypipeline.Message) {
+			if _, ok := m.(ferrypipeline.NoPlan); !ok {
+				return
+			}
+			st := f.add(t, f.stages[1].Layers, clockwork.NewRealClock())
+			f.cfg.Candidates = append(f.cfg.Candidates, ferrypipeline.Candidate{Name: "joined", Address: st.Address, Layers: st.Layers, Domain: "ruse-a"})
+			assert.NilError(t, f.pool.Set(f.cfg, append(f.pool.Loads(), ferrypipeline.Load{Rate: 2000})))
+			f.pool.Avoid("e1-0", true)
+			f.pool.Avoid("e1-1", true)
 		}
-		st := f.add(t, f.stages[1].Layers, clockwork.NewRealClock())
-		f.cfg.Candidates = append(f.cfg.Candidates, ferrypipeline.Candidate{Name: "joined", Address: st.Address, Layers: st.Layers, Domain: "ruse-a"})
-		assert.NilError(t, f.pool.Set(f.cfg, append(f.pool.Loads(), ferrypipeline.Load{Rate: 2000})))
-		f.pool.Avoid("e1-0", true)
-		f.pool.Avoid("e1-1", true)
-	}
-	got, res, err := f.run(context.Background())
-	assert.NilError(t, err)
-	assert.Equal(t, res.Epochs, 3)
-	f.verify(t, got)
+		got, res, err := f.run(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, res.Epochs, 3)
+		f.verify(t, got)
+	})
 }
 
 // The caller's connection breaks and it goes on at another entry, which knows the epoch of its token, an older one or none.
 func TestResumeAtAnotherEntry(t *testing.T) {
-	want := ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
-	for _, tt := range []struct {
-		name   string
-		before ferryid.Epoch
-		epoch  ferryid.Epoch
-		resume int
-	}{
-		{"with the text it has", 0, 1, 3},
-		{"with nothing, compared at the seam", 0, 1, 0},
-		{"after epochs that it has not heard of", 40, 0, 3},
-	} {
-		f := newFleet(t, clockwork.NewRealClock())
-		token := ferrystream.Resume{Customer: "c", Service: "s", Stream: "s", Epoch: 1}
-		var first []ferrypipeline.Token
+	synctest.Test(t, func(t *testing.T) {
+		want := ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers)
+		for _, tt := range []struct {
+			name   string
+			before ferryid.Epoch
+			epoch  ferryid.Epoch
+			resume int
+		}{
+			{"with the text it has", 0, 1, 3},
+			{"with nothing, compared at the seam", 0, 1, 0},
+			{"after epochs that it has not heard of", 40, 0, 3},
+		} {
+			f := newFleet(t, clockwork.NewRealClock())
+			token := ferrystream.Resume{Customer: "c", Service: "s", Stream: "s", Epoch: 1}
+			var first []ferrypipeline.Token
+			job := f.job()
+			job.Epoch = tt.before
+			_, err := f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
+				if len(first) == 3 {
+					return errors.New("the caller is gone")
+				}
+				first = append(first, tok)
+				token.Next, token.History = tok.Position+1, token.History.Add(tok.Text)
+				return nil
+			})
+			assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.Ran)
+			f.runner.Wait()
+
+			job.Epoch, job.Resume = tt.epoch, want[:tt.resume]
+			seam := ferrystream.NewSeam(token)
+			text := want[:3:3]
+			_, err = f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
+				if tt.resume > 0 {
+					text = append(text, tok.Text)
+					return nil
+				}
+				fresh, err := seam.Add(tok)
+				if fresh {
+					text = append(text, tok.Text)
+				}
+				return err
+			})
+			assert.NilError(t, err, tt.name)
+			assert.DeepEqual(t, text, want)
+		}
+	})
+}
+
+// The deadline strikes in mid-stream: the caller keeps what it has and is told that it ran.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		f := newFleet(t, clock)
+		f.engines[2].SetFaults(ferrystandengine.Faults{SilentAtPosition: position(2)})
 		job := f.job()
-		job.Epoch = tt.before
+		job.Deadline = clock.Now().Add(time.Second)
+		n := 0
 		_, err := f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
-			if len(first) == 3 {
-				return errors.New("the caller is gone")
+			if n++; tok.Position == 1 {
+				<-f.engines[2].WentSilent()
+				clock.Advance(time.Second)
 			}
-			first = append(first, tok)
-			token.Next, token.History = tok.Position+1, token.History.Add(tok.Text)
 			return nil
 		})
-		assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.Ran)
+		var p *ferryoutcome.Problem
+		assert.Assert(t, errors.As(err, &p))
+		assert.Equal(t, p.Kind, ferryoutcome.KindTimeout)
+		assert.Equal(t, p.Outcome, ferryoutcome.Ran)
+		assert.Equal(t, n, 2)
 		f.runner.Wait()
-
-		job.Epoch, job.Resume = tt.epoch, want[:tt.resume]
-		seam := ferrystream.NewSeam(token)
-		text := want[:3:3]
-		_, err = f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
-			if tt.resume > 0 {
-				text = append(text, tok.Text)
-				return nil
-			}
-			fresh, err := seam.Add(tok)
-			if fresh {
-				text = append(text, tok.Text)
-			}
-			return err
-		})
-		assert.NilError(t, err, tt.name)
-		assert.DeepEqual(t, text, want)
-	}
-}
-
-// The deadline strikes in mid-stream: the caller keeps what it has and is told that it ran.
-func TestDeadline(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	f := newFleet(t, clock)
-	f.engines[2].SetFaults(ferrystandengine.Faults{SilentAtPosition: position(2)})
-	job := f.job()
-	job.Deadline = clock.Now().Add(time.Second)
-	n := 0
-	_, err := f.runner.Run(context.Background(), job, func(tok ferrypipeline.Token) error {
-		if n++; tok.Position == 1 {
-			<-f.engines[2].WentSilent()
-			clock.Advance(time.Second)
-		}
-		return nil
 	})
-	var p *ferryoutcome.Problem
-	assert.Assert(t, errors.As(err, &p))
-	assert.Equal(t, p.Kind, ferryoutcome.KindTimeout)
-	assert.Equal(t, p.Outcome, ferryoutcome.Ran)
-	assert.Equal(t, n, 2)
-	f.runner.Wait()
 }
 
 // Retries that bring no token are charged to the shared budget; moving on from an engine that is leaving is not one.
 func TestRetryBudget(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	f.runner.Budget = ferrypipeline.NewRetryBudget(0.5, 1)
-	f.engines[0].Leave()
-	f.engines[1].Kill()
-	_, res, err := f.run(context.Background())
-	assert.NilError(t, err)
-	assert.Equal(t, res.Epochs, 3)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		f.runner.Budget = ferrypipeline.NewRetryBudget(0.5, 1)
+		f.engines[0].Leave()
+		f.engines[1].Kill()
+		_, res, err := f.run(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, res.Epochs, 3)
 
-	f = newFleet(t, clockwork.NewRealClock())
-	f.runner.Budget = ferrypipeline.NewRetryBudget(0.5, 1)
-	f.engines[0].Kill()
-	f.engines[1].Kill()
-	_, _, err = f.run(context.Background())
-	var spent *ferrypipeline.BudgetError
-	assert.Assert(t, errors.As(err, &spent), "%v", err)
-	assert.Equal(t, len(f.records()), 0)
+		f = newFleet(t, clockwork.NewRealClock())
+		f.runner.Budget = ferrypipeline.NewRetryBudget(0.5, 1)
+		f.engines[0].Kill()
+		f.engines[1].Kill()
+		_, _, err = f.run(context.Background())
+		var spent *ferrypipeline.BudgetError
+		assert.Assert(t, errors.As(err, &spent), "%v", err)
+		assert.Equal(t, len(f.records()), 0)
+	})
 }
 
 func randomFaults(r *rand.Rand) ferrystandengine.Faults {
@@ -201,7 +211,9 @@
 	count := map[ferryoutcome.Outcome]int{}
 	for seed := range uint64(*randomRuns) {
 		// As a subtest each run gives its connections back.
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { count[randomRun(t, seed)]++ })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { count[randomRun(t, seed)]++ })
+		})
 	}
 	assert.Assert(t, count["whole"] > *randomRuns/2, "%v", count)
 	t.Logf("outcomes %v", count)
@@ -241,39 +253,43 @@
 }
 
 func TestJobThatNoEngineCouldRun(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	for _, change := range []func(j *ferrypipeline.Job){
-		func(j *ferrypipeline.Job) { j.MaxTokens = 0 },
-		func(j *ferrypipeline.Job) { j.Stream = "" },
-		func(j *ferrypipeline.Job) { j.Resume = make([]string, cutTokens+1) },
-	} {
-		job := f.job()
-		change(&job)
-		_, err := f.runner.Run(context.Background(), job, nil)
-		var p *ferryoutcome.Problem
-		assert.Assert(t, errors.As(err, &p))
-		assert.Equal(t, p.Kind, ferryoutcome.KindBadRequest)
-		assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		for _, change := range []func(j *ferrypipeline.Job){
+			func(j *ferrypipeline.Job) { j.MaxTokens = 0 },
+			func(j *ferrypipeline.Job) { j.Stream = "" },
+			func(j *ferrypipeline.Job) { j.Resume = make([]string, cutTokens+1) },
+		} {
+			job := f.job()
+			change(&job)
+			_, err := f.runner.Run(context.Background(), job, nil)
+			var p *ferryoutcome.Problem
+			assert.Assert(t, errors.As(err, &p))
+			assert.Equal(t, p.Kind, ferryoutcome.KindBadRequest)
+			assert.Equal(t, p.Outcome, ferryoutcome.NotRun)
+		}
+	})
 }
 
 // An engine that is a hundred times slower than it reports is found by the time it takes for a token, and avoided.
 func TestSlowEngineIsFound(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	for i, e := range f.engines {
-		e.SetFaults(ferrystandengine.Faults{TokensPerSecond: ferryid.TokensPerSecond(10000 - 5000*(i/cutStages))})
-	}
-	f.engines[1].SetFaults(ferrystandengine.Faults{TokensPerSecond: 100})
-	for i, want := range []ferryid.UpstreamName{"e1-0", "e1-0", "e1-1"} {
-		job := f.job()
-		job.Stream = ferryid.StreamID(fmt.Sprint(i))
-		plan, err := f.pool.Pick(&job, nil)
-		assert.NilError(t, err)
-		f.pool.Done(plan, 0)
-		assert.Equal(t, plan.Stages[1].Name, want)
-		_, err = f.runner.Run(context.Background(), job, func(ferrypipeline.Token) error { return nil })
-		assert.NilError(t, err)
-	}
-	f.runner.Wait()
-	assert.Assert(t, f.pool.Loads()[1].Rate < 500)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		for i, e := range f.engines {
+			e.SetFaults(ferrystandengine.Faults{TokensPerSecond: ferryid.TokensPerSecond(10000 - 5000*(i/cutStages))})
+		}
+		f.engines[1].SetFaults(ferrystandengine.Faults{TokensPerSecond: 100})
+		for i, want := range []ferryid.UpstreamName{"e1-0", "e1-0", "e1-1"} {
+			job := f.job()
+			job.Stream = ferryid.StreamID(fmt.Sprint(i))
+			plan, err := f.pool.Pick(&job, nil)
+			assert.NilError(t, err)
+			f.pool.Done(plan, 0)
+			assert.Equal(t, plan.Stages[1].Name, want)
+			_, err = f.runner.Run(context.Background(), job, func(ferrypipeline.Token) error { return nil })
+			assert.NilError(t, err)
+		}
+		f.runner.Wait()
+		assert.Assert(t, f.pool.Loads()[1].Rate < 500)
+	})
 }
--- a/ferrystand/ferrystandengine/pipeline_test.go
+++ b/ferrystand/ferrystandengine/pipeline_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -58,7 +59,7 @@
 	assert.NilError(tb, err)
 	f.pool, f.cfg = pool, cfg
 	f.runner = &ferrypipeline.Runner{
-		Engines: ferryengine.New(ferryengine.ClientConfig{Clock: clock}), Picker: pool, Clock: clock, Core: ferrypipeline.CoreConfig{ImportFrom: cutImports},
+		Engines: newClient(tb, clock), Picker: pool, Clock: clock, Core: ferrypipeline.CoreConfig{ImportFrom: cutImports},
 	}
 	return f
 }
@@ -109,87 +110,95 @@
 
 // Every stage fails in every way at every position of a short stream; the caller gets the whole text once.
 func TestEveryCutPoint(t *testing.T) {
-	type cut struct {
-		name   string
-		faults func(p int) ferrystandengine.Faults
-		epochs int
-	}
-	cuts := []cut{
-		{"dies before the step", func(p int) ferrystandengine.Faults {
-			return ferrystandengine.Faults{DieAtPosition: position(p)}
-		}, 2},
-		{"dies after the step", func(p int) ferrystandengine.Faults {
-			return ferrystandengine.Faults{DieAtPosition: position(p), DieWhen: ferrystandengine.DieAfterApply}
-		}, 2},
-		{"dies within its answer", func(p int) ferrystandengine.Faults {
-			return ferrystandengine.Faults{DieAtPosition: position(p), DieWhen: ferrystandengine.DieInLine}
-		}, 2},
-		{"comes back empty", func(p int) ferrystandengine.Faults {
-			return ferrystandengine.Faults{EmptyAtPosition: position(p)}
-		}, 2},
-		{"answers twice", func(int) ferrystandengine.Faults { return ferrystandengine.Faults{Duplicate: true} }, 1},
-		{"answers from an older epoch", func(int) ferrystandengine.Faults {
-			return ferrystandengine.Faults{LateFromOldEpoch: true}
-		}, 1},
-	}
-	for _, tt := range cuts {
-		for stage := range cutStages {
-			for p := range cutTokens {
-				f := newFleet(t, clockwork.NewRealClock())
-				f.engines[stage].SetFaults(tt.faults(p))
-				got, res, err := f.run(context.Background())
-				assert.NilError(t, err, "%s: stage %d token %d", tt.name, stage, p)
-				assert.Equal(t, res.Epochs, tt.epochs, "%s: stage %d token %d", tt.name, stage, p)
-				f.verify(t, got)
+	synctest.Test(t, func(t *testing.T) {
+		type cut struct {
+			name   string
+			faults func(p int) ferrystandengine.Faults
+			epochs int
+		}
+		cuts := []cut{
+			{"dies before the step", func(p int) ferrystandengine.Faults {
+				return ferrystandengine.Faults{DieAtPosition: position(p)}
+			}, 2},
+			{"dies after the step", func(p int) ferrystandengine.Faults {
+				return ferrystandengine.Faults{DieAtPosition: position(p), DieWhen: ferrystandengine.DieAfterApply}
+			}, 2},
+			{"dies within its answer", func(p int) ferrystandengine.Faults {
+				return ferrystandengine.Faults{DieAtPosition: position(p), DieWhen: ferrystandengine.DieInLine}
+			}, 2},
+			{"comes back empty", func(p int) ferrystandengine.Faults {
+				return ferrystandengine.Faults{EmptyAtPosition: position(p)}
+			}, 2},
+			{"answers twice", func(int) ferrystandengine.Faults { return ferrystandengine.Faults{Duplicate: true} }, 1},
+			{"answers from an older epoch", func(int) ferrystandengine.Faults {
+				return ferrystandengine.Faults{LateFromOldEpoch: true}
+			}, 1},
+		}
+		for _, tt := range cuts {
+			for stage := range cutStages {
+				for p := range cutTokens {
+					f := newFleet(t, clockwork.NewRealClock())
+					f.engines[stage].SetFaults(tt.faults(p))
+					got, res, err := f.run(context.Background())
+					assert.NilError(t, err, "%s: stage %d token %d", tt.name, stage, p)
+					assert.Equal(t, res.Epochs, tt.epochs, "%s: stage %d token %d", tt.name, stage, p)
+					f.verify(t, got)
+				}
 			}
 		}
-	}
+	})
 }
 
 // An engine that ignores cancels goes on sending its old epoch's tokens, also into the new epoch's answer.
 func TestLateFromOldEpoch(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	f.engines[0].SetFaults(ferrystandengine.Faults{LateFromOldEpoch: true})
-	f.engines[1].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
-	got, res, err := f.run(context.Background())
-	assert.NilError(t, err)
-	assert.Equal(t, res.Epochs, 2)
-	assert.Equal(t, res.Late, cutTokens-3)
-	f.verify(t, got)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		f.engines[0].SetFaults(ferrystandengine.Faults{LateFromOldEpoch: true})
+		f.engines[1].SetFaults(ferrystandengine.Faults{DieAtPosition: position(3)})
+		got, res, err := f.run(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, res.Epochs, 2)
+		assert.Equal(t, res.Late, cutTokens-3)
+		f.verify(t, got)
+	})
 }
 
 // Two stages die one after the other, the second while the first's work is rebuilt.
 func TestTwice(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	f.engines[1].SetFaults(ferrystandengine.Faults{DieAtPosition: position(2)})
-	f.engines[2].SetFaults(ferrystandengine.Faults{DieAtPosition: position(2)})
-	got, res, err := f.run(context.Background())
-	assert.NilError(t, err)
-	assert.Equal(t, res.Epochs, 3)
-	f.verify(t, got)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		f.engines[1].SetFaults(ferrystandengine.Faults{DieAtPosition: position(2)})
+		f.engines[2].SetFaults(ferrystandengine.Faults{DieAtPosition: position(2)})
+		got, res, err := f.run(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, res.Epochs, 3)
+		f.verify(t, got)
+	})
 }
 
 // A stage that loses its link and not its memory hands its KV cache to its successor: nothing is rebuilt.
 func TestRecoveryByImport(t *testing.T) {
-	for _, tt := range []struct {
-		name     string
-		from     int
-		imported int
-	}{
-		{"by KV import", 1, 1},
-		{"by rebuilding", 1000, 0},
-	} {
-		f := newFleet(t, clockwork.NewRealClock())
-		f.runner.Core.ImportFrom = tt.from
-		var cut bool
-		f.runner.Engines = &cutOnce{Engines: f.runner.Engines, after: 4, cut: &cut}
-		got, res, err := f.run(context.Background())
-		assert.NilError(t, err, tt.name)
-		assert.Equal(t, res.Epochs, 2, tt.name)
-		assert.Equal(t, res.Imported, tt.imported, tt.name)
-		c := f.verify(t, got)
-		assert.Equal(t, c.Prefill == 0, tt.imported > 0, tt.name)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		for _, tt := range []struct {
+			name     string
+			from     int
+			imported int
+		}{
+			{"by KV import", 1, 1},
+			{"by rebuilding", 1000, 0},
+		} {
+			f := newFleet(t, clockwork.NewRealClock())
+			f.runner.Core.ImportFrom = tt.from
+			var cut bool
+			f.runner.Engines = &cutOnce{Engines: f.runner.Engines, after: 4, cut: &cut}
+			got, res, err := f.run(context.Background())
+			assert.NilError(t, err, tt.name)
+			assert.Equal(t, res.Epochs, 2, tt.name)
+			assert.Equal(t, res.Imported, tt.imported, tt.name)
+			c := f.verify(t, got)
+			assert.Equal(t, c.Prefill == 0, tt.imported > 0, tt.name)
+		}
+	})
 }
 
 // cutOnce breaks the first epoch's connection after some items, as a link does whose ends live on.
@@ -223,71 +232,79 @@
 
 // A stage goes silent with its connections open: the side that waits closes its connection when the progress deadline strikes.
 func TestSilentConnection(t *testing.T) {
-	deadlines := []time.Duration{2600 * time.Millisecond, 2100 * time.Millisecond, 1600 * time.Millisecond}
-	for stage, past := range deadlines {
-		clock := clockwork.NewFakeClock()
-		f := newFleet(t, clock)
-		f.engines[stage].SetFaults(ferrystandengine.Faults{SilentAtPosition: position(2)})
-		f.emit = func(tok ferrypipeline.Token) {
-			if tok.Position == 1 {
-				// Every timer was set again before this token came, so one step of the clock strikes the silent hop only.
-				<-f.engines[stage].WentSilent()
-				clock.Advance(past)
+	synctest.Test(t, func(t *testing.T) {
+		deadlines := []time.Duration{2600 * time.Millisecond, 2100 * time.Millisecond, 1600 * time.Millisecond}
+		for stage, past := range deadlines {
+			clock := clockwork.NewFakeClock()
+			f := newFleet(t, clock)
+			f.engines[stage].SetFaults(ferrystandengine.Faults{SilentAtPosition: position(2)})
+			f.emit = func(tok ferrypipeline.Token) {
+				if tok.Position == 1 {
+					// Every timer was set again before this token came, so one step of the clock strikes the silent hop only.
+					<-f.engines[stage].WentSilent()
+					clock.Advance(past)
+				}
 			}
+			got, res, err := f.run(context.Background())
+			assert.NilError(t, err, "stage %d", stage)
+			assert.Equal(t, res.Epochs, 2)
+			f.verify(t, got)
 		}
-		got, res, err := f.run(context.Background())
-		assert.NilError(t, err, "stage %d", stage)
-		assert.Equal(t, res.Epochs, 2)
-		f.verify(t, got)
-	}
+	})
 }
 
 // All engines of one stage are leaving: the job is refused and nothing ran anywhere.
 func TestRefusedIsNotRun(t *testing.T) {
-	for stage := range cutStages {
-		f := newFleet(t, clockwork.NewRealClock())
-		f.engines[stage].Leave()
-		f.engines[stage+cutStages].Leave()
-		got, _, err := f.run(context.Background())
-		assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.NotRun, "%v", err)
-		assert.Equal(t, len(got)+len(f.records()), 0)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		for stage := range cutStages {
+			f := newFleet(t, clockwork.NewRealClock())
+			f.engines[stage].Leave()
+			f.engines[stage+cutStages].Leave()
+			got, _, err := f.run(context.Background())
+			assert.Equal(t, ferryoutcome.Of(err), ferryoutcome.NotRun, "%v", err)
+			assert.Equal(t, len(got)+len(f.records()), 0)
+		}
+	})
 }
 
 // A degraded link only makes a stream slow.
 func TestDegradedLink(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	f.engines[1].SetFaults(ferrystandengine.Faults{DelayMS: 20})
-	got, res, err := f.run(context.Background())
-	assert.NilError(t, err)
-	assert.Equal(t, res.Epochs, 1)
-	f.verify(t, got)
-	assert.Assert(t, strings.HasPrefix(got[0].Text, " "))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		f.engines[1].SetFaults(ferrystandengine.Faults{DelayMS: 20})
+		got, res, err := f.run(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, res.Epochs, 1)
+		f.verify(t, got)
+		assert.Assert(t, strings.HasPrefix(got[0].Text, " "))
+	})
 }
 
 // The checker refuses records that break the promise.
 func TestCheckerRefuses(t *testing.T) {
-	f := newFleet(t, clockwork.NewRealClock())
-	got, _, err := f.run(context.Background())
-	assert.NilError(t, err)
-	for _, tt := range []struct {
-		name   string
-		change func(rs []ferrypipeline.Applied) []ferrypipeline.Applied
-	}{
-		{"left out", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied { return rs[1:] }},
-		{"twice", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied { return append(rs, rs[0]) }},
-		{"again later", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied {
-			again := rs[0]
-			again.Epoch++
-			return append(rs, again)
-		}},
-		{"out of order", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied {
-			rs[0].AtNanos += int64(time.Hour)
-			return rs
-		}},
-	} {
-		c := ferrypipeline.Checker{Layers: testLayers}
-		var bad *ferrypipeline.LayerError
-		assert.Assert(t, errors.As(c.Check(tt.change(f.records()), got), &bad), tt.name)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, clockwork.NewRealClock())
+		got, _, err := f.run(context.Background())
+		assert.NilError(t, err)
+		for _, tt := range []struct {
+			name   string
+			change func(rs []ferrypipeline.Applied) []ferrypipeline.Applied
+		}{
+			{"left out", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied { return rs[1:] }},
+			{"twice", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied { return append(rs, rs[0]) }},
+			{"again later", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied {
+				again := rs[0]
+				again.Epoch++
+				return append(rs, again)
+			}},
+			{"out of order", func(rs []ferrypipeline.Applied) []ferrypipeline.Applied {
+				rs[0].AtNanos += int64(time.Hour)
+				return rs
+			}},
+		} {
+			c := ferrypipeline.Checker{Layers: testLayers}
+			var bad *ferrypipeline.LayerError
+			assert.Assert(t, errors.As(c.Check(tt.change(f.records()), got), &bad), tt.name)
+		}
+	})
 }
--- a/ferrystand/ferrystandengine/resume_test.go
+++ b/ferrystand/ferrystandengine/resume_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -91,42 +92,46 @@
 
 // The entry dies after any number of bytes and the caller goes on at another entry with its event id: the text is whole and right.
 func TestEntryDiesAtAnyByte(t *testing.T) {
-	want := strings.Join(ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers), "")
-	f := newFleet(t, clockwork.NewRealClock())
-	all, err := f.entry(t, "", 1<<20)
-	assert.NilError(t, err)
-	f = newFleet(t, clockwork.NewRealClock())
-	for cut := 0; cut < len(all); cut += 41 {
-		// Engines remember streams, so each run has its own.
-		f.stream = ferryid.StreamID(fmt.Sprint("s", cut))
-		first, err := f.entry(t, "", cut)
-		assert.Assert(t, err != nil)
-		text, id, whole := read(t, first)
-		assert.Assert(t, !whole)
-		second, err := f.entry(t, id, 1<<20)
-		assert.NilError(t, err, "cut after %d bytes", cut)
-		rest, _, whole := read(t, second)
-		assert.Assert(t, whole)
-		assert.Equal(t, text+rest, want, "cut after %d bytes", cut)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		want := strings.Join(ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers), "")
+		f := newFleet(t, clockwork.NewRealClock())
+		all, err := f.entry(t, "", 1<<20)
+		assert.NilError(t, err)
+		f = newFleet(t, clockwork.NewRealClock())
+		for cut := 0; cut < len(all); cut += 41 {
+			// Engines remember streams, so each run has its own.
+			f.stream = ferryid.StreamID(fmt.Sprint("s", cut))
+			first, err := f.entry(t, "", cut)
+			assert.Assert(t, err != nil)
+			text, id, whole := read(t, first)
+			assert.Assert(t, !whole)
+			second, err := f.entry(t, id, 1<<20)
+			assert.NilError(t, err, "cut after %d bytes", cut)
+			rest, _, whole := read(t, second)
+			assert.Assert(t, whole)
+			assert.Equal(t, text+rest, want, "cut after %d bytes", cut)
+		}
+	})
 }
 
 // Every connection is cut after one event; the caller gets the whole text all the same, a token at a time.
 func TestCallerThatKeepsLosingItsConnection(t *testing.T) {
-	const room = 600
-	f := newFleet(t, clockwork.NewRealClock())
-	text, id, whole := "", "", false
-	for range 2 * cutTokens {
-		stream, _ := f.entry(t, id, room)
-		more, next, done := read(t, stream)
-		text += more
-		if next != "" {
-			id = next
-		}
-		if whole = done; whole {
-			break
+	synctest.Test(t, func(t *testing.T) {
+		const room = 600
+		f := newFleet(t, clockwork.NewRealClock())
+		text, id, whole := "", "", false
+		for range 2 * cutTokens {
+			stream, _ := f.entry(t, id, room)
+			more, next, done := read(t, stream)
+			text += more
+			if next != "" {
+				id = next
+			}
+			if whole = done; whole {
+				break
+			}
 		}
-	}
-	assert.Assert(t, whole)
-	assert.Equal(t, text, strings.Join(ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers), ""))
+		assert.Assert(t, whole)
+		assert.Equal(t, text, strings.Join(ferryenginetest.Reference(cutSeed, cutPrompt, cutTokens, testLayers), ""))
+	})
 }
