Watcher and platform clients are tested without the real clock

Cause: ferrydocument's watcher tests waited for one waiter on a fake clock before moving it; a timer left behind by an ended watch counts as one, so the clock could move before the watcher's pause began, and the test would hang. The platform client's tests kept calls to 5 s of real time where no clock was given. Change: the watcher's tests run within synctest.Test and sleep; the platform clients of the tests get a fake clock that nobody moves. Conclusion: no real time in these verdicts.

--- a/ferry/ferrydocument/watcher_test.go
+++ b/ferry/ferrydocument/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,7 +18,7 @@
 
 // watched is a holder whose watcher runs.
 type watched struct {
-	clock   *clockwork.FakeClock
+	clock   clockwork.Clock
 	store   *ferryplatformtest.Fake
 	holder  *ferrydocument.Holder
 	watcher *ferrydocument.Watcher
@@ -26,7 +27,7 @@
 }
 
 func startWatcher(t *testing.T) *watched {
-	clock := clockwork.NewFakeClockAt(start)
+	clock := clockwork.NewRealClock()
 	w := &watched{clock: clock, store: ferryplatformtest.New(clock), holder: ferrydocument.NewHolder(clock, nil)}
 	w.watcher = ferrydocument.NewWatcher(ferrydocument.WatcherConfig{Store: w.store, Holder: w.holder, Clock: clock, Seed: 1})
 	w.news = w.holder.Subscribe()
@@ -53,36 +54,36 @@
 }
 
 func TestWatcherFollowsTheStore(t *testing.T) {
-	w := startWatcher(t)
-	w.apply(t, "one", 0)
-	w.watcher.Watching(true)
-	<-w.news.Ready()
-	assert.Equal(t, w.generation(), ferryid.Generation(1))
-	w.apply(t, "two", 1)
-	<-w.news.Ready()
-	assert.Equal(t, w.generation(), ferryid.Generation(2))
-	assert.Assert(t, errors.Is(w.stop(), context.Canceled))
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatcher(t)
+		w.apply(t, "one", 0)
+		w.watcher.Watching(true)
+		<-w.news.Ready()
+		assert.Equal(t, w.generation(), ferryid.Generation(1))
+		w.apply(t, "two", 1)
+		<-w.news.Ready()
+		assert.Equal(t, w.generation(), ferryid.Generation(2))
+		assert.Assert(t, errors.Is(w.stop(), context.Canceled))
+	})
 }
 
 func TestWatcherComesBackAfterAnOutage(t *testing.T) {
-	w := startWatcher(t)
-	w.apply(t, "one", 0)
-	w.watcher.Watching(true)
-	<-w.news.Ready()
-	w.store.SetFaults(ferryplatformtest.Faults{Outage: true})
-	for w.store.Calls().List < 3 {
-		// The watcher waits for nothing but its pause.
-		assert.NilError(t, w.clock.BlockUntilContext(t.Context(), 1))
-		w.clock.Advance(30 * time.Second)
-	}
-	assert.Equal(t, w.generation(), ferryid.Generation(1), "an outage takes nothing out of force")
-	w.store.SetFaults(ferryplatformtest.Faults{})
-	w.apply(t, "two", 1)
-	assert.NilError(t, w.clock.BlockUntilContext(t.Context(), 1))
-	w.clock.Advance(time.Minute)
-	<-w.news.Ready()
-	assert.Equal(t, w.generation(), ferryid.Generation(2))
-	assert.Assert(t, errors.Is(w.stop(), context.Canceled))
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatcher(t)
+		w.apply(t, "one", 0)
+		w.watcher.Watching(true)
+		<-w.news.Ready()
+		w.store.SetFaults(ferryplatformtest.Faults{Outage: true})
+		for w.store.Calls().List < 3 {
+			time.Sleep(30 * time.Second)
+		}
+		assert.Equal(t, w.generation(), ferryid.Generation(1), "an outage takes nothing out of force")
+		w.store.SetFaults(ferryplatformtest.Faults{})
+		w.apply(t, "two", 1)
+		<-w.news.Ready()
+		assert.Equal(t, w.generation(), ferryid.Generation(2))
+		assert.Assert(t, errors.Is(w.stop(), context.Canceled))
+	})
 }
 
 // tellsEnd says when a watch begins and ends.
@@ -98,40 +99,44 @@
 }
 
 func TestWatcherStopsWatchingAtOnce(t *testing.T) {
-	clock := clockwork.NewFakeClockAt(start)
-	store := tellsEnd{ferryplatformtest.New(clock), make(chan struct{}, 9), make(chan struct{}, 9)}
-	h := ferrydocument.NewHolder(clock, nil)
-	w := ferrydocument.NewWatcher(ferrydocument.WatcherConfig{Store: store, Holder: h, Clock: clock})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- w.Run(ctx) }()
-	w.Watching(true)
-	<-store.began
-	w.Watching(false)
-	<-store.ended
-	_, err := ferrydocument.Apply(t.Context(), store, clock, request("one", 0))
-	assert.NilError(t, err)
-	assert.Equal(t, h.Len(), 0)
-	w.Watching(true)
-	<-store.began
-	assert.Equal(t, h.Len(), 1)
-	cancel()
-	assert.Assert(t, errors.Is(<-done, context.Canceled))
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		store := tellsEnd{ferryplatformtest.New(clock), make(chan struct{}, 9), make(chan struct{}, 9)}
+		h := ferrydocument.NewHolder(clock, nil)
+		w := ferrydocument.NewWatcher(ferrydocument.WatcherConfig{Store: store, Holder: h, Clock: clock})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		w.Watching(true)
+		<-store.began
+		w.Watching(false)
+		<-store.ended
+		_, err := ferrydocument.Apply(t.Context(), store, clock, request("one", 0))
+		assert.NilError(t, err)
+		assert.Equal(t, h.Len(), 0)
+		w.Watching(true)
+		<-store.began
+		assert.Equal(t, h.Len(), 1)
+		cancel()
+		assert.Assert(t, errors.Is(<-done, context.Canceled))
+	})
 }
 
 func TestWatcherPutsBackWhatARestoredStoreLost(t *testing.T) {
-	w := startWatcher(t)
-	w.apply(t, "one", 0)
-	w.store.Snapshot()
-	w.apply(t, "two", 1)
-	w.watcher.Watching(true)
-	<-w.news.Ready()
-	assert.Equal(t, w.generation(), ferryid.Generation(2))
-	assert.Assert(t, w.store.Restore())
-	// The watch ends at a lower version, and the list leads to a repair; another watcher would wait for the change.
-	changes, err := w.store.Watch(t.Context(), "services", 1, time.Minute)
-	assert.NilError(t, err)
-	assert.Equal(t, changes.Objects[0].Version, ferryplatform.Version(2))
-	assert.Equal(t, w.generation(), ferryid.Generation(2))
-	assert.Assert(t, errors.Is(w.stop(), context.Canceled))
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatcher(t)
+		w.apply(t, "one", 0)
+		w.store.Snapshot()
+		w.apply(t, "two", 1)
+		w.watcher.Watching(true)
+		<-w.news.Ready()
+		assert.Equal(t, w.generation(), ferryid.Generation(2))
+		assert.Assert(t, w.store.Restore())
+		// The watch ends at a lower version, and the list leads to a repair; another watcher would wait for the change.
+		changes, err := w.store.Watch(t.Context(), "services", 1, time.Minute)
+		assert.NilError(t, err)
+		assert.Equal(t, changes.Objects[0].Version, ferryplatform.Version(2))
+		assert.Equal(t, w.generation(), ferryid.Generation(2))
+		assert.Assert(t, errors.Is(w.stop(), context.Canceled))
+	})
 }
--- a/ferry/ferryplatform/client_test.go
+++ b/ferry/ferryplatform/client_test.go
@@ -166,7 +166,7 @@
 		_, _ = io.Copy(w, io.LimitReader(zeros{}, 2<<20))
 	}))
 	defer srv.Close()
-	c := ferryplatform.New(ferryplatform.ClientConfig{URL: srv.URL})
+	c := ferryplatform.New(ferryplatform.ClientConfig{URL: srv.URL, Clock: clockwork.NewFakeClockAt(start)})
 	_, err := c.Get(t.Context(), "k", "n")
 	assert.ErrorContains(t, err, "answer over 1048576 bytes")
 	_, err = c.Put(t.Context(), "k", "n", 1, make([]byte, 1<<20+1))
--- a/ferrystand/ferrystandplatform/race_test.go
+++ b/ferrystand/ferrystandplatform/race_test.go
@@ -33,7 +33,7 @@
 		errs := make([]error, operators)
 		for i := range operators {
 			wg.Go(func() {
-				store := ferryplatform.New(ferryplatform.ClientConfig{URL: srv.URL, Budget: budget})
+				store := ferryplatform.New(ferryplatform.ClientConfig{URL: srv.URL, Clock: clockwork.NewFakeClock(), Budget: budget})
 				accepted[i], errs[i] = ferrydocument.NewHolder(clock, nil).Apply(t.Context(), store, ferrydocument.ApplyRequest{
 					Service: "parlour-api", Source: fmt.Sprintf("Service = \"parlour-api\"\nTeam = \"%d-%d\"\nKind = \"Plain\"\n", round, i),
 					BaseGeneration: ferryid.Generation(round), Operator: fmt.Sprint("op-", i), ApplyID: ferrydocument.NewApplyID(),
--- a/ferrystand/ferrystandplatform/server_test.go
+++ b/ferrystand/ferrystandplatform/server_test.go
@@ -22,7 +22,7 @@
 	srv := httptest.NewServer(s)
 	defer srv.Close()
 	ctx := t.Context()
-	c := ferryplatform.New(ferryplatform.ClientConfig{URL: srv.URL})
+	c := ferryplatform.New(ferryplatform.ClientConfig{URL: srv.URL, Clock: clockwork.NewFakeClock()})
 
 	_, err := c.Get(ctx, "services", "a")
 	assert.ErrorType(t, err, &ferryplatform.NotFoundError{})
