The status names a document once callers are served by it

Cause: the status took its documents from the holder, the callers' handlers theirs from the services, which follow the holder a moment later. An operator, the demo and TestNode's bed read the status to learn that a document is in force; a call just after got 404. FreeAddresses also gave ports that another process could take before the node listened. Excluded: a lost document; the same call succeeds a moment later. Change: follow notes what it has put to use, and the status names that. Test nodes listen on ports taken for good, by Node.listener in place of net.Listen; FreeAddresses is no longer used in tests. Conclusion: a fault of the product, found by load.

--- a/ferryd/ferrynode/document.go
+++ b/ferryd/ferrynode/document.go
@@ -44,11 +44,7 @@
 	defer sub.Close()
 	for {
 		for _, f := range sub.Take() {
-			n.services.setDocument(ctx, &f.Document)
-			n.orderDocument(ctx, f)
-			n.limits.setDocument(f)
-			n.log.Info().Str("Service", string(f.Accepted.Service)).Uint64("Generation", uint64(f.Accepted.Generation)).
-				Str("From", f.From).Msg("document in force")
+			n.use(ctx, f)
 		}
 		select {
 		case <-ctx.Done():
@@ -58,6 +54,27 @@
 	}
 }
 
+// use has callers served by a document; only then does the status name it.
+func (n *Node) use(ctx context.Context, f *ferrydocument.InForce) {
+	n.services.setDocument(ctx, &f.Document)
+	n.orderDocument(ctx, f)
+	n.limits.setDocument(f)
+	n.used.Store(f.Accepted.Service, f)
+	n.log.Info().Str("Service", string(f.Accepted.Service)).Uint64("Generation", uint64(f.Accepted.Generation)).
+		Str("From", f.From).Msg("document in force")
+}
+
+// inUse returns the documents that callers are served by.
+func (n *Node) inUse() []*ferrydocument.InForce {
+	var out []*ferrydocument.InForce
+	for _, f := range n.holder.All() {
+		if used, ok := n.used.Load(f.Accepted.Service); ok {
+			out = append(out, used.(*ferrydocument.InForce))
+		}
+	}
+	return out
+}
+
 // orderDocument has the engines brought to what the document asks for.
 func (n *Node) orderDocument(ctx context.Context, f *ferrydocument.InForce) {
 	sv, ok := n.services.get(f.Document.Service)
--- a/ferryd/ferrynode/duty.go
+++ b/ferryd/ferrynode/duty.go
@@ -33,11 +33,11 @@
 	if err != nil {
 		return merry.Prepend(err, "callers' listener")
 	}
-	callers, err := listen(n.cfg.Callers.Listen, callerKeys)
+	callers, err := n.listen(n.cfg.Callers.Listen, callerKeys)
 	if err != nil {
 		return err
 	}
-	peers, err := listen(n.cfg.Peers.Listen, n.peerKeys)
+	peers, err := n.listen(n.cfg.Peers.Listen, n.peerKeys)
 	if err != nil {
 		_ = callers.Close()
 		return err
--- a/ferryd/ferrynode/listen.go
+++ b/ferryd/ferrynode/listen.go
@@ -60,8 +60,8 @@
 }
 
 // listen opens a listener, with TLS if the settings have keys.
-func listen(address string, pair *ferrykeys.Pair) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func (n *Node) listen(address string, pair *ferrykeys.Pair) (net.Listener, error) {
+	l, err := n.listener("tcp", address)
 	if err != nil {
 		return nil, merry.Prepend(err, "listen on "+address)
 	}
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	stdlog "log"
+	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +66,7 @@
 	cfg      ferrysettings.Settings
 	clock    clockwork.Clock
 	log      zerolog.Logger
+	listener func(network, address string) (net.Listener, error)
 	self     ferryid.Incarnation
 	current  atomic.Int32
 	stopping atomic.Bool
@@ -72,6 +75,8 @@
 	metrics  *metrics
 	platform *ferryplatform.Client
 	holder   *ferrydocument.Holder
+	// used holds each service's *ferrydocument.InForce that callers are served by.
+	used     sync.Map
 	watcher  *ferrydocument.Watcher
 	services *services
 	engines  *ferryengine.Client
@@ -93,12 +98,13 @@
 // New puts a node together; nothing runs yet.
 func New(cfg ferrysettings.Settings, clock clockwork.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{
-		cfg:     cfg,
-		clock:   clock,
-		self:    ferryid.NewIncarnation(),
-		log:     log.With().Str("Entry", string(cfg.Name)).Logger(),
-		events:  ferryevent.NewLog(clock, string(cfg.Name), eventRing),
-		metrics: newMetrics(),
+		cfg:      cfg,
+		clock:    clock,
+		listener: net.Listen,
+		self:     ferryid.NewIncarnation(),
+		log:      log.With().Str("Entry", string(cfg.Name)).Logger(),
+		events:   ferryevent.NewLog(clock, string(cfg.Name), eventRing),
+		metrics:  newMetrics(),
 	}
 	n.platform = ferryplatform.New(ferryplatform.ClientConfig{
 		URL: cfg.Platform.URL, Clock: clock, Timeout: time.Duration(cfg.Platform.Timeout),
--- a/ferryd/ferrynode/node_test.go
+++ b/ferryd/ferrynode/node_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -25,8 +26,8 @@
 	"cactusferry.dev/ferry/ferrydocument"
 	"cactusferry.dev/ferry/ferryengine/ferryenginetest"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform/ferryplatformtest"
 	"cactusferry.dev/ferryd/ferrysettings"
-	"cactusferry.dev/ferrystand/ferryprocess"
 	"cactusferry.dev/ferrystand/ferrystandengine"
 	"cactusferry.dev/ferrystand/ferrystandplain"
 	"cactusferry.dev/ferrystand/ferrystandplatform"
@@ -66,6 +67,15 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// listenAnywhere takes a port for good, so that no other process gets it before the node listens.
+func listenAnywhere(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
 func newBed(t *testing.T) *bed {
 	t.Helper()
 	clock := clockwork.NewRealClock()
@@ -80,20 +90,26 @@
 		b.engines = append(b.engines, e)
 		b.urls = append(b.urls, serveOn(t, e))
 	}
-	free, err := ferryprocess.FreeAddresses(2)
-	assert.NilError(t, err)
-	b.callers = free[0]
-	b.admin = ferryadmin.NewClient("http://"+free[1], testToken, nil)
+	callers, peers := listenAnywhere(t), listenAnywhere(t)
+	b.callers = callers.Addr().String()
+	b.admin = ferryadmin.NewClient("http://"+peers.Addr().String(), testToken, nil)
 	cfg := ferrysettings.Settings{
-		Name: "entry-1", FailureDomain: "ruse-a", Callers: ferrysettings.Callers{Listen: free[0]}, Peers: ferrysettings.Peers{Listen: free[1]},
+		Name: "entry-1", FailureDomain: "ruse-a", Callers: ferrysettings.Callers{Listen: b.callers}, Peers: ferrysettings.Peers{Listen: peers.Addr().String()},
 		Platform: ferrysettings.Platform{URL: "http://" + serveOn(t, ferrystandplatform.New(clock))},
 		Keys:     ferrysettings.Keys{Seal: []string{strings.Repeat("00112233", 8)}, OperatorToken: testToken},
 		Stop:     ferrysettings.Stop{Grace: ferrysettings.Duration(time.Millisecond)},
 	}
 	cfg.SetDefaults()
 	assert.NilError(t, cfg.Validate("test", nil))
+	var err error
 	b.node, err = New(cfg, clock, zerolog.Nop())
 	assert.NilError(t, err)
+	b.node.listener = func(_, address string) (net.Listener, error) {
+		if address == b.callers {
+			return callers, nil
+		}
+		return peers, nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { b.ended <- b.node.Run(ctx, b.stop) }()
@@ -276,6 +292,27 @@
 	}
 }
 
+// The status names a document when callers are served by it, not before.
+func TestStatusNamesWhatCallersAreServedBy(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	cfg := ferrysettings.Settings{
+		Name: "entry-1", FailureDomain: "ruse-a", Platform: ferrysettings.Platform{URL: "http://127.0.0.1:1"},
+		Keys: ferrysettings.Keys{Seal: []string{strings.Repeat("00112233", 8)}, OperatorToken: testToken},
+	}
+	cfg.SetDefaults()
+	n, err := New(cfg, clock, zerolog.Nop())
+	assert.NilError(t, err)
+	_, err = n.holder.Apply(t.Context(), ferryplatformtest.New(clock), ferrydocument.ApplyRequest{
+		Service: "parlour-api", Source: (&bed{plainAt: "127.0.0.1:1"}).plainText(), Operator: "morning", ApplyID: ferrydocument.NewApplyID(),
+	})
+	assert.NilError(t, err)
+	f, ok := n.holder.Get("parlour-api")
+	assert.Assert(t, ok)
+	assert.Equal(t, len(n.status().Documents), 0)
+	n.use(t.Context(), f)
+	assert.Equal(t, n.status().Documents[0].Generation, f.Accepted.Generation)
+}
+
 // Two nodes live in one process, each with metrics of its own.
 func TestTwoNodes(t *testing.T) {
 	for _, b := range []*bed{newBed(t), newBed(t)} {
--- a/ferryd/ferrynode/status.go
+++ b/ferryd/ferrynode/status.go
@@ -15,7 +15,7 @@
 		OpenStreams: streams, OpenCalls: calls, PlatformUp: n.platform.Up(), PlatformCalls: n.platformCalls(),
 		Peers: n.peer.Links(), Entries: n.entryStatus(),
 	}
-	for _, f := range n.holder.All() {
+	for _, f := range n.inUse() {
 		s.Documents = append(s.Documents, ferryadmin.DocumentStatus{Service: f.Accepted.Service, Generation: f.Accepted.Generation, Hash: f.Hash})
 	}
 	for _, sv := range n.services.all() {
