--- a/ferry/ferryclaim/forward.go
+++ b/ferry/ferryclaim/forward.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -33,6 +33,8 @@
 	Held Record `cbor:"2,keyasint"`
 	// Sent is true after DecisionRefused if the record may be on the platform all the same.
 	Sent bool `cbor:"3,keyasint"`
+	// RetryAfter is set after DecisionRefused if the owner may not ask the platform before then.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // DecisionKind says which answer a Decision is.
@@ -58,7 +60,12 @@
 	case held:
 		return Decision{Kind: DecisionHeld, Held: v.rec}
 	case refused:
-		return Decision{Kind: DecisionRefused, Sent: v.sent}
+		d := Decision{Kind: DecisionRefused, Sent: v.sent}
+		var budget *ferryplatform.BudgetError
+		if errors.As(v.err, &budget) {
+			d.RetryAfter = budget.RetryAfter
+		}
+		return d
 	}
 	return Decision{Kind: DecisionGranted}
 }
@@ -68,6 +75,9 @@
 	case DecisionHeld:
 		return held{d.Held}
 	case DecisionRefused:
+		if d.RetryAfter > 0 {
+			return refused{&ferryplatform.BudgetError{Op: "claim", RetryAfter: d.RetryAfter}, d.Sent}
+		}
 		return refused{errOwnerDown, d.Sent}
 	}
 	return granted{}
@@ -86,12 +96,16 @@
 
 // Write does another entry's writes and waits for all decisions, or returns an error if the context ends first.
 func (c *Claims) Write(ctx context.Context, ws []Write) ([]Decision, error) {
+	if len(ws) == 0 {
+		return nil, nil
+	}
 	if len(ws) > maxWrites {
 		return nil, merry.Errorf("%d writes in one message", len(ws))
 	}
 	out := make([]Decision, len(ws))
-	var left sync.WaitGroup
-	left.Add(len(ws))
+	var left atomic.Int64
+	left.Store(int64(len(ws)))
+	done := make(chan struct{})
 	for _, w := range ws {
 		if err := w.Check(len(c.slots)); err != nil {
 			return nil, err
@@ -101,15 +115,12 @@
 		r := request{op: w.Op, rec: w.Record, replaces: w.Replaces, passed: true}
 		r.reply = func(v verdict) {
 			out[i] = decisionOf(v)
-			left.Done()
+			if left.Add(-1) == 0 {
+				close(done)
+			}
 		}
 		c.slots[w.Slot].postAlways(r)
 	}
-	done := make(chan struct{})
-	go func() {
-		left.Wait()
-		close(done)
-	}()
 	select {
 	case <-done:
 		return out, nil
--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -46,11 +46,13 @@
 	Lister ferryplatform.Lister
 	// Dial opens connections to peers, or is nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Secret is the key that all entries share; each side proves it at hello.
+	// Secret is the key that this entry proves at hello.
 	Secret []byte
-	Log    zerolog.Logger
-	Events *ferryevent.Log
-	Topics []Topic
+	// OtherSecrets are further keys that a peer may prove, so that a key can be replaced entry by entry.
+	OtherSecrets [][]byte
+	Log          zerolog.Logger
+	Events       *ferryevent.Log
+	Topics       []Topic
 	// Handlers answer the Asks of peers.
 	Handlers map[AskKind]Handler
 	// OnMembers, if set, is called with each new snapshot of the membership by the overlay's goroutine, and must not block.
--- a/ferry/ferryroute/snapshot.go
+++ b/ferry/ferryroute/snapshot.go
@@ -27,15 +27,17 @@
 
 // Candidate is one upstream as a choice sees it.
 type Candidate struct {
-	Name          ferryid.UpstreamName    `json:"Name"`
-	Address       string                  `json:"Address"`
-	FailureDomain ferryid.DomainName      `json:"FailureDomain"`
-	Layers        ferryid.LayerRange      `json:"Layers"`
-	Slots         int                     `json:"Slots"`
-	State         State                   `json:"State"`
-	Rate          ferryid.TokensPerSecond `json:"Rate"`
-	Outstanding   ferryid.Tokens          `json:"Outstanding"`
-	Running       int                     `json:"Running"`
+	Name          ferryid.UpstreamName `json:"Name"`
+	Address       string               `json:"Address"`
+	FailureDomain ferryid.DomainName   `json:"FailureDomain"`
+	Layers        ferryid.LayerRange   `json:"Layers"`
+	Slots         int                  `json:"Slots"`
+	// Credit is this entry's part of the slots, one while the upstream is probed.
+	Credit      int                     `json:"Credit"`
+	State       State                   `json:"State"`
+	Rate        ferryid.TokensPerSecond `json:"Rate"`
+	Outstanding ferryid.Tokens          `json:"Outstanding"`
+	Running     int                     `json:"Running"`
 }
 
 // Candidates is a list of candidates.
@@ -90,14 +92,28 @@
 // At returns the upstream at an index that Choose returned.
 func (s *Snapshot) At(i int) Candidate {
 	r := &s.rows[i]
+	credit := r.credit
+	if r.state == StateProbing {
+		credit = 1
+	}
 	return Candidate{
-		Name: r.name, Address: r.address, FailureDomain: r.domain, Layers: r.layers, Slots: r.slots, State: r.state,
+		Name: r.name, Address: r.address, FailureDomain: r.domain, Layers: r.layers, Slots: r.slots, Credit: credit, State: r.state,
 		Rate:        ferryid.TokensPerSecond(r.load.rate()),
 		Outstanding: ferryid.Tokens(r.load.outstanding()),
 		Running:     r.load.running(),
 	}
 }
 
+// NameOf returns the upstream at an address.
+func (s *Snapshot) NameOf(address string) (ferryid.UpstreamName, bool) {
+	for i := range s.rows {
+		if s.rows[i].address == address {
+			return s.rows[i].name, true
+		}
+	}
+	return "", false
+}
+
 // Candidates returns every upstream that may take work now; a probing one only while it is idle.
 func (s *Snapshot) Candidates() Candidates {
 	out := make(Candidates, 0, len(s.rows))
--- a/ferryd/ferrycaller/completion.go
+++ b/ferryd/ferrycaller/completion.go
@@ -120,7 +120,7 @@
 		MaxTokens: req.tokens(), Seed: req.seed(), Deadline: deadline,
 	}
 	p = st.openResume(r)
-	identityOf(r).stream = st.job.Stream
+	identityOf(r.Context()).stream = st.job.Stream
 	return st, p
 }
 
@@ -156,6 +156,7 @@
 	return ferryqueue.Item{
 		ID: st.caller.id, Customer: st.caller.customer.Name, Prompt: ferryid.Tokens(1 + len(st.job.Prompt)/bytesPerToken),
 		MaxTokens: ferryid.Tokens(st.job.MaxTokens), Deadline: st.job.Deadline, Arrived: st.server.Clock.Now(),
+		Resumed: st.resume != nil,
 	}
 }
 
--- a/ferryd/ferrycaller/server_test.go
+++ b/ferryd/ferrycaller/server_test.go
@@ -43,8 +43,10 @@
 	docs      map[ferryid.ServiceName]*ferryservice.Document
 	admission *ferryqueue.Admission
 	words     []string
+	asked     ferryqueue.Item
 	failAt    int
 	upstream  string
+	refusal   error
 }
 
 func (f *fakes) Document(name ferryid.ServiceName) (*ferryservice.Document, bool) {
@@ -70,6 +72,10 @@
 func (f *fakes) Retry(*ferryservice.Document) bool { return true }
 
 func (f *fakes) Acquire(ctx context.Context, _ *ferryservice.Document, it ferryqueue.Item) (*ferryqueue.Grant, error) {
+	f.asked = it
+	if f.refusal != nil {
+		return nil, f.refusal
+	}
 	return f.admission.Acquire(ctx, it)
 }
 
@@ -225,8 +231,10 @@
 	ids := eventIDs(whole)
 	assert.Equal(t, len(ids), 3)
 	assert.Equal(t, texts(t, whole), "a b c")
+	assert.Assert(t, !f.asked.Resumed)
 	_, rest := send(t, http.MethodPost, url+"/v1/completions", keyA, body, EventIDHeader, ids[0])
 	assert.Equal(t, texts(t, rest), " b c")
+	assert.Assert(t, f.asked.Resumed)
 	_, end := send(t, http.MethodPost, url+"/v1/completions", keyA, body, EventIDHeader, ids[2])
 	assert.Equal(t, texts(t, end), "")
 	assert.Assert(t, strings.HasSuffix(end, "data: [DONE]\n\n"))
@@ -271,6 +279,42 @@
 	assert.Equal(t, runs, 1)
 }
 
+func TestRefusalSaysWhetherEarlierAttemptsWereLookedUp(t *testing.T) {
+	_, f, url := newServer(t)
+	up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	f.upstream = strings.TrimPrefix(up.URL, "http://")
+	w, _ := send(t, http.MethodPost, url+"/v1/services/parlour-api/rations/7", keyA, "2kg", ferryplain.KeyHeader, "ran")
+	assert.Equal(t, w.StatusCode, http.StatusOK)
+	up.Close()
+	tests := []struct {
+		name    string
+		refused bool
+		body    string
+		header  []string
+		want    ferryoutcome.Scope
+	}{
+		{"key that ran, refused before the look-up", true, "2kg", []string{ferryplain.KeyHeader, "ran"}, ferryoutcome.ScopeAttempt},
+		{"ticket, refused before the look-up", true, "2kg", []string{TicketHeader, "x"}, ferryoutcome.ScopeAttempt},
+		{"no key", true, "2kg", nil, ""},
+		{"new key, the upstream does not answer", false, "2kg", []string{ferryplain.KeyHeader, "new"}, ""},
+		{"key of another call", false, "3kg", []string{ferryplain.KeyHeader, "ran"}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f.refusal = nil
+			if tt.refused {
+				f.refusal = ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "too much")
+			}
+			w, body := send(t, http.MethodPost, url+"/v1/services/parlour-api/rations/7", keyA, tt.body, tt.header...)
+			assert.Equal(t, w.Header.Get(ferryoutcome.Header), string(ferryoutcome.NotRun), body)
+			assert.Equal(t, w.Header.Get(ferryoutcome.ScopeHeader), string(tt.want))
+			var p ferryoutcome.Problem
+			assert.NilError(t, json.Unmarshal([]byte(body), &p))
+			assert.Equal(t, p.Scope, tt.want)
+		})
+	}
+}
+
 func TestTicketRunsOnce(t *testing.T) {
 	_, f, url := newServer(t)
 	runs := 0
--- a/ferryd/ferrynode/overlay.go
+++ b/ferryd/ferrynode/overlay.go
@@ -13,7 +13,6 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplatform"
-	"cactusferry.dev/ferry/ferryservice"
 )
 
 // The topics and requests that entries exchange.
@@ -26,12 +25,13 @@
 
 // newOverlay makes this process's part in the overlay.
 func (n *Node) newOverlay() error {
+	secrets := peerSecrets(n.cfg.Keys.SealKeys())
 	cfg := ferrypeer.Config{
 		Self: ferrypeer.Member{
 			Name: n.cfg.Name, Incarnation: n.self, FailureDomain: n.cfg.FailureDomain,
 			PeerAddress: n.cfg.Peers.Advertise, CallerAddress: n.cfg.Callers.Advertise,
 		},
-		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: peerSecret(n.cfg.Keys.SealKeys()[0]),
+		Seeds: n.cfg.Peers.Seeds, Clock: n.clock, Lister: cachedList{n}, Secret: secrets[0], OtherSecrets: secrets[1:],
 		Log: n.log, Events: n.events,
 		Topics:    []ferrypeer.Topic{documentTopic(n.holder), n.loads.Topic(), leavingTopic(n.marks)},
 		Handlers:  n.askHandlers(),
@@ -50,10 +50,14 @@
 	return nil
 }
 
-// peerSecret is what entries prove to each other, made from the key they share.
-func peerSecret(key []byte) []byte {
-	sum := sha256.Sum256(append([]byte("cactusferry peers "), key...))
-	return sum[:]
+// peerSecrets are what entries prove to each other, made from the keys they share.
+func peerSecrets(keys [][]byte) [][]byte {
+	secrets := make([][]byte, 0, len(keys))
+	for _, k := range keys {
+		sum := sha256.Sum256(append([]byte("cactusferry peers "), k...))
+		secrets = append(secrets, sum[:])
+	}
+	return secrets
 }
 
 // cachedList gives the overlay the list that this process read last, so that it costs no call of its own.
@@ -72,6 +76,7 @@
 func (n *Node) onMembers(ms ferrypeer.Members) {
 	live := len(ms.Live())
 	n.services.setShare(place(ms))
+	n.services.setMembers(usable(ms))
 	n.watcher.SetLive(live)
 	n.watcher.Watching(live <= 1 || ferryduty.HoldsInDomain(ms, dutyWatch, watchers))
 	n.platform.SetBudget(platformBudget(n.cfg.Platform.CallsPerSecond, live))
@@ -121,22 +126,25 @@
 		d = nil
 	}
 	var items []ferrypeer.Item
-	for _, a := range h.Missing(d) {
-		items = append(items, encode(a))
+	for _, u := range h.Updates(d) {
+		items = append(items, encode(u))
 	}
 	return items
 }
 
 func applyDocument(h *ferrydocument.Holder, it ferrypeer.Item) (bool, error) {
-	var a ferryservice.Accepted
-	if err := cbor.Unmarshal(it, &a); err != nil {
+	var u ferrydocument.Update
+	if err := cbor.Unmarshal(it, &u); err != nil {
 		return false, err
 	}
-	switch h.Offer(a, "peer") {
-	case ferrydocument.Taken:
+	v, err := h.Take(u, "peer")
+	switch {
+	case err != nil:
+		return false, err
+	case v == ferrydocument.Taken:
 		return true, nil
-	case ferrydocument.Invalid:
-		return false, fmt.Errorf("document of %q does not pass its checks", a.Service)
+	case v == ferrydocument.Invalid:
+		return false, fmt.Errorf("document of %q does not pass its checks", u.Service)
 	}
 	return false, nil
 }
