One set-up for all random tests but ferryclaim's

Change: the package ferryrapid sets seed, checks, steps and no failure files, unless the command line does. Before: same seeds and counts as now. Conclusion: no check changed.

--- a/ferry/ferrydocument/model_test.go
+++ b/ferry/ferrydocument/model_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -17,6 +15,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryplatform/ferryplatformtest"
+	"cactusferry.dev/ferry/ferryrapid"
 	"cactusferry.dev/ferry/ferryservice"
 )
 
@@ -28,10 +27,7 @@
 
 // TestMain fixes the seed of rapid; its flags still override it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "250")
-	_ = flag.Set("rapid.steps", "60")
-	os.Exit(m.Run())
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 20261204, Checks: 250, Steps: 60})
 }
 
 // modelEntry is one entry: its holder, its watcher, and what was last seen in force.
--- a/ferry/ferrypeer/main_test.go
+++ b/ferry/ferrypeer/main_test.go
@@ -1,18 +1,12 @@
 package ferrypeer_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"cactusferry.dev/ferry/ferryrapid"
 )
 
-// TestMain fixes the seed and the count of the stateful tests unless the command line sets them.
+// TestMain fixes the seed and bounds the random tests, unless the command line says otherwise.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "15", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 20261204, Checks: 15})
 }
--- a/ferry/ferrypipeline/main_test.go
+++ b/ferry/ferrypipeline/main_test.go
@@ -1,15 +1,12 @@
 package ferrypipeline_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"cactusferry.dev/ferry/ferryrapid"
 )
 
-// TestMain fixes the seed and the count of the random tests unless they are given.
+// TestMain fixes the seed and bounds the random tests, unless the command line says otherwise.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "500")
-	flag.Parse()
-	os.Exit(m.Run())
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 1, Checks: 500})
 }
--- a/ferry/ferryqueue/oracle_test.go
+++ b/ferry/ferryqueue/oracle_test.go
@@ -1,9 +1,7 @@
 package ferryqueue
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,14 +9,13 @@
 	"pgregory.net/rapid"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryrapid"
 	"cactusferry.dev/ferry/ferryservice"
 )
 
 // TestMain fixes the seed, which -rapid.seed overrides.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "300")
-	os.Exit(m.Run())
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 20261204, Checks: 300})
 }
 
 // oracle is a queue that knows only who waits and who runs.
--- a/ferry/ferryroute/oracle_test.go
+++ b/ferry/ferryroute/oracle_test.go
@@ -1,23 +1,20 @@
 package ferryroute
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryrapid"
 	"cactusferry.dev/ferry/ferryservice"
 )
 
 // TestMain fixes the seed, which -rapid.seed overrides.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "300")
-	os.Exit(m.Run())
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 20261204, Checks: 300})
 }
 
 // TestTableAgainstOracle checks that outstanding work adds up and that no leaving or avoided upstream is chosen.
--- a/ferry/ferrystream/main_test.go
+++ b/ferry/ferrystream/main_test.go
@@ -1,14 +1,12 @@
 package ferrystream_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"cactusferry.dev/ferry/ferryrapid"
 )
 
-// TestMain fixes the seed of the random tests unless one is given.
+// TestMain fixes the seed and bounds the random tests, unless the command line says otherwise.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	flag.Parse()
-	os.Exit(m.Run())
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 1})
 }
--- a/ferrybench/ferryexperiment/main_test.go
+++ b/ferrybench/ferryexperiment/main_test.go
@@ -1,14 +1,12 @@
 package ferryexperiment
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"cactusferry.dev/ferry/ferryrapid"
 )
 
-// TestMain fixes the seed, which -rapid.seed overrides.
+// TestMain fixes the seed and bounds the random tests, unless the command line says otherwise.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "25")
-	os.Exit(m.Run())
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 20261204, Checks: 25})
 }
