--- a/ferrybench/ferrychoice/choice.go
+++ b/ferrybench/ferrychoice/choice.go
@@ -52,6 +52,8 @@
 	Reports        Reports
 	// ReadsPerSecond is how many engines an entry reads a second where Reports is Direct.
 	ReadsPerSecond float64
+	// Skew is how unevenly arrivals come to the entries, as the deviation of the logarithm of their parts.
+	Skew float64
 	// Load is the arrivals' share of the capacity; 0 keeps Slots answers a chain open at all times.
 	Load     float64
 	Slots    int
@@ -132,6 +134,8 @@
 	rand    *rand.Rand
 	engines []*engine
 	entries []*entry
+	// parts are the sums of the entries' parts of the arrivals, up to each.
+	parts   []float64
 	events  events
 	seq     int
 	index   map[ferryid.UpstreamName]int
@@ -246,6 +250,11 @@
 	case None:
 	}
 	if r.cfg.Load > 0 {
+		sum := 0.0
+		for range r.entries {
+			sum += math.Exp(r.cfg.Skew * r.rand.NormFloat64())
+			r.parts = append(r.parts, sum)
+		}
 		r.arrive()
 		return
 	}
@@ -300,7 +309,8 @@
 	mean := medianTokens * math.Exp(spreadTokens*spreadTokens/2)
 	rate := r.cfg.Load * r.capacity() / mean
 	r.after(time.Duration(r.rand.ExpFloat64()/rate*float64(time.Second)), func() {
-		r.submit(r.entries[r.rand.IntN(len(r.entries))])
+		i, _ := slices.BinarySearch(r.parts, r.rand.Float64()*r.parts[len(r.parts)-1])
+		r.submit(r.entries[i])
 		r.arrive()
 	})
 }
