--- a/ferrybench/point.go
+++ b/ferrybench/point.go
@@ -52,6 +52,7 @@
 		out = append(out, figure{
 			Point: strconv.Itoa(p.number), Measure: m.name, Unit: m.unit, Target: m.target,
 			Baseline: base[i].value, Now: m.value, Met: m.target.met(m.value), Workload: p.workload, Seed: w.Seed,
+			Command: fmt.Sprintf("ferrybench policy --point %d", p.number),
 		})
 	}
 	return out, []*ferryexperiment.Result{baseResult, nowResult}, nil
@@ -99,17 +100,22 @@
 
 func measureCrest(w *ferryworkload.Workload, p ferryexperiment.Policy) (measures, *ferryexperiment.Result) {
 	r := ferryexperiment.Run(w, w.Arrivals(), p)
+	return crestMeasures(w, r, crestFrom, crestTo), r
+}
+
+// crestMeasures are the figures of a run whose crest is between two times.
+func crestMeasures(w *ferryworkload.Workload, r *ferryexperiment.Result, from, to time.Duration) measures {
 	g := &r.All
 	return measures{
 		{"admitted work that meets its deadline", "of admitted", atLeast(0.95), share(g.InTime, g.Admitted)},
 		{"first token p95 of admitted work, from the try that was admitted", "s", target{}, g.FirstTry.P95.Seconds()},
 		{"first token p95 of admitted work, from the first try", "s", atMost(1.6), g.First.P95.Seconds()},
 		{"between tokens p95", "ms", atMost(46), g.Between.P95.Seconds() * 1000},
-		{"goodput from the end of the rise to the fall", "of capacity", atLeast(0.95), r.Mean(crestFrom, crestTo, inTime) / r.Bound},
+		{"goodput from the end of the rise to the fall", "of capacity", atLeast(0.95), r.Mean(from, to, inTime) / r.Bound},
 		{"refusals within 100 ms", "of refusals", atLeast(1), 1 - share(r.LateRefusals, r.Refusals)},
 		{"tries for each call", "x", target{}, 1 + share(r.Refusals, g.Offered)},
 		{"least admitted share of a customer over its fair part", "x", target{}, leastFair(w, r)},
-	}, r
+	}
 }
 
 // leastFair is the work in time of the customer that got least for its share, over what its share stands for.
@@ -234,15 +240,22 @@
 		}
 	}
 	from, to := time.Duration(w.Warmup), time.Duration(w.Duration)
+	p.ExcessShare = boundedExcess
+	bounded := ferryexperiment.Run(loud, loud.Arrivals(), p)
 	return measures{
 		{"worst move of another's p99 answer time, all others at 80% of their shares", "x", atMost(1.1), move(w, even, r, answerP99)},
 		{"worst move of another's p99 answer time, all others at their shares", "x", atMost(1.1), move(w, fullEven, fullRun, answerP99)},
 		{"worst p99 wait for a slot of another customer, at 80%", "s", target{}, wait},
 		{"least share of another customer's calls in time, at 80%", "of calls", target{}, inTime},
 		{"throughput, as a check that unused shares are used", "of bound", target{}, r.Mean(from, to, served) / r.Bound},
+		{fmt.Sprintf("worst move at 80%% with ExcessShare = %v", boundedExcess), "x", target{}, move(w, even, bounded, answerP99)},
+		{"throughput with it", "of bound", target{}, bounded.Mean(from, to, served) / r.Bound},
 	}, r
 }
 
+// boundedExcess is the part of the slots for work beyond customers' shares, where a document bounds it.
+const boundedExcess = 0.1
+
 func answerP99(g *ferryexperiment.Group) time.Duration { return g.Answer.P99 }
 
 // move is the worst ratio of a figure of any customer but the hog.
--- a/ferryd/ferrynode/model.go
+++ b/ferryd/ferrynode/model.go
@@ -38,15 +38,25 @@
 		}
 	}
 	engines := &observedEngines{
-		Client: s.engines, table: sv.table,
+		Client: s.engines, table: sv.table, clock: s.clock,
 		leaving: func(name ferryid.UpstreamName) { s.leaving(d.Service, name) },
 	}
 	return &model{cfg: cfg, policy: d.Policy.Route, pool: pool, runner: &ferrypipeline.Runner{
 		Engines: engines, Picker: picker, Clock: s.clock, Log: s.events,
-		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, retryBurst),
+		Budget: ferrypipeline.NewRetryBudget(d.Limits.RetryShare, burst(loads)),
 	}}, nil
 }
 
+// burst is how many streams may be moved at once: when a failure domain dies, one for each slot, since a caller that resumes a stream
+// costs more than the entry that moves it.
+func burst(loads []ferrypipeline.Load) int {
+	n := 0
+	for _, l := range loads {
+		n += l.Slots
+	}
+	return max(retryBurst, n)
+}
+
 // outdated reports whether the model has to be made anew: for another policy, or for other engines where the policy keeps no account.
 func (m *model) outdated(d *ferryservice.Document, cfg ferrypipeline.PlannerConfig) bool {
 	if m.policy != d.Policy.Route {
@@ -57,9 +67,11 @@
 
 // set gives the pool a changed set of engines; measured rates of those that stay are kept, and without a change only who is avoided.
 func (m *model) set(cfg ferrypipeline.PlannerConfig, loads []ferrypipeline.Load) error {
+	m.runner.Budget.SetBurst(burst(loads))
 	if reflect.DeepEqual(cfg, m.cfg) {
 		for i, c := range cfg.Candidates {
 			m.pool.Avoid(c.Name, loads[i].Avoid)
+			m.pool.SetSlots(c.Name, loads[i].Slots)
 		}
 		return nil
 	}
@@ -83,16 +95,31 @@
 func (s *services) planner(sv *service, d *ferryservice.Document) (ferrypipeline.PlannerConfig, []ferrypipeline.Load) {
 	cfg := ferrypipeline.PlannerConfig{Layers: d.Model.Layers, Fixed: d.Pipelines}
 	var loads []ferrypipeline.Load
+	// Where nothing else holds a layer, engines that failed are better than none.
+	none := sv.table.Snapshot().Slots() == 0
 	for _, c := range s.worked(sv, d) {
 		cfg.Candidates = append(cfg.Candidates, ferrypipeline.Candidate{
 			Name: c.Name, Address: c.Address, Domain: c.FailureDomain, Layers: c.Layers,
 			Incarnation: s.incarnations[upstreamKey(d.Service, c.Name)],
 		})
-		loads = append(loads, ferrypipeline.Load{Rate: max(c.Rate, unknownRate), Avoid: c.State != ferryroute.StateLive && c.State != ferryroute.StateProbing})
+		loads = append(loads, ferrypipeline.Load{
+			Rate: max(c.Rate, unknownRate), Slots: sv.part.slots(c, len(s.members)), Avoid: avoided(c.State, none),
+		})
 	}
 	return cfg, loads
 }
 
+// avoided reports whether an engine in this state gets no new work.
+func avoided(s ferryroute.State, none bool) bool {
+	switch s {
+	case ferryroute.StateLive, ferryroute.StateProbing:
+		return false
+	case ferryroute.StateLeaving:
+		return true
+	}
+	return !none
+}
+
 // models admits calls and runs completions of all services.
 type models struct{ node *Node }
 
