--- a/ferryd/ferrynode/engine_test.go
+++ b/ferryd/ferrynode/engine_test.go
@@ -140,15 +140,16 @@
 
 func TestOnlyEngineOfALayerIsTriedAfterItFailed(t *testing.T) {
 	sv, o, clock := observedService(t)
+	s := newServices(clock, nil, nil)
 	for range 3 {
 		o.play(context.Background(), clock, &cannedStream{err: io.ErrUnexpectedEOF})
 	}
 	assert.Equal(t, states(sv)["a"], ferryroute.StateDown)
-	_, loads := newServices(clock, nil, nil).planner(sv, sv.doc.Load())
+	_, loads := s.planner(sv, sv.doc.Load())
 	assert.Assert(t, !loads[0].Avoid)
 	sv.table.SetLeaving("a", true)
 	assert.Equal(t, sv.slots(), 0)
-	_, loads = newServices(clock, nil, nil).planner(sv, sv.doc.Load())
+	_, loads = s.planner(sv, sv.doc.Load())
 	assert.Assert(t, loads[0].Avoid)
 }
 
