A document paces its engines' loads

Excluded: a setting of ferryd, since the rate belongs to the service's document, which operators change. Change: Model.LoadLayersPerSecond, carried in Wanted; the burst is the largest engine's layers. Conclusion: off by default; services do not share a pace.

--- a/ferry/ferryorder/core.go
+++ b/ferry/ferryorder/core.go
@@ -29,13 +29,14 @@
 	fence   ferryid.Fence
 	runners map[ferryid.UpstreamName]*runner
 	bucket  bucket
+	pace    Pace     // where the wanted state has none
 	sums    []uint64 // of the groups, nil until they are needed
 	turn    turn
 }
 
 // NewCore returns a core that gives no orders until it has a wanted state, a fencing number and reports.
 func NewCore(p Pace) *Core {
-	return &Core{runners: map[ferryid.UpstreamName]*runner{}, bucket: bucket{pace: p}}
+	return &Core{runners: map[ferryid.UpstreamName]*runner{}, bucket: bucket{pace: p}, pace: p}
 }
 
 // SetWanted takes the wanted state of a newer document; an older one changes nothing.
@@ -45,6 +46,10 @@
 	}
 	c.wanted = w
 	c.sums = nil
+	c.bucket.pace = c.pace
+	if w.Pace.LayersPerSecond > 0 {
+		c.bucket.pace = w.Pace
+	}
 	old := c.runners
 	c.runners = map[ferryid.UpstreamName]*runner{}
 	for i, r := range w.Runners {
--- a/ferry/ferryorder/wanted.go
+++ b/ferry/ferryorder/wanted.go
@@ -18,11 +18,13 @@
 	Generation ferryid.Generation
 	Layers     ferryid.Layer
 	Runners    []Runner
+	// Pace bounds how fast the engines load; without one that of the Config holds.
+	Pace Pace
 }
 
 // WantedOf reads the wanted state out of an accepted document.
 func WantedOf(g ferryid.Generation, d ferryservice.Document) Wanted {
-	w := Wanted{Service: d.Service, Generation: g, Layers: d.Model.Layers}
+	w := Wanted{Service: d.Service, Generation: g, Layers: d.Model.Layers, Pace: Pace{LayersPerSecond: d.Model.LoadLayersPerSecond}}
 	if d.Kind != ferryservice.KindModel {
 		return w
 	}
@@ -32,6 +34,7 @@
 			t.State = StateLeaving
 		}
 		w.Runners = append(w.Runners, Runner{Name: u.Name, Address: u.Address, Target: t})
+		w.Pace.Burst = max(w.Pace.Burst, float64(u.Layers.Len()))
 	}
 	return w
 }
--- a/ferry/ferryservice/document.go
+++ b/ferry/ferryservice/document.go
@@ -44,6 +44,8 @@
 	Adapter        string        `toml:"Adapter" json:"Adapter"`
 	Layers         ferryid.Layer `toml:"Layers" json:"Layers"`
 	EnginesFencing bool          `toml:"EnginesFencing" json:"EnginesFencing"`
+	// LoadLayersPerSecond is how many layers a second all engines together may be ordered to load, 0 for no bound.
+	LoadLayersPerSecond float64 `toml:"LoadLayersPerSecond" json:"LoadLayersPerSecond,omitempty"`
 }
 
 // Decode reads a service document and returns a *ferrytoml.FaultsError with all its faults.
@@ -99,6 +101,9 @@
 	if m.Layers == 0 {
 		c.Fault("Model.Layers", "must be at least 1")
 	}
+	if !(m.LoadLayersPerSecond >= 0 && m.LoadLayersPerSecond <= maxRate) {
+		c.Fault("Model.LoadLayersPerSecond", "must be from 0 to %g, is %v", float64(maxRate), m.LoadLayersPerSecond)
+	}
 }
 
 func checkName(c *ferrytoml.Check, field, s string) {
