An upstream as quick as expected is not slow

While there is little to do a stream has an engine nearly to itself; one whose other streams this entry does not know of yet looked slow beside the others' ten times the expected pace. Excluded: the reports' lag, which stays; no verdict at all, since slow engines must be found. Change: each slot must be under half of what is expected of it, too, not only under half of the median. Before: TestUpstreamAsQuickAsExpectedIsNotSlow 'Slow != Live'.

--- a/ferry/ferryroute/health.go
+++ b/ferry/ferryroute/health.go
@@ -107,7 +107,8 @@
 }
 
 // slow compares an upstream's relative speed with the median of all, so that a busy hour takes nobody out; each slot must be slow
-// and all of them together, so that nobody is out for having more streams than others, or fewer.
+// and all of them together, so that nobody is out for having more streams than others, or fewer. One that serves its slots as
+// expected is never slow, however quick the others are while they have little to do.
 func (t *Table) slow(u *upstream) bool {
 	mine, mineWhole, ok := u.relative()
 	if !ok {
@@ -129,7 +130,7 @@
 	}
 	slices.Sort(all)
 	slices.Sort(wholes)
-	return mine < slowShare*all[len(all)/2] && mineWhole < slowShare*wholes[len(wholes)/2]
+	return mine < slowShare*min(1, all[len(all)/2]) && mineWhole < slowShare*wholes[len(wholes)/2]
 }
 
 func (t *Table) succeeded(u *upstream) {
--- a/ferry/ferryroute/table_test.go
+++ b/ferry/ferryroute/table_test.go
@@ -178,6 +178,25 @@
 	}
 }
 
+// While there is little to do a stream has an upstream nearly to itself; one that shares its rate with streams that this entry
+// does not know of yet is not slow for that.
+func TestUpstreamAsQuickAsExpectedIsNotSlow(t *testing.T) {
+	tb := table(6, Options{})
+	for range 3 * minSamples {
+		for i := range 6 {
+			speed := 12.5 * float64(1+i%3) * 10
+			if i == 0 {
+				speed = 12.5 * 3
+			}
+			d := tb.Start(ferryid.UpstreamName(fmt.Sprintf("u%d", i)), 100, start)
+			d.Finish(100, start.Add(time.Duration(100/speed*float64(time.Second))))
+		}
+	}
+	for _, c := range tb.Snapshot().All() {
+		assert.Equal(t, c.State, StateLive, "%s", c.Name)
+	}
+}
+
 // An upstream is sound if its quicker streams are, since the others may wait for another stage of their pipelines.
 func TestPartnerOfASlowUpstreamIsNotSlow(t *testing.T) {
 	tb := table(6, Options{})
