--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands a contributor needs; each is described in README.md.
 GO        ?= go
-MODULES   := ferry ferryd ferryctl ferrystand ferrybench
+MODULES   := ferry ferryd ferryctl ferrystand ferrybench platform
 PACKAGES  := $(foreach m,$(MODULES),./$(m)/...)
 BIN       := bin
 
--- /dev/null
+++ b/ferry/ferrybudget/budget.go
@@ -0,0 +1,109 @@
+package ferrybudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	buckets = 10
+	// safety is the part of the allowance that is used, since entries differ in how many they think live.
+	safety = 0.8
+	// leastEntries is how many entries are assumed until more are known.
+	leastEntries = 3
+)
+
+// Config says how much may be repeated: in any window, Ratio of the requests and Allowance more, over all entries.
+type Config struct {
+	Clock     clockwork.Clock
+	Window    time.Duration
+	Ratio     float64
+	Allowance float64
+}
+
+// Budget is this entry's part of a service's budget.
+type Budget struct {
+	cfg Config
+
+	mu       sync.Mutex
+	entries  int
+	at       time.Time
+	requests [buckets]int
+	repeats  [buckets]int
+	head     int
+}
+
+// New returns a budget with nothing spent.
+func New(cfg Config) *Budget {
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	return &Budget{cfg: cfg, entries: leastEntries, at: cfg.Clock.Now()}
+}
+
+// SetEntries says among how many entries the allowance is divided.
+func (b *Budget) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(leastEntries, n)
+}
+
+// Request counts a caller's request.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	b.requests[b.head]++
+}
+
+// Repeat takes one repetition from the budget and reports whether there was one.
+func (b *Budget) Repeat() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	if float64(sum(b.repeats)+1) > b.limit() {
+		return false
+	}
+	b.repeats[b.head]++
+	return true
+}
+
+// Left is the number of repetitions that are left now.
+func (b *Budget) Left() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	return max(0, int(b.limit())-sum(b.repeats))
+}
+
+func (b *Budget) limit() float64 {
+	return safety * (b.cfg.Ratio*float64(sum(b.requests)) + b.cfg.Allowance/float64(b.entries))
+}
+
+// advance moves the window on by whole buckets.
+func (b *Budget) advance() {
+	// The newest bucket is not full yet, so the others have to cover the window.
+	step := b.cfg.Window / (buckets - 1)
+	if step <= 0 {
+		return
+	}
+	passed := int(b.cfg.Clock.Since(b.at) / step)
+	if passed <= 0 {
+		return
+	}
+	b.at = b.at.Add(time.Duration(passed) * step)
+	for range min(passed, buckets) {
+		b.head = (b.head + 1) % buckets
+		b.requests[b.head], b.repeats[b.head] = 0, 0
+	}
+}
+
+func sum(counts [buckets]int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
--- /dev/null
+++ b/ferry/ferryconfig/snapshot.go
@@ -0,0 +1,79 @@
+package ferryconfig
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// Snapshot is a configuration made ready for look-ups; it never changes.
+type Snapshot struct {
+	*Configuration
+	hosts    map[string][]*Route
+	services map[ferryid.ServiceName]*Service
+	keys     map[Key]*Customer
+}
+
+// NewSnapshot checks a configuration and indexes it; the configuration must not be changed afterwards.
+func NewSnapshot(c *Configuration) (*Snapshot, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	s := &Snapshot{
+		Configuration: c,
+		hosts:         map[string][]*Route{},
+		services:      make(map[ferryid.ServiceName]*Service, len(c.Services)),
+		keys:          map[Key]*Customer{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		s.hosts[host] = append(s.hosts[host], r)
+	}
+	for _, routes := range s.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Services {
+		s.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Customers {
+		for _, k := range c.Customers[i].Keys {
+			s.keys[k] = &c.Customers[i]
+		}
+	}
+	return s, nil
+}
+
+// Route returns the route with the longest prefix for a host and a path, or nil; a port in the host is ignored.
+func (s *Snapshot) Route(host, path string) *Route {
+	for _, r := range s.hosts[hostname(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+func hostname(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns the service of that name, or nil.
+func (s *Snapshot) Service(name ferryid.ServiceName) *Service {
+	return s.services[name]
+}
+
+// Customer returns the customer that holds a key, or nil.
+func (s *Snapshot) Customer(k Key) *Customer {
+	return s.keys[k]
+}
+
+// Keyed reports whether requests on routes that are not public need a key.
+func (s *Snapshot) Keyed() bool {
+	return len(s.Customers) > 0
+}
--- /dev/null
+++ b/ferry/ferryforward/metrics.go
@@ -0,0 +1,42 @@
+package ferryforward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryoutcome"
+)
+
+// The bounds of the histograms of waits, in steps that double from 1 ms to about 65 s.
+const (
+	firstBucket = time.Millisecond
+	waitBuckets = 17
+)
+
+// metrics counts requests by service and times their answers.
+type metrics struct{ scope tally.Scope }
+
+func waits() tally.DurationBuckets {
+	return tally.MustMakeExponentialDurationBuckets(firstBucket, 2, waitBuckets)
+}
+
+func (m metrics) failed(p *ferryoutcome.Problem) {
+	m.scope.Tagged(map[string]string{"kind": string(p.Kind), "outcome": string(p.Outcome)}).Counter("requests_failed").Inc(1)
+}
+
+func (m metrics) answered(s ferryid.ServiceName, status int, took time.Duration) {
+	sc := m.scope.Tagged(map[string]string{"service": string(s)})
+	sc.Tagged(map[string]string{"status": strconv.Itoa(status / 100 * 100)}).Counter("requests_answered").Inc(1)
+	sc.Histogram("answer_seconds", waits()).RecordDuration(took)
+}
+
+func (m metrics) firstEvent(s ferryid.ServiceName, took time.Duration) {
+	m.scope.Tagged(map[string]string{"service": string(s)}).Histogram("first_event_seconds", waits()).RecordDuration(took)
+}
+
+func (m metrics) sentAgain(s ferryid.ServiceName, why string) {
+	m.scope.Tagged(map[string]string{"service": string(s), "why": why}).Counter("requests_sent_again").Inc(1)
+}
--- /dev/null
+++ b/ferry/ferryforward/refuse.go
@@ -0,0 +1,62 @@
+package ferryforward
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferryoutcome"
+)
+
+// errTimeUp ends the context of a request whose time is over.
+var errTimeUp = errors.New("the request's time is over")
+
+// The times after which a refused caller may come back.
+const (
+	// afterRestart is about how long an entry takes to learn the configuration.
+	afterRestart = 300 * time.Millisecond
+	// afterFull is about how long one place takes to become free.
+	afterFull = 200 * time.Millisecond
+	// afterNobody is about how long a lost upstream takes to be replaced or found again.
+	afterNobody = time.Second
+	// afterStale is about how long a lost platform is tried again.
+	afterStale = time.Second
+)
+
+// problem answers a call with a problem, if it has no answer yet, and logs why.
+func (f *Forwarder) problem(c *ferryingress.Call, id ferryid.RequestID, p *ferryoutcome.Problem) {
+	f.metrics.failed(p)
+	ev := f.log.Warn()
+	if p.Status == http.StatusNotFound || p.Status == http.StatusUnauthorized || p.Status == http.StatusBadRequest {
+		ev = f.log.Info()
+	}
+	ev.Str("Request", string(id)).Str("Target", c.Target).Str("Kind", string(p.Kind)).Int("Status", p.Status).
+		Str("Outcome", string(p.Outcome)).Dur("RetryAfter", p.RetryAfter).AnErr("Cause", p.Cause).Msg(p.Detail)
+	if c.Answered() {
+		return
+	}
+	p.RequestID = string(id)
+	body, err := json.Marshal(p)
+	if err != nil {
+		f.log.Error().Err(err).Msg("encode problem")
+	}
+	h := http.Header{"Content-Type": {ferryoutcome.ContentType}, ferryoutcome.Header: {string(p.Outcome)}}
+	f.cfg.Dialect.Refuse(h, id, p.RetryAfter)
+	if err := c.Answer(p.Status, h, append(body, '\n')); err != nil {
+		f.log.Info().Str("Request", string(id)).Err(err).Msg("answer not delivered")
+	}
+}
+
+// Refused answers a request that could not be read.
+func (f *Forwarder) Refused(c *ferryingress.Call, e *ferryingress.RequestError) {
+	p := ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%s", e.Detail)
+	p.Status = e.Status
+	ask, err := f.cfg.Dialect.Ask(c.Header)
+	if err != nil {
+		ask.ID = ""
+	}
+	f.problem(c, ask.ID, p)
+}
--- /dev/null
+++ b/ferry/ferryforward/service.go
@@ -0,0 +1,126 @@
+package ferryforward
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferrybalance"
+	"cactusferry.dev/ferry/ferrybudget"
+	"cactusferry.dev/ferry/ferryconfig"
+	"cactusferry.dev/ferry/ferrydiscovery"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypath"
+)
+
+// service is what the forwarder keeps of one service; chooser is nil unless its upstreams are engines that hold layers.
+type service struct {
+	name     ferryid.ServiceName
+	balancer *ferrybalance.Balancer
+	chooser  *ferrypath.Chooser
+	budget   *ferrybudget.Budget
+}
+
+// ServicesConfig sets up Services.
+type ServicesConfig struct {
+	Clock clockwork.Clock
+	// Domain is the failure domain of this entry.
+	Domain ferryid.DomainName
+	// RepeatWindow, RepeatRatio and RepeatAllowance bound how often requests are sent again, over all entries.
+	RepeatWindow    time.Duration
+	RepeatRatio     float64
+	RepeatAllowance float64
+}
+
+// Services keeps the upstreams of each service in step with configuration and discovery.
+type Services struct {
+	cfg     ServicesConfig
+	current atomic.Pointer[map[ferryid.ServiceName]*service]
+
+	mu      sync.Mutex
+	entries int
+	config  *ferryconfig.Snapshot
+	view    *ferrydiscovery.View
+}
+
+// NewServices returns an empty set.
+func NewServices(cfg ServicesConfig) *Services {
+	s := &Services{cfg: cfg, entries: 1}
+	s.current.Store(&map[ferryid.ServiceName]*service{})
+	return s
+}
+
+func (s *Services) get(name ferryid.ServiceName) *service {
+	return (*s.current.Load())[name]
+}
+
+// SetEntries says how many entries share the upstreams and the budgets.
+func (s *Services) SetEntries(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = n
+	for _, sv := range *s.current.Load() {
+		sv.budget.SetEntries(n)
+		if sv.chooser != nil {
+			sv.chooser.SetEntries(n)
+		}
+	}
+}
+
+// SetConfig takes a new configuration.
+func (s *Services) SetConfig(c *ferryconfig.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config = c
+	s.rebuild()
+}
+
+// SetView takes a new view of the upstreams.
+func (s *Services) SetView(v *ferrydiscovery.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	s.rebuild()
+}
+
+func (s *Services) rebuild() {
+	if s.config == nil || s.view == nil {
+		return
+	}
+	old := *s.current.Load()
+	next := make(map[ferryid.ServiceName]*service, len(s.config.Services))
+	for i := range s.config.Services {
+		c := &s.config.Services[i]
+		sv := s.reuse(old[c.Name], c)
+		upstreams := s.view.Of(c.Name)
+		sv.balancer.SetUpstreams(upstreams)
+		if sv.chooser != nil {
+			sv.chooser.Set(c.Model, upstreams)
+		}
+		next[c.Name] = sv
+	}
+	s.current.Store(&next)
+}
+
+// reuse keeps what is known of a service that still exists; it returns a new value where its kind changed.
+func (s *Services) reuse(old *service, c *ferryconfig.Service) *service {
+	layered := c.Model != nil && c.Model.Layers > 0
+	if old != nil && (old.chooser != nil) == layered {
+		return old
+	}
+	sv := &service{
+		name:     c.Name,
+		balancer: ferrybalance.New(ferrybalance.Options{Clock: s.cfg.Clock, Domain: s.cfg.Domain}),
+		budget: ferrybudget.New(ferrybudget.Config{
+			Clock: s.cfg.Clock, Window: s.cfg.RepeatWindow, Ratio: s.cfg.RepeatRatio, Allowance: s.cfg.RepeatAllowance,
+		}),
+	}
+	sv.budget.SetEntries(s.entries)
+	if layered {
+		sv.chooser = ferrypath.NewChooser(ferrypath.Options{Clock: s.cfg.Clock, Domain: s.cfg.Domain})
+		sv.chooser.SetEntries(s.entries)
+	}
+	return sv
+}
--- /dev/null
+++ b/ferry/ferryforward/stream.go
@@ -0,0 +1,318 @@
+package ferryforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"cactusferry.dev/ferry/ferryconfig"
+	"cactusferry.dev/ferry/ferryexchange"
+	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferryoutcome"
+)
+
+const (
+	// firstEventWait is how long a run may take to its first event before another is tried: callers leave after 2 s.
+	firstEventWait = 1200 * time.Millisecond
+	// nextEventWait is how long a run may pause before it counts as stalled: a live one writes every few steps.
+	nextEventWait = 600 * time.Millisecond
+	// maxSends bounds the upstreams that one stream is sent to, those that died among them.
+	maxSends = 5
+	// eventBytes is the first size of the buffer for events; longer ones make it grow up to maxEventBytes.
+	eventBytes    = 2 << 10
+	maxEventBytes = 1 << 20
+)
+
+// streaming is one stream to a caller, over all the runs that it takes.
+type streaming struct {
+	*Forwarder
+	r    *request
+	out  *ferryingress.Stream
+	last position
+	buf  []byte
+	// events counts what was passed on.
+	events int
+}
+
+// stream sends a request to one way after another until its stream is complete.
+func (f *Forwarder) stream(ctx context.Context, r *request) {
+	s := &streaming{Forwarder: f, r: r, last: newPosition(r.After)}
+	var last *ferryoutcome.Problem
+	for sends := 0; ; sends++ {
+		if sends > 0 && (sends >= maxSends || !s.mayGoOn()) {
+			s.giveUp(ctx, last, nil)
+			return
+		}
+		w, none := f.pickWay(r)
+		if none != nil {
+			s.giveUp(ctx, last, none)
+			return
+		}
+		if r.arrived > 0 && !r.service.budget.Repeat() {
+			cancelled(w)
+			s.giveUp(ctx, last, nil)
+			return
+		}
+		p := s.run(ctx, w)
+		if p == nil {
+			return
+		}
+		last = p
+		if ctx.Err() != nil {
+			s.giveUp(ctx, last, nil)
+			return
+		}
+		f.metrics.sentAgain(r.service.name, string(p.Kind))
+	}
+}
+
+// mayGoOn reports whether another run may begin or continue the stream.
+func (s *streaming) mayGoOn() bool {
+	if s.out == nil {
+		return s.r.mayRunAgain()
+	}
+	return s.r.route.Repeat == ferryconfig.RepeatFromEvent && s.r.mayRunAgain()
+}
+
+// giveUp ends the stream without its end: by a problem while nothing was passed on, else by breaking the connection off.
+func (s *streaming) giveUp(ctx context.Context, last, none *ferryoutcome.Problem) {
+	if s.out == nil {
+		s.Forwarder.giveUp(ctx, s.r, last, none)
+		return
+	}
+	if last == nil {
+		last = none
+	}
+	s.log.Warn().Str("Request", string(s.r.ID)).Int("Events", s.events).Int("Ran", s.r.ran).AnErr("Cause", last.Cause).Msg("stream broken off")
+}
+
+// run sends the request over one way and passes its events on; it returns nil once the caller has all it will get.
+func (s *streaming) run(ctx context.Context, w way) *ferryoutcome.Problem {
+	r := s.r
+	o := Outgoing{Instance: w.first().Name, Wait: r.left(s.cfg.Clock.Now()), Customer: r.customer, After: s.last.id}
+	if c, ok := w.(chain); ok {
+		o.Path = c.run.Path
+	}
+	waiting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := s.cfg.Clock.AfterFunc(firstEventWait, func() { cancel(errStalled) })
+	defer timer.Stop()
+	a, err := s.cfg.Client.Do(waiting, w.first().Address, r.outgoing(s.cfg.Dialect, o))
+	if err != nil {
+		return s.failed(ctx, w, err)
+	}
+	defer a.Close()
+	v := s.cfg.Dialect.Judge(a.Status, a.Header)
+	r.arrived++
+	switch {
+	case v.Refused():
+		return s.refused(w, a.Status, v)
+	case a.Status/100 != 2:
+		return s.status(ctx, w, a)
+	case !v.Signed || a.Header.Get("Content-Encoding") != "":
+		return s.broken(ctx, w, errUnsigned)
+	}
+	err = s.relay(waiting, a, func() { timer.Stop() })
+	switch {
+	case err == nil:
+		done(w)
+		s.log.Debug().Str("Request", string(r.ID)).Str("Upstream", w.first().Name).Int("Events", s.events).Dur("Took", s.cfg.Clock.Since(r.call.At)).Msg("streamed")
+		s.metrics.answered(r.service.name, a.Status, s.cfg.Clock.Since(r.call.At))
+		return nil
+	case errors.Is(err, errCaller):
+		cancelled(w)
+		s.log.Info().Str("Request", string(r.ID)).Int("Events", s.events).Err(err).Msg("the caller left")
+		return nil
+	}
+	return s.broken(ctx, w, err)
+}
+
+var (
+	// errStalled says that a run made no progress.
+	errStalled = errors.New("the run made no progress")
+	// errCaller says that the caller takes nothing any more.
+	errCaller = errors.New("the caller's connection is gone")
+)
+
+// relay passes whole events on until the upstream's answer is complete.
+func (s *streaming) relay(ctx context.Context, a *ferryexchange.Answer, begun func()) error {
+	if s.buf == nil {
+		s.buf = make([]byte, eventBytes)
+	}
+	n := 0
+	for {
+		if n == len(s.buf) {
+			if n >= maxEventBytes {
+				return errors.New("an event is too long")
+			}
+			s.buf = append(s.buf, make([]byte, n)...)
+		}
+		m, err := a.Read(s.buf[n:])
+		n += m
+		whole, rest := splitEvents(s.buf[:n])
+		if len(whole) > 0 {
+			begun()
+			if err := s.pass(a, whole); err != nil {
+				return err
+			}
+			n = copy(s.buf, rest)
+		}
+		switch {
+		case errors.Is(err, io.EOF) && n > 0:
+			return io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			return s.end(a)
+		case err != nil:
+			var silent net.Error
+			if errors.As(err, &silent) && silent.Timeout() && ctx.Err() == nil {
+				return errStalled
+			}
+			return err
+		}
+		if s.out != nil {
+			a.ReadTimeout(nextEventWait)
+		}
+	}
+}
+
+// pass writes events to the caller, but for those that it has already.
+func (s *streaming) pass(a *ferryexchange.Answer, whole []byte) error {
+	from, events := whole, whole
+	for len(events) > 0 {
+		event, rest := nextEvent(events)
+		if s.last.advance(eventID(event)) {
+			s.events++
+			events = rest
+			continue
+		}
+		from = rest
+		events = rest
+	}
+	if len(from) == 0 {
+		return nil
+	}
+	if err := s.open(a); err != nil {
+		return err
+	}
+	if _, err := s.out.Write(from); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+// open starts the answer to the caller with the first run's headers.
+func (s *streaming) open(a *ferryexchange.Answer) error {
+	if s.out != nil {
+		return nil
+	}
+	s.metrics.firstEvent(s.r.service.name, s.cfg.Clock.Since(s.r.call.At))
+	h := ferryexchange.PassOn(a.Header)
+	s.cfg.Dialect.Deliver(h)
+	out, err := s.r.call.Stream(a.Status, h)
+	if err != nil {
+		return errors.Join(errCaller, err)
+	}
+	s.out = out
+	return nil
+}
+
+func (s *streaming) end(a *ferryexchange.Answer) error {
+	if err := s.open(a); err != nil {
+		return err
+	}
+	if err := s.out.End(); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+// status takes an answer that is no success.
+func (s *streaming) status(ctx context.Context, w way, a *ferryexchange.Answer) *ferryoutcome.Problem {
+	r := s.r
+	r.ran++
+	r.mayHaveRun = true
+	body, err := io.ReadAll(io.LimitReader(a, wholeBytes))
+	if err != nil {
+		r.ran--
+		return s.broken(ctx, w, err)
+	}
+	name := failedAt(w)
+	if s.out != nil || (a.Status >= http.StatusInternalServerError && s.mayGoOn() && r.service.budget.Left() > 0) {
+		r.avoidName(name)
+		return ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Ran, "The upstream answered with status %d.", a.Status)
+	}
+	h := ferryexchange.PassOn(a.Header)
+	s.cfg.Dialect.Deliver(h)
+	s.metrics.answered(r.service.name, a.Status, s.cfg.Clock.Since(r.call.At))
+	s.log.Info().Str("Request", string(r.ID)).Str("Upstream", name).Int("Status", a.Status).Msg("failed by the upstream")
+	if err := r.call.Answer(a.Status, h, body); err != nil {
+		s.log.Info().Str("Request", string(r.ID)).Err(err).Msg("answer not delivered")
+	}
+	return nil
+}
+
+func (s *streaming) refused(w way, status int, v Verdict) *ferryoutcome.Problem {
+	name := ""
+	if v.Elsewhere {
+		name = unreachable(w, v.Culprit)
+	} else {
+		name = refusedBy(w, v.Culprit)
+	}
+	s.r.avoidName(name)
+	s.log.Info().Str("Request", string(s.r.ID)).Str("Upstream", name).Int("Status", status).Str("Path", pathOf(w)).Msg("refused by the upstream")
+	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams have no room.").After(afterFull)
+}
+
+// failed judges a send without an answer.
+func (s *streaming) failed(ctx context.Context, w way, err error) *ferryoutcome.Problem {
+	var e *ferryexchange.Error
+	if errors.As(err, &e) && e.Phase == ferryoutcome.PhaseNotConnected {
+		s.logSend(s.r, w.first().Name, err, "not sent")
+		s.r.unsent++
+		if ctx.Err() != nil {
+			cancelled(w)
+			return s.timeUp(s.r, ferryoutcome.NotRun, err)
+		}
+		s.r.avoidName(unreachable(w, ""))
+		return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "No upstream could be reached.").After(afterNobody).Because(err)
+	}
+	s.r.arrived++
+	return s.broken(ctx, w, err)
+}
+
+// broken judges a run that ended early; one that an upstream's end cut off does not count against the attempts.
+func (s *streaming) broken(ctx context.Context, w way, err error) *ferryoutcome.Problem {
+	s.r.mayHaveRun = true
+	if ctx.Err() != nil {
+		s.r.ran++
+		cancelled(w)
+		return s.timeUp(s.r, ferryoutcome.Unknown, err)
+	}
+	if !s.r.repeatable() {
+		s.r.ran++
+	}
+	s.log.Warn().Str("Request", string(s.r.ID)).Str("Path", pathOf(w)).Int("Events", s.events).Str("Last", s.last.id).Err(err).Msg("run broken off")
+	s.r.avoidName(failedAt(w))
+	return ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Unknown, "The upstream broke off.").Because(err)
+}
+
+// pathOf names the upstreams of a way, for the log.
+func pathOf(w way) string {
+	c, ok := w.(chain)
+	if !ok {
+		return w.first().Name
+	}
+	var b strings.Builder
+	for i, h := range c.run.Path.Hops() {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(h.Upstream.Name)
+		b.WriteString(h.Layers.String())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/ferry/ferrypath/chooser.go
@@ -0,0 +1,249 @@
+package ferrypath
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferryconfig"
+	"cactusferry.dev/ferry/ferrydiscovery"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypipeline"
+)
+
+// ErrNoPath says that the engines that may be used do not hold all layers.
+var ErrNoPath = errors.New("no path of engines holds all layers")
+
+// ErrNoRoom says that every path leads over an engine whose memory is full.
+var ErrNoRoom = errors.New("every path leads over an engine without memory to spare")
+
+// Options set up a Chooser.
+type Options struct {
+	Clock clockwork.Clock
+	// Domain is the failure domain of this entry; a path that begins there costs no bytes between domains.
+	Domain ferryid.DomainName
+}
+
+// Chooser chooses paths over the engines of one service; all methods may be called from any goroutine.
+type Chooser struct {
+	opts Options
+
+	mu      sync.Mutex
+	model   *ferryconfig.Model
+	engines []*engine
+	names   map[ferryid.UpstreamName]*engine
+	ups     map[ferryid.UpstreamName]*ferrydiscovery.Upstream
+	planner *ferrypipeline.Planner
+	loads   []ferrypipeline.Load
+	entries int
+}
+
+// NewChooser returns a chooser without engines.
+func NewChooser(opts Options) *Chooser {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	return &Chooser{opts: opts, names: map[ferryid.UpstreamName]*engine{}, entries: 1}
+}
+
+// SetEntries says how many entries give work to the engines.
+func (c *Chooser) SetEntries(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = max(1, n)
+}
+
+// Set takes the model and the engines of the service; what is known of an engine that still runs is kept.
+func (c *Chooser) Set(m *ferryconfig.Model, list []*ferrydiscovery.Upstream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.names
+	c.model = m
+	c.engines = c.engines[:0]
+	c.names = make(map[ferryid.UpstreamName]*engine, len(list))
+	c.ups = make(map[ferryid.UpstreamName]*ferrydiscovery.Upstream, len(list))
+	candidates := ferrypipeline.Candidates{}
+	for _, u := range list {
+		kind, known := m.Accelerator(ferryconfig.AcceleratorName(u.Accelerator))
+		name := ferryid.UpstreamName(u.Name)
+		e := old[name]
+		if e == nil || !e.up.SameRun(u) {
+			e = &engine{}
+		}
+		e.up, e.kind = u, kind
+		c.names[name] = e
+		if !known || !u.Ready() || u.Layers.Len() == 0 {
+			continue
+		}
+		c.ups[name] = u
+		c.engines = append(c.engines, e)
+		candidates = append(candidates, ferrypipeline.Candidate{Name: name, Address: u.Address, Domain: u.FailureDomain, Layers: u.Layers})
+	}
+	c.loads = make([]ferrypipeline.Load, len(c.engines))
+	c.planner = nil
+	p, err := ferrypipeline.NewPlanner(ferrypipeline.PlannerConfig{Layers: ferryid.Layer(m.Layers), Candidates: candidates, Links: links(m)})
+	if err == nil {
+		c.planner = p
+	}
+}
+
+// links are the times that a token takes between failure domains, the way over their shared link included.
+func links(m *ferryconfig.Model) ferrypipeline.LinkCosts {
+	costs := ferrypipeline.LinkCosts{}
+	shared := time.Duration(0)
+	if m.DomainLinkRate > 0 {
+		shared = time.Duration(float64(m.HandoverBytes) * 8 / (m.DomainLinkRate * 1e6) * float64(time.Second))
+	}
+	for _, d := range m.Delays {
+		costs[[2]ferryid.DomainName{d.From, d.To}] = d.OneWay + linkWeight*shared
+		costs[[2]ferryid.DomainName{d.To, d.From}] = d.OneWay + linkWeight*shared
+	}
+	return costs
+}
+
+// linkWeight is how much a transfer between domains weighs beside its own time: others wait for the same link.
+const linkWeight = 4
+
+// Work is one generation to be placed.
+type Work struct {
+	Prompt, Answer ferryid.Tokens
+	Avoid          []ferryid.UpstreamName
+}
+
+// Run is one generation on its path; it is ended by exactly one of its methods.
+type Run struct {
+	Path *Path
+
+	chooser *Chooser
+	work    Work
+}
+
+// Pick chooses a path and counts the generation on it, or returns ErrNoPath or ErrNoRoom.
+func (c *Chooser) Pick(w Work) (*Run, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.planner == nil {
+		return nil, ErrNoPath
+	}
+	now := c.opts.Clock.Now()
+	plan := ferrypipeline.Plan{}
+	for _, try := range []rule{{local: true, healthy: true, fits: true}, {healthy: true, fits: true}, {fits: true}} {
+		c.weigh(w, now, try)
+		if err := c.planner.Choose(c.loads, nil, max(1, w.Answer), &plan); err == nil {
+			return c.begin(&plan, w)
+		}
+	}
+	c.weigh(w, now, rule{healthy: true})
+	if err := c.planner.Choose(c.loads, nil, max(1, w.Answer), &plan); err == nil {
+		return nil, ErrNoRoom
+	}
+	return nil, ErrNoPath
+}
+
+// rule says which engines a choice may use.
+type rule struct {
+	// local asks for a first engine in this entry's failure domain.
+	local   bool
+	healthy bool
+	fits    bool
+}
+
+// weigh prepares what the planner has to know of each engine.
+func (c *Chooser) weigh(w Work, now time.Time, r rule) {
+	for i, e := range c.engines {
+		l := &c.loads[i]
+		layers := e.up.Layers.Len()
+		t := tokenTime(c.model, e.kind, layers, e.running*c.entries+1)
+		l.Rate = ferryid.TokensPerSecond(1 / t.Seconds())
+		l.Avoid = (r.local && e.up.Layers.From == 0 && e.up.FailureDomain != c.opts.Domain) ||
+			(r.healthy && !e.health.Usable(now, true)) ||
+			(r.fits && !c.fits(e, w)) || avoids(w.Avoid, e)
+	}
+}
+
+func avoids(avoid []ferryid.UpstreamName, e *engine) bool {
+	for _, name := range avoid {
+		if string(name) == e.up.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether the engine's memory holds the work besides what runs there, of which this entry knows its own part.
+func (c *Chooser) fits(e *engine, w Work) bool {
+	layers := e.up.Layers.Len()
+	need := int64(w.Prompt+w.Answer) * int64(layers)
+	share := room(c.model, e.kind, layers) / int64(c.entries)
+	return e.running == 0 || e.held+need <= share
+}
+
+func (c *Chooser) begin(plan *ferrypipeline.Plan, w Work) (*Run, error) {
+	path, err := New(plan, c.ups)
+	if err != nil {
+		return nil, err
+	}
+	now := c.opts.Clock.Now()
+	for _, h := range path.hops {
+		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
+		e.health.Chosen(now)
+		e.running++
+		e.held += need(w, h)
+	}
+	return &Run{Path: path, chooser: c, work: w}, nil
+}
+
+func need(w Work, h Hop) int64 {
+	return int64(w.Prompt+w.Answer) * int64(h.Layers.Len())
+}
+
+// Done ends a generation that came whole.
+func (r *Run) Done() {
+	r.end(func(e *engine, _ time.Time) { e.health.Succeeded() })
+}
+
+// Cancelled ends a generation that the caller or this entry gave up.
+func (r *Run) Cancelled() {
+	r.end(func(*engine, time.Time) {})
+}
+
+// Failed ends a generation that the engine at the given index of the path failed, or any of them if it is negative.
+func (r *Run) Failed(at int) {
+	r.blame(at, func(e *engine, now time.Time) { e.health.Failed(now) })
+}
+
+// Unreachable ends a generation for which the engine at the given index could not be reached.
+func (r *Run) Unreachable(at int) {
+	r.blame(at, func(e *engine, now time.Time) { e.health.Unreachable(now) })
+}
+
+// Refused ends a generation that the engine at the given index had no room for.
+func (r *Run) Refused(at int) {
+	r.blame(at, func(e *engine, now time.Time) { e.health.Refused(now) })
+}
+
+func (r *Run) blame(at int, f func(*engine, time.Time)) {
+	r.end(func(e *engine, now time.Time) {
+		if at >= 0 && e.up.Name == r.Path.hops[at].Upstream.Name {
+			f(e, now)
+		}
+	})
+}
+
+func (r *Run) end(f func(*engine, time.Time)) {
+	c := r.chooser
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	for _, h := range r.Path.hops {
+		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
+		if e == nil || !e.up.SameRun(h.Upstream) {
+			continue
+		}
+		e.running--
+		e.held -= need(r.work, h)
+		f(e, now)
+	}
+}
--- a/ferry/ferryplatform/calls.go
+++ b/ferry/ferryplatform/calls.go
@@ -17,29 +17,16 @@
 	return c.Get + c.Put + c.Delete + c.List + c.Watch + c.Instances
 }
 
-// callKind selects a counter.
-type callKind int
-
-const (
-	callGet callKind = iota
-	callPut
-	callDelete
-	callList
-	callWatch
-	callInstances
-	callKinds
-)
-
 // counters are the counts behind Calls.
-type counters [callKinds]atomic.Int64
+type counters [operations]atomic.Int64
 
 func (c *counters) snapshot() Calls {
 	return Calls{
-		Get:       c[callGet].Load(),
-		Put:       c[callPut].Load(),
-		Delete:    c[callDelete].Load(),
-		List:      c[callList].Load(),
-		Watch:     c[callWatch].Load(),
-		Instances: c[callInstances].Load(),
+		Get:       c[OpGet].Load(),
+		Put:       c[OpPut].Load(),
+		Delete:    c[OpDelete].Load(),
+		List:      c[OpList].Load(),
+		Watch:     c[OpWatch].Load(),
+		Instances: c[OpInstances].Load(),
 	}
 }
--- a/ferry/ferryplatform/client.go
+++ b/ferry/ferryplatform/client.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,6 +22,8 @@
 type ClientConfig struct {
 	// URL is the platform's base URL, such as http://127.0.0.1:9000.
 	URL string
+	// Protocol is how the platform speaks; nil stands for the project's own.
+	Protocol Protocol
 	// HTTP makes the calls; nil stands for a client of its own without a proxy.
 	HTTP *http.Client
 	// Clock times calls and budget; nil stands for the real one.
@@ -37,6 +37,7 @@
 // Client is the platform over HTTP; it implements Store and Lister, and never repeats a call by itself.
 type Client struct {
 	base    string
+	wire    Protocol
 	http    *http.Client
 	clock   clockwork.Clock
 	timeout time.Duration
@@ -53,7 +54,11 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = defaultCallTimeout
 	}
+	if cfg.Protocol == nil {
+		cfg.Protocol = conditional{}
+	}
 	return &Client{
+		wire:    cfg.Protocol,
 		base:    strings.TrimSuffix(cfg.URL, "/"),
 		http:    withoutRedirects(cfg.HTTP),
 		clock:   cfg.Clock,
@@ -98,82 +103,54 @@
 
 // Get returns one object or a *NotFoundError.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	res, err := c.do(ctx, call{kind: callGet, op: "get " + kind + "/" + name, method: http.MethodGet, path: objectPath(kind, name), maxBody: maxValueBytes})
-	if err != nil {
-		return Object{}, notFound(err, kind, name)
-	}
-	v, err := res.version()
-	if err != nil {
-		return Object{}, &UnavailableError{Op: res.op, Err: err}
-	}
-	return Object{Kind: kind, Name: name, Version: v, Value: res.body}, nil
+	r, err := c.do(ctx, Call{Op: OpGet, Kind: kind, Name: name})
+	return r.Object, err
 }
 
 // Put writes a value if the object is still at the version expected, NoVersion meaning that it must not exist.
 func (c *Client) Put(ctx context.Context, kind, name string, expected Version, value []byte) (Version, error) {
+	call := Call{Op: OpPut, Kind: kind, Name: name, Expected: expected, Value: value}
 	if len(value) > maxValueBytes {
-		return 0, &RefusedError{Op: "put " + kind + "/" + name, Status: http.StatusRequestEntityTooLarge, Detail: "a value has at most 1 MiB"}
-	}
-	res, err := c.do(ctx, call{kind: callPut, op: "put " + kind + "/" + name, method: http.MethodPut, path: objectPath(kind, name), condition: conditionOf(expected), body: value, write: true, maxBody: maxValueBytes})
-	if err != nil {
-		return 0, conflict(err, kind, name, expected)
-	}
-	v, err := res.version()
-	if err != nil {
-		return 0, &UnknownOutcomeError{Op: res.op, Err: err}
+		return 0, &RefusedError{Op: call.String(), Status: http.StatusRequestEntityTooLarge, Detail: "a value has at most 1 MiB"}
 	}
-	return v, nil
+	r, err := c.do(ctx, call)
+	return r.Version, err
 }
 
 // Delete removes an object if it is still at the version expected.
 func (c *Client) Delete(ctx context.Context, kind, name string, expected Version) error {
-	_, err := c.do(ctx, call{kind: callDelete, op: "delete " + kind + "/" + name, method: http.MethodDelete, path: objectPath(kind, name), condition: conditionOf(expected), write: true, maxBody: maxValueBytes})
-	if err != nil {
-		return conflict(notFound(err, kind, name), kind, name, expected)
-	}
-	return nil
+	_, err := c.do(ctx, Call{Op: OpDelete, Kind: kind, Name: name, Expected: expected})
+	return err
 }
 
-// List returns all objects of a kind.
+// List returns all objects of a kind; a list of several pages is at the version of the first, from which nothing after it is missed.
 func (c *Client) List(ctx context.Context, kind string) (Changes, error) {
-	return c.changes(ctx, call{kind: callList, op: "list " + kind, method: http.MethodGet, path: kindPath(kind), maxBody: maxListBytes}, kind)
+	var out Changes
+	call := Call{Op: OpList, Kind: kind}
+	for {
+		r, err := c.do(ctx, call)
+		if err != nil {
+			return Changes{}, err
+		}
+		if call.More == "" {
+			out.Version = r.Changes.Version
+		}
+		out.Objects = append(out.Objects, r.Changes.Objects...)
+		if r.More == "" {
+			return out, nil
+		}
+		call.More = r.More
+	}
 }
 
 // Watch waits until objects of a kind change after a version, or until the wait is over.
 func (c *Client) Watch(ctx context.Context, kind string, after Version, wait time.Duration) (Changes, error) {
-	q := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait": {wait.String()}}
-	return c.changes(ctx, call{kind: callWatch, op: "watch " + kind, method: http.MethodGet, path: kindPath(kind) + "?" + q.Encode(), wait: wait, maxBody: maxListBytes}, kind)
-}
-
-func (c *Client) changes(ctx context.Context, in call, kind string) (Changes, error) {
-	res, err := c.do(ctx, in)
-	if err != nil {
-		return Changes{}, err
-	}
-	out, err := DecodeChanges(kind, res.body)
-	if err != nil {
-		return Changes{}, &UnavailableError{Op: in.op, Err: err}
-	}
-	return out, nil
+	r, err := c.do(ctx, Call{Op: OpWatch, Kind: kind, After: after, Wait: wait})
+	return r.Changes, err
 }
 
 // Instances returns the lagging instance list.
 func (c *Client) Instances(ctx context.Context) (Instances, error) {
-	res, err := c.do(ctx, call{kind: callInstances, op: "instances", method: http.MethodGet, path: "/v1/instances", maxBody: maxListBytes})
-	if err != nil {
-		return nil, err
-	}
-	out, err := DecodeInstances(res.body)
-	if err != nil {
-		return nil, &UnavailableError{Op: "instances", Err: err}
-	}
-	return out, nil
-}
-
-func kindPath(kind string) string {
-	return "/v1/objects/" + url.PathEscape(kind)
-}
-
-func objectPath(kind, name string) string {
-	return kindPath(kind) + "/" + url.PathEscape(name)
+	r, err := c.do(ctx, Call{Op: OpInstances})
+	return r.Instances, err
 }
--- a/ferry/ferryplatform/store.go
+++ b/ferry/ferryplatform/store.go
@@ -74,6 +74,17 @@
 	State         InstanceState       `json:"State"`
 	Accelerator   string              `json:"Accelerator,omitempty"`
 	Layers        ferryid.LayerRange  `json:"Layers"`
+	// Slots is how many requests it processes at once; zero stands for unknown.
+	Slots int `json:"Slots,omitempty"`
+	// Started is when its process started; the same name may start again and then holds nothing of before.
+	Started time.Time `json:"Started,omitzero"`
+	// Warming is how much longer it stays slow after its start.
+	Warming time.Duration `json:"Warming,omitempty"`
+	// Model and ModelVersion say which weights its layers are of.
+	Model        string `json:"Model,omitempty"`
+	ModelVersion int    `json:"ModelVersion,omitempty"`
+	// Orders counts the orders that it has begun since it started.
+	Orders uint64 `json:"Orders,omitempty"`
 }
 
 // Instances is the lagging instance list.
@@ -94,6 +105,16 @@
 	return fmt.Sprintf("no object %s/%s", e.Kind, e.Name)
 }
 
+// HistoryGoneError says that the platform no longer holds the changes after a version, so the kind has to be listed again.
+type HistoryGoneError struct {
+	Kind  string
+	After Version
+}
+
+func (e *HistoryGoneError) Error() string {
+	return fmt.Sprintf("changes of kind %s after version %d are gone", e.Kind, e.After)
+}
+
 // ConflictError says that the object was not at the expected version, so the write certainly did not take effect.
 type ConflictError struct {
 	Kind     string
--- /dev/null
+++ b/ferryd/ferryedge/configuration.go
@@ -0,0 +1,104 @@
+package ferryedge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cactusferry.dev/ferry/ferryplatform"
+)
+
+const (
+	// watchWait is how long one watch lasts without a change; a silent connection is noticed a little later.
+	watchWait = 3 * time.Second
+	// paceShare is the part of a promise that the pause between two answers of a watch may take.
+	paceShare = 4
+	// proofShare is how many times the configuration is proved current within the age that keys may have.
+	proofShare = 2.5
+	// proofRetry follows a failed proof.
+	proofRetry = 300 * time.Millisecond
+	// proofTimeout bounds one reading.
+	proofTimeout = time.Second
+	// proofIdle is the pause between two proofs where keys may have any age.
+	proofIdle = 5 * time.Second
+)
+
+// configWatcher takes the operators' configuration from the platform.
+type configWatcher struct{ *Edge }
+
+func (w configWatcher) Listed(c ferryplatform.Changes)  { w.take(c) }
+func (w configWatcher) Changed(c ferryplatform.Changes) { w.take(c) }
+func (w configWatcher) Lost(error)                      {}
+
+func (w configWatcher) take(c ferryplatform.Changes) {
+	for _, o := range c.Objects {
+		if o.Name == w.cfg.Objects.ConfigurationName && !o.Deleted {
+			w.offer(o, "watch")
+		}
+	}
+}
+
+func (e *Edge) followConfig(ctx context.Context) {
+	e.follow(ctx, e.cfg.Objects.ConfigurationKind, e.cfg.Promise.ConfigWithin/paceShare, configWatcher{e})
+}
+
+// offer decodes a configuration and brings it into force if it is newer.
+func (e *Edge) offer(o ferryplatform.Object, source string) bool {
+	s, err := e.cfg.Objects.Configuration(o.Value)
+	if err != nil {
+		e.cfg.Log.Error().Err(err).Str("Source", source).Uint64("Revision", uint64(o.Version)).Msg("configuration not taken")
+		return false
+	}
+	verdict := e.holder.Offer(s)
+	if verdict.InForce() {
+		return true
+	}
+	e.cfg.Log.Info().Str("Source", source).Uint64("Version", uint64(s.Version)).Str("Verdict", verdict.String()).
+		Int("Routes", len(s.Routes)).Int("Services", len(s.Services)).Int("Customers", len(s.Customers)).Msg("configuration")
+	return true
+}
+
+// proveConfig reads the configuration now and then, since a watch that says nothing proves nothing.
+func (e *Edge) proveConfig(ctx context.Context) {
+	every := proofIdle
+	if e.cfg.Promise.KeyAge > 0 {
+		every = time.Duration(float64(e.cfg.Promise.KeyAge) / proofShare)
+	}
+	lost := false
+	for ctx.Err() == nil {
+		err := e.prove(ctx)
+		var missing *ferryplatform.NotFoundError
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return
+		case err != nil && !errors.As(err, &missing) && !lost:
+			lost = true
+			e.cfg.Log.Warn().Err(err).Msg("configuration cannot be proved current")
+		case err == nil && lost:
+			lost = false
+			e.cfg.Log.Info().Msg("configuration is proved current again")
+		}
+		wait := every
+		if err != nil {
+			wait = proofRetry
+		}
+		e.pause(ctx, wait)
+	}
+}
+
+func (e *Edge) prove(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	at := e.cfg.Steady.Now()
+	o, err := e.cfg.Store.Get(ctx, e.cfg.Objects.ConfigurationKind, e.cfg.Objects.ConfigurationName)
+	if err != nil {
+		return err
+	}
+	s, err := e.cfg.Objects.Configuration(o.Value)
+	if err != nil {
+		return err
+	}
+	e.holder.Offer(s)
+	e.holder.Prove(s.Version, at)
+	return nil
+}
--- /dev/null
+++ b/ferryd/ferryedge/listen.go
@@ -0,0 +1,61 @@
+package ferryedge
+
+import (
+	"context"
+	"errors"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	headerBytes   = 16 << 10
+	idleTimeout   = 30 * time.Second
+)
+
+// listen opens all listeners and serves them.
+func (e *Edge) listen(ctx context.Context, g *errgroup.Group) error {
+	callers, err := net.Listen("tcp", e.cfg.Callers)
+	if err != nil {
+		return err
+	}
+	e.callers = callers
+	g.Go(func() error { return e.ingress.Serve(ctx, callers) })
+	peers := chi.NewRouter()
+	peers.Handle("/peer", e.peer.Handler())
+	if err := e.serveHTTP(ctx, g, e.cfg.Peers, peers); err != nil {
+		return err
+	}
+	for _, s := range e.cfg.Servers {
+		if err := e.serveHTTP(ctx, g, s.Address, s.Handler(e)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveHTTP serves until the context ends.
+func (e *Edge) serveHTTP(ctx context.Context, g *errgroup.Group, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{
+		Handler: h, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: stdlog.New(e.cfg.Log.With().Str("From", "net/http").Logger().Level(zerolog.DebugLevel), "", 0),
+	}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	g.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
--- /dev/null
+++ b/ferryd/ferryedge/overlay.go
@@ -0,0 +1,30 @@
+package ferryedge
+
+import (
+	"cactusferry.dev/ferry/ferrypeer"
+)
+
+// newOverlay makes this entry's part in the overlay.
+func (e *Edge) newOverlay() {
+	e.peer = ferrypeer.New(ferrypeer.Config{
+		Self: ferrypeer.Member{
+			Name: e.cfg.Name, Incarnation: e.self, FailureDomain: e.cfg.Domain, PeerAddress: e.cfg.Peers, CallerAddress: e.cfg.Callers,
+		},
+		Seeds: e.cfg.Seeds, Clock: e.cfg.Steady, Log: e.cfg.Log, Events: e.events, OnMembers: e.onMembers,
+	})
+	e.tellState()
+}
+
+// tellState tells the other entries whether callers may be sent here.
+func (e *Edge) tellState() {
+	s := ferrypeer.Draining
+	if e.Ready() {
+		s = ferrypeer.Ready
+	}
+	e.peer.SetState(s, ferrypeer.Load{})
+}
+
+// onMembers takes a new membership.
+func (e *Edge) onMembers(ms ferrypeer.Members) {
+	e.services.SetEntries(len(ms.Live()))
+}
--- /dev/null
+++ b/ferryd/ferryedge/upstream.go
@@ -0,0 +1,81 @@
+package ferryedge
+
+import (
+	"context"
+	"time"
+
+	"cactusferry.dev/ferry/ferrydiscovery"
+	"cactusferry.dev/ferry/ferryplatform"
+)
+
+// expireEvery is how often upstreams that lapsed are looked at; their grace is a multiple of it.
+const expireEvery = 500 * time.Millisecond
+
+// upstreamWatcher takes the upstreams' entries from the platform.
+type upstreamWatcher struct{ *Edge }
+
+func (w upstreamWatcher) Listed(c ferryplatform.Changes) {
+	var list []ferrydiscovery.Upstream
+	for _, o := range c.Objects {
+		if u, ok := w.decode(o); ok && !o.Deleted {
+			list = append(list, u)
+		}
+	}
+	w.upstreams.Replace(list, c.Version)
+	w.listed.Store(true)
+	w.readyIf()
+}
+
+func (w upstreamWatcher) Changed(c ferryplatform.Changes) {
+	changes := make([]ferrydiscovery.Change, 0, len(c.Objects))
+	for _, o := range c.Objects {
+		u, ok := w.decode(o)
+		if !ok {
+			continue
+		}
+		if o.Deleted && u.Version < c.Version {
+			// The version of a removal may be that of the last write before it.
+			u.Version = max(u.Version, w.versionOf(u.Name))
+		}
+		changes = append(changes, ferrydiscovery.Change{Upstream: u, Removed: o.Deleted})
+		w.logChange(u, o.Deleted)
+	}
+	w.upstreams.Apply(changes)
+}
+
+func (w upstreamWatcher) Lost(error) { w.upstreams.Lost() }
+
+func (w upstreamWatcher) versionOf(name string) ferryplatform.Version {
+	if u := w.upstreams.View().Get(name); u != nil {
+		return u.Version
+	}
+	return 0
+}
+
+func (w upstreamWatcher) decode(o ferryplatform.Object) (ferrydiscovery.Upstream, bool) {
+	u, err := w.cfg.Objects.Upstream(o)
+	if err != nil {
+		w.cfg.Log.Warn().Err(err).Uint64("Revision", uint64(o.Version)).Msg("upstream entry not taken")
+		return u, false
+	}
+	return u, true
+}
+
+func (w upstreamWatcher) logChange(u ferrydiscovery.Upstream, removed bool) {
+	if removed {
+		w.cfg.Log.Info().Str("Upstream", u.Name).Uint64("Revision", uint64(u.Version)).Msg("upstream removed")
+		return
+	}
+	w.cfg.Log.Info().Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("State", string(u.State)).
+		Stringer("Layers", u.Layers).Uint64("Revision", uint64(u.Version)).Msg("upstream")
+}
+
+func (e *Edge) followUpstreams(ctx context.Context) {
+	e.follow(ctx, e.cfg.Objects.UpstreamKind, e.cfg.Promise.LeaveWithin/paceShare, upstreamWatcher{e})
+}
+
+func (e *Edge) expireUpstreams(ctx context.Context) {
+	for e.pause(ctx, expireEvery) {
+		e.upstreams.Expire()
+	}
+}
--- a/ferryd/ferrynode/listen.go
+++ b/ferryd/ferrynode/listen.go
@@ -26,7 +26,7 @@
 	m := chi.NewRouter()
 	m.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.Get("/readyz", n.readyz)
-	m.Handle("/metrics", n.metrics.handler)
+	m.Handle("/metrics", n.metrics.Handler)
 	m.Mount("/", n.callers.Handler())
 	cfg := n.cfg.Callers
 	p := &http.Protocols{}
@@ -47,7 +47,7 @@
 func (n *Node) peersServer() *http.Server {
 	m := chi.NewRouter()
 	m.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.Handle("/metrics", n.metrics.handler)
+	m.Handle("/metrics", n.metrics.Handler)
 	m.Handle("/peer", n.peer.Handler())
 	n.operators.Mount(m)
 	return &http.Server{
--- a/ferryd/ferrynode/metrics.go
+++ b/ferryd/ferrynode/metrics.go
@@ -2,50 +2,14 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
-
-	client "github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 )
 
 const metricsInterval = time.Second
 
-// metrics is the process's root scope and the page that shows it.
-type metrics struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
-}
-
-func newMetrics() *metrics {
-	// A registry of its own lets one process hold several nodes.
-	registry := client.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "ferryd",
-		CachedReporter:         r,
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        sanitizer(),
-		OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	return &metrics{scope: scope, closer: closer, handler: r.HTTPHandler()}
-}
-
-// sanitizer is tally's for Prometheus, but leaves the dashes and dots of names in tags' values.
-func sanitizer() *tally.SanitizeOptions {
-	opts := prometheus.DefaultSanitizerOpts
-	opts.ValueCharacters.Characters = []rune{'_', '-', '.'}
-	return &opts
-}
-
 // tellMetrics sets the gauges that nobody sets in passing.
 func (n *Node) tellMetrics(context.Context) {
-	s := n.metrics.scope
+	s := n.metrics.Scope
 	streams, calls := n.callers.Open()
 	s.Gauge("open_streams").Update(float64(streams))
 	s.Gauge("open_calls").Update(float64(calls))
@@ -66,7 +30,7 @@
 }
 
 func (n *Node) tellServiceMetrics(sv *service) {
-	s := n.metrics.scope.Tagged(map[string]string{"service": string(sv.name)})
+	s := n.metrics.Scope.Tagged(map[string]string{"service": string(sv.name)})
 	q := sv.admission.Snapshot()
 	s.Gauge("queue_waiting").Update(float64(q.Waiting))
 	s.Gauge("queue_running").Update(float64(q.Running))
--- a/ferryd/ferrynode/node.go
+++ b/ferryd/ferrynode/node.go
@@ -28,6 +28,7 @@
 	"cactusferry.dev/ferry/ferrysubset"
 	"cactusferry.dev/ferryd/ferrycaller"
 	"cactusferry.dev/ferryd/ferrykeys"
+	"cactusferry.dev/ferryd/ferrymetrics"
 	"cactusferry.dev/ferryd/ferryoperator"
 	"cactusferry.dev/ferryd/ferrysettings"
 )
@@ -73,7 +74,7 @@
 	stopping atomic.Bool
 	events   *ferryevent.Log
 	list     atomic.Pointer[ferryplatform.Instances]
-	metrics  *metrics
+	metrics  *ferrymetrics.Metrics
 	platform *ferryplatform.Client
 	holder   *ferrydocument.Holder
 	// used holds each service's *ferrydocument.InForce that callers are served by.
@@ -110,7 +111,7 @@
 		self:     ferryid.NewIncarnation(),
 		log:      log.With().Str("Entry", string(cfg.Name)).Logger(),
 		events:   ferryevent.NewLog(clock, string(cfg.Name), eventRing),
-		metrics:  newMetrics(),
+		metrics:  ferrymetrics.New("ferryd", metricsInterval),
 	}
 	n.platform = ferryplatform.New(ferryplatform.ClientConfig{
 		URL: cfg.Platform.URL, Clock: clock, Timeout: time.Duration(cfg.Platform.Timeout),
@@ -151,7 +152,7 @@
 		Self: n.self, Store: n.platform, Seal: seal, Clock: n.clock, Asker: claimPeers{n}, Forwarder: claimPeers{n}, Live: n.liveIncarnations,
 	})
 	n.callers = &ferrycaller.Server{
-		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.scope), Documents: callerDocuments{n.services, n.holder}, Plain: n.plain, Claims: n.claims, Sealer: sealer,
+		Clock: n.clock, Log: n.log, Events: n.events, Metrics: ferrycaller.NewMetrics(n.metrics.Scope), Documents: callerDocuments{n.services, n.holder}, Plain: n.plain, Claims: n.claims, Sealer: sealer,
 		Upstreams: plainUpstreams{services: n.services, clock: n.clock, leaving: n.markLeaving},
 		Models:    &models{node: n},
 		Limits: ferrycaller.Limits{
