Layers are placed under a lease and streams run over paths

Cause: engines start empty and hold what they are ordered to; nothing gave orders, so every stream was refused.

Ruled out: ferryorder's core for it: it reads engines all the time, which is priced here, and knows no number of orders to bind one to.

The configuration's watch waits longer, since readings prove it current anyway. Plain calls are spread over all upstreams.

--- a/ferry/ferrybalance/balancer.go
+++ b/ferry/ferrybalance/balancer.go
@@ -128,14 +128,14 @@
 	// usualLatency is assumed of an upstream that has not answered yet.
 	usualLatency = 20 * time.Millisecond
 	// remoteCost is what a call to another failure domain costs more, for its delay and bytes.
-	remoteCost = 4 * time.Millisecond
+	remoteCost = time.Millisecond
 	// reportAge is how long an upstream's word on its load is believed.
 	reportAge = 300 * time.Millisecond
 	// failureCost is what a failure costs a call that can be sent again, and unsafeFailureCost one that cannot.
 	failureCost       = 200 * time.Millisecond
 	unsafeFailureCost = 2 * time.Second
-	// jitter spreads equal costs over the upstreams.
-	jitter = 0.1
+	// jitter spreads similar costs over the upstreams, and with them a caller's second try: what fails at one may be a matter of that one and the request.
+	jitter = 0.5
 )
 
 // cost is the time that a call is expected to cost at an upstream, in seconds.
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -102,6 +102,9 @@
 	if long {
 		w.rest = a
 	}
+	if a.Status >= http.StatusInternalServerError {
+		f.log.Info().Str("Request", string(r.ID)).Str("Upstream", pick.Upstream.Name).Int("Status", a.Status).Int("Ran", r.ran+1).Msg("failed by the upstream")
+	}
 	if a.Status >= http.StatusInternalServerError && f.tryElsewhere(r) {
 		w.discard()
 		return nil, ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Ran, "The upstream answered with status %d.", a.Status)
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -40,14 +40,14 @@
 	current atomic.Pointer[map[ferryid.ServiceName]*service]
 
 	mu      sync.Mutex
-	entries int
+	entries map[ferryid.DomainName]int
 	config  *ferryconfig.Snapshot
 	view    *ferrydiscovery.View
 }
 
 // NewServices returns an empty set.
 func NewServices(cfg ServicesConfig) *Services {
-	s := &Services{cfg: cfg, entries: 1}
+	s := &Services{cfg: cfg}
 	s.current.Store(&map[ferryid.ServiceName]*service{})
 	return s
 }
@@ -56,16 +56,25 @@
 	return (*s.current.Load())[name]
 }
 
-// SetEntries says how many entries share the upstreams and the budgets.
-func (s *Services) SetEntries(n int) {
+// SetEntries says how many entries of each failure domain share the upstreams and the budgets.
+func (s *Services) SetEntries(byDomain map[ferryid.DomainName]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries = n
+	s.entries = byDomain
 	for _, sv := range *s.current.Load() {
-		sv.budget.SetEntries(n)
-		if sv.chooser != nil {
-			sv.chooser.SetEntries(n)
-		}
+		s.share(sv)
+	}
+}
+
+// share tells a service among how many entries its upstreams and its budget are divided.
+func (s *Services) share(sv *service) {
+	n := 0
+	for _, k := range s.entries {
+		n += k
+	}
+	sv.budget.SetEntries(n)
+	if sv.chooser != nil {
+		sv.chooser.SetEntries(s.entries)
 	}
 }
 
@@ -117,10 +126,9 @@
 			Clock: s.cfg.Clock, Window: s.cfg.RepeatWindow, Ratio: s.cfg.RepeatRatio, Allowance: s.cfg.RepeatAllowance,
 		}),
 	}
-	sv.budget.SetEntries(s.entries)
 	if layered {
 		sv.chooser = ferrypath.NewChooser(ferrypath.Options{Clock: s.cfg.Clock, Domain: s.cfg.Domain})
-		sv.chooser.SetEntries(s.entries)
 	}
+	s.share(sv)
 	return sv
 }
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -37,7 +37,8 @@
 	ups     map[ferryid.UpstreamName]*ferrydiscovery.Upstream
 	planner *ferrypipeline.Planner
 	loads   []ferrypipeline.Load
-	entries int
+	// entries counts those that take calls in each failure domain.
+	entries map[ferryid.DomainName]int
 }
 
 // NewChooser returns a chooser without engines.
@@ -45,14 +46,23 @@
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
-	return &Chooser{opts: opts, names: map[ferryid.UpstreamName]*engine{}, entries: 1}
+	return &Chooser{opts: opts, names: map[ferryid.UpstreamName]*engine{}}
 }
 
-// SetEntries says how many entries give work to the engines.
-func (c *Chooser) SetEntries(n int) {
+// SetEntries says how many entries of each failure domain give work to the engines.
+func (c *Chooser) SetEntries(byDomain map[ferryid.DomainName]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.entries = max(1, n)
+	c.entries = byDomain
+}
+
+// sharers is how many entries probably give work to an engine: those of its failure domain, since paths keep to one where they can.
+func (c *Chooser) sharers(e *engine) int {
+	n := c.entries[e.up.FailureDomain]
+	if e.up.FailureDomain != c.opts.Domain {
+		n++
+	}
+	return max(1, n)
 }
 
 // Set takes the model and the engines of the service; what is known of an engine that still runs is kept.
@@ -89,7 +99,13 @@
 	}
 }
 
-// links are the times that a token takes between failure domains, the way over their shared link included.
+// hopTime is what each further engine costs a token, for its way there and for one more engine that may fail.
+const hopTime = 300 * time.Microsecond
+
+// linkWeight is how much a transfer between domains weighs beside its own time: all others wait for the same link meanwhile.
+const linkWeight = 100
+
+// links are the times that a token takes from one engine to the next, by their failure domains.
 func links(m *ferryconfig.Model) ferrypipeline.LinkCosts {
 	costs := ferrypipeline.LinkCosts{}
 	shared := time.Duration(0)
@@ -97,15 +113,14 @@
 		shared = time.Duration(float64(m.HandoverBytes) * 8 / (m.DomainLinkRate * 1e6) * float64(time.Second))
 	}
 	for _, d := range m.Delays {
-		costs[[2]ferryid.DomainName{d.From, d.To}] = d.OneWay + linkWeight*shared
-		costs[[2]ferryid.DomainName{d.To, d.From}] = d.OneWay + linkWeight*shared
+		costs[[2]ferryid.DomainName{d.From, d.From}] = hopTime
+		costs[[2]ferryid.DomainName{d.To, d.To}] = hopTime
+		costs[[2]ferryid.DomainName{d.From, d.To}] = hopTime + d.OneWay + linkWeight*shared
+		costs[[2]ferryid.DomainName{d.To, d.From}] = hopTime + d.OneWay + linkWeight*shared
 	}
 	return costs
 }
 
-// linkWeight is how much a transfer between domains weighs beside its own time: others wait for the same link.
-const linkWeight = 4
-
 // Work is one generation to be placed.
 type Work struct {
 	Prompt, Answer ferryid.Tokens
@@ -155,7 +170,7 @@
 	for i, e := range c.engines {
 		l := &c.loads[i]
 		layers := e.up.Layers.Len()
-		t := tokenTime(c.model, e.kind, layers, e.running*c.entries+1)
+		t := tokenTime(c.model, e.kind, layers, e.running*c.sharers(e)+1)
 		l.Rate = ferryid.TokensPerSecond(1 / t.Seconds())
 		l.Avoid = (r.local && e.up.Layers.From == 0 && e.up.FailureDomain != c.opts.Domain) ||
 			(r.healthy && !e.health.Usable(now, true)) ||
@@ -172,12 +187,16 @@
 	return false
 }
 
+// overcommit is how much more than its even part of an engine's memory an entry may use: the others seldom use all of theirs at
+// the same time, answers mostly stay below their limit, and an engine without room says so before it begins.
+const overcommit = 1.5
+
 // fits reports whether the engine's memory holds the work besides what runs there, of which this entry knows its own part.
 func (c *Chooser) fits(e *engine, w Work) bool {
 	layers := e.up.Layers.Len()
 	need := int64(w.Prompt+w.Answer) * int64(layers)
-	share := room(c.model, e.kind, layers) / int64(c.entries)
-	return e.running == 0 || e.held+need <= share
+	share := overcommit * float64(room(c.model, e.kind, layers)) / float64(c.sharers(e))
+	return e.running == 0 || float64(e.held+need) <= share
 }
 
 func (c *Chooser) begin(plan *ferrypipeline.Plan, w Work) (*Run, error) {
--- a/ferry/ferryplatform/store.go
+++ b/ferry/ferryplatform/store.go
@@ -83,8 +83,6 @@
 	// Model and ModelVersion say which weights its layers are of.
 	Model        string `json:"Model,omitempty"`
 	ModelVersion int    `json:"ModelVersion,omitempty"`
-	// Orders counts the orders that it has begun since it started.
-	Orders uint64 `json:"Orders,omitempty"`
 }
 
 // Instances is the lagging instance list.
--- a/ferryd/ferryedge/config.go
+++ b/ferryd/ferryedge/config.go
@@ -9,8 +9,10 @@
 
 	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferrydiscovery"
+	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryforward"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplacement"
 	"cactusferry.dev/ferry/ferryplatform"
 )
 
@@ -35,6 +37,8 @@
 	Store   ferryplatform.Store
 	Objects Objects
 	Dialect ferryforward.Dialect
+	// Engines gives the orders that engines understand, over the given connections.
+	Engines func(*ferryexchange.Client) ferryplacement.Engines
 	Promise Promise
 }
 
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// watchWait is how long one watch lasts without a change; a silent connection is noticed a little later.
-	watchWait = 3 * time.Second
+	// configWait is how long one watch of the configuration lasts without a change; readings that prove it current notice a silent connection before.
+	configWait = 25 * time.Second
 	// paceShare is the part of a promise that the pause between two answers of a watch may take.
 	paceShare = 4
 	// proofShare is how many times the configuration is proved current within the age that keys may have.
-	proofShare = 2.5
+	proofShare = 1.6
 	// proofRetry follows a failed proof.
 	proofRetry = 300 * time.Millisecond
 	// proofTimeout bounds one reading.
@@ -39,7 +39,7 @@
 }
 
 func (e *Edge) followConfig(ctx context.Context) {
-	e.follow(ctx, e.cfg.Objects.ConfigurationKind, e.cfg.Promise.ConfigWithin/paceShare, configWatcher{e})
+	e.follow(ctx, e.cfg.Objects.ConfigurationKind, configWait, e.cfg.Promise.ConfigWithin/paceShare, configWatcher{e})
 }
 
 // offer decodes a configuration and brings it into force if it is newer.
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -60,6 +60,7 @@
 	callers   net.Listener
 	events    *ferryevent.Log
 	peer      *ferrypeer.Node
+	placement *placement
 	metrics   *ferrymetrics.Metrics
 }
 
@@ -83,8 +84,10 @@
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Handle: e.forwarder.Handle, Refused: e.forwarder.Refused, Limits: e.limits, MaxConns: cfg.MaxConns,
 	})
+	e.placement = e.newPlacement()
 	e.holder.OnChange(e.onConfig)
 	e.upstreams.OnChange(e.services.SetView)
+	e.upstreams.OnChange(e.placement.setView)
 	e.newOverlay()
 	return e
 }
@@ -120,6 +123,7 @@
 // onConfig brings a new configuration into force.
 func (e *Edge) onConfig(s *ferryconfig.Snapshot) {
 	e.services.SetConfig(s)
+	e.placement.setConfig(s)
 	e.readyIf()
 }
 
@@ -148,6 +152,7 @@
 	g.Go(func() error { e.proveConfig(ctx); return nil })
 	g.Go(func() error { e.followUpstreams(ctx); return nil })
 	g.Go(func() error { e.expireUpstreams(ctx); return nil })
+	g.Go(func() error { e.placement.run(ctx); return nil })
 	g.Go(func() error { e.sweep(ctx); return nil })
 	stopped := make(chan struct{})
 	go func() {
@@ -182,9 +187,9 @@
 }
 
 // follow keeps a view of one kind of the platform's objects current until the context ends.
-func (e *Edge) follow(ctx context.Context, kind string, pace time.Duration, w ferryfollow.Watcher) {
+func (e *Edge) follow(ctx context.Context, kind string, wait, pace time.Duration, w ferryfollow.Watcher) {
 	ferryfollow.New(ferryfollow.Config{
-		Store: e.cfg.Store, Kind: kind, Clock: e.cfg.Clock, Log: e.cfg.Log, Wait: watchWait, Pace: pace, Watcher: w,
+		Store: e.cfg.Store, Kind: kind, Clock: e.cfg.Clock, Log: e.cfg.Log, Wait: wait, Pace: pace, Watcher: w,
 	}).Run(ctx)
 }
 
--- a/ferryd/ferryedge/overlay.go
+++ b/ferryd/ferryedge/overlay.go
@@ -1,6 +1,7 @@
 package ferryedge
 
 import (
+	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 )
 
@@ -26,5 +27,9 @@
 
 // onMembers takes a new membership.
 func (e *Edge) onMembers(ms ferrypeer.Members) {
-	e.services.SetEntries(len(ms.Live()))
+	byDomain := map[ferryid.DomainName]int{}
+	for _, m := range ms.Live() {
+		byDomain[m.FailureDomain]++
+	}
+	e.services.SetEntries(byDomain)
 }
--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -8,6 +8,9 @@
 	"cactusferry.dev/ferry/ferryplatform"
 )
 
+// upstreamWait is how long one watch of the upstreams lasts without a change; a silent connection is noticed a little later.
+const upstreamWait = 3 * time.Second
+
 // expireEvery is how often upstreams that lapsed are looked at; their grace is a multiple of it.
 const expireEvery = 500 * time.Millisecond
 
@@ -71,7 +74,7 @@
 }
 
 func (e *Edge) followUpstreams(ctx context.Context) {
-	e.follow(ctx, e.cfg.Objects.UpstreamKind, e.cfg.Promise.LeaveWithin/paceShare, upstreamWatcher{e})
+	e.follow(ctx, e.cfg.Objects.UpstreamKind, upstreamWait, e.cfg.Promise.LeaveWithin/paceShare, upstreamWatcher{e})
 }
 
 func (e *Edge) expireUpstreams(ctx context.Context) {
