Stalled runs are led around engines that are gone

Ruled out: read deadlines for finding a silent run (the chunked reader keeps its error and cannot go on); asking engines for what they believe is stalled (it lags by 200 ms, longer than the pause that is still on time).

Change: a watchdog a run probes the engines of the path by opening a connection, takes the dead ones out and orders the run onto another path with the same first part. A run counts against the attempts unless its first engine answers no more. The first layers have four holders in each failure domain. What is sent again is shared over the overlay. Paths cross domains only in need.

--- a/ferry/ferrybudget/budget.go
+++ b/ferry/ferrybudget/budget.go
@@ -29,6 +29,8 @@
 
 	mu       sync.Mutex
 	entries  int
+	near     int
+	others   Spent
 	at       time.Time
 	requests [buckets]int
 	repeats  [buckets]int
@@ -40,14 +42,35 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clockwork.NewRealClock()
 	}
-	return &Budget{cfg: cfg, entries: leastEntries, at: cfg.Clock.Now()}
+	return &Budget{cfg: cfg, entries: leastEntries, near: leastEntries, at: cfg.Clock.Now()}
 }
 
-// SetEntries says among how many entries the allowance is divided.
-func (b *Budget) SetEntries(n int) {
+// SetEntries says among how many entries the budget is divided, and how many of them stand in this entry's failure domain.
+func (b *Budget) SetEntries(n, near int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries = max(leastEntries, n)
+	b.entries, b.near = max(leastEntries, n), max(1, near)
+}
+
+// Spent is what one or more entries have counted in the last window.
+type Spent struct {
+	Requests int
+	Repeats  int
+}
+
+// Own is what this entry has counted in the last window.
+func (b *Budget) Own() Spent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	return Spent{Requests: sum(b.requests), Repeats: sum(b.repeats)}
+}
+
+// SetOthers says what all other entries have counted, as far as this one has heard.
+func (b *Budget) SetOthers(s Spent) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others = s
 }
 
 // Request counts a caller's request.
@@ -78,8 +101,13 @@
 	return max(0, int(b.limit())-sum(b.repeats))
 }
 
+// limit is how many repetitions this entry may have counted: its even part of the budget, or more while the others leave theirs.
+// What they spend is heard late, and an upstream's loss meets all entries of a failure domain at once, so each takes no more than
+// all of them together can bear.
 func (b *Budget) limit() float64 {
-	return safety * (b.cfg.Ratio*float64(sum(b.requests)) + b.cfg.Allowance/float64(b.entries))
+	own := safety * (b.cfg.Ratio*float64(sum(b.requests)) + b.cfg.Allowance/float64(b.entries))
+	all := safety * (b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests) + b.cfg.Allowance)
+	return max(own, (all-float64(b.others.Repeats))/float64(b.near+1))
 }
 
 // advance moves the window on by whole buckets.
--- a/ferry/ferryexchange/client.go
+++ b/ferry/ferryexchange/client.go
@@ -110,6 +110,16 @@
 	return a, nil
 }
 
+// Probe opens a connection and closes it again, to see whether anything answers at the address.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	c.dials.Add(1)
+	nc, err := c.cfg.Dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return nc.Close()
+}
+
 // cause prefers the reason for which the context ended over the error that closing the connection brought.
 func cause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -26,6 +26,8 @@
 	Services *Services
 	Dialect  Dialect
 	Client   *ferryexchange.Client
+	// Rerouter moves runs around engines that are gone.
+	Rerouter Rerouter
 	Log      zerolog.Logger
 	Scope    tally.Scope
 	// MaxAge is how long ago the configuration must have been proved current for a request with a key; zero stands for no limit.
@@ -37,12 +39,13 @@
 	cfg     Config
 	log     zerolog.Logger
 	metrics metrics
+	prober  *prober
 	maxAge  atomic.Int64
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, log: cfg.Log, metrics: metrics{cfg.Scope}}
+	f := &Forwarder{cfg: cfg, log: cfg.Log, metrics: metrics{cfg.Scope}, prober: newProber(cfg.Client)}
 	f.SetMaxAge(cfg.MaxAge)
 	return f
 }
--- /dev/null
+++ b/ferry/ferryforward/probe.go
@@ -0,0 +1,98 @@
+package ferryforward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cactusferry.dev/ferry/ferryexchange"
+	"cactusferry.dev/ferry/ferrypath"
+)
+
+const (
+	// probeTime is how long an engine may take to accept a connection: links between domains take a millisecond.
+	probeTime = 30 * time.Millisecond
+	// probeTries is how often it is asked, since one opening packet may be lost.
+	probeTries = 2
+	// aliveAge and deadAge are how long the result of a probe is used for other streams over the same engine.
+	aliveAge = 300 * time.Millisecond
+	deadAge  = 150 * time.Millisecond
+	// maxProbes bounds the results that are kept.
+	maxProbes = 1024
+)
+
+// prober tells whether engines still answer; many streams that suspect the same one share a probe.
+type prober struct {
+	client *ferryexchange.Client
+	mu     sync.Mutex
+	probes map[string]*probe
+}
+
+// probe is one question to an address; done is closed when it is answered.
+type probe struct {
+	done  chan struct{}
+	at    time.Time
+	alive bool
+}
+
+func newProber(c *ferryexchange.Client) *prober {
+	return &prober{client: c, probes: map[string]*probe{}}
+}
+
+// dead returns the indices of the hops whose engines do not answer. If none answers, the trouble is probably this entry's own, and it returns none.
+func (p *prober) dead(hops []ferrypath.Hop) []int {
+	probes := make([]*probe, len(hops))
+	for i, h := range hops {
+		probes[i] = p.ask(h.Upstream.Address)
+	}
+	var dead []int
+	for i, pr := range probes {
+		<-pr.done
+		if !pr.alive {
+			dead = append(dead, i)
+		}
+	}
+	if len(dead) == len(hops) {
+		return nil
+	}
+	return dead
+}
+
+// ask returns a recent probe of the address, or begins one.
+func (p *prober) ask(address string) *probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pr := p.probes[address]; pr != nil && pr.recent() {
+		return pr
+	}
+	if len(p.probes) >= maxProbes {
+		clear(p.probes)
+	}
+	pr := &probe{done: make(chan struct{}), at: time.Now()}
+	p.probes[address] = pr
+	go func() {
+		defer close(pr.done)
+		for range probeTries {
+			ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+			err := p.client.Probe(ctx, address)
+			cancel()
+			if pr.alive = err == nil; pr.alive {
+				return
+			}
+		}
+	}()
+	return pr
+}
+
+// recent reports whether the probe is under way or its result can still be used.
+func (pr *probe) recent() bool {
+	select {
+	case <-pr.done:
+	default:
+		return true
+	}
+	if pr.alive {
+		return time.Since(pr.at) < aliveAge
+	}
+	return time.Since(pr.at) < deadAge
+}
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -72,12 +72,28 @@
 	for _, k := range s.entries {
 		n += k
 	}
-	sv.budget.SetEntries(n)
+	sv.budget.SetEntries(n, s.entries[s.cfg.Domain])
 	if sv.chooser != nil {
 		sv.chooser.SetEntries(s.entries)
 	}
 }
 
+// Spent is what this entry has sent again of each service in the last window.
+func (s *Services) Spent() map[ferryid.ServiceName]ferrybudget.Spent {
+	out := map[ferryid.ServiceName]ferrybudget.Spent{}
+	for name, sv := range *s.current.Load() {
+		out[name] = sv.budget.Own()
+	}
+	return out
+}
+
+// SetSpent takes what the other entries have sent again in the last window.
+func (s *Services) SetSpent(others map[ferryid.ServiceName]ferrybudget.Spent) {
+	for name, sv := range *s.current.Load() {
+		sv.budget.SetOthers(others[name])
+	}
+}
+
 // SetConfig takes a new configuration.
 func (s *Services) SetConfig(c *ferryconfig.Snapshot) {
 	s.mu.Lock()
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -16,10 +15,8 @@
 )
 
 const (
-	// firstEventWait is how long a run may take to its first event before another is tried: callers leave after 2 s.
-	firstEventWait = 1200 * time.Millisecond
-	// nextEventWait is how long a run may pause before it counts as stalled: a live one writes every few steps.
-	nextEventWait = 600 * time.Millisecond
+	// eventWait is how long a run of a single upstream may be silent before another is tried: callers leave after 2 s.
+	eventWait = 1300 * time.Millisecond
 	// maxSends bounds the upstreams that one stream is sent to, those that died among them.
 	maxSends = 5
 	// eventBytes is the first size of the buffer for events; longer ones make it grow up to maxEventBytes.
@@ -95,12 +92,18 @@
 	r := s.r
 	o := Outgoing{Instance: w.first().Name, Wait: r.left(s.cfg.Clock.Now()), Customer: r.customer, After: s.last.id}
 	if c, ok := w.(chain); ok {
-		o.Path = c.run.Path
+		o.Path = c.run.Path()
 	}
 	waiting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := s.cfg.Clock.AfterFunc(firstEventWait, func() { cancel(errStalled) })
+	var dog *watchdog
+	timer := s.cfg.Clock.AfterFunc(eventWait, func() { cancel(errStalled) })
 	defer timer.Stop()
+	if c, ok := w.(chain); ok {
+		timer.Stop()
+		dog = s.watch(c.run, cancel)
+		defer dog.stop()
+	}
 	a, err := s.cfg.Client.Do(waiting, w.first().Address, r.outgoing(s.cfg.Dialect, o))
 	if err != nil {
 		return s.failed(ctx, w, err)
@@ -116,7 +119,12 @@
 	case !v.Signed || a.Header.Get("Content-Encoding") != "":
 		return s.broken(ctx, w, errUnsigned)
 	}
-	err = s.relay(waiting, a, func() { timer.Stop() })
+	err = s.relay(a, func() {
+		dog.progress()
+		if dog == nil {
+			timer.Reset(eventWait)
+		}
+	})
 	switch {
 	case err == nil:
 		done(w)
@@ -139,7 +147,7 @@
 )
 
 // relay passes whole events on until the upstream's answer is complete.
-func (s *streaming) relay(ctx context.Context, a *ferryexchange.Answer, begun func()) error {
+func (s *streaming) relay(a *ferryexchange.Answer, progress func()) error {
 	if s.buf == nil {
 		s.buf = make([]byte, eventBytes)
 	}
@@ -155,7 +163,7 @@
 		n += m
 		whole, rest := splitEvents(s.buf[:n])
 		if len(whole) > 0 {
-			begun()
+			progress()
 			if err := s.pass(a, whole); err != nil {
 				return err
 			}
@@ -167,15 +175,8 @@
 		case errors.Is(err, io.EOF):
 			return s.end(a)
 		case err != nil:
-			var silent net.Error
-			if errors.As(err, &silent) && silent.Timeout() && ctx.Err() == nil {
-				return errStalled
-			}
 			return err
 		}
-		if s.out != nil {
-			a.ReadTimeout(nextEventWait)
-		}
 	}
 }
 
@@ -284,7 +285,7 @@
 	return s.broken(ctx, w, err)
 }
 
-// broken judges a run that ended early; one that an upstream's end cut off does not count against the attempts.
+// broken judges a run that ended early. One whose upstream ended does not count against the attempts.
 func (s *streaming) broken(ctx context.Context, w way, err error) *ferryoutcome.Problem {
 	s.r.mayHaveRun = true
 	if ctx.Err() != nil {
@@ -292,14 +293,27 @@
 		cancelled(w)
 		return s.timeUp(s.r, ferryoutcome.Unknown, err)
 	}
-	if !s.r.repeatable() {
+	gone := errors.Is(err, errDead) || s.ended(w)
+	if !gone || !s.r.repeatable() {
 		s.r.ran++
 	}
-	s.log.Warn().Str("Request", string(s.r.ID)).Str("Path", pathOf(w)).Int("Events", s.events).Str("Last", s.last.id).Err(err).Msg("run broken off")
-	s.r.avoidName(failedAt(w))
+	s.log.Warn().Str("Request", string(s.r.ID)).Str("Path", pathOf(w)).Int("Events", s.events).Str("Last", s.last.id).
+		Bool("Gone", gone).Err(err).Msg("run broken off")
+	if gone {
+		s.r.avoidName(unreachable(w, ""))
+	} else {
+		s.r.avoidName(failedAt(w))
+	}
 	return ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Unknown, "The upstream broke off.").Because(err)
 }
 
+// ended reports whether the upstream that held the connection answers no more.
+func (s *streaming) ended(w way) bool {
+	pr := s.prober.ask(w.first().Address)
+	<-pr.done
+	return !pr.alive
+}
+
 // pathOf names the upstreams of a way, for the log.
 func pathOf(w way) string {
 	c, ok := w.(chain)
@@ -307,7 +321,7 @@
 		return w.first().Name
 	}
 	var b strings.Builder
-	for i, h := range c.run.Path.Hops() {
+	for i, h := range c.run.Path().Hops() {
 		if i > 0 {
 			b.WriteByte(' ')
 		}
--- a/ferry/ferryforward/way.go
+++ b/ferry/ferryforward/way.go
@@ -24,7 +24,7 @@
 type chain struct{ run *ferrypath.Run }
 
 func (w alone) first() *ferrydiscovery.Upstream { return w.call.Upstream }
-func (w chain) first() *ferrydiscovery.Upstream { return w.run.Path.First() }
+func (w chain) first() *ferrydiscovery.Upstream { return w.run.Path().First() }
 func (alone) isWay()                            {}
 func (chain) isWay()                            {}
 
@@ -80,9 +80,9 @@
 	case alone:
 		w.call.Unreachable()
 	case chain:
-		at := max(0, w.run.Path.At(address))
+		at := max(0, w.run.Path().At(address))
 		w.run.Unreachable(at)
-		return w.run.Path.Hops()[at].Upstream.Name
+		return w.run.Path().Hops()[at].Upstream.Name
 	}
 	return w.first().Name
 }
@@ -93,9 +93,9 @@
 	case alone:
 		w.call.Refused()
 	case chain:
-		at := max(0, w.run.Path.At(address))
+		at := max(0, w.run.Path().At(address))
 		w.run.Refused(at)
-		return w.run.Path.Hops()[at].Upstream.Name
+		return w.run.Path().Hops()[at].Upstream.Name
 	}
 	return w.first().Name
 }
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -102,8 +103,9 @@
 // hopTime is what each further engine costs a token, for its way there and for one more engine that may fail.
 const hopTime = 300 * time.Microsecond
 
-// linkWeight is how much a transfer between domains weighs beside its own time: all others wait for the same link meanwhile.
-const linkWeight = 100
+// linkWeight is how much a transfer between domains weighs beside its own time: all others wait for the same link meanwhile, and
+// a generation's memory passes over it whole. Paths cross only where their own domain lacks layers or room.
+const linkWeight = 1000
 
 // links are the times that a token takes from one engine to the next, by their failure domains.
 func links(m *ferryconfig.Model) ferrypipeline.LinkCosts {
@@ -127,14 +129,19 @@
 	Avoid          []ferryid.UpstreamName
 }
 
-// Run is one generation on its path; it is ended by exactly one of its methods.
+// Run is one generation on its path; it is ended by exactly one of Done, Cancelled, Failed, Unreachable and Refused.
 type Run struct {
-	Path *Path
-
+	path    atomic.Pointer[Path]
 	chooser *Chooser
 	work    Work
 }
 
+// Path is the path that the generation runs on now.
+func (r *Run) Path() *Path { return r.path.Load() }
+
+// Chooser is what the run was picked by.
+func (r *Run) Chooser() *Chooser { return r.chooser }
+
 // Pick chooses a path and counts the generation on it, or returns ErrNoPath or ErrNoRoom.
 func (c *Chooser) Pick(w Work) (*Run, error) {
 	c.mu.Lock()
@@ -168,16 +175,21 @@
 // weigh prepares what the planner has to know of each engine.
 func (c *Chooser) weigh(w Work, now time.Time, r rule) {
 	for i, e := range c.engines {
-		l := &c.loads[i]
-		layers := e.up.Layers.Len()
-		t := tokenTime(c.model, e.kind, layers, e.running*c.sharers(e)+1)
-		l.Rate = ferryid.TokensPerSecond(1 / t.Seconds())
-		l.Avoid = (r.local && e.up.Layers.From == 0 && e.up.FailureDomain != c.opts.Domain) ||
-			(r.healthy && !e.health.Usable(now, true)) ||
-			(r.fits && !c.fits(e, w)) || avoids(w.Avoid, e)
+		c.weighOne(&c.loads[i], e, w, now, r)
 	}
 }
 
+func (c *Chooser) weighOne(l *ferrypipeline.Load, e *engine, w Work, now time.Time, r rule) {
+	t := tokenTime(c.model, e.kind, e.up.Layers.Len(), e.running*c.sharers(e)+1)
+	l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
+	l.Avoid = (r.local && e.up.Layers.From == 0 && e.up.FailureDomain != c.opts.Domain) ||
+		(r.healthy && !e.health.Usable(now, true)) ||
+		(r.fits && !c.fits(e, w)) || avoids(w.Avoid, e)
+}
+
+// minTokenTime keeps the rate of an engine of an unknown kind finite.
+const minTokenTime = time.Microsecond
+
 func avoids(avoid []ferryid.UpstreamName, e *engine) bool {
 	for _, name := range avoid {
 		if string(name) == e.up.Name {
@@ -206,12 +218,12 @@
 	}
 	now := c.opts.Clock.Now()
 	for _, h := range path.hops {
-		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
-		e.health.Chosen(now)
-		e.running++
-		e.held += need(w, h)
+		c.names[ferryid.UpstreamName(h.Upstream.Name)].health.Chosen(now)
 	}
-	return &Run{Path: path, chooser: c, work: w}, nil
+	c.count(path, w, 1)
+	run := &Run{chooser: c, work: w}
+	run.path.Store(path)
+	return run, nil
 }
 
 func need(w Work, h Hop) int64 {
@@ -245,7 +257,7 @@
 
 func (r *Run) blame(at int, f func(*engine, time.Time)) {
 	r.end(func(e *engine, now time.Time) {
-		if at >= 0 && e.up.Name == r.Path.hops[at].Upstream.Name {
+		if at >= 0 && e.up.Name == r.Path().hops[at].Upstream.Name {
 			f(e, now)
 		}
 	})
@@ -256,13 +268,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
-	for _, h := range r.Path.hops {
+	c.count(r.Path(), r.work, -1)
+	for _, h := range r.Path().hops {
 		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
-		if e == nil || !e.up.SameRun(h.Upstream) {
-			continue
+		if e != nil && e.up.SameRun(h.Upstream) {
+			f(e, now)
 		}
-		e.running--
-		e.held -= need(r.work, h)
-		f(e, now)
 	}
 }
--- /dev/null
+++ b/ferry/ferrypath/repath.go
@@ -0,0 +1,111 @@
+package ferrypath
+
+import (
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypipeline"
+)
+
+// Detour returns another path for a generation under way: it has the same first part, and none of the engines named.
+//
+// The generation counts on both paths until Move or the end of the run.
+func (r *Run) Detour(without []ferryid.UpstreamName) (*Path, error) {
+	c := r.chooser
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := r.Path().hops[0]
+	candidates, engines := c.behind(first, without)
+	p, err := ferrypipeline.NewPlanner(ferrypipeline.PlannerConfig{Layers: ferryid.Layer(c.model.Layers), Candidates: candidates, Links: links(c.model)})
+	if err != nil {
+		return nil, err
+	}
+	now := c.opts.Clock.Now()
+	plan := ferrypipeline.Plan{}
+	for _, try := range []rule{{healthy: true, fits: true}, {fits: true}} {
+		loads := make([]ferrypipeline.Load, len(engines))
+		for i, e := range engines {
+			c.weighOne(&loads[i], e, r.work, now, try)
+		}
+		loads[0].Avoid = false
+		if err = p.Choose(loads, nil, max(1, r.work.Answer), &plan); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return nil, ErrNoPath
+	}
+	return New(&plan, c.ups)
+}
+
+// behind returns the first engine with exactly the part that it has, and all others with what they hold of the layers behind it.
+func (c *Chooser) behind(first Hop, without []ferryid.UpstreamName) (ferrypipeline.Candidates, []*engine) {
+	up := first.Upstream
+	c.ups[ferryid.UpstreamName(up.Name)] = up
+	candidates := ferrypipeline.Candidates{{Name: ferryid.UpstreamName(up.Name), Address: up.Address, Domain: up.FailureDomain, Layers: first.Layers}}
+	engines := []*engine{c.engineOf(first)}
+	for _, e := range c.engines {
+		if e.up.Name == up.Name || e.up.Layers.To <= first.Layers.To || avoids(without, e) {
+			continue
+		}
+		held := e.up.Layers
+		held.From = max(held.From, first.Layers.To)
+		candidates = append(candidates, ferrypipeline.Candidate{
+			Name: ferryid.UpstreamName(e.up.Name), Address: e.up.Address, Domain: e.up.FailureDomain, Layers: held,
+		})
+		engines = append(engines, e)
+	}
+	return candidates, engines
+}
+
+// engineOf returns what is known of a hop's engine, which may have left the platform's list meanwhile.
+func (c *Chooser) engineOf(h Hop) *engine {
+	if e := c.names[ferryid.UpstreamName(h.Upstream.Name)]; e != nil && e.up.SameRun(h.Upstream) {
+		return e
+	}
+	return &engine{up: h.Upstream}
+}
+
+// Move says that the generation goes on over another path.
+func (r *Run) Move(to *Path) {
+	c := r.chooser
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(r.Path(), r.work, -1)
+	c.count(to, r.work, 1)
+	r.path.Store(to)
+}
+
+// count adds a generation to the engines of a path, or takes it away.
+func (c *Chooser) count(p *Path, w Work, n int) {
+	for _, h := range p.hops {
+		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
+		if e == nil || !e.up.SameRun(h.Upstream) {
+			continue
+		}
+		e.running += n
+		e.held += int64(n) * need(w, h)
+	}
+}
+
+// Dead notes that an engine does not answer any more, so that nobody is sent there for a while.
+func (c *Chooser) Dead(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.names[ferryid.UpstreamName(name)]; e != nil {
+		e.health.Unreachable(c.opts.Clock.Now())
+	}
+}
+
+// Leaving returns the engines of the path that take no new work any more, or are gone from the platform's list.
+func (r *Run) Leaving() []ferryid.UpstreamName {
+	c := r.chooser
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []ferryid.UpstreamName
+	for _, h := range r.Path().hops {
+		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
+		if e == nil || !e.up.SameRun(h.Upstream) || !e.up.Ready() {
+			out = append(out, ferryid.UpstreamName(h.Upstream.Name))
+		}
+	}
+	return out
+}
--- a/ferry/ferryplacement/coverage.go
+++ b/ferry/ferryplacement/coverage.go
@@ -36,6 +36,11 @@
 const (
 	// missingEverywhere is the worth of a layer that no engine holds: without it nothing is served.
 	missingEverywhere = 1000.0
+	// firstHolders is how many engines of a failure domain should hold the first layer: the engine that takes a request is the only
+	// one of its path that cannot be replaced under way.
+	firstHolders = 4
+	// firstWorth is the worth of one more of them.
+	firstWorth = 20.0
 	// missingHere is the worth of a layer that no engine of the failure domain holds: without it work crosses to another domain and back.
 	missingHere = 10.0
 )
@@ -50,19 +55,24 @@
 	if here == 0 {
 		w += missingHere
 	}
+	if layer == 0 && here < firstHolders {
+		w += firstWorth / float64(1+here)
+	}
 	return w
 }
 
-// best returns the range of the given length that is worth most in a domain, the lowest of equals.
+// best returns the range of the given length that is worth most in a domain, the highest of equals: so the engines that
+// come later in a plan, which are many and slow, hold the first layers.
 func (c *coverage) best(d ferryid.DomainName, length int) (ferryid.LayerRange, float64) {
 	length = min(length, c.layers)
+	from := c.layers - length
 	sum := 0.0
-	for l := range length {
+	for l := from; l < c.layers; l++ {
 		sum += c.worth(d, l)
 	}
-	at, most := 0, sum
-	for from := 1; from+length <= c.layers; from++ {
-		sum += c.worth(d, from+length-1) - c.worth(d, from-1)
+	at, most := from, sum
+	for from--; from >= 0; from-- {
+		sum += c.worth(d, from) - c.worth(d, from+length)
 		if sum > most+tie {
 			at, most = from, sum
 		}
--- a/ferryd/ferryedge/config.go
+++ b/ferryd/ferryedge/config.go
@@ -38,10 +38,16 @@
 	Objects Objects
 	Dialect ferryforward.Dialect
 	// Engines gives the orders that engines understand, over the given connections.
-	Engines func(*ferryexchange.Client) ferryplacement.Engines
+	Engines func(*ferryexchange.Client) Engines
 	Promise Promise
 }
 
+// Engines are the orders that engines understand.
+type Engines interface {
+	ferryplacement.Engines
+	ferryforward.Rerouter
+}
+
 // Objects says where the platform keeps what, and how it is read.
 type Objects struct {
 	// ConfigurationKind and ConfigurationName are those of the operators' configuration.
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -61,6 +61,7 @@
 	events    *ferryevent.Log
 	peer      *ferrypeer.Node
 	placement *placement
+	spent     *ferrypeer.Latest[spent]
 	metrics   *ferrymetrics.Metrics
 }
 
@@ -78,7 +79,7 @@
 		RepeatWindow: cfg.Promise.RepeatWindow, RepeatRatio: cfg.Promise.RepeatRatio, RepeatAllowance: cfg.Promise.RepeatAllowance,
 	})
 	e.forwarder = ferryforward.New(ferryforward.Config{
-		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client,
+		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Rerouter: cfg.Engines(e.client),
 		Log: cfg.Log, Scope: e.metrics.Scope, MaxAge: cfg.Promise.KeyAge,
 	})
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
@@ -88,6 +89,7 @@
 	e.holder.OnChange(e.onConfig)
 	e.upstreams.OnChange(e.services.SetView)
 	e.upstreams.OnChange(e.placement.setView)
+	e.newShare()
 	e.newOverlay()
 	return e
 }
@@ -153,6 +155,7 @@
 	g.Go(func() error { e.followUpstreams(ctx); return nil })
 	g.Go(func() error { e.expireUpstreams(ctx); return nil })
 	g.Go(func() error { e.placement.run(ctx); return nil })
+	g.Go(func() error { e.shareSpent(ctx); return nil })
 	g.Go(func() error { e.sweep(ctx); return nil })
 	stopped := make(chan struct{})
 	go func() {
