Placement by room for requests; runs restart in another domain rather than cross

Change: lengths follow the memory for requests that the model asks for; gaps are covered by longer ranges of neighbours or by engines that are missed least; paths stay within one failure domain where they can; dead engines are probed in the background; conditions of engines (pace, memory) are read by one entry a domain and shared.

--- a/ferry/ferryconfig/service.go
+++ b/ferry/ferryconfig/service.go
@@ -32,6 +32,8 @@
 	LoadsAtOnce int
 	// TokenBytes is the memory of one token in all layers.
 	TokenBytes int
+	// EngineTokens is for how many tokens of requests an engine is meant to have memory.
+	EngineTokens int
 	// Slots is the most requests that an engine runs at once as the first of a path.
 	Slots int
 	// StepTime is one token's step through all layers on an accelerator of pace 1.
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -78,6 +78,25 @@
 	}
 }
 
+// Chooser returns what chooses paths over the engines of a service, or nil where it has none that hold layers.
+func (s *Services) Chooser(name ferryid.ServiceName) *ferrypath.Chooser {
+	if sv := s.get(name); sv != nil {
+		return sv.chooser
+	}
+	return nil
+}
+
+// Layered returns the services whose engines hold layers.
+func (s *Services) Layered() []ferryid.ServiceName {
+	var out []ferryid.ServiceName
+	for name, sv := range *s.current.Load() {
+		if sv.chooser != nil {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Spent is what this entry has sent again of each service in the last window.
 func (s *Services) Spent() map[ferryid.ServiceName]ferrybudget.Spent {
 	out := map[ferryid.ServiceName]ferrybudget.Spent{}
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -24,6 +24,8 @@
 	giveUpNext  = 1200 * time.Millisecond
 	// rerouteTime bounds one order to move a run.
 	rerouteTime = 300 * time.Millisecond
+	// leaveAfter is how long a run stays on an engine that leaves: most are done by then, and the engine serves at least twice as long.
+	leaveAfter = time.Second
 	// usualGaps is how many usual pauses of a run its silence must exceed to be suspect.
 	usualGaps = 4
 )
@@ -31,6 +33,9 @@
 // errDead says that the engine that holds the connection does not answer any more.
 var errDead = errors.New("the first engine of the path does not answer")
 
+// errElsewhere says that the stream goes on better by a new run in another failure domain.
+var errElsewhere = errors.New("the failure domain lacks layers now")
+
 // Rerouter moves a run that is under way to another path with the same first part.
 type Rerouter interface {
 	Reroute(ctx context.Context, id ferryid.RequestID, p *ferrypath.Path) error
@@ -43,6 +48,8 @@
 	cancel context.CancelCauseFunc
 	began  time.Time
 	timer  clockwork.Timer
+	// mayRestart says that the request may be run once more elsewhere.
+	mayRestart bool
 
 	// last is when the run last made progress, since began; gap is its usual pause; events says that its first event has come.
 	last   atomic.Int64
@@ -51,16 +58,23 @@
 
 	mu   sync.Mutex
 	over bool
+	// seen is the version of the engines that the path was last compared with; it belongs to the goroutine that passes events on.
+	seen int64
 }
 
 func (s *streaming) watch(run *ferrypath.Run, cancel context.CancelCauseFunc) *watchdog {
-	d := &watchdog{streaming: s, run: run, cancel: cancel, began: s.cfg.Clock.Now()}
+	d := &watchdog{streaming: s, run: run, cancel: cancel, began: s.cfg.Clock.Now(), seen: run.Chooser().Version(), mayRestart: s.mayRestart()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.timer = s.cfg.Clock.AfterFunc(suspectFirst, d.look)
 	return d
 }
 
+// mayRestart reports whether the run that begins now may be followed by another, though its first engine lives.
+func (s *streaming) mayRestart() bool {
+	return s.r.repeatable() && s.r.ran+1 < max(1, s.r.route.MaxAttempts)
+}
+
 // gapWeight is the weight of the newest pause in the usual one.
 const gapWeight = 8
 
@@ -75,6 +89,36 @@
 		d.gap.Add((pause - d.gap.Load()) / gapWeight)
 	}
 	d.last.Store(now)
+	suspect, _ := d.limits()
+	d.arm(suspect)
+	if v := d.run.Chooser().Version(); v != d.seen {
+		d.seen = v
+		d.leave()
+	}
+}
+
+// arm sets the time of the next look.
+func (d *watchdog) arm(after time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.over {
+		d.timer.Reset(after)
+	}
+}
+
+// leave moves the run, if it still lasts a little later, off engines that leave.
+func (d *watchdog) leave() {
+	if len(d.run.Leaving()) == 0 {
+		return
+	}
+	d.cfg.Clock.AfterFunc(leaveAfter, func() {
+		d.mu.Lock()
+		over := d.over
+		d.mu.Unlock()
+		if leaving := d.run.Leaving(); !over && len(leaving) > 0 {
+			d.reroute(leaving)
+		}
+	})
 }
 
 // stop ends the watch; a look that is under way ends by itself.
@@ -111,18 +155,18 @@
 	default:
 		d.inspect(silent)
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.over {
-		d.timer.Reset(next)
-	}
+	d.arm(next)
 }
 
-// inspect finds the engines of the path that are gone and leads the run around them.
+// inspect finds the engines of the path that are gone, or much slower than they should be, and leads the run around them.
 func (d *watchdog) inspect(silent time.Duration) {
 	hops := d.run.Path().Hops()
 	dead := d.prober.dead(hops)
 	if len(dead) == 0 {
+		if slow := d.run.Slow(); len(slow) > 0 {
+			d.log.Info().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Slow", names(slow)).Msg("engines are slow")
+			d.reroute(slow)
+		}
 		return
 	}
 	var without []ferryid.UpstreamName
@@ -136,25 +180,55 @@
 		d.cancel(errDead)
 		return
 	}
-	d.reroute(without)
+	if !d.reroute(without) {
+		d.cancel(errStalled)
+	}
 }
 
-// reroute moves the run to a path without the engines named.
-func (d *watchdog) reroute(without []ferryid.UpstreamName) {
-	to, err := d.run.Detour(without)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), rerouteTime)
-		defer cancel()
-		err = d.cfg.Rerouter.Reroute(ctx, d.r.ID, to)
-	}
-	if err != nil {
+// BlockedError says that a run cannot be moved to a path because of one of its engines.
+type BlockedError struct {
+	Address string
+	Err     error
+}
+
+func (e *BlockedError) Error() string {
+	return "engine at " + e.Address + " is in the way: " + e.Err.Error()
+}
+
+// Unwrap returns the underlying error.
+func (e *BlockedError) Unwrap() error { return e.Err }
+
+// maxDetours is how many paths are tried for one run at a time.
+const maxDetours = 3
+
+// reroute moves the run to a path without the engines named and reports whether it did.
+func (d *watchdog) reroute(without []ferryid.UpstreamName) bool {
+	for range maxDetours {
+		to, err := d.run.Detour(without)
+		if err == nil && to.Crossings() > d.run.Path().Crossings() && d.mayRestart && d.r.service.budget.Left() > 0 {
+			// All that was read so far would have to pass between domains; it is read again faster where the new path begins.
+			d.cancel(errElsewhere)
+			return true
+		}
+		if err == nil {
+			ctx, cancel := context.WithTimeout(context.Background(), rerouteTime)
+			err = d.cfg.Rerouter.Reroute(ctx, d.r.ID, to)
+			cancel()
+		}
+		if err == nil {
+			d.run.Move(to)
+			d.metrics.sentAgain(d.r.service.name, "Moved")
+			d.log.Info().Str("Request", string(d.r.ID)).Str("Path", pathOf(chain{d.run})).Msg("run moved")
+			return true
+		}
 		d.log.Warn().Str("Request", string(d.r.ID)).Err(err).Msg("run not moved")
-		d.cancel(errStalled)
-		return
+		var blocked *BlockedError
+		if !errors.As(err, &blocked) || to.At(blocked.Address) <= 0 {
+			return false
+		}
+		without = append(without, ferryid.UpstreamName(to.Hops()[to.At(blocked.Address)].Upstream.Name))
 	}
-	d.run.Move(to)
-	d.metrics.sentAgain(d.r.service.name, "Moved")
-	d.log.Info().Str("Request", string(d.r.ID)).Str("Path", pathOf(chain{d.run})).Msg("run moved")
+	return false
 }
 
 func names(list []ferryid.UpstreamName) []string {
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -29,7 +29,8 @@
 
 // Chooser chooses paths over the engines of one service; all methods may be called from any goroutine.
 type Chooser struct {
-	opts Options
+	opts    Options
+	version atomic.Int64
 
 	mu      sync.Mutex
 	model   *ferryconfig.Model
@@ -66,10 +67,14 @@
 	return max(1, n)
 }
 
+// Version rises whenever the engines change.
+func (c *Chooser) Version() int64 { return c.version.Load() }
+
 // Set takes the model and the engines of the service; what is known of an engine that still runs is kept.
 func (c *Chooser) Set(m *ferryconfig.Model, list []*ferrydiscovery.Upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.version.Add(1)
 	old := c.names
 	c.model = m
 	c.engines = c.engines[:0]
@@ -151,7 +156,7 @@
 	}
 	now := c.opts.Clock.Now()
 	plan := ferrypipeline.Plan{}
-	for _, try := range []rule{{local: true, healthy: true, fits: true}, {healthy: true, fits: true}, {fits: true}} {
+	for _, try := range []rule{{within: true, healthy: true, fits: true}, {healthy: true, fits: true}, {fits: true}} {
 		c.weigh(w, now, try)
 		if err := c.planner.Choose(c.loads, nil, max(1, w.Answer), &plan); err == nil {
 			return c.begin(&plan, w)
@@ -166,8 +171,8 @@
 
 // rule says which engines a choice may use.
 type rule struct {
-	// local asks for a first engine in this entry's failure domain.
-	local   bool
+	// within allows engines of this entry's failure domain only.
+	within  bool
 	healthy bool
 	fits    bool
 }
@@ -180,11 +185,22 @@
 }
 
 func (c *Chooser) weighOne(l *ferrypipeline.Load, e *engine, w Work, now time.Time, r rule) {
-	t := tokenTime(c.model, e.kind, e.up.Layers.Len(), e.running*c.sharers(e)+1)
+	t := time.Duration(float64(tokenTime(c.model, e.kind, e.up.Layers.Len(), c.running(e, now)+1)) * e.pace(now))
 	l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
-	l.Avoid = (r.local && e.up.Layers.From == 0 && e.up.FailureDomain != c.opts.Domain) ||
-		(r.healthy && !e.health.Usable(now, true)) ||
-		(r.fits && !c.fits(e, w)) || avoids(w.Avoid, e)
+	l.Avoid = e.down || (r.within && e.up.FailureDomain != c.opts.Domain) ||
+		(r.healthy && ( e.pace(now) >= tooSlow || !e.health.Usable(now, true))) ||
+		(r.fits && !c.fits(e, w, now)) || avoids(w.Avoid, e)
+}
+
+// tooSlow is the pace from which an engine gets work only where there is no other.
+const tooSlow = 2
+
+// running estimates how many generations run on an engine: by its own word and what this entry has begun since, or from this entry's own.
+func (c *Chooser) running(e *engine, now time.Time) int {
+	if !e.known(now) {
+		return e.running * c.sharers(e)
+	}
+	return max(e.running, e.reported.Running+(e.running-e.ranThen)*c.sharers(e))
 }
 
 // minTokenTime keeps the rate of an engine of an unknown kind finite.
@@ -199,16 +215,24 @@
 	return false
 }
 
-// overcommit is how much more than its even part of an engine's memory an entry may use: the others seldom use all of theirs at
-// the same time, answers mostly stay below their limit, and an engine without room says so before it begins.
+// overcommit is how much more than its even part of an engine's memory an entry may use while the engine has said nothing: the
+// others seldom use all of theirs at the same time, answers mostly stay below their limit, and an engine without room says so before it begins.
 const overcommit = 1.5
 
-// fits reports whether the engine's memory holds the work besides what runs there, of which this entry knows its own part.
-func (c *Chooser) fits(e *engine, w Work) bool {
-	layers := e.up.Layers.Len()
-	need := int64(w.Prompt+w.Answer) * int64(layers)
-	share := overcommit * float64(room(c.model, e.kind, layers)) / float64(c.sharers(e))
-	return e.running == 0 || float64(e.held+need) <= share
+// growth is how much of a generation's memory is still to come on average, as a share: half of its answer.
+const growth = 0.5
+
+// fits reports whether the engine's memory holds the work besides what runs there.
+func (c *Chooser) fits(e *engine, w Work, now time.Time) bool {
+	layers := int64(e.up.Layers.Len())
+	work := int64(w.Prompt+w.Answer) * layers
+	if !e.known(now) || e.reported.Room == 0 {
+		share := overcommit * float64(room(c.model, e.kind, int(layers))) / float64(c.sharers(e))
+		return e.running == 0 || float64(e.held+work) <= share
+	}
+	toCome := int64(growth*float64(c.model.UsualAnswer)) * layers * int64(e.reported.Running)
+	since := max(0, e.held-e.heldThen) * int64(c.sharers(e))
+	return e.reported.Used+toCome+since+work <= e.reported.Room
 }
 
 func (c *Chooser) begin(plan *ferrypipeline.Plan, w Work) (*Run, error) {
@@ -247,7 +271,7 @@
 
 // Unreachable ends a generation for which the engine at the given index could not be reached.
 func (r *Run) Unreachable(at int) {
-	r.blame(at, func(e *engine, now time.Time) { e.health.Unreachable(now) })
+	r.blame(at, func(e *engine, _ time.Time) { e.down = true })
 }
 
 // Refused ends a generation that the engine at the given index had no room for.
@@ -263,6 +287,18 @@
 	})
 }
 
+// Report takes what an engine says of itself; it was asked at the given time.
+func (c *Chooser) Report(name string, cond Condition, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.names[ferryid.UpstreamName(name)]
+	if e == nil || !e.at.Before(at) {
+		return
+	}
+	e.reported, e.at = cond, at
+	e.heldThen, e.ranThen = e.held, e.running
+}
+
 func (r *Run) end(f func(*engine, time.Time)) {
 	c := r.chooser
 	c.mu.Lock()
--- a/ferry/ferrypath/engine.go
+++ b/ferry/ferrypath/engine.go
@@ -16,6 +16,38 @@
 	// running and held are what this entry's generations have there: their number, and their memory in tokens times layers.
 	running int
 	held    int64
+	// down says that the engine answers no more; it is usable again once it does.
+	down bool
+	// reported is what the engine last said of itself, with what this entry had there at that time.
+	reported Condition
+	at       time.Time
+	heldThen int64
+	ranThen  int
+}
+
+// Condition is what an engine says of itself.
+type Condition struct {
+	// Pace is above 1 while the engine is slower than its kind.
+	Pace    float64
+	Running int
+	// Used and Room are memory for requests, in tokens times layers.
+	Used, Room int64
+}
+
+// conditionAge is how long an engine's word on itself is believed.
+const conditionAge = 4 * time.Second
+
+// known reports whether the engine has said something of itself of late.
+func (e *engine) known(now time.Time) bool {
+	return !e.at.IsZero() && now.Sub(e.at) < conditionAge
+}
+
+// pace is how much slower the engine is than its kind.
+func (e *engine) pace(now time.Time) float64 {
+	if !e.known(now) {
+		return 1
+	}
+	return max(1, e.reported.Pace)
 }
 
 // room is the memory beside the layers, in tokens times layers.
--- a/ferry/ferrypath/path.go
+++ b/ferry/ferrypath/path.go
@@ -48,3 +48,14 @@
 	}
 	return -1
 }
+
+// Crossings is how often the path leads from one failure domain to another.
+func (p *Path) Crossings() int {
+	n := 0
+	for i := 1; i < len(p.hops); i++ {
+		if p.hops[i].Upstream.FailureDomain != p.hops[i-1].Upstream.FailureDomain {
+			n++
+		}
+	}
+	return n
+}
--- a/ferry/ferrypath/repath.go
+++ b/ferry/ferrypath/repath.go
@@ -1,6 +1,7 @@
 package ferrypath
 
 import (
+	"cactusferry.dev/ferry/ferrydiscovery"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypipeline"
 )
@@ -86,24 +87,65 @@
 	}
 }
 
-// Dead notes that an engine does not answer any more, so that nobody is sent there for a while.
+// Dead notes that an engine does not answer any more, so that nothing is sent there until it does.
 func (c *Chooser) Dead(name string) {
+	c.setDown(name, true)
+}
+
+// Alive notes that an engine answers again.
+func (c *Chooser) Alive(name string) {
+	c.setDown(name, false)
+}
+
+func (c *Chooser) setDown(name string, down bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if e := c.names[ferryid.UpstreamName(name)]; e != nil {
-		e.health.Unreachable(c.opts.Clock.Now())
+		e.down = down
 	}
 }
 
-// Leaving returns the engines of the path that take no new work any more, or are gone from the platform's list.
+// Down returns the engines that did not answer when they were last tried.
+func (c *Chooser) Down() []*ferrydiscovery.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*ferrydiscovery.Upstream
+	for _, e := range c.engines {
+		if e.down {
+			out = append(out, e.up)
+		}
+	}
+	return out
+}
+
+// Slow returns the engines of the path, but for the first, that are much slower than their kind.
+func (r *Run) Slow() []ferryid.UpstreamName {
+	c := r.chooser
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	var out []ferryid.UpstreamName
+	for _, h := range r.Path().hops[1:] {
+		if e := c.engineOf(h); e.pace(now) >= tooSlow {
+			out = append(out, ferryid.UpstreamName(h.Upstream.Name))
+		}
+	}
+	return out
+}
+
+func holds(all, part ferryid.LayerRange) bool {
+	return all.From <= part.From && part.To <= all.To
+}
+
+// Leaving returns the engines of the path, but for the first, that take no new work any more, have given up their part or are gone from the platform's list.
 func (r *Run) Leaving() []ferryid.UpstreamName {
 	c := r.chooser
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []ferryid.UpstreamName
-	for _, h := range r.Path().hops {
+	for _, h := range r.Path().hops[1:] {
 		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
-		if e == nil || !e.up.SameRun(h.Upstream) || !e.up.Ready() {
+		if e == nil || !e.up.SameRun(h.Upstream) || !e.up.Ready() || !holds(e.up.Layers, h.Layers) {
 			out = append(out, ferryid.UpstreamName(h.Upstream.Name))
 		}
 	}
--- a/ferry/ferryplacement/core.go
+++ b/ferry/ferryplacement/core.go
@@ -11,6 +11,10 @@
 const (
 	// patience is how long an order that was begun may take to show in the engine's entry, beyond the time to load.
 	patience = 4 * time.Second
+	// settleFor is how long no new engine must have appeared before the first placement, which then knows them all: a little more than
+	// the time between two signs of life. settleMost bounds it.
+	settleFor  = 1400 * time.Millisecond
+	settleMost = 4 * time.Second
 	// retryAfter is the pause after an order that was not answered or did not fit.
 	retryAfter = 500 * time.Millisecond
 )
@@ -20,6 +24,8 @@
 	model   *ferryconfig.Model
 	engines map[ferryid.UpstreamName]*engine
 	begun   bool
+	// first and newest are when the first engine and the newest one appeared.
+	first, newest time.Time
 }
 
 // engine is what the core knows of one engine.
@@ -53,7 +59,7 @@
 }
 
 // Set takes the model and the engines as the platform describes them now.
-func (c *Core) Set(m *ferryconfig.Model, list []*ferrydiscovery.Upstream) {
+func (c *Core) Set(m *ferryconfig.Model, list []*ferrydiscovery.Upstream, now time.Time) {
 	c.model = m
 	old := c.engines
 	c.engines = make(map[ferryid.UpstreamName]*engine, len(list))
@@ -62,6 +68,7 @@
 		e := old[name]
 		if e == nil || !e.up.SameRun(u) {
 			e = &engine{}
+			c.appeared(now)
 		}
 		e.up = u
 		if e.state != idle && u.Layers == e.target {
@@ -71,6 +78,26 @@
 	}
 }
 
+func (c *Core) appeared(now time.Time) {
+	if c.first.IsZero() {
+		c.first = now
+	}
+	c.newest = now
+}
+
+// settled reports whether the engines are known well enough for a placement; where some hold layers already there is no need to wait.
+func (c *Core) settled(now time.Time) bool {
+	if c.begun || now.Sub(c.newest) >= settleFor || now.Sub(c.first) >= settleMost {
+		return true
+	}
+	for _, e := range c.engines {
+		if e.up.Layers.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Send is one order to give now.
 type Send struct {
 	Upstream *ferrydiscovery.Upstream
@@ -79,7 +106,7 @@
 
 // Next returns the orders to give now, never more than may load at once while traffic runs.
 func (c *Core) Next(now time.Time) []Send {
-	if c.model == nil || c.model.Layers == 0 {
+	if c.model == nil || c.model.Layers == 0 || !c.settled(now) {
 		return nil
 	}
 	loading := 0
--- a/ferry/ferryplacement/coverage.go
+++ b/ferry/ferryplacement/coverage.go
@@ -34,11 +34,8 @@
 }
 
 const (
-	// missingEverywhere is the worth of a layer that no engine holds: without it nothing is served.
-	missingEverywhere = 1000.0
-	// firstHolders is how many engines of a failure domain should hold the first layer: the engine that takes a request is the only
-	// one of its path that cannot be replaced under way.
-	firstHolders = 4
+	// missingEverywhere is added for a layer that no engine holds at all: without it nothing is served.
+	missingEverywhere = 5.0
 	// firstWorth is the worth of one more of them.
 	firstWorth = 20.0
 	// missingHere is the worth of a layer that no engine of the failure domain holds: without it work crosses to another domain and back.
@@ -61,23 +58,27 @@
 	return w
 }
 
-// best returns the range of the given length that is worth most in a domain, the highest of equals: so the engines that
-// come later in a plan, which are many and slow, hold the first layers.
-func (c *coverage) best(d ferryid.DomainName, length int) (ferryid.LayerRange, float64) {
+// best returns the range of at most the given length that is worth most in a domain: the first part, or the highest of equals behind it.
+func (c *coverage) best(d ferryid.DomainName, length, first int) (ferryid.LayerRange, float64) {
 	length = min(length, c.layers)
-	from := c.layers - length
-	sum := 0.0
-	for l := from; l < c.layers; l++ {
-		sum += c.worth(d, l)
+	head := ferryid.LayerRange{To: ferryid.Layer(min(first, length))}
+	most, best := c.total(d, head), head
+	least := first
+	if length < first {
+		// An engine too small for the first part helps with what lies behind its beginning.
+		least = 0
 	}
-	at, most := from, sum
-	for from--; from >= 0; from-- {
-		sum += c.worth(d, from) - c.worth(d, from+length)
+	from := c.layers - length
+	sum := c.total(d, ferryid.LayerRange{From: ferryid.Layer(from), To: ferryid.Layer(c.layers)})
+	for ; from >= least; from-- {
 		if sum > most+tie {
-			at, most = from, sum
+			best, most = ferryid.LayerRange{From: ferryid.Layer(from), To: ferryid.Layer(from + length)}, sum
+		}
+		if from > 0 {
+			sum += c.worth(d, from-1) - c.worth(d, from+length-1)
 		}
 	}
-	return ferryid.LayerRange{From: ferryid.Layer(at), To: ferryid.Layer(at + length)}, most
+	return best, most
 }
 
 // tie is the difference below which two sums are taken as equal.
@@ -92,9 +93,9 @@
 	return sum
 }
 
-// missing reports whether some layer has no holder at all.
-func (c *coverage) missing() bool {
-	for _, n := range c.all {
+// lacking reports whether a domain lacks some layer.
+func (c *coverage) lacking(d ferryid.DomainName) bool {
+	for _, n := range c.of(d) {
 		if n == 0 {
 			return true
 		}
--- a/ferry/ferryplacement/placer.go
+++ b/ferry/ferryplacement/placer.go
@@ -28,6 +28,12 @@
 	Orders uint64
 	// Busy says that an order is in progress.
 	Busy bool
+	// Pace is above 1 while the engine is slower than its kind.
+	Pace float64
+	// Running and Waiting count requests.
+	Running, Waiting int
+	// Used and Room are memory for requests, in tokens times layers.
+	Used, Room int64
 }
 
 // PlaceOrder asks an engine to hold a range of layers and no others.
@@ -116,7 +122,7 @@
 		case <-ctx.Done():
 			return
 		case in := <-p.input:
-			p.core.Set(in.model, in.list)
+			p.core.Set(in.model, in.list, p.cfg.Clock.Now())
 		case r := <-p.results:
 			p.core.Answered(r.send, r.answer, p.cfg.Clock.Now())
 			continue
--- a/ferry/ferryplacement/plan.go
+++ b/ferry/ferryplacement/plan.go
@@ -8,8 +8,12 @@
 	"cactusferry.dev/ferry/ferryid"
 )
 
-// requestShare is the part of an engine's memory that is kept for requests: at less, bursts find no room; at more, fewer copies of each layer are left.
-const requestShare = 0.25
+const (
+	// requestShare is the part of an engine's memory that is always kept for requests; with less it would hold up every path that it is on.
+	requestShare = 0.18
+	// firstHolders is how many engines of a failure domain hold the first layers.
+	firstHolders = 3
+)
 
 // Engine is one engine as a plan sees it.
 type Engine struct {
@@ -28,7 +32,7 @@
 	Layers ferryid.LayerRange
 }
 
-// Capacity is how many layers an engine is given, with memory left for requests; it never exceeds what its memory holds.
+// Capacity is the most layers that an engine is given, with memory left for requests.
 func Capacity(m *ferryconfig.Model, a ferryconfig.Accelerator) int {
 	if m.LayerSize <= 0 {
 		return 0
@@ -37,55 +41,214 @@
 	return max(0, min(roomy, m.Layers))
 }
 
-// Plan returns the orders that improve the placement: empty engines get the ranges that are worth most, and where a layer
-// is held nowhere, or nowhere in a failure domain that has a copy to spare, the engine that is missed least moves.
+// Plan returns the orders that improve the placement.
+//
+// Each failure domain that has the memory holds one copy of the model, spread so that all its engines have the same room for
+// requests, since a path carries what its fullest engine does. Several engines hold the same few first layers: the engine that
+// takes a request is the only one of its path that cannot be replaced under way, so its loss should meet few requests.
+// Engines that come later fill what is missing, and what is lost is covered by engines that are missed least.
 func Plan(m *ferryconfig.Model, engines []Engine) []Order {
 	if m.Layers <= 0 {
 		return nil
 	}
-	sorted := slices.Clone(engines)
-	slices.SortFunc(sorted, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(a.Accelerator.StepFactor, b.Accelerator.StepFactor), cmp.Compare(a.Name, b.Name))
+	p := newPlan(m, engines)
+	for _, pool := range p.pools() {
+		if pool.fresh() {
+			p.layOut(pool)
+			continue
+		}
+		p.fillEmpty(pool)
+	}
+	p.repair()
+	return p.orders
+}
+
+// plan is the working state of one call.
+type plan struct {
+	model   *ferryconfig.Model
+	engines []*Engine
+	cover   *coverage
+	orders  []Order
+	ordered map[ferryid.UpstreamName]bool
+}
+
+func newPlan(m *ferryconfig.Model, engines []Engine) *plan {
+	p := &plan{model: m, cover: newCoverage(m.Layers), ordered: map[ferryid.UpstreamName]bool{}}
+	for i := range engines {
+		e := engines[i]
+		if Capacity(m, e.Accelerator) == 0 {
+			continue
+		}
+		p.engines = append(p.engines, &e)
+		p.cover.add(e.Domain, e.Held, 1)
+	}
+	slices.SortFunc(p.engines, func(a, b *Engine) int {
+		return cmp.Or(
+			cmp.Compare(b.Accelerator.Memory, a.Accelerator.Memory),
+			cmp.Compare(a.Accelerator.StepFactor, b.Accelerator.StepFactor),
+			cmp.Compare(a.Name, b.Name),
+		)
 	})
-	c := newCoverage(m.Layers)
-	for _, e := range sorted {
-		c.add(e.Domain, e.Held, 1)
-	}
-	var orders []Order
-	for i := range sorted {
-		e := &sorted[i]
-		length := Capacity(m, e.Accelerator)
-		if e.Held.Len() > 0 || e.Fixed || length == 0 {
+	return p
+}
+
+func (p *plan) capacity(e *Engine) int { return Capacity(p.model, e.Accelerator) }
+
+// order gives an engine a new range.
+func (p *plan) order(e *Engine, r ferryid.LayerRange) {
+	p.cover.add(e.Domain, e.Held, -1)
+	e.Held = r
+	p.cover.add(e.Domain, e.Held, 1)
+	p.ordered[e.Name] = true
+	p.orders = append(p.orders, Order{Engine: e.Name, Layers: r})
+}
+
+// free reports whether an order may be given to an engine.
+func (p *plan) free(e *Engine) bool { return !e.Fixed && !p.ordered[e.Name] }
+
+// pool is a set of engines that hold a copy of the model together, the ones with most memory first.
+type pool []*Engine
+
+// fresh reports whether the pool begins with nothing.
+func (l pool) fresh() bool {
+	return !slices.ContainsFunc(l, func(e *Engine) bool { return e.Held.Len() > 0 || e.Fixed })
+}
+
+// pools returns a pool for each failure domain that can hold the model, and one of all others together.
+func (p *plan) pools() []pool {
+	domains := map[ferryid.DomainName]pool{}
+	var names []ferryid.DomainName
+	for _, e := range p.engines {
+		if domains[e.Domain] == nil {
+			names = append(names, e.Domain)
+		}
+		domains[e.Domain] = append(domains[e.Domain], e)
+	}
+	slices.Sort(names)
+	var out []pool
+	var rest pool
+	for _, d := range names {
+		if p.total(domains[d]) >= p.model.Layers {
+			out = append(out, domains[d])
 			continue
 		}
-		e.Held, _ = c.best(e.Domain, length)
-		c.add(e.Domain, e.Held, 1)
-		orders = append(orders, Order{Engine: e.Name, Layers: e.Held})
+		rest = append(rest, domains[d]...)
+	}
+	if len(rest) > 0 {
+		out = append(out, rest)
 	}
-	if move, ok := fill(m, sorted, c); ok {
-		orders = append(orders, move)
+	return out
+}
+
+// total is how many layers the engines of a pool can hold.
+func (p *plan) total(l pool) int {
+	n := 0
+	for _, e := range l {
+		n += p.capacity(e)
 	}
-	return orders
+	return n
 }
 
-// gainToMove is how much more a range has to be worth than the one given up for it.
-const gainToMove = 2.0
+// firstPart is how many first layers are held together in a pool: what most engines that begin at the first layer hold now, or
+// what the smallest engine takes in an even spread.
+func (p *plan) firstPart(l pool) int {
+	held := map[int]int{}
+	for _, e := range l {
+		if e.Held.From == 0 && e.Held.Len() > 0 {
+			held[e.Held.Len()]++
+		}
+	}
+	part, most := p.share(l, l[len(l)-1]), 0
+	for length, n := range held {
+		if n > most || (n == most && length < part) {
+			part, most = length, n
+		}
+	}
+	return part
+}
+
+// share is how many layers an engine is given in a pool: as many as leave the memory for requests that the model asks for, or more
+// where the pool would not hold the model so.
+func (p *plan) share(l pool, e *Engine) int {
+	return p.length(e, p.tokens(l))
+}
+
+// tokens is for how many tokens each engine of a pool has memory beside its layers.
+func (p *plan) tokens(l pool) float64 {
+	tokens := float64(p.model.EngineTokens)
+	for ; tokens > 1; tokens *= lessTokens {
+		n := 0
+		for _, e := range l {
+			n += p.length(e, tokens)
+		}
+		first := p.length(l[len(l)-1], tokens)
+		if n >= p.model.Layers+first*(min(firstHolders, len(l))-1) {
+			return tokens
+		}
+	}
+	return 0
+}
+
+// lessTokens is the step by which the memory for requests gives way to layers.
+const lessTokens = 0.95
+
+// length is how many layers leave memory for so many tokens.
+func (p *plan) length(e *Engine, tokens float64) int {
+	perLayer := float64(p.model.LayerSize) + tokens*float64(p.model.TokenBytes)/float64(p.model.Layers)/bytesPerMegabyte
+	return max(1, min(int(float64(e.Accelerator.Memory)/perLayer), p.capacity(e)))
+}
+
+const bytesPerMegabyte = 1e6
+
+// layOut spreads the model over a pool that begins with nothing: the smallest engines hold the first layers, the largest the last ones.
+func (p *plan) layOut(l pool) {
+	first := p.firstPart(l)
+	holders := min(firstHolders, len(l)-1)
+	tokens := p.tokens(l)
+	for holders > 1 && p.sum(l[:len(l)-holders], tokens) < p.model.Layers-first {
+		holders--
+	}
+	behind := l[:len(l)-max(holders, 0)]
+	if holders < 1 || p.sum(behind, tokens) < p.model.Layers-first {
+		p.fillEmpty(l)
+		return
+	}
+	for _, e := range l[len(l)-holders:] {
+		p.order(e, ferryid.LayerRange{To: ferryid.Layer(first)})
+	}
+	to := p.model.Layers
+	for _, e := range behind {
+		if to == first {
+			break
+		}
+		n := p.length(e, tokens)
+		from := max(first, to-n)
+		// The last one overlaps what is covered already rather than hold less than it could.
+		p.order(e, ferryid.LayerRange{From: ferryid.Layer(from), To: ferryid.Layer(min(from+n, p.model.Layers))})
+		to = from
+	}
+	p.fillEmpty(l)
+}
+
+func (p *plan) sum(l pool, tokens float64) int {
+	n := 0
+	for _, e := range l {
+		n += p.length(e, tokens)
+	}
+	return n
+}
 
-// fill moves one engine to layers that are missing, if that is worth more than what is lost by it.
-func fill(m *ferryconfig.Model, engines []Engine, c *coverage) (Order, bool) {
-	best, gain := Order{}, 0.0
-	for _, e := range engines {
-		length := Capacity(m, e.Accelerator)
-		if e.Fixed || e.Held.Len() == 0 || length == 0 {
+// fillEmpty gives the empty engines of a pool what is worth most there.
+func (p *plan) fillEmpty(l pool) {
+	for _, e := range l {
+		if e.Held.Len() > 0 || !p.free(e) {
 			continue
 		}
-		c.add(e.Domain, e.Held, -1)
-		lost := c.total(e.Domain, e.Held)
-		to, won := c.best(e.Domain, length)
-		c.add(e.Domain, e.Held, 1)
-		if won > gainToMove*lost && won-lost > missingHere && won-lost > gain+tie {
-			best, gain = Order{Engine: e.Name, Layers: to}, won-lost
+		length := p.share(l, e)
+		if p.cover.lacking(e.Domain) {
+			length = p.capacity(e)
 		}
+		r, _ := p.cover.best(e.Domain, length, p.firstPart(l))
+		p.order(e, r)
 	}
-	return best, gain > 0
 }
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -62,7 +62,9 @@
 	peer      *ferrypeer.Node
 	placement *placement
 	spent     *ferrypeer.Latest[spent]
-	metrics   *ferrymetrics.Metrics
+	// conditions are what the engines say of themselves, as some entries have read it.
+	conditions *ferrypeer.Latest[conditions]
+	metrics    *ferrymetrics.Metrics
 }
 
 // New puts an edge together; nothing runs yet.
@@ -90,6 +92,7 @@
 	e.upstreams.OnChange(e.services.SetView)
 	e.upstreams.OnChange(e.placement.setView)
 	e.newShare()
+	e.newConditions()
 	e.newOverlay()
 	return e
 }
@@ -156,6 +159,8 @@
 	g.Go(func() error { e.expireUpstreams(ctx); return nil })
 	g.Go(func() error { e.placement.run(ctx); return nil })
 	g.Go(func() error { e.shareSpent(ctx); return nil })
+	g.Go(func() error { e.readConditions(ctx); return nil })
+	g.Go(func() error { e.probeDown(ctx); return nil })
 	g.Go(func() error { e.sweep(ctx); return nil })
 	stopped := make(chan struct{})
 	go func() {
--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -69,7 +69,7 @@
 		w.cfg.Log.Info().Str("Upstream", u.Name).Uint64("Revision", uint64(u.Version)).Msg("upstream removed")
 		return
 	}
-	w.cfg.Log.Info().Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("State", string(u.State)).
+	w.cfg.Log.Info().Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("Domain", string(u.FailureDomain)).Str("Accelerator", u.Accelerator).Str("State", string(u.State)).
 		Stringer("Layers", u.Layers).Uint64("Revision", uint64(u.Version)).Msg("upstream")
 }
 
