--- a/ferry/ferrybudget/budget.go
+++ b/ferry/ferrybudget/budget.go
@@ -29,8 +29,9 @@
 
 	mu       sync.Mutex
 	entries  int
-	near     int
 	others   Spent
+	heard    time.Time
+	fresh    int
 	at       time.Time
 	requests [buckets]int
 	repeats  [buckets]int
@@ -42,14 +43,14 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clockwork.NewRealClock()
 	}
-	return &Budget{cfg: cfg, entries: leastEntries, near: leastEntries, at: cfg.Clock.Now()}
+	return &Budget{cfg: cfg, entries: leastEntries, at: cfg.Clock.Now()}
 }
 
-// SetEntries says among how many entries the budget is divided, and how many of them stand in this entry's failure domain.
-func (b *Budget) SetEntries(n, near int) {
+// SetEntries says among how many entries the budget is divided.
+func (b *Budget) SetEntries(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries, b.near = max(leastEntries, n), max(1, near)
+	b.entries = max(leastEntries, n)
 }
 
 // Spent is what one or more entries have counted in the last window.
@@ -66,11 +67,11 @@
 	return Spent{Requests: sum(b.requests), Repeats: sum(b.repeats)}
 }
 
-// SetOthers says what all other entries have counted, as far as this one has heard.
+// SetOthers says what all other entries have counted, as far as this one has heard; it is called several times a second.
 func (b *Budget) SetOthers(s Spent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others = s
+	b.others, b.heard, b.fresh = s, b.cfg.Clock.Now(), 0
 }
 
 // Request counts a caller's request.
@@ -86,10 +87,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	if float64(sum(b.repeats)+1) > b.limit() {
+	if b.left() < 1 {
 		return false
 	}
 	b.repeats[b.head]++
+	b.fresh++
 	return true
 }
 
@@ -98,16 +100,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	return max(0, int(b.limit())-sum(b.repeats))
+	return max(0, int(b.left()))
 }
 
-// limit is how many repetitions this entry may have counted: its even part of the budget, or more while the others leave theirs.
-// What they spend is heard late, and an upstream's loss meets all entries of a failure domain at once, so each takes no more than
-// all of them together can bear.
-func (b *Budget) limit() float64 {
-	own := safety * (b.cfg.Ratio*float64(sum(b.requests)) + b.cfg.Allowance/float64(b.entries))
+// heardFor is how long what the others told is taken as current.
+const heardFor = time.Second
+
+// left is how many repetitions this entry may make now. While it hears of the others it may take its part of half of what all
+// have left until it hears again: an upstream's loss meets the entries of one failure domain, which need more than an even part.
+// Otherwise it keeps to its even part.
+func (b *Budget) left() float64 {
+	spent := float64(sum(b.repeats))
+	if b.heard.IsZero() || b.cfg.Clock.Since(b.heard) > heardFor {
+		return safety*(b.cfg.Ratio*float64(sum(b.requests))+b.cfg.Allowance/float64(b.entries)) - spent
+	}
 	all := safety * (b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests) + b.cfg.Allowance)
-	return max(own, (all-float64(b.others.Repeats))/float64(b.near+1))
+	part := (all - spent - float64(b.others.Repeats) + float64(b.fresh)) / float64(2*b.entries)
+	return min(part-float64(b.fresh), all-spent-float64(b.others.Repeats))
 }
 
 // advance moves the window on by whole buckets.
--- a/ferry/ferryforward/probe.go
+++ b/ferry/ferryforward/probe.go
@@ -10,17 +10,17 @@
 )
 
 const (
-	// probeTime is how long an engine may take to accept a connection: links between domains take a millisecond.
-	probeTime = 30 * time.Millisecond
-	// probeTries is how often it is asked, since one opening packet may be lost.
-	probeTries = 2
 	// aliveAge and deadAge are how long the result of a probe is used for other streams over the same engine.
-	aliveAge = 300 * time.Millisecond
+	aliveAge = 50 * time.Millisecond
 	deadAge  = 150 * time.Millisecond
 	// maxProbes bounds the results that are kept.
 	maxProbes = 1024
 )
 
+// probeTimes are how long an engine may take to accept a connection, once and once more since an opening packet may be lost:
+// links between domains take a millisecond.
+var probeTimes = []time.Duration{15 * time.Millisecond, 25 * time.Millisecond}
+
 // prober tells whether engines still answer; many streams that suspect the same one share a probe.
 type prober struct {
 	client *ferryexchange.Client
@@ -72,8 +72,8 @@
 	p.probes[address] = pr
 	go func() {
 		defer close(pr.done)
-		for range probeTries {
-			ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+		for _, d := range probeTimes {
+			ctx, cancel := context.WithTimeout(context.Background(), d)
 			err := p.client.Probe(ctx, address)
 			cancel()
 			if pr.alive = err == nil; pr.alive {
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -72,7 +72,7 @@
 	for _, k := range s.entries {
 		n += k
 	}
-	sv.budget.SetEntries(n, s.entries[s.cfg.Domain])
+	sv.budget.SetEntries(n)
 	if sv.chooser != nil {
 		sv.chooser.SetEntries(s.entries)
 	}
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -16,9 +16,12 @@
 const (
 	// suspectFirst and suspectNext are how long a run may be silent, before its first event and between two, until its engines are looked at.
 	suspectFirst = 250 * time.Millisecond
-	suspectNext  = 70 * time.Millisecond
+	suspectNext  = 60 * time.Millisecond
 	// lookAgain is the pause between two looks at a run that stays silent.
-	lookAgain = 200 * time.Millisecond
+	lookAgain = 100 * time.Millisecond
+	// slowPause is the pause of a run from which it is moved off engines that are slow, and slowAgain the time between two tries.
+	slowPause = 120 * time.Millisecond
+	slowAgain = time.Second
 	// giveUpFirst and giveUpNext are how long a run may be silent while all its engines answer: callers leave after 2 s.
 	giveUpFirst = 1300 * time.Millisecond
 	giveUpNext  = 1200 * time.Millisecond
@@ -58,6 +61,8 @@
 
 	mu   sync.Mutex
 	over bool
+	// slowTried is when the run was last to be moved off slow engines; it belongs to the looks, which follow one another.
+	slowTried time.Time
 	// seen is the version of the engines that the path was last compared with; it belongs to the goroutine that passes events on.
 	seen int64
 }
@@ -163,7 +168,8 @@
 	hops := d.run.Path().Hops()
 	dead := d.prober.dead(hops)
 	if len(dead) == 0 {
-		if slow := d.run.Slow(); len(slow) > 0 {
+		if slow := d.run.Slow(); len(slow) > 0 && silent >= slowPause && d.cfg.Clock.Since(d.slowTried) >= slowAgain {
+			d.slowTried = d.cfg.Clock.Now()
 			d.log.Info().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Slow", names(slow)).Msg("engines are slow")
 			d.reroute(slow)
 		}
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -12,6 +12,7 @@
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryingress"
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrypath"
 )
 
 const (
@@ -19,6 +20,8 @@
 	eventWait = 1300 * time.Millisecond
 	// maxSends bounds the upstreams that one stream is sent to, those that died among them.
 	maxSends = 5
+	// maxRefusals bounds the upstreams without room that one stream is offered to: where two have none, others need what is left more.
+	maxRefusals = 2
 	// eventBytes is the first size of the buffer for events; longer ones make it grow up to maxEventBytes.
 	eventBytes    = 2 << 10
 	maxEventBytes = 1 << 20
@@ -31,8 +34,12 @@
 	out  *ferryingress.Stream
 	last position
 	buf  []byte
-	// events counts what was passed on.
-	events int
+	// refusals counts the upstreams that had no room.
+	refusals int
+	// events counts what was passed on; first, latest and longest are when the first came, when the last one did, and the longest pause.
+	events        int
+	first, latest time.Time
+	longest       time.Duration
 }
 
 // stream sends a request to one way after another until its stream is complete.
@@ -40,7 +47,7 @@
 	s := &streaming{Forwarder: f, r: r, last: newPosition(r.After)}
 	var last *ferryoutcome.Problem
 	for sends := 0; ; sends++ {
-		if sends > 0 && (sends >= maxSends || !s.mayGoOn()) {
+		if sends > 0 && (sends >= maxSends || s.refusals > maxRefusals || !s.mayGoOn()) {
 			s.giveUp(ctx, last, nil)
 			return
 		}
@@ -128,7 +135,7 @@
 	switch {
 	case err == nil:
 		done(w)
-		s.log.Debug().Str("Request", string(r.ID)).Str("Upstream", w.first().Name).Int("Events", s.events).Dur("Took", s.cfg.Clock.Since(r.call.At)).Msg("streamed")
+		s.logDone(w)
 		s.metrics.answered(r.service.name, a.Status, s.cfg.Clock.Since(r.call.At))
 		return nil
 	case errors.Is(err, errCaller):
@@ -202,15 +209,38 @@
 	if _, err := s.out.Write(from); err != nil {
 		return errors.Join(errCaller, err)
 	}
+	s.passed(s.cfg.Clock.Now())
 	return nil
 }
 
+// passed notes when events were passed on.
+func (s *streaming) passed(now time.Time) {
+	if s.first.IsZero() {
+		s.first = now
+		s.metrics.firstEvent(s.r.service.name, now.Sub(s.r.call.At))
+	} else {
+		s.longest = max(s.longest, now.Sub(s.latest))
+	}
+	s.latest = now
+}
+
+// logDone writes how the stream went; late ones stand out.
+func (s *streaming) logDone(w way) {
+	r := s.r
+	ev := s.log.Debug()
+	first := s.first.Sub(r.call.At)
+	if (r.route.Objective > 0 && first > r.route.Objective) || (r.route.GapObjective > 0 && s.longest > r.route.GapObjective) {
+		ev = s.log.Info()
+	}
+	ev.Str("Request", string(r.ID)).Str("Path", pathOf(w)).Int("Events", s.events).Dur("First", first).Dur("LongestPause", s.longest).
+		Dur("Took", s.latest.Sub(r.call.At)).Int("Sends", r.arrived+r.unsent).Msg("streamed")
+}
+
 // open starts the answer to the caller with the first run's headers.
 func (s *streaming) open(a *ferryexchange.Answer) error {
 	if s.out != nil {
 		return nil
 	}
-	s.metrics.firstEvent(s.r.service.name, s.cfg.Clock.Since(s.r.call.At))
 	h := ferryexchange.PassOn(a.Header)
 	s.cfg.Dialect.Deliver(h)
 	out, err := s.r.call.Stream(a.Status, h)
@@ -256,18 +286,36 @@
 	return nil
 }
 
+// refused takes an upstream's word that the request was not run, because of itself or of another engine of the path.
 func (s *streaming) refused(w way, status int, v Verdict) *ferryoutcome.Problem {
 	name := ""
 	if v.Elsewhere {
 		name = unreachable(w, v.Culprit)
 	} else {
 		name = refusedBy(w, v.Culprit)
+		s.inspectCulprit(w, v.Culprit)
 	}
 	s.r.avoidName(name)
+	s.refusals++
 	s.log.Info().Str("Request", string(s.r.ID)).Str("Upstream", name).Int("Status", status).Str("Path", pathOf(w)).Msg("refused by the upstream")
 	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams have no room.").After(afterFull)
 }
 
+// inspectCulprit finds out whether the engine for which a request was refused is gone, so that other requests keep away from it.
+func (s *streaming) inspectCulprit(w way, address string) {
+	c, ok := w.(chain)
+	if !ok || c.run.Path().At(address) <= 0 {
+		return
+	}
+	hops := c.run.Path().Hops()
+	hop := hops[c.run.Path().At(address)]
+	go func() {
+		if len(s.prober.dead([]ferrypath.Hop{hops[0], hop})) > 0 {
+			c.run.Chooser().Dead(hop.Upstream.Name)
+		}
+	}()
+}
+
 // failed judges a send without an answer.
 func (s *streaming) failed(ctx context.Context, w way, err error) *ferryoutcome.Problem {
 	var e *ferryexchange.Error
--- a/ferry/ferryhealth/health.go
+++ b/ferry/ferryhealth/health.go
@@ -6,7 +6,7 @@
 	// unreachableFor and failedFor are the first times out; each further one in a row doubles.
 	unreachableFor = 400 * time.Millisecond
 	failedFor      = 300 * time.Millisecond
-	refusedFor     = 50 * time.Millisecond
+	refusedFor     = 150 * time.Millisecond
 	longestOut     = 4 * time.Second
 	// failuresToOut is how many failures in a row take an upstream out: single ones are the services' own.
 	failuresToOut = 3
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -156,7 +156,7 @@
 	}
 	now := c.opts.Clock.Now()
 	plan := ferrypipeline.Plan{}
-	for _, try := range []rule{{within: true, healthy: true, fits: true}, {healthy: true, fits: true}, {fits: true}} {
+	for _, try := range []rule{{within: true, healthy: true, fits: true}, {healthy: true, fits: true}, {healthy: true, fits: true, tight: true}, {fits: true, tight: true}} {
 		c.weigh(w, now, try)
 		if err := c.planner.Choose(c.loads, nil, max(1, w.Answer), &plan); err == nil {
 			return c.begin(&plan, w)
@@ -174,7 +174,9 @@
 	// within allows engines of this entry's failure domain only.
 	within  bool
 	healthy bool
-	fits    bool
+	// fits asks for memory for the work, and tight leaves out what runs already and will still grow.
+	fits  bool
+	tight bool
 }
 
 // weigh prepares what the planner has to know of each engine.
@@ -188,8 +190,8 @@
 	t := time.Duration(float64(tokenTime(c.model, e.kind, e.up.Layers.Len(), c.running(e, now)+1)) * e.pace(now))
 	l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
 	l.Avoid = e.down || (r.within && e.up.FailureDomain != c.opts.Domain) ||
-		(r.healthy && ( e.pace(now) >= tooSlow || !e.health.Usable(now, true))) ||
-		(r.fits && !c.fits(e, w, now)) || avoids(w.Avoid, e)
+		(r.healthy && (e.pace(now) >= tooSlow || !e.health.Usable(now, true))) ||
+		(r.fits && !c.fits(e, w, now, r.tight)) || avoids(w.Avoid, e)
 }
 
 // tooSlow is the pace from which an engine gets work only where there is no other.
@@ -219,20 +221,27 @@
 // others seldom use all of theirs at the same time, answers mostly stay below their limit, and an engine without room says so before it begins.
 const overcommit = 1.5
 
-// growth is how much of a generation's memory is still to come on average, as a share: half of its answer.
-const growth = 0.5
+const (
+	// growth is how much of its answer a running generation has still to keep in memory on average.
+	growth = 0.5
+	// othersSince is how much all entries have begun on an engine since its last word, as a multiple of what this one has: not all of
+	// them are busy at the same moment, and an engine without room says so before it begins.
+	othersSince = 1.5
+)
 
-// fits reports whether the engine's memory holds the work besides what runs there.
-func (c *Chooser) fits(e *engine, w Work, now time.Time) bool {
+// fits reports whether the engine's memory holds the work besides what runs there, and, unless it is tight, what that will grow to.
+func (c *Chooser) fits(e *engine, w Work, now time.Time, tight bool) bool {
 	layers := int64(e.up.Layers.Len())
 	work := int64(w.Prompt+w.Answer) * layers
 	if !e.known(now) || e.reported.Room == 0 {
 		share := overcommit * float64(room(c.model, e.kind, int(layers))) / float64(c.sharers(e))
 		return e.running == 0 || float64(e.held+work) <= share
 	}
-	toCome := int64(growth*float64(c.model.UsualAnswer)) * layers * int64(e.reported.Running)
-	since := max(0, e.held-e.heldThen) * int64(c.sharers(e))
-	return e.reported.Used+toCome+since+work <= e.reported.Room
+	used := e.reported.Used + int64(othersSince*float64(max(0, e.held-e.heldThen)))
+	if !tight {
+		used += int64(growth*float64(c.model.UsualAnswer)) * layers * int64(e.reported.Running)
+	}
+	return used+work <= e.reported.Room
 }
 
 func (c *Chooser) begin(plan *ferrypipeline.Plan, w Work) (*Run, error) {
@@ -271,7 +280,11 @@
 
 // Unreachable ends a generation for which the engine at the given index could not be reached.
 func (r *Run) Unreachable(at int) {
-	r.blame(at, func(e *engine, _ time.Time) { e.down = true })
+	r.blame(at, func(e *engine, now time.Time) {
+		if !e.down {
+			e.down, e.downAt = true, now
+		}
+	})
 }
 
 // Refused ends a generation that the engine at the given index had no room for.
--- a/ferry/ferrypath/engine.go
+++ b/ferry/ferrypath/engine.go
@@ -17,7 +17,8 @@
 	running int
 	held    int64
 	// down says that the engine answers no more; it is usable again once it does.
-	down bool
+	down   bool
+	downAt time.Time
 	// reported is what the engine last said of itself, with what this entry had there at that time.
 	reported Condition
 	at       time.Time
--- a/ferry/ferrypath/repath.go
+++ b/ferry/ferrypath/repath.go
@@ -1,6 +1,8 @@
 package ferrypath
 
 import (
+	"time"
+
 	"cactusferry.dev/ferry/ferrydiscovery"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypipeline"
@@ -100,9 +102,32 @@
 func (c *Chooser) setDown(name string, down bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.names[ferryid.UpstreamName(name)]; e != nil {
-		e.down = down
+	e := c.names[ferryid.UpstreamName(name)]
+	if e == nil || e.down == down {
+		return
+	}
+	e.down, e.downAt = down, c.opts.Clock.Now()
+}
+
+// IsDown reports whether an engine did not answer when it was last tried.
+func (c *Chooser) IsDown(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.names[ferryid.UpstreamName(name)]
+	return e != nil && e.down
+}
+
+// DownFor returns the engines that have not answered for so long.
+func (c *Chooser) DownFor(d time.Duration) map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]bool{}
+	for name, e := range c.names {
+		if e.down && c.opts.Clock.Since(e.downAt) >= d {
+			out[string(name)] = true
+		}
 	}
+	return out
 }
 
 // Down returns the engines that did not answer when they were last tried.
--- a/ferry/ferryplacement/core.go
+++ b/ferry/ferryplacement/core.go
@@ -24,6 +24,8 @@
 	model   *ferryconfig.Model
 	engines map[ferryid.UpstreamName]*engine
 	begun   bool
+	// lacking is since when each failure domain lacks some layer.
+	lacking map[ferryid.DomainName]time.Time
 	// first and newest are when the first engine and the newest one appeared.
 	first, newest time.Time
 }
@@ -36,6 +38,8 @@
 	state  orderState
 	// until is when an order under way is doubted, or a pause ends.
 	until time.Time
+	// since is when the engine appeared.
+	since time.Time
 	// doubt says that an order without an answer may still take effect.
 	doubt bool
 }
@@ -55,7 +59,7 @@
 
 // NewCore returns a core without engines.
 func NewCore() *Core {
-	return &Core{engines: map[ferryid.UpstreamName]*engine{}}
+	return &Core{engines: map[ferryid.UpstreamName]*engine{}, lacking: map[ferryid.DomainName]time.Time{}}
 }
 
 // Set takes the model and the engines as the platform describes them now.
@@ -67,7 +71,7 @@
 		name := ferryid.UpstreamName(u.Name)
 		e := old[name]
 		if e == nil || !e.up.SameRun(u) {
-			e = &engine{}
+			e = &engine{since: now}
 			c.appeared(now)
 		}
 		e.up = u
@@ -122,11 +126,11 @@
 		if !ok || !e.up.Ready() {
 			continue
 		}
-		engines = append(engines, Engine{Name: name, Domain: e.up.FailureDomain, Accelerator: kind, Held: e.held(), Fixed: e.busy(now)})
+		engines = append(engines, Engine{Name: name, Domain: e.up.FailureDomain, Accelerator: kind, Held: e.held(), Live: e.up.Layers, Fixed: e.busy(now), Age: now.Sub(e.since)})
 	}
 	sends := c.again(now)
 	loading += len(sends)
-	for _, o := range Plan(c.model, engines) {
+	for _, o := range Plan(Situation{Model: c.model, Engines: engines, Lacking: c.lacks(engines, now)}) {
 		if c.begun && c.model.LoadsAtOnce > 0 && loading >= c.model.LoadsAtOnce {
 			break
 		}
@@ -142,6 +146,26 @@
 	return sends
 }
 
+// lacks notes which failure domains lack a layer that is neither held nor on its way, and says for how long.
+func (c *Core) lacks(engines []Engine, now time.Time) map[ferryid.DomainName]time.Duration {
+	cover := newCoverage(c.model.Layers)
+	for _, e := range engines {
+		cover.add(e.Domain, e.Held, 1)
+	}
+	out := map[ferryid.DomainName]time.Duration{}
+	for d := range cover.domains {
+		if !cover.lacking(d) {
+			delete(c.lacking, d)
+			continue
+		}
+		if c.lacking[d].IsZero() {
+			c.lacking[d] = now
+		}
+		out[d] = now.Sub(c.lacking[d])
+	}
+	return out
+}
+
 // again repeats the orders that had no answer: an engine that has begun one says so, and one that is still to come no longer fits.
 func (c *Core) again(now time.Time) []Send {
 	var sends []Send
--- a/ferry/ferryplacement/plan.go
+++ b/ferry/ferryplacement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryid"
@@ -11,6 +12,8 @@
 const (
 	// requestShare is the part of an engine's memory that is always kept for requests; with less it would hold up every path that it is on.
 	requestShare = 0.18
+	// tightShare is that part where a domain would otherwise lack a few layers.
+	tightShare = 0.08
 	// firstHolders is how many engines of a failure domain hold the first layers.
 	firstHolders = 3
 )
@@ -20,10 +23,20 @@
 	Name        ferryid.UpstreamName
 	Domain      ferryid.DomainName
 	Accelerator ferryconfig.Accelerator
-	// Held are the layers that it holds or has been ordered to hold.
-	Held ferryid.LayerRange
+	// Held are the layers that it holds or has been ordered to hold, and Live those that it serves now.
+	Held, Live ferryid.LayerRange
 	// Fixed engines keep what they hold, because an order to them is under way.
 	Fixed bool
+	// Age is how long the engine has been known.
+	Age time.Duration
+}
+
+// Situation is what a plan is made from.
+type Situation struct {
+	Model   *ferryconfig.Model
+	Engines []Engine
+	// Lacking is for how long each failure domain has lacked some layer.
+	Lacking map[ferryid.DomainName]time.Duration
 }
 
 // Order is one engine's new range.
@@ -34,10 +47,14 @@
 
 // Capacity is the most layers that an engine is given, with memory left for requests.
 func Capacity(m *ferryconfig.Model, a ferryconfig.Accelerator) int {
+	return capacity(m, a, requestShare)
+}
+
+func capacity(m *ferryconfig.Model, a ferryconfig.Accelerator, share float64) int {
 	if m.LayerSize <= 0 {
 		return 0
 	}
-	roomy := int(float64(a.Memory) * (1 - requestShare) / float64(m.LayerSize))
+	roomy := int(float64(a.Memory) * (1 - share) / float64(m.LayerSize))
 	return max(0, min(roomy, m.Layers))
 }
 
@@ -47,11 +64,11 @@
 // requests, since a path carries what its fullest engine does. Several engines hold the same few first layers: the engine that
 // takes a request is the only one of its path that cannot be replaced under way, so its loss should meet few requests.
 // Engines that come later fill what is missing, and what is lost is covered by engines that are missed least.
-func Plan(m *ferryconfig.Model, engines []Engine) []Order {
-	if m.Layers <= 0 {
+func Plan(s Situation) []Order {
+	if s.Model.Layers <= 0 {
 		return nil
 	}
-	p := newPlan(m, engines)
+	p := newPlan(s)
 	for _, pool := range p.pools() {
 		if pool.fresh() {
 			p.layOut(pool)
@@ -65,22 +82,26 @@
 
 // plan is the working state of one call.
 type plan struct {
+	Situation
 	model   *ferryconfig.Model
 	engines []*Engine
-	cover   *coverage
-	orders  []Order
-	ordered map[ferryid.UpstreamName]bool
+	// cover counts what is held or ordered, and live what is served now.
+	cover, live *coverage
+	orders      []Order
+	ordered     map[ferryid.UpstreamName]bool
 }
 
-func newPlan(m *ferryconfig.Model, engines []Engine) *plan {
-	p := &plan{model: m, cover: newCoverage(m.Layers), ordered: map[ferryid.UpstreamName]bool{}}
-	for i := range engines {
-		e := engines[i]
+func newPlan(s Situation) *plan {
+	m := s.Model
+	p := &plan{Situation: s, model: m, cover: newCoverage(m.Layers), live: newCoverage(m.Layers), ordered: map[ferryid.UpstreamName]bool{}}
+	for i := range s.Engines {
+		e := s.Engines[i]
 		if Capacity(m, e.Accelerator) == 0 {
 			continue
 		}
 		p.engines = append(p.engines, &e)
 		p.cover.add(e.Domain, e.Held, 1)
+		p.live.add(e.Domain, e.Live, 1)
 	}
 	slices.SortFunc(p.engines, func(a, b *Engine) int {
 		return cmp.Or(
@@ -200,24 +221,32 @@
 
 const bytesPerMegabyte = 1e6
 
-// layOut spreads the model over a pool that begins with nothing: the smallest engines hold the first layers, the largest the last ones.
+// layOut spreads the model over a pool that begins with nothing: the smallest engines hold the first layers, the largest the last
+// ones. Where the others can hold the model without the very largest, these come on top of a whole copy: they take longest to load.
 func (p *plan) layOut(l pool) {
 	first := p.firstPart(l)
-	holders := min(firstHolders, len(l)-1)
 	tokens := p.tokens(l)
-	for holders > 1 && p.sum(l[:len(l)-holders], tokens) < p.model.Layers-first {
-		holders--
+	spare := 0
+	for spare < len(l)-1 && p.fits(l[spare+1:], first, tokens*spareTokens) {
+		spare++
+	}
+	copying := l[spare:]
+	if spare > 0 {
+		tokens *= spareTokens
 	}
-	behind := l[:len(l)-max(holders, 0)]
-	if holders < 1 || p.sum(behind, tokens) < p.model.Layers-first {
+	if !p.fits(copying, first, tokens) {
 		p.fillEmpty(l)
 		return
 	}
-	for _, e := range l[len(l)-holders:] {
+	holders := min(firstHolders, len(copying)-1)
+	for holders > 1 && p.sum(copying[:len(copying)-holders], tokens) < p.model.Layers-first {
+		holders--
+	}
+	for _, e := range copying[len(copying)-holders:] {
 		p.order(e, ferryid.LayerRange{To: ferryid.Layer(first)})
 	}
 	to := p.model.Layers
-	for _, e := range behind {
+	for _, e := range copying[:len(copying)-holders] {
 		if to == first {
 			break
 		}
@@ -230,6 +259,14 @@
 	p.fillEmpty(l)
 }
 
+// spareTokens is the share of the memory for requests that is enough where a copy is completed without the largest engines.
+const spareTokens = 0.8
+
+// fits reports whether a pool holds the model, its first layers apart, with memory for so many tokens.
+func (p *plan) fits(l pool, first int, tokens float64) bool {
+	return len(l) > 1 && p.sum(l[:len(l)-1], tokens) >= p.model.Layers-first+first*(min(firstHolders, len(l)-1)-1)
+}
+
 func (p *plan) sum(l pool, tokens float64) int {
 	n := 0
 	for _, e := range l {
@@ -238,17 +275,49 @@
 	return n
 }
 
-// fillEmpty gives the empty engines of a pool what is worth most there.
+// newcomerWait is how long a new engine is left empty where nothing is missing: when upstreams are replaced, the new one comes
+// shortly before the old one leaves, and then knows what to hold.
+const newcomerWait = 1800 * time.Millisecond
+
+// fillEmpty gives the empty engines of a pool what is worth most there. Where layers are missing it gives no more than those, which load soonest.
 func (p *plan) fillEmpty(l pool) {
+	first := p.firstPart(l)
 	for _, e := range l {
 		if e.Held.Len() > 0 || !p.free(e) {
 			continue
 		}
-		length := p.share(l, e)
-		if p.cover.lacking(e.Domain) {
-			length = p.capacity(e)
+		if gap := p.widestGap(e.Domain); gap.Len() > 0 {
+			p.order(e, p.cut(e, gap))
+			continue
+		}
+		if e.Age < newcomerWait && !l.fresh() {
+			continue
 		}
-		r, _ := p.cover.best(e.Domain, length, p.firstPart(l))
+		r, _ := p.cover.best(e.Domain, p.share(l, e), first)
 		p.order(e, r)
 	}
 }
+
+// widestGap returns the longest run of layers that a domain lacks.
+func (p *plan) widestGap(d ferryid.DomainName) ferryid.LayerRange {
+	var best, run ferryid.LayerRange
+	for l, n := range p.cover.of(d) {
+		if n > 0 {
+			run = ferryid.LayerRange{From: ferryid.Layer(l + 1), To: ferryid.Layer(l + 1)}
+			continue
+		}
+		run.To = ferryid.Layer(l + 1)
+		if run.Len() > best.Len() {
+			best = run
+		}
+	}
+	return best
+}
+
+// cut shortens a gap to what an engine holds.
+func (p *plan) cut(e *Engine, gap ferryid.LayerRange) ferryid.LayerRange {
+	if n := p.capacity(e); gap.Len() > n {
+		gap.To = gap.From + ferryid.Layer(n)
+	}
+	return gap
+}
--- a/ferryd/ferryedge/condition.go
+++ b/ferryd/ferryedge/condition.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	Running int                 `cbor:"4,keyasint"`
 	Used    int64               `cbor:"5,keyasint"`
 	Room    int64               `cbor:"6,keyasint"`
+	// Silent says that the engine did not answer the reader.
+	Silent bool `cbor:"7,keyasint,omitempty"`
 }
 
 // conditions are some engines' conditions.
@@ -73,7 +76,7 @@
 		if e.Ready() && (len(ms.List) <= 1 || ferryduty.HoldsInDomain(ms, dutyConditions, 1)) {
 			e.readAll(ctx, engines)
 		}
-		e.takeConditions()
+		e.takeConditions(ctx)
 	}
 }
 
@@ -92,41 +95,84 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				if c, ok := e.readOne(ctx, engines, u); ok {
-					mu.Lock()
-					defer mu.Unlock()
-					list = append(list, c)
-				}
+				c := e.readOne(ctx, engines, u)
+				mu.Lock()
+				defer mu.Unlock()
+				list = append(list, c)
 			}()
 		}
 	}
 	wg.Wait()
+	list = believable(list)
 	for i := 0; i < len(list); i += maxPerItem {
 		part := list[i:min(i+maxPerItem, len(list))]
 		e.conditions.Set(fmt.Sprintf("%s/%d", e.cfg.Domain, i/maxPerItem), conditions{List: part}, conditionsKept)
 	}
 }
 
-func (e *Edge) readOne(ctx context.Context, engines Engines, u *ferrydiscovery.Upstream) (engineCondition, bool) {
+func (e *Edge) readOne(ctx context.Context, engines Engines, u *ferrydiscovery.Upstream) engineCondition {
+	c := engineCondition{Service: u.Service, Name: u.Name}
 	s, err := engines.State(ctx, u)
 	if err != nil {
 		e.cfg.Log.Debug().Err(err).Str("Engine", u.Name).Msg("condition not read")
-		return engineCondition{}, false
+		c.Silent = true
+		return c
 	}
-	return engineCondition{Service: u.Service, Name: u.Name, Pace: float32(s.Pace), Running: s.Running + s.Waiting, Used: s.Used, Room: s.Room}, true
+	c.Pace, c.Running, c.Used, c.Room = float32(s.Pace), s.Running+s.Waiting, s.Used, s.Room
+	return c
+}
+
+// believable leaves the silent engines out if most are silent: then the trouble is probably the reader's own.
+func believable(list []engineCondition) []engineCondition {
+	silent := 0
+	for _, c := range list {
+		if c.Silent {
+			silent++
+		}
+	}
+	if 2*silent <= len(list) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(c engineCondition) bool { return c.Silent })
 }
 
 // takeConditions hands what is known of the engines to those that choose among them.
-func (e *Edge) takeConditions() {
+func (e *Edge) takeConditions(ctx context.Context) {
 	for _, entry := range e.conditions.All() {
 		for _, c := range entry.Value.List {
-			if ch := e.services.Chooser(c.Service); ch != nil {
+			ch := e.services.Chooser(c.Service)
+			switch {
+			case ch == nil:
+			case c.Silent:
+				e.doubt(ctx, ch, c.Name)
+			default:
 				ch.Report(c.Name, ferrypath.Condition{Pace: float64(c.Pace), Running: c.Running, Used: c.Used, Room: c.Room}, entry.At.Time())
 			}
 		}
 	}
 }
 
+// doubt tries an engine that did not answer another entry.
+func (e *Edge) doubt(ctx context.Context, ch *ferrypath.Chooser, name string) {
+	u := e.upstreams.View().Get(name)
+	if u == nil || ch.IsDown(name) {
+		return
+	}
+	go func() {
+		if !e.answers(ctx, u) && !e.answers(ctx, u) {
+			ch.Dead(name)
+			e.cfg.Log.Info().Str("Engine", name).Msg("engine does not answer")
+		}
+	}()
+}
+
+// answers reports whether a connection to an engine can be opened.
+func (e *Edge) answers(ctx context.Context, u *ferrydiscovery.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeDownTimeout)
+	defer cancel()
+	return e.client.Probe(ctx, u.Address) == nil
+}
+
 // probeDown tries engines that did not answer until they do.
 func (e *Edge) probeDown(ctx context.Context) {
 	for e.pause(ctx, probeDownEvery) {
@@ -137,9 +183,7 @@
 			}
 			for _, u := range ch.Down() {
 				go func() {
-					ctx, cancel := context.WithTimeout(ctx, probeDownTimeout)
-					defer cancel()
-					if err := e.client.Probe(ctx, u.Address); err == nil {
+					if e.answers(ctx, u) {
 						ch.Alive(u.Name)
 						e.cfg.Log.Info().Str("Engine", u.Name).Msg("engine answers again")
 					}
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -71,11 +71,14 @@
 		switch {
 		case err != nil && ctx.Err() != nil:
 			return
-		case err != nil && !errors.As(err, &missing) && !lost:
+		case errors.As(err, &missing):
+		case err != nil && !lost:
 			lost = true
+			e.blind.Store(true)
 			e.cfg.Log.Warn().Err(err).Msg("configuration cannot be proved current")
 		case err == nil && lost:
 			lost = false
+			e.blind.Store(false)
 			e.cfg.Log.Info().Msg("configuration is proved current again")
 		}
 		wait := every
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -61,7 +61,9 @@
 	events    *ferryevent.Log
 	peer      *ferrypeer.Node
 	placement *placement
-	spent     *ferrypeer.Latest[spent]
+	states    *ferrypeer.Latest[entryState]
+	// blind says that this entry does not reach the platform.
+	blind atomic.Bool
 	// conditions are what the engines say of themselves, as some entries have read it.
 	conditions *ferrypeer.Latest[conditions]
 	metrics    *ferrymetrics.Metrics
@@ -158,7 +160,7 @@
 	g.Go(func() error { e.followUpstreams(ctx); return nil })
 	g.Go(func() error { e.expireUpstreams(ctx); return nil })
 	g.Go(func() error { e.placement.run(ctx); return nil })
-	g.Go(func() error { e.shareSpent(ctx); return nil })
+	g.Go(func() error { e.shareState(ctx); return nil })
 	g.Go(func() error { e.readConditions(ctx); return nil })
 	g.Go(func() error { e.probeDown(ctx); return nil })
 	g.Go(func() error { e.sweep(ctx); return nil })
--- a/ferryd/ferryedge/overlay.go
+++ b/ferryd/ferryedge/overlay.go
@@ -12,9 +12,9 @@
 			Name: e.cfg.Name, Incarnation: e.self, FailureDomain: e.cfg.Domain, PeerAddress: e.cfg.Peers, CallerAddress: e.cfg.Callers,
 		},
 		Seeds: e.cfg.Seeds, Clock: e.cfg.Steady, Log: e.cfg.Log, Events: e.events, OnMembers: e.onMembers,
-		Topics: []ferrypeer.Topic{e.spent.Topic(), e.conditions.Topic()},
+		Topics: []ferrypeer.Topic{e.states.Topic(), e.conditions.Topic()},
 	})
-	e.spent.Notify(e.peer.Publish)
+	e.states.Notify(e.peer.Publish)
 	e.conditions.Notify(e.peer.Publish)
 	e.tellState()
 }
--- a/ferryd/ferryedge/placement.go
+++ b/ferryd/ferryedge/placement.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,15 +12,17 @@
 	"cactusferry.dev/ferry/ferryduty"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrylease"
-	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplacement"
 )
 
 const (
-	leaseTTL    = 5 * time.Second
-	leaseMargin = 500 * time.Millisecond
+	// leaseTTL is how long the orders stop when their holder is lost; each third of it costs a call.
+	leaseTTL    = 3 * time.Second
+	leaseMargin = 400 * time.Millisecond
 	// wantEvery is how often an entry looks at whether it should give orders.
 	wantEvery = 500 * time.Millisecond
+	// deadAfter is how long an engine must not have answered until its layers are placed elsewhere; the platform takes longer to notice.
+	deadAfter = time.Second
 	// aloneFor is how long a starting entry waits for others before it takes duties as the only one.
 	aloneFor = time.Second
 )
@@ -36,6 +40,8 @@
 	placers map[ferryid.ServiceName]*ferryplacement.Placer
 	config  *ferryconfig.Snapshot
 	view    *ferrydiscovery.View
+	// dead are the engines that have not answered for a while.
+	dead map[string]bool
 }
 
 func (e *Edge) newPlacement() *placement {
@@ -57,6 +63,7 @@
 	began := p.cfg.Clock.Now()
 	held := false
 	for p.pause(ctx, wantEvery) {
+		p.setDead()
 		alone := len(p.peer.Links()) == 0
 		p.lease.Want(p.Ready() && p.holds() && (!alone || p.cfg.Clock.Since(began) > aloneFor))
 		fence, _, err := p.lease.Check()
@@ -67,14 +74,18 @@
 	}
 }
 
-// holds reports whether this entry should give orders.
+// holds reports whether this entry should give orders: it is the first in the duty's order that reaches the platform.
 func (p *placement) holds() bool {
-	return holds(p.peer.Members(), dutyPlacement)
-}
-
-// holds reports whether this process should hold a duty; one that knows no other member holds all.
-func holds(ms ferrypeer.Members, d ferryduty.Duty) bool {
-	return len(ms.List) <= 1 || ferryduty.Holds(ms, d, 1)
+	ms := p.peer.Members()
+	if len(ms.List) <= 1 {
+		return true
+	}
+	for _, name := range ferryduty.Holders(ms, dutyPlacement, len(ms.List)) {
+		if !p.isBlind(name) {
+			return name == p.cfg.Name
+		}
+	}
+	return false
 }
 
 func (p *placement) setConfig(s *ferryconfig.Snapshot) {
@@ -91,6 +102,28 @@
 	p.update()
 }
 
+// setDead takes the engines that have not answered for a while out of the plan, and back in.
+func (p *placement) setDead() {
+	dead := map[string]bool{}
+	for _, name := range p.services.Layered() {
+		if ch := p.services.Chooser(name); ch != nil {
+			maps.Copy(dead, ch.DownFor(deadAfter))
+		}
+	}
+	p.mu.Lock()
+	moved := !maps.Equal(dead, p.dead)
+	p.dead = dead
+	p.mu.Unlock()
+	if moved {
+		p.update()
+	}
+}
+
+// living returns the engines of a service that are not known to be dead.
+func (p *placement) living(s ferryid.ServiceName) []*ferrydiscovery.Upstream {
+	return slices.DeleteFunc(slices.Clone(p.view.Of(s)), func(u *ferrydiscovery.Upstream) bool { return p.dead[u.Name] })
+}
+
 // update hands each placer its model and engines, and starts those that are new.
 func (p *placement) update() {
 	p.mu.Lock()
@@ -111,6 +144,6 @@
 			p.placers[s.Name] = pl
 			go pl.Run(p.ctx)
 		}
-		pl.Set(s.Model, p.view.Of(s.Name))
+		pl.Set(s.Model, p.living(s.Name))
 	}
 }
--- a/ferryd/ferryedge/share.go
+++ b/ferryd/ferryedge/share.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"time"
 
 	"cactusferry.dev/ferry/ferrybudget"
@@ -12,27 +11,30 @@
 )
 
 const (
-	topicSpent ferrypeer.TopicName = "spent"
+	topicStates ferrypeer.TopicName = "states"
 	// shareEvery is how often an entry looks whether it has something to tell, in a fleet of up to shareEntries; larger ones tell less often.
-	shareEvery   = 200 * time.Millisecond
+	shareEvery   = 100 * time.Millisecond
 	shareEntries = 16
-	// spentKept is how long what an entry told is counted; it tells again in half that time while it has spent anything.
-	spentKept   = 4 * time.Second
+	// stateKept is how long what an entry told is believed; it tells again in half that time while there is anything to tell.
+	stateKept   = 4 * time.Second
 	maxServices = 64
 	maxEntries  = 1024
 )
 
-// spent is what one entry has sent again of each service in the last window.
-type spent struct {
-	Services map[ferryid.ServiceName]ferrybudget.Spent `cbor:"1,keyasint"`
+// entryState is what one entry tells the others of itself.
+type entryState struct {
+	// Spent is what it has sent again of each service in the last window.
+	Spent map[ferryid.ServiceName]ferrybudget.Spent `cbor:"1,keyasint"`
+	// Blind says that it does not reach the platform, and so should hold no duty that needs it.
+	Blind bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Check returns an error for numbers that no entry can have.
-func (s spent) Check() error {
-	if len(s.Services) > maxServices {
-		return fmt.Errorf("spent on %d services", len(s.Services))
+func (s entryState) Check() error {
+	if len(s.Spent) > maxServices {
+		return fmt.Errorf("spent on %d services", len(s.Spent))
 	}
-	for name, v := range s.Services {
+	for name, v := range s.Spent {
 		if v.Requests < 0 || v.Repeats < 0 {
 			return fmt.Errorf("spent %d of %d on %q", v.Repeats, v.Requests, name)
 		}
@@ -41,23 +43,23 @@
 }
 
 func (e *Edge) newShare() {
-	e.spent = ferrypeer.NewLatest[spent](ferrypeer.LatestConfig{
-		Name: topicSpent, Self: e.cfg.Name, Size: maxEntries, Volatile: true, Clock: e.cfg.Steady, Events: e.events,
+	e.states = ferrypeer.NewLatest[entryState](ferrypeer.LatestConfig{
+		Name: topicStates, Self: e.cfg.Name, Size: maxEntries, Volatile: true, Clock: e.cfg.Steady, Events: e.events,
 	})
 }
 
-// shareSpent tells the other entries what this one sends again, and takes what they tell.
-func (e *Edge) shareSpent(ctx context.Context) {
-	told := map[ferryid.ServiceName]ferrybudget.Spent{}
+// shareState tells the other entries what this one sends again and whether it reaches the platform, and takes what they tell.
+func (e *Edge) shareState(ctx context.Context) {
+	told := entryState{}
 	toldAt := e.cfg.Clock.Now()
 	for e.pause(ctx, e.shareInterval()) {
 		e.services.SetSpent(e.othersSpent())
-		now := e.services.Spent()
-		if !moved(told, now) && (e.cfg.Clock.Since(toldAt) < spentKept/2 || quiet(now)) {
+		now := entryState{Spent: e.services.Spent(), Blind: e.blind.Load()}
+		if !told.differs(now) && (now.quiet() || e.cfg.Clock.Since(toldAt) < stateKept/2) {
 			continue
 		}
 		told, toldAt = now, e.cfg.Clock.Now()
-		e.spent.Set(string(e.cfg.Name), spent{Services: now}, spentKept)
+		e.states.Set(string(e.cfg.Name), now, stateKept)
 	}
 }
 
@@ -69,11 +71,11 @@
 
 func (e *Edge) othersSpent() map[ferryid.ServiceName]ferrybudget.Spent {
 	sum := map[ferryid.ServiceName]ferrybudget.Spent{}
-	for _, entry := range e.spent.All() {
+	for _, entry := range e.states.All() {
 		if entry.Origin == e.cfg.Name {
 			continue
 		}
-		for name, v := range entry.Value.Services {
+		for name, v := range entry.Value.Spent {
 			s := sum[name]
 			sum[name] = ferrybudget.Spent{Requests: s.Requests + v.Requests, Repeats: s.Repeats + v.Repeats}
 		}
@@ -81,22 +83,31 @@
 	return sum
 }
 
-// moved reports whether more has been sent again than the others know of.
-func moved(told, now map[ferryid.ServiceName]ferrybudget.Spent) bool {
-	for name, v := range now {
-		if v.Repeats != told[name].Repeats {
+// isBlind reports whether an entry does not reach the platform, as far as this one has heard.
+func (e *Edge) isBlind(name ferryid.EntryName) bool {
+	if name == e.cfg.Name {
+		return e.blind.Load()
+	}
+	entry, ok := e.states.Get(string(name))
+	return ok && entry.Value.Blind
+}
+
+// differs reports whether the others should know of the newer state.
+func (s entryState) differs(newer entryState) bool {
+	for name, v := range newer.Spent {
+		if v.Repeats != s.Spent[name].Repeats {
 			return true
 		}
 	}
-	return false
+	return s.Blind != newer.Blind
 }
 
-// quiet reports whether nothing was sent again of late.
-func quiet(now map[ferryid.ServiceName]ferrybudget.Spent) bool {
-	for v := range maps.Values(now) {
+// quiet reports whether there is nothing that the others must go on knowing.
+func (s entryState) quiet() bool {
+	for _, v := range s.Spent {
 		if v.Repeats > 0 {
 			return false
 		}
 	}
-	return true
+	return !s.Blind
 }
