Tests of the new packages; faults that they found; streams that have begun wait for room

Cause: the new packages had no tests.

Found by the tests: header limits did not count what was in the buffer already; a header that stopped was 400, not 408; a connection that came during a planned stop was closed unserved; three holders of the first layers could all give them up in one plan; an engine of a pool of several domains could be ordered more layers than it holds; equal upstreams without latency were not spread.

Ruled out: shorter intervals for the budget's sharing alone (any lag overspends while the part is taken anew each interval).

Change: all of the above; the budget counts what may be unheard for 300 ms; a begun stream tries again for 1.5 s before it breaks; runs are restarted elsewhere only if they cannot go on; Retry-After grows while refusals last; entries without the platform leave the directory while others have it; a watch pauses after each answer with changes.

--- a/ferry/ferrybalance/balancer.go
+++ b/ferry/ferrybalance/balancer.go
@@ -125,8 +125,10 @@
 }
 
 const (
-	// usualLatency is assumed of an upstream that has not answered yet.
+	// usualLatency is assumed until an upstream has answered.
 	usualLatency = 20 * time.Millisecond
+	// leastLatency keeps costs apart where calls take no time worth measuring.
+	leastLatency = time.Millisecond
 	// remoteCost is what a call to another failure domain costs more, for its delay and bytes.
 	remoteCost = time.Millisecond
 	// reportAge is how long an upstream's word on its load is believed.
@@ -140,7 +142,7 @@
 
 // cost is the time that a call is expected to cost at an upstream, in seconds.
 func (b *Balancer) cost(r *row, now time.Time, repeatable bool) float64 {
-	base := r.latency.or(usualLatency.Seconds())
+	base := max(r.latency.or(b.quickest()), leastLatency.Seconds())
 	slots := float64(max(1, r.up.Slots))
 	load := float64(r.running)
 	if now.Sub(r.at) < reportAge {
@@ -164,6 +166,15 @@
 	return c * (1 + jitter*rand.Float64())
 }
 
+// quickest is the least latency of the upstreams that have answered; one that has not is taken to be as quick, so that it is tried.
+func (b *Balancer) quickest() float64 {
+	least := usualLatency.Seconds()
+	for _, r := range b.rows {
+		least = min(least, r.latency.or(least))
+	}
+	return least
+}
+
 // Done ends a call that the upstream answered in full.
 func (c *Call) Done(load *Load) {
 	c.end(func(r *row, now time.Time) {
--- a/ferry/ferrybudget/budget.go
+++ b/ferry/ferrybudget/budget.go
@@ -9,8 +9,10 @@
 
 const (
 	buckets = 10
-	// safety is the part of the allowance that is used, since entries differ in how many they think live.
-	safety = 0.8
+	// safety is the part of the budget that is used, since the windows of the entries differ a little.
+	safety = 0.95
+	// hearingTime is how long what one entry has spent may take until all others know it.
+	hearingTime = 300 * time.Millisecond
 	// leastEntries is how many entries are assumed until more are known.
 	leastEntries = 3
 )
@@ -27,11 +29,12 @@
 type Budget struct {
 	cfg Config
 
-	mu       sync.Mutex
-	entries  int
-	others   Spent
-	heard    time.Time
-	fresh    int
+	mu      sync.Mutex
+	entries int
+	others  Spent
+	heard   time.Time
+	// fresh are the times of the repetitions that the others may not know of yet.
+	fresh    []time.Time
 	at       time.Time
 	requests [buckets]int
 	repeats  [buckets]int
@@ -71,7 +74,7 @@
 func (b *Budget) SetOthers(s Spent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others, b.heard, b.fresh = s, b.cfg.Clock.Now(), 0
+	b.others, b.heard = s, b.cfg.Clock.Now()
 }
 
 // Request counts a caller's request.
@@ -91,7 +94,7 @@
 		return false
 	}
 	b.repeats[b.head]++
-	b.fresh++
+	b.fresh = append(b.fresh, b.cfg.Clock.Now())
 	return true
 }
 
@@ -106,17 +109,28 @@
 // heardFor is how long what the others told is taken as current.
 const heardFor = time.Second
 
-// left is how many repetitions this entry may make now. While it hears of the others it may take its part of half of what all
-// have left until it hears again: an upstream's loss meets the entries of one failure domain, which need more than an even part.
-// Otherwise it keeps to its even part.
+// left is how many repetitions this entry may make now. While it hears of the others, all entries together may use half of what is
+// left before they hear of each other again: an upstream's loss meets the entries of one failure domain, which then need more than
+// an even part of the whole. Otherwise an entry keeps to its even part.
 func (b *Budget) left() float64 {
 	spent := float64(sum(b.repeats))
 	if b.heard.IsZero() || b.cfg.Clock.Since(b.heard) > heardFor {
 		return safety*(b.cfg.Ratio*float64(sum(b.requests))+b.cfg.Allowance/float64(b.entries)) - spent
 	}
-	all := safety * (b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests) + b.cfg.Allowance)
-	part := (all - spent - float64(b.others.Repeats) + float64(b.fresh)) / float64(2*b.entries)
-	return min(part-float64(b.fresh), all-spent-float64(b.others.Repeats))
+	all := safety*(b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests)+b.cfg.Allowance) - spent - float64(b.others.Repeats)
+	fresh := float64(b.forget())
+	return min((all+fresh)/float64(2*b.entries)-fresh, all)
+}
+
+// forget drops the repetitions that all others have heard of, and returns the number of those left.
+func (b *Budget) forget() int {
+	now := b.cfg.Clock.Now()
+	known := 0
+	for known < len(b.fresh) && now.Sub(b.fresh[known]) >= hearingTime {
+		known++
+	}
+	b.fresh = b.fresh[known:]
+	return len(b.fresh)
 }
 
 // advance moves the window on by whole buckets.
--- /dev/null
+++ b/ferry/ferrybudget/budget_test.go
@@ -0,0 +1,99 @@
+package ferrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func config(clock clockwork.Clock) Config {
+	return Config{Clock: clock, Window: 10 * time.Second, Ratio: 0.2, Allowance: 200}
+}
+
+func TestAnEntryAloneKeepsToItsEvenPart(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(config(clock))
+	b.SetEntries(10)
+	n := 0
+	for b.Repeat() {
+		n++
+	}
+	assert.Equal(t, n, 19, "nearly a tenth of 200")
+	for range 100 {
+		b.Request()
+	}
+	for b.Repeat() {
+		n++
+	}
+	assert.Equal(t, n, 38, "and nearly a fifth of 100 requests")
+	clock.Advance(12 * time.Second)
+	assert.Assert(t, b.Repeat(), "the window has moved on")
+}
+
+// TestEntriesTogetherStayWithinTheBudget lets entries spend as fast as they may, while each hears of the others with a delay.
+func TestEntriesTogetherStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		n := rapid.IntRange(3, 12).Draw(t, "entries")
+		entries := make([]*Budget, n)
+		for i := range entries {
+			entries[i] = New(config(clock))
+			entries[i].SetEntries(n)
+		}
+		const step = 100 * time.Millisecond
+		var spent []int    // in each step
+		var said [][]Spent // what the entries had spent after each step
+		lag := rapid.IntRange(1, 3).Draw(t, "lag")
+		for at := range rapid.IntRange(20, 160).Draw(t, "steps") {
+			heard := make([]Spent, n)
+			if at >= lag {
+				heard = said[at-lag]
+			}
+			for i, b := range entries {
+				sum := Spent{}
+				for j, s := range heard {
+					if j != i {
+						sum = Spent{Requests: sum.Requests + s.Requests, Repeats: sum.Repeats + s.Repeats}
+					}
+				}
+				b.SetOthers(sum)
+			}
+			now, told := 0, make([]Spent, n)
+			for i, b := range entries {
+				for range rapid.IntRange(0, 60).Draw(t, "wanted") {
+					if b.Repeat() {
+						now++
+					}
+				}
+				told[i] = b.Own()
+			}
+			spent, said = append(spent, now), append(said, told)
+			clock.Advance(step)
+		}
+		for from := range spent {
+			sum := 0
+			for _, k := range spent[from:min(from+100, len(spent))] {
+				sum += k
+			}
+			assert.Assert(t, sum <= 200, "%d repetitions in ten seconds by %d entries", sum, n)
+		}
+	})
+}
+
+func TestAnEntryMayUseWhatOthersLeave(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(config(clock))
+	b.SetEntries(9)
+	n := 0
+	for range 20 { // two seconds in which nobody else sends anything again
+		b.SetOthers(Spent{})
+		for b.Repeat() {
+			n++
+		}
+		clock.Advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, n > 50 && n < 190, "%d repetitions, an even part has 21", n)
+}
--- /dev/null
+++ b/ferry/ferryclock/steady_test.go
@@ -0,0 +1,21 @@
+package ferryclock
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSteadyCountsTheTimeSinceBoot(t *testing.T) {
+	booted := time.Hour
+	s, err := New()
+	assert.NilError(t, err)
+	s.origin, s.booted = time.Unix(100, 0), booted
+	s.sinceBoot = func() (time.Duration, error) { return booted, nil }
+	start := s.Now()
+	assert.Assert(t, start.Equal(time.Unix(100, 0)))
+	booted += 7 * time.Second // the instance was suspended; timers and the monotonic clock stood still
+	assert.Equal(t, s.Since(start), 7*time.Second)
+	assert.Equal(t, s.Until(start.Add(10*time.Second)), 3*time.Second)
+}
--- a/ferry/ferryfollow/follower.go
+++ b/ferry/ferryfollow/follower.go
@@ -29,7 +29,7 @@
 	Log   zerolog.Logger
 	// Wait is how long the platform may hold one watch; a silent connection is noticed that late.
 	Wait time.Duration
-	// Pace is the least time between two answers, so that a quick series of changes costs few calls.
+	// Pace is the pause after an answer with changes, so that a quick series of them costs few calls.
 	Pace    time.Duration
 	Watcher Watcher
 }
@@ -61,56 +61,56 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		from := f.cfg.Clock.Now()
-		err := f.step(ctx)
-		if ctx.Err() != nil {
+		changes, err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		pause := f.cfg.Pace - f.cfg.Clock.Since(from)
-		if err != nil {
+		case err != nil:
 			f.fail(err)
-			pause = f.backoff()
-		} else {
-			f.regained()
+			f.pause(ctx, f.backoff())
+			continue
+		}
+		f.regained()
+		if changes > 0 {
+			f.pause(ctx, f.cfg.Pace)
 		}
-		f.pause(ctx, pause)
 	}
 }
 
-// step makes one call and hands on what it brought.
-func (f *Follower) step(ctx context.Context) error {
+// step makes one call and hands on what it brought; it returns the number of changes.
+func (f *Follower) step(ctx context.Context) (int, error) {
 	if !f.listed {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
 }
 
-func (f *Follower) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context) (int, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, f.cfg.Clock, firstTimeout)
 	defer cancel()
 	changes, err := f.cfg.Store.List(ctx, f.cfg.Kind)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.after, f.listed = changes.Version, true
 	f.cfg.Log.Info().Str("Kind", f.cfg.Kind).Int("Objects", len(changes.Objects)).Uint64("Version", uint64(changes.Version)).Msg("listed")
 	f.cfg.Watcher.Listed(changes)
-	return nil
+	return len(changes.Objects), nil
 }
 
-func (f *Follower) watch(ctx context.Context) error {
+func (f *Follower) watch(ctx context.Context) (int, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, f.cfg.Clock, f.cfg.Wait+answerGrace)
 	defer cancel()
 	changes, err := f.cfg.Store.Watch(ctx, f.cfg.Kind, f.after, f.cfg.Wait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if changes.Version < f.after {
-		return &ferryplatform.HistoryGoneError{Kind: f.cfg.Kind, After: f.after}
+		return 0, &ferryplatform.HistoryGoneError{Kind: f.cfg.Kind, After: f.after}
 	}
 	f.after = changes.Version
 	f.cfg.Watcher.Changed(changes)
-	return nil
+	return len(changes.Objects), nil
 }
 
 // fail notes a failed call; when the history is gone the next step lists, and nothing counts as lost for that.
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -17,7 +17,7 @@
 	"cactusferry.dev/ferry/ferryoutcome"
 )
 
-// Config is what a Forwarder needs; all but MaxAge must be set.
+// Config is what a Forwarder needs; all but MaxAge and OthersServe must be set.
 type Config struct {
 	Clock clockwork.Clock
 	// Steady is a clock that also counts the time for which the instance is suspended.
@@ -26,6 +26,8 @@
 	Services *Services
 	Dialect  Dialect
 	Client   *ferryexchange.Client
+	// OthersServe reports whether some other entry could serve what this one cannot for want of the platform.
+	OthersServe func() bool
 	// Rerouter moves runs around engines that are gone.
 	Rerouter Rerouter
 	Log      zerolog.Logger
@@ -116,7 +118,10 @@
 	age, proved := f.cfg.Holder.Age(f.cfg.Steady.Now())
 	if most := time.Duration(f.maxAge.Load()); most > 0 && (!proved || age >= most) {
 		p := ferryoutcome.New(ferryoutcome.KindPlatformDown, ferryoutcome.NotRun, "The keys were last known to be valid %s ago, the limit is %s.", age.Round(time.Millisecond), most)
-		return p.After(afterStale)
+		if f.cfg.OthersServe != nil && f.cfg.OthersServe() {
+			return p.After(afterStale)
+		}
+		return p.After(afterOutage)
 	}
 	customer := s.Customer(r.Key)
 	if customer == nil {
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -181,7 +181,8 @@
 	} else {
 		pick.Refused()
 	}
-	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams have no room.").After(afterFull)
+	r.service.congestion.refused(f.cfg.Clock.Now())
+	return f.noRoom(r, nil)
 }
 
 func (f *Forwarder) logSend(r *request, upstream string, err error, msg string) {
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -18,14 +18,20 @@
 const (
 	// afterRestart is about how long an entry takes to learn the configuration.
 	afterRestart = 300 * time.Millisecond
-	// afterFull is about how long one place takes to become free.
-	afterFull = 200 * time.Millisecond
 	// afterNobody is about how long a lost upstream takes to be replaced or found again.
 	afterNobody = time.Second
-	// afterStale is about how long a lost platform is tried again.
-	afterStale = time.Second
+	// afterStale sends a caller on to another entry, which reaches the platform.
+	afterStale = 50 * time.Millisecond
+	// afterOutage is about how long a platform takes that no entry reaches.
+	afterOutage = 1500 * time.Millisecond
 )
 
+// noRoom is the problem of a request for which the upstreams have no room; the longer that lasts, the later the caller should come back.
+func (f *Forwarder) noRoom(r *request, err error) *ferryoutcome.Problem {
+	after := r.service.congestion.retryAfter(f.cfg.Clock.Now())
+	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams have no room.").After(after).Because(err)
+}
+
 // problem answers a call with a problem, if it has no answer yet, and logs why.
 func (f *Forwarder) problem(c *ferryingress.Call, id ferryid.RequestID, p *ferryoutcome.Problem) {
 	f.metrics.failed(p)
--- a/ferry/ferryforward/request.go
+++ b/ferry/ferryforward/request.go
@@ -30,7 +30,8 @@
 	mayHaveRun bool
 	// unsent counts sends of which no byte left.
 	unsent int
-	avoid  []ferryid.UpstreamName
+	// avoid are upstreams that have failed the request, and full those that had no room for it.
+	avoid, full []ferryid.UpstreamName
 }
 
 // repeatable reports whether the request may be sent again after it may have run.
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -17,10 +17,11 @@
 
 // service is what the forwarder keeps of one service; chooser is nil unless its upstreams are engines that hold layers.
 type service struct {
-	name     ferryid.ServiceName
-	balancer *ferrybalance.Balancer
-	chooser  *ferrypath.Chooser
-	budget   *ferrybudget.Budget
+	name       ferryid.ServiceName
+	balancer   *ferrybalance.Balancer
+	chooser    *ferrypath.Chooser
+	budget     *ferrybudget.Budget
+	congestion congestion
 }
 
 // ServicesConfig sets up Services.
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -121,7 +121,7 @@
 		over := d.over
 		d.mu.Unlock()
 		if leaving := d.run.Leaving(); !over && len(leaving) > 0 {
-			d.reroute(leaving)
+			d.reroute(leaving, false)
 		}
 	})
 }
@@ -171,7 +171,7 @@
 		if slow := d.run.Slow(); len(slow) > 0 && silent >= slowPause && d.cfg.Clock.Since(d.slowTried) >= slowAgain {
 			d.slowTried = d.cfg.Clock.Now()
 			d.log.Info().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Slow", names(slow)).Msg("engines are slow")
-			d.reroute(slow)
+			d.reroute(slow, false)
 		}
 		return
 	}
@@ -186,7 +186,7 @@
 		d.cancel(errDead)
 		return
 	}
-	if !d.reroute(without) {
+	if !d.reroute(without, true) {
 		d.cancel(errStalled)
 	}
 }
@@ -207,11 +207,12 @@
 // maxDetours is how many paths are tried for one run at a time.
 const maxDetours = 3
 
-// reroute moves the run to a path without the engines named and reports whether it did.
-func (d *watchdog) reroute(without []ferryid.UpstreamName) bool {
+// reroute moves the run to a path without the engines named and reports whether it did. A run that cannot go on as it is may also be
+// given up for a new one elsewhere.
+func (d *watchdog) reroute(without []ferryid.UpstreamName, lost bool) bool {
 	for range maxDetours {
 		to, err := d.run.Detour(without)
-		if err == nil && to.Crossings() > d.run.Path().Crossings() && d.mayRestart && d.r.service.budget.Left() > 0 {
+		if err == nil && lost && to.Crossings() > d.run.Path().Crossings() && d.mayRestart && d.r.service.budget.Left() > 0 {
 			// All that was read so far would have to pass between domains; it is read again faster where the new path begins.
 			d.cancel(errElsewhere)
 			return true
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -10,6 +10,7 @@
 
 	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryexchange"
+	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypath"
@@ -22,6 +23,9 @@
 	maxSends = 5
 	// maxRefusals bounds the upstreams without room that one stream is offered to: where two have none, others need what is left more.
 	maxRefusals = 2
+	// patience is how long a stream that has begun may wait for another run, and patiencePause the time between two tries: callers leave after 2 s.
+	patience      = 1500 * time.Millisecond
+	patiencePause = 100 * time.Millisecond
 	// eventBytes is the first size of the buffer for events; longer ones make it grow up to maxEventBytes.
 	eventBytes    = 2 << 10
 	maxEventBytes = 1 << 20
@@ -34,8 +38,9 @@
 	out  *ferryingress.Stream
 	last position
 	buf  []byte
-	// refusals counts the upstreams that had no room.
+	// refusals counts the upstreams that had no room, and stuck says that there was no way or no budget for the last attempt.
 	refusals int
+	stuck    bool
 	// events counts what was passed on; first, latest and longest are when the first came, when the last one did, and the longest pause.
 	events        int
 	first, latest time.Time
@@ -47,30 +52,57 @@
 	s := &streaming{Forwarder: f, r: r, last: newPosition(r.After)}
 	var last *ferryoutcome.Problem
 	for sends := 0; ; sends++ {
-		if sends > 0 && (sends >= maxSends || s.refusals > maxRefusals || !s.mayGoOn()) {
-			s.giveUp(ctx, last, nil)
+		p, over := s.attempt(ctx, sends)
+		if over {
 			return
 		}
-		w, none := f.pickWay(r)
-		if none != nil {
-			s.giveUp(ctx, last, none)
-			return
-		}
-		if r.arrived > 0 && !r.service.budget.Repeat() {
-			cancelled(w)
-			s.giveUp(ctx, last, nil)
-			return
+		if p != nil {
+			last = p
 		}
-		p := s.run(ctx, w)
-		if p == nil {
+		if ctx.Err() != nil || !s.mayGoOn() || !s.goOn(ctx, sends) {
+			s.giveUp(ctx, last)
 			return
 		}
-		last = p
-		if ctx.Err() != nil {
-			s.giveUp(ctx, last, nil)
-			return
+		f.metrics.sentAgain(r.service.name, string(last.Kind))
+	}
+}
+
+// attempt makes one run, if there is a way for it and budget. It returns the problem that came of it, and true once the caller has all it will get.
+func (s *streaming) attempt(ctx context.Context, sends int) (*ferryoutcome.Problem, bool) {
+	w, none := s.pickWay(s.r)
+	if none != nil {
+		s.stuck = true
+		if sends > 0 {
+			return nil, false
 		}
-		f.metrics.sentAgain(r.service.name, string(p.Kind))
+		return none, false
+	}
+	if s.r.arrived > 0 && !s.r.service.budget.Repeat() {
+		cancelled(w)
+		s.stuck = true
+		return nil, false
+	}
+	s.stuck = false
+	p := s.run(ctx, w)
+	return p, p == nil
+}
+
+// goOn reports whether another attempt should be made. A stream that has begun waits a little for room and budget, as long as its
+// caller does not notice more than a pause; one that has not is refused at once where nothing is free.
+func (s *streaming) goOn(ctx context.Context, sends int) bool {
+	if !s.stuck && sends+1 < maxSends && s.refusals <= maxRefusals {
+		return true
+	}
+	if s.out == nil || s.cfg.Clock.Since(s.latest) > patience {
+		return false
+	}
+	s.r.full = nil
+	s.refusals = 0
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.cfg.Clock.After(patiencePause):
+		return true
 	}
 }
 
@@ -83,14 +115,11 @@
 }
 
 // giveUp ends the stream without its end: by a problem while nothing was passed on, else by breaking the connection off.
-func (s *streaming) giveUp(ctx context.Context, last, none *ferryoutcome.Problem) {
+func (s *streaming) giveUp(ctx context.Context, last *ferryoutcome.Problem) {
 	if s.out == nil {
-		s.Forwarder.giveUp(ctx, s.r, last, none)
+		s.Forwarder.giveUp(ctx, s.r, last, nil)
 		return
 	}
-	if last == nil {
-		last = none
-	}
 	s.log.Warn().Str("Request", string(s.r.ID)).Int("Events", s.events).Int("Ran", s.r.ran).AnErr("Cause", last.Cause).Msg("stream broken off")
 }
 
@@ -295,10 +324,11 @@
 		name = refusedBy(w, v.Culprit)
 		s.inspectCulprit(w, v.Culprit)
 	}
-	s.r.avoidName(name)
+	s.r.full = append(s.r.full, ferryid.UpstreamName(name))
 	s.refusals++
+	s.r.service.congestion.refused(s.cfg.Clock.Now())
 	s.log.Info().Str("Request", string(s.r.ID)).Str("Upstream", name).Int("Status", status).Str("Path", pathOf(w)).Msg("refused by the upstream")
-	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams have no room.").After(afterFull)
+	return s.noRoom(s.r, nil)
 }
 
 // inspectCulprit finds out whether the engine for which a request was refused is gone, so that other requests keep away from it.
--- a/ferry/ferryforward/way.go
+++ b/ferry/ferryforward/way.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"cactusferry.dev/ferry/ferrybalance"
 	"cactusferry.dev/ferry/ferrydiscovery"
@@ -31,15 +32,16 @@
 // pickWay chooses where a stream goes, or returns the problem that there is nowhere.
 func (f *Forwarder) pickWay(r *request) (way, *ferryoutcome.Problem) {
 	if r.service.chooser == nil {
-		if c := r.service.balancer.Pick(r.avoid, r.repeatable()); c != nil {
+		if c := r.service.balancer.Pick(slices.Concat(r.avoid, r.full), r.repeatable()); c != nil {
 			return alone{c}, nil
 		}
 		return nil, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "No upstream of the service takes work.").After(afterNobody)
 	}
-	run, err := r.service.chooser.Pick(ferrypath.Work{Prompt: r.Prompt, Answer: r.expected(), Avoid: r.avoid})
+	run, err := r.service.chooser.Pick(ferrypath.Work{Prompt: r.Prompt, Answer: r.expected(), Avoid: slices.Concat(r.avoid, r.full)})
 	switch {
 	case errors.Is(err, ferrypath.ErrNoRoom):
-		return nil, ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The engines have no room.").After(afterFull).Because(err)
+		r.service.congestion.refused(f.cfg.Clock.Now())
+		return nil, f.noRoom(r, err)
 	case err != nil:
 		return nil, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "No engines hold the whole model now.").After(afterNobody).Because(err)
 	}
--- a/ferry/ferryhealth/health.go
+++ b/ferry/ferryhealth/health.go
@@ -6,8 +6,10 @@
 	// unreachableFor and failedFor are the first times out; each further one in a row doubles.
 	unreachableFor = 400 * time.Millisecond
 	failedFor      = 300 * time.Millisecond
-	refusedFor     = 150 * time.Millisecond
-	longestOut     = 4 * time.Second
+	// refusedFor is the time out after a refusal; it doubles with each in a row up to refusedMost.
+	refusedFor  = 150 * time.Millisecond
+	refusedMost = 1200 * time.Millisecond
+	longestOut  = 4 * time.Second
 	// failuresToOut is how many failures in a row take an upstream out: single ones are the services' own.
 	failuresToOut = 3
 	// provingFor is how long after its time out an upstream gets only calls that can be sent again.
@@ -20,6 +22,8 @@
 	out   time.Duration
 	fails int
 	prove bool
+	// full is the time out after the last refusal.
+	full time.Duration
 }
 
 // Usable reports whether the upstream may be chosen; after a time out it proves itself first on calls that can be sent again.
@@ -56,7 +60,10 @@
 
 // Refused notes that the upstream had no room.
 func (h *Health) Refused(now time.Time) {
-	if until := now.Add(refusedFor); h.until.Before(until) {
+	if !now.Before(h.until) {
+		h.full = min(max(2*h.full, refusedFor), refusedMost)
+	}
+	if until := now.Add(h.full); h.until.Before(until) {
 		h.until = until
 	}
 }
--- a/ferry/ferryingress/conn.go
+++ b/ferry/ferryingress/conn.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// lastWait is how long a connection that comes after the stop began may take to its only request.
+const lastWait = time.Second
+
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
@@ -22,6 +25,9 @@
 	br    *bufio.Reader
 	w     writer
 
+	// served counts the requests that were answered.
+	served int
+
 	mu   sync.Mutex
 	idle bool
 	ends bool
@@ -52,11 +58,16 @@
 func (c *serverConn) setIdle(idle bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if idle && c.server.stopping.Load() && c.br.Buffered() == 0 {
+	stopping := c.server.stopping.Load()
+	if idle && stopping && c.served > 0 && c.br.Buffered() == 0 {
 		return false
 	}
 	if idle {
-		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
+		wait := c.server.limits().IdleTimeout
+		if stopping {
+			wait = min(wait, lastWait)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(wait))
 	}
 	c.idle = idle
 	return !c.ends || c.br.Buffered() > 0
@@ -66,7 +77,11 @@
 func (c *serverConn) stopIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	switch {
+	case !c.idle:
+	case c.served == 0:
+		_ = c.SetReadDeadline(time.Now().Add(lastWait))
+	default:
 		c.ends = true
 		_ = c.SetReadDeadline(past)
 	}
@@ -77,8 +92,8 @@
 	limits := c.server.limits()
 	at := c.server.cfg.Clock.Now()
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limit.left = int64(limits.HeaderBytes)
-	h, err := readHead(c.br)
+	c.served++
+	h, err := c.readHead(limits)
 	c.w.reset(h)
 	call := &Call{Method: h.method, Target: h.target, Host: h.host, Header: h.header, At: at, Remote: c.RemoteAddr().String(), w: &c.w}
 	if err == nil {
@@ -104,6 +119,21 @@
 	return true
 }
 
+// readHead reads a request's head within the limit, of which some may be in the buffer already.
+func (c *serverConn) readHead(limits Limits) (head, error) {
+	most := int64(limits.HeaderBytes)
+	before := c.limit.read - int64(c.br.Buffered())
+	c.limit.left = most
+	h, err := readHead(c.br)
+	switch {
+	case c.limit.read-int64(c.br.Buffered())-before > most:
+		err = errHeaderTooLong
+	case err != nil && c.limit.err != nil:
+		err = headFault(c.limit.err)
+	}
+	return h, err
+}
+
 func (c *serverConn) readBody(h head, limits Limits) ([]byte, error) {
 	if !h.chunked && h.length == 0 {
 		return nil, nil
--- a/ferry/ferryingress/read.go
+++ b/ferry/ferryingress/read.go
@@ -24,10 +24,13 @@
 	expects              bool
 }
 
-// bounded reads from a connection until its allowance is used up.
+// bounded reads from a connection until its allowance is used up; it counts what it read and keeps the error that ended it, which
+// the parsers above take for the end of a line.
 type bounded struct {
 	r    io.Reader
 	left int64
+	read int64
+	err  error
 }
 
 // errTooLong says that a bounded reader's allowance is used up.
@@ -35,6 +38,7 @@
 
 func (b *bounded) Read(p []byte) (int, error) {
 	if b.left <= 0 {
+		b.err = errTooLong
 		return 0, errTooLong
 	}
 	if int64(len(p)) > b.left {
@@ -42,6 +46,8 @@
 	}
 	n, err := b.r.Read(p)
 	b.left -= int64(n)
+	b.read += int64(n)
+	b.err = err
 	return n, err
 }
 
@@ -67,11 +73,14 @@
 	return h, h.check()
 }
 
+// errHeaderTooLong refuses a request whose header is longer than the limit.
+var errHeaderTooLong = &RequestError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too long"}
+
 func headFault(err error) error {
 	var bad textproto.ProtocolError
 	switch {
 	case errors.Is(err, errTooLong):
-		return &RequestError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too long"}
+		return errHeaderTooLong
 	case errors.As(err, &bad):
 		return malformed("%s", bad.Error())
 	}
--- a/ferry/ferryplacement/plan.go
+++ b/ferry/ferryplacement/plan.go
@@ -103,27 +103,41 @@
 		p.cover.add(e.Domain, e.Held, 1)
 		p.live.add(e.Domain, e.Live, 1)
 	}
-	slices.SortFunc(p.engines, func(a, b *Engine) int {
-		return cmp.Or(
-			cmp.Compare(b.Accelerator.Memory, a.Accelerator.Memory),
-			cmp.Compare(a.Accelerator.StepFactor, b.Accelerator.StepFactor),
-			cmp.Compare(a.Name, b.Name),
-		)
-	})
+	slices.SortFunc(p.engines, byMemory)
 	return p
 }
 
+// byMemory orders engines, those with most memory first.
+func byMemory(a, b *Engine) int {
+	return cmp.Or(
+		cmp.Compare(b.Accelerator.Memory, a.Accelerator.Memory),
+		cmp.Compare(a.Accelerator.StepFactor, b.Accelerator.StepFactor),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
 func (p *plan) capacity(e *Engine) int { return Capacity(p.model, e.Accelerator) }
 
 // order gives an engine a new range.
 func (p *plan) order(e *Engine, r ferryid.LayerRange) {
 	p.cover.add(e.Domain, e.Held, -1)
-	e.Held = r
+	p.live.add(e.Domain, e.Live, -1)
+	e.Held, e.Live = r, overlap(e.Live, r)
 	p.cover.add(e.Domain, e.Held, 1)
+	p.live.add(e.Domain, e.Live, 1)
 	p.ordered[e.Name] = true
 	p.orders = append(p.orders, Order{Engine: e.Name, Layers: r})
 }
 
+// overlap is what two ranges have in common.
+func overlap(a, b ferryid.LayerRange) ferryid.LayerRange {
+	r := ferryid.LayerRange{From: max(a.From, b.From), To: min(a.To, b.To)}
+	if r.From >= r.To {
+		return ferryid.LayerRange{}
+	}
+	return r
+}
+
 // free reports whether an order may be given to an engine.
 func (p *plan) free(e *Engine) bool { return !e.Fixed && !p.ordered[e.Name] }
 
@@ -156,6 +170,7 @@
 		rest = append(rest, domains[d]...)
 	}
 	if len(rest) > 0 {
+		slices.SortFunc(rest, byMemory)
 		out = append(out, rest)
 	}
 	return out
--- /dev/null
+++ b/ferry/ferryplacement/plan_test.go
@@ -0,0 +1,239 @@
+package ferryplacement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+
+	"cactusferry.dev/ferry/ferryconfig"
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// cards are accelerators from very large to small, as users mix them.
+var cards = map[string]ferryconfig.Accelerator{
+	"huge":  {Name: "huge", Memory: 72000, StepFactor: 1.4, ReadFactor: 1},
+	"large": {Name: "large", Memory: 36000, StepFactor: 3.1, ReadFactor: 3.2},
+	"mid":   {Name: "mid", Memory: 21600, StepFactor: 16, ReadFactor: 8.2},
+	"small": {Name: "small", Memory: 14400, StepFactor: 15, ReadFactor: 15},
+}
+
+func model() *ferryconfig.Model {
+	return &ferryconfig.Model{Layers: 80, LayerSize: 1750, TokenBytes: 590000, EngineTokens: 100000, LoadTime: 14 * time.Second, LoadsAtOnce: 6}
+}
+
+// fleet makes engines from a text such as "a: 2 large 4 mid; b: 1 huge".
+func fleet(text string) []Engine {
+	var out []Engine
+	for _, part := range strings.Split(text, ";") {
+		domain, rest, _ := strings.Cut(strings.TrimSpace(part), ":")
+		words := strings.Fields(rest)
+		for i := 0; i+1 < len(words); i += 2 {
+			var n int
+			_, _ = fmt.Sscan(words[i], &n)
+			for k := range n {
+				out = append(out, Engine{
+					Name:   ferryid.UpstreamName(fmt.Sprintf("%s-%s-%02d", domain, words[i+1], k)),
+					Domain: ferryid.DomainName(domain), Accelerator: cards[words[i+1]], Age: time.Minute,
+				})
+			}
+		}
+	}
+	return out
+}
+
+const mixed = "a: 2 large 4 mid 7 small; b: 1 huge 1 large 5 mid 7 small; c: 1 large 8 mid 3 small"
+
+// apply carries orders out at once.
+func apply(engines []Engine, orders []Order) {
+	for _, o := range orders {
+		for i := range engines {
+			if engines[i].Name == o.Engine {
+				engines[i].Held, engines[i].Live = o.Layers, o.Layers
+			}
+		}
+	}
+}
+
+// settle plans until nothing moves any more and fails if that takes too long.
+func settle(t rapid.TB, m *ferryconfig.Model, engines []Engine, lacking map[ferryid.DomainName]time.Duration) {
+	for range 50 {
+		orders := Plan(Situation{Model: m, Engines: engines, Lacking: lacking})
+		if len(orders) == 0 {
+			return
+		}
+		apply(engines, orders)
+	}
+	t.Fatalf("the plan does not settle")
+}
+
+func holders(engines []Engine, d ferryid.DomainName, layers int) []int {
+	out := make([]int, layers)
+	for _, e := range engines {
+		for l := int(e.Held.From); l < int(e.Held.To) && (d == "" || e.Domain == d); l++ {
+			out[l]++
+		}
+	}
+	return out
+}
+
+func show(engines []Engine) string {
+	sorted := slices.Clone(engines)
+	slices.SortFunc(sorted, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Held.From, b.Held.From), cmp.Compare(a.Name, b.Name))
+	})
+	var b strings.Builder
+	for _, e := range sorted {
+		fmt.Fprintf(&b, "%s %s\n", e.Name, e.Held)
+	}
+	return b.String()
+}
+
+func TestAFreshFleetIsLaidOut(t *testing.T) {
+	engines := fleet(mixed)
+	settle(t, model(), engines, nil)
+	golden.Assert(t, show(engines), "fresh.golden")
+	for _, d := range []ferryid.DomainName{"a", "b", "c"} {
+		here := holders(engines, d, 80)
+		assert.Assert(t, slices.Min(here) >= 1, "domain %s holds a whole copy: %v", d, here)
+		assert.Assert(t, here[0] >= firstHolders, "the first layers of domain %s have %d holders", d, here[0])
+	}
+}
+
+// TestEveryPlanKeepsToMemory draws fleets, loses and adds engines, and checks every order.
+func TestEveryPlanKeepsToMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := model()
+		m.Layers = rapid.IntRange(1, 120).Draw(t, "layers")
+		kinds := []string{"huge", "large", "mid", "small"}
+		add := func(i int) Engine {
+			kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+			return Engine{
+				Name: ferryid.UpstreamName(fmt.Sprintf("e%03d", i)), Domain: ferryid.DomainName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain")),
+				Accelerator: cards[kind], Age: time.Minute,
+			}
+		}
+		var engines []Engine
+		for range rapid.IntRange(0, 40).Draw(t, "engines") {
+			engines = append(engines, add(len(engines)))
+		}
+		lacking := map[ferryid.DomainName]time.Duration{"a": time.Minute, "b": time.Minute, "c": time.Minute}
+		for round := range rapid.IntRange(1, 8).Draw(t, "rounds") {
+			orders := Plan(Situation{Model: m, Engines: engines, Lacking: lacking})
+			seen := map[ferryid.UpstreamName]bool{}
+			for _, o := range orders {
+				assert.Assert(t, !seen[o.Engine], "two orders to one engine")
+				seen[o.Engine] = true
+				i := slices.IndexFunc(engines, func(e Engine) bool { return e.Name == o.Engine })
+				most := capacity(m, engines[i].Accelerator, tightShare)
+				assert.Assert(t, o.Layers.Len() >= 1 && o.Layers.Len() <= most, "%s for an engine of %d layers", o.Layers, most)
+				assert.Assert(t, int(o.Layers.To) <= m.Layers)
+				assert.Assert(t, !engines[i].Fixed)
+			}
+			apply(engines, orders)
+			if len(engines) > 0 && rapid.Bool().Draw(t, "loss") {
+				engines = slices.Delete(engines, 0, 1)
+			}
+			engines = append(engines, add(1000+round))
+		}
+	})
+}
+
+// TestNoOrderMakesAGap checks that an engine gives up only what others of its domain serve.
+func TestNoOrderMakesAGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := model()
+		engines := fleet(mixed)
+		settle(t, m, engines, nil)
+		for range rapid.IntRange(1, 6).Draw(t, "losses") {
+			i := rapid.IntRange(0, len(engines)-1).Draw(t, "lost")
+			engines = slices.Delete(engines, i, i+1)
+			before := map[ferryid.DomainName][]int{}
+			lacking := map[ferryid.DomainName]time.Duration{}
+			for _, d := range []ferryid.DomainName{"a", "b", "c"} {
+				before[d] = holders(engines, d, m.Layers)
+				lacking[d] = time.Minute
+			}
+			for range 5 {
+				apply(engines, Plan(Situation{Model: m, Engines: engines, Lacking: lacking}))
+				for d, counts := range before {
+					for l, n := range holders(engines, d, m.Layers) {
+						assert.Assert(t, n > 0 || counts[l] == 0, "layer %d of domain %s was given up by all", l, d)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestLossesAreCovered(t *testing.T) {
+	for _, tt := range []struct{ name, lost string }{
+		{"the largest", "b-huge-00"}, {"a large one", "c-large-00"}, {"one in the middle", "c-mid-04"}, {"one of the first", "a-small-06"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			m := model()
+			engines := fleet(mixed)
+			settle(t, m, engines, nil)
+			i := slices.IndexFunc(engines, func(e Engine) bool { return e.Name == ferryid.UpstreamName(tt.lost) })
+			d := engines[i].Domain
+			engines = slices.Delete(engines, i, i+1)
+			settle(t, m, engines, map[ferryid.DomainName]time.Duration{d: time.Minute})
+			missing := 0
+			for _, n := range holders(engines, d, m.Layers) {
+				if n == 0 {
+					missing++
+				}
+			}
+			assert.Equal(t, missing, 0, "domain %s lacks %d layers:\n%s", d, missing, show(engines))
+		})
+	}
+}
+
+func TestANewcomerWaitsForWhatItReplaces(t *testing.T) {
+	m := model()
+	engines := fleet(mixed)
+	settle(t, m, engines, nil)
+	newcomer := Engine{Name: "new", Domain: "c", Accelerator: cards["mid"], Age: time.Second}
+	engines = append(engines, newcomer)
+	assert.Equal(t, len(Plan(Situation{Model: m, Engines: engines})), 0, "nothing is missing yet")
+	i := slices.IndexFunc(engines, func(e Engine) bool { return e.Name == "c-mid-04" })
+	gone := engines[i].Held
+	engines = slices.Delete(engines, i, i+1)
+	orders := Plan(Situation{Model: m, Engines: engines})
+	assert.DeepEqual(t, orders, []Order{{Engine: "new", Layers: gone}})
+}
+
+func TestWhatIsQuickToLoadComesFirst(t *testing.T) {
+	m := model()
+	engines := fleet(mixed)
+	settle(t, m, engines, nil)
+	i := slices.IndexFunc(engines, func(e Engine) bool { return e.Name == "b-small-03" })
+	gap := engines[i].Held
+	engines = slices.Delete(engines, i, i+1)
+	engines = append(engines, Engine{Name: "new", Domain: "b", Accelerator: cards["huge"], Age: time.Minute})
+	for _, e := range engines {
+		if e.Name != "new" && e.Domain == "b" {
+			for l := e.Held.From; l < e.Held.To; l++ {
+				if gap.Contains(l) {
+					t.Skipf("the layers of %s have another holder", gap)
+				}
+			}
+		}
+	}
+	orders := Plan(Situation{Model: m, Engines: engines})
+	assert.DeepEqual(t, orders[0], Order{Engine: "new", Layers: gap})
+}
+
+func BenchmarkPlan(b *testing.B) {
+	m := model()
+	engines := fleet("a: 4 large 11 mid 18 small; b: 1 huge 2 large 13 mid 17 small; c: 1 huge 2 large 20 mid 9 small")
+	for b.Loop() {
+		Plan(Situation{Model: m, Engines: engines})
+	}
+}
--- a/ferryd/ferryedge/condition.go
+++ b/ferryd/ferryedge/condition.go
@@ -18,7 +18,10 @@
 const (
 	topicConditions ferrypeer.TopicName = "conditions"
 	// readEvery is how often each engine is asked for its condition, by one entry of its failure domain for all.
-	readEvery   = time.Second
+	readEvery = time.Second
+	// readOften is how often while some engine's memory is used by more than pressed.
+	readOften   = 400 * time.Millisecond
+	pressed     = 0.6
 	readTimeout = 300 * time.Millisecond
 	// conditionsKept is how long a reading is passed on.
 	conditionsKept = 4 * time.Second
@@ -71,12 +74,16 @@
 // readConditions asks the engines of this failure domain for their conditions, where that is this entry's duty, and takes what others read.
 func (e *Edge) readConditions(ctx context.Context) {
 	engines := e.cfg.Engines(e.client)
-	for e.pause(ctx, readEvery) {
+	every := readEvery
+	for e.pause(ctx, every) {
 		ms := e.peer.Members()
 		if e.Ready() && (len(ms.List) <= 1 || ferryduty.HoldsInDomain(ms, dutyConditions, 1)) {
 			e.readAll(ctx, engines)
 		}
-		e.takeConditions(ctx)
+		every = readEvery
+		if e.takeConditions(ctx) {
+			every = readOften
+		}
 	}
 }
 
@@ -136,8 +143,8 @@
 	return slices.DeleteFunc(list, func(c engineCondition) bool { return c.Silent })
 }
 
-// takeConditions hands what is known of the engines to those that choose among them.
-func (e *Edge) takeConditions(ctx context.Context) {
+// takeConditions hands what is known of the engines to those that choose among them, and reports whether some have little memory left.
+func (e *Edge) takeConditions(ctx context.Context) (short bool) {
 	for _, entry := range e.conditions.All() {
 		for _, c := range entry.Value.List {
 			ch := e.services.Chooser(c.Service)
@@ -146,10 +153,12 @@
 			case c.Silent:
 				e.doubt(ctx, ch, c.Name)
 			default:
+				short = short || float64(c.Used) > pressed*float64(c.Room)
 				ch.Report(c.Name, ferrypath.Condition{Pace: float64(c.Pace), Running: c.Running, Used: c.Used, Room: c.Room}, entry.At.Time())
 			}
 		}
 	}
+	return short
 }
 
 // doubt tries an engine that did not answer another entry.
--- a/ferryd/ferryedge/steer.go
+++ b/ferryd/ferryedge/steer.go
@@ -24,8 +24,9 @@
 		a.Lifetime = min(a.Lifetime, most)
 	}
 	var near, far []ferrysteer.Target
+	sighted := e.anySighted(true)
 	for _, m := range e.peer.Members().List {
-		if !e.usable(m) {
+		if !e.usable(m) || (sighted && e.isBlind(m.Name)) {
 			continue
 		}
 		t := ferrysteer.Target{Name: m.Name, Address: m.CallerAddress, FailureDomain: m.FailureDomain}
@@ -50,3 +51,13 @@
 	}
 	return m.Usable()
 }
+
+// anySighted reports whether some usable entry reaches the platform; the others would have to refuse requests with keys.
+func (e *Edge) anySighted(selfToo bool) bool {
+	for _, m := range e.peer.Members().List {
+		if e.usable(m) && !e.isBlind(m.Name) && (selfToo || m.Name != e.cfg.Name) {
+			return true
+		}
+	}
+	return false
+}
