--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -185,7 +185,7 @@
 		d.run.Chooser().Dead(name)
 		without = append(without, ferryid.UpstreamName(name))
 	}
-	d.log.Warn().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Dead", names(without)).Int("Events", d.streaming.events).Msg("engines do not answer")
+	d.log.Warn().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Dead", names(without)).Msg("engines do not answer")
 	if dead[0] == 0 {
 		d.cancel(errDead)
 		return
