Shared retry budget is told promptly and leaves room for what is unheard

Cause: the conditions of the entries travelled as volatile topics, flushed every 500 ms over as few as two links; a partitioned pair of entries went on spending repeats that the others had spent already.

The watch of the configuration waits 12 s: the platform keeps 20 s of history and 25 s ended in "history gone".

--- a/ferry/ferrybudget/budget.go
+++ b/ferry/ferrybudget/budget.go
@@ -11,8 +11,8 @@
 	buckets = 10
 	// safety is the part of the budget that is used, since the windows of the entries differ a little.
 	safety = 0.95
-	// hearingTime is how long what one entry has spent may take until all others know it.
-	hearingTime = 300 * time.Millisecond
+	// leastHearing is how long what one entry has spent takes at least until all others know it.
+	leastHearing = 300 * time.Millisecond
 	// leastEntries is how many entries are assumed until more are known.
 	leastEntries = 3
 )
@@ -23,6 +23,8 @@
 	Window    time.Duration
 	Ratio     float64
 	Allowance float64
+	// Resumed says that earlier processes may have spent the allowance, so that it counts again only once a window has passed.
+	Resumed bool
 }
 
 // Budget is this entry's part of a service's budget.
@@ -30,7 +32,9 @@
 	cfg Config
 
 	mu      sync.Mutex
+	began   time.Time
 	entries int
+	hearing time.Duration
 	others  Spent
 	heard   time.Time
 	// fresh are the times of the repetitions that the others may not know of yet.
@@ -46,14 +50,14 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clockwork.NewRealClock()
 	}
-	return &Budget{cfg: cfg, entries: leastEntries, at: cfg.Clock.Now()}
+	return &Budget{cfg: cfg, entries: leastEntries, hearing: leastHearing, at: cfg.Clock.Now(), began: cfg.Clock.Now()}
 }
 
-// SetEntries says among how many entries the budget is divided.
-func (b *Budget) SetEntries(n int) {
+// SetEntries says among how many entries the budget is divided, and how long they take to hear of each other.
+func (b *Budget) SetEntries(n int, hearing time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries = max(leastEntries, n)
+	b.entries, b.hearing = max(leastEntries, n), max(leastHearing, hearing)
 }
 
 // Spent is what one or more entries have counted in the last window.
@@ -114,19 +118,27 @@
 // an even part of the whole. Otherwise an entry keeps to its even part.
 func (b *Budget) left() float64 {
 	spent := float64(sum(b.repeats))
-	if b.heard.IsZero() || b.cfg.Clock.Since(b.heard) > heardFor {
-		return safety*(b.cfg.Ratio*float64(sum(b.requests))+b.cfg.Allowance/float64(b.entries)) - spent
+	if b.heard.IsZero() || b.cfg.Clock.Since(b.heard) > max(heardFor, b.hearing) {
+		return safety*(b.cfg.Ratio*float64(sum(b.requests))+b.allowance()/float64(b.entries)) - spent
 	}
-	all := safety*(b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests)+b.cfg.Allowance) - spent - float64(b.others.Repeats)
+	all := safety*(b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests)+b.allowance()) - spent - float64(b.others.Repeats)
 	fresh := float64(b.forget())
 	return min((all+fresh)/float64(2*b.entries)-fresh, all)
 }
 
+// allowance is what may be sent again beside the share of the requests.
+func (b *Budget) allowance() float64 {
+	if b.cfg.Resumed && b.cfg.Clock.Since(b.began) < b.cfg.Window {
+		return 0
+	}
+	return b.cfg.Allowance
+}
+
 // forget drops the repetitions that all others have heard of, and returns the number of those left.
 func (b *Budget) forget() int {
 	now := b.cfg.Clock.Now()
 	known := 0
-	for known < len(b.fresh) && now.Sub(b.fresh[known]) >= hearingTime {
+	for known < len(b.fresh) && now.Sub(b.fresh[known]) >= b.hearing {
 		known++
 	}
 	b.fresh = b.fresh[known:]
--- a/ferry/ferrybudget/budget_test.go
+++ b/ferry/ferrybudget/budget_test.go
@@ -16,7 +16,7 @@
 func TestAnEntryAloneKeepsToItsEvenPart(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	b := New(config(clock))
-	b.SetEntries(10)
+	b.SetEntries(10, 0)
 	n := 0
 	for b.Repeat() {
 		n++
@@ -41,7 +41,7 @@
 		entries := make([]*Budget, n)
 		for i := range entries {
 			entries[i] = New(config(clock))
-			entries[i].SetEntries(n)
+			entries[i].SetEntries(n, 0)
 		}
 		const step = 100 * time.Millisecond
 		var spent []int    // in each step
@@ -86,7 +86,7 @@
 func TestAnEntryMayUseWhatOthersLeave(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	b := New(config(clock))
-	b.SetEntries(9)
+	b.SetEntries(9, 0)
 	n := 0
 	for range 20 { // two seconds in which nobody else sends anything again
 		b.SetOthers(Spent{})
@@ -97,3 +97,21 @@
 	}
 	assert.Assert(t, n > 50 && n < 190, "%d repetitions, an even part has 21", n)
 }
+
+func TestARestartedEntryDoesNotCountOnTheAllowance(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	cfg := config(clock)
+	cfg.Resumed = true
+	b := New(cfg)
+	b.SetEntries(3, 0)
+	for range 20 {
+		b.Request()
+	}
+	n := 0
+	for b.Repeat() {
+		n++
+	}
+	assert.Equal(t, n, 3, "a fifth of 20 requests, and nothing more")
+	clock.Advance(cfg.Window)
+	assert.Assert(t, b.Left() > 50)
+}
--- a/ferry/ferryforward/bed_test.go
+++ b/ferry/ferryforward/bed_test.go
@@ -227,7 +227,7 @@
 		list = append(list, b.add(name, "llm", held))
 	}
 	table.Replace(list, 1)
-	services.SetEntries(map[ferryid.DomainName]int{"d": 1})
+	services.SetEntries(map[ferryid.DomainName]int{"d": 1}, 0)
 	b.forward = New(Config{
 		Clock: clock, Steady: clock, Holder: b.holder, Services: services, Dialect: plainDialect{}, Client: b.client, Rerouter: b.moved,
 		Log: zerolog.Nop(), Scope: tally.NoopScope, MaxAge: maxAge,
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -33,6 +33,8 @@
 	RepeatWindow    time.Duration
 	RepeatRatio     float64
 	RepeatAllowance float64
+	// Resumed says that entries have been serving before this process started.
+	Resumed bool
 }
 
 // Services keeps the upstreams of each service in step with configuration and discovery.
@@ -42,6 +44,7 @@
 
 	mu      sync.Mutex
 	entries map[ferryid.DomainName]int
+	hearing time.Duration
 	config  *ferryconfig.Snapshot
 	view    *ferrydiscovery.View
 }
@@ -57,11 +60,11 @@
 	return (*s.current.Load())[name]
 }
 
-// SetEntries says how many entries of each failure domain share the upstreams and the budgets.
-func (s *Services) SetEntries(byDomain map[ferryid.DomainName]int) {
+// SetEntries says how many entries of each failure domain share the upstreams and the budgets, and how long they take to hear of each other.
+func (s *Services) SetEntries(byDomain map[ferryid.DomainName]int, hearing time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries = byDomain
+	s.entries, s.hearing = byDomain, hearing
 	for _, sv := range *s.current.Load() {
 		s.share(sv)
 	}
@@ -73,7 +76,7 @@
 	for _, k := range s.entries {
 		n += k
 	}
-	sv.budget.SetEntries(n)
+	sv.budget.SetEntries(n, s.hearing)
 	if sv.chooser != nil {
 		sv.chooser.SetEntries(s.entries)
 	}
@@ -159,7 +162,7 @@
 		name:     c.Name,
 		balancer: ferrybalance.New(ferrybalance.Options{Clock: s.cfg.Clock, Domain: s.cfg.Domain}),
 		budget: ferrybudget.New(ferrybudget.Config{
-			Clock: s.cfg.Clock, Window: s.cfg.RepeatWindow, Ratio: s.cfg.RepeatRatio, Allowance: s.cfg.RepeatAllowance,
+			Clock: s.cfg.Clock, Window: s.cfg.RepeatWindow, Ratio: s.cfg.RepeatRatio, Allowance: s.cfg.RepeatAllowance, Resumed: s.cfg.Resumed,
 		}),
 	}
 	if layered {
--- a/ferry/ferrypeer/spread.go
+++ b/ferry/ferrypeer/spread.go
@@ -11,10 +11,14 @@
 const (
 	mismatchesToRepair = 2
 	minEagerLinks      = 2
-	maxPendingItems    = 4096
-	maxPushBytes       = 64 << 10
-	pullFor            = 2 * time.Second
-	volatileEvery      = 500 * time.Millisecond
+	// smallEagerLinks is that number in fleets of up to smallFleet members: with so few, two links each can leave groups apart until a
+	// repair joins them, and twice as many copies cost little.
+	smallEagerLinks = 4
+	smallFleet      = 32
+	maxPendingItems = 4096
+	maxPushBytes    = 64 << 10
+	pullFor         = 2 * time.Second
+	volatileEvery   = 500 * time.Millisecond
 )
 
 // topicState is a topic with what the overlay keeps about it.
@@ -234,12 +238,20 @@
 	case m.Repair && changed > 0 && !l.eager:
 		l.eager = true
 		o.do(Send{Link: l.id, Message: &Tree{Eager: true}})
-	case !m.Repair && changed == 0 && l.eager && o.eagerLinks() > minEagerLinks:
+	case !m.Repair && changed == 0 && l.eager && o.eagerLinks() > o.leastEager():
 		l.eager = false
 		o.do(Send{Link: l.id, Message: &Tree{Eager: false}})
 	}
 }
 
+// leastEager is the number of links that go on pushing whatever they bring.
+func (o *Overlay) leastEager() int {
+	if len(o.table.rows) <= smallFleet {
+		return smallEagerLinks
+	}
+	return minEagerLinks
+}
+
 func (o *Overlay) eagerLinks() int {
 	n := 0
 	for _, l := range o.links {
--- a/ferryd/ferryedge/condition.go
+++ b/ferryd/ferryedge/condition.go
@@ -67,7 +67,7 @@
 
 func (e *Edge) newConditions() {
 	e.conditions = ferrypeer.NewLatest[conditions](ferrypeer.LatestConfig{
-		Name: topicConditions, Self: e.cfg.Name, Size: maxItems, Volatile: true, Clock: e.cfg.Steady, Events: e.events,
+		Name: topicConditions, Self: e.cfg.Name, Size: maxItems, Clock: e.cfg.Steady, Events: e.events,
 	})
 }
 
--- a/ferryd/ferryedge/config.go
+++ b/ferryd/ferryedge/config.go
@@ -26,6 +26,8 @@
 	Seeds []string
 	// Servers are further listeners, such as for readiness.
 	Servers []Server
+	// First says that the whole system starts for the first time.
+	First bool
 	// MaxConns bounds the callers' connections.
 	MaxConns int
 
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// configWait is how long one watch of the configuration lasts without a change; readings that prove it current notice a silent connection before.
-	configWait = 25 * time.Second
+	// configWait is how long one watch of the configuration lasts without a change, less than the platform keeps its history; readings that
+	// prove the configuration current notice a silent connection before.
+	configWait = 12 * time.Second
 	// paceShare is the part of a promise that the pause between two answers of a watch may take.
 	paceShare = 4
 	// proofShare is how many times the configuration is proved current within the age that keys may have.
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -80,7 +80,7 @@
 	}
 	e.services = ferryforward.NewServices(ferryforward.ServicesConfig{
 		Clock: cfg.Clock, Domain: cfg.Domain,
-		RepeatWindow: cfg.Promise.RepeatWindow, RepeatRatio: cfg.Promise.RepeatRatio, RepeatAllowance: cfg.Promise.RepeatAllowance,
+		RepeatWindow: cfg.Promise.RepeatWindow, RepeatRatio: cfg.Promise.RepeatRatio, RepeatAllowance: cfg.Promise.RepeatAllowance, Resumed: !cfg.First,
 	})
 	e.forwarder = ferryforward.New(ferryforward.Config{
 		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Rerouter: cfg.Engines(e.client),
--- a/ferryd/ferryedge/overlay.go
+++ b/ferryd/ferryedge/overlay.go
@@ -28,11 +28,15 @@
 	e.peer.SetState(s, ferrypeer.Load{})
 }
 
+// shareHops is within how many intervals all entries have heard what one has told: it is told after one, taken after another, and passes
+// over a few links between them.
+const shareHops = 3
+
 // onMembers takes a new membership.
 func (e *Edge) onMembers(ms ferrypeer.Members) {
 	byDomain := map[ferryid.DomainName]int{}
 	for _, m := range ms.Live() {
 		byDomain[m.FailureDomain]++
 	}
-	e.services.SetEntries(byDomain)
+	e.services.SetEntries(byDomain, shareHops*shareInterval(len(ms.Live())))
 }
--- a/ferryd/ferryedge/share.go
+++ b/ferryd/ferryedge/share.go
@@ -46,7 +46,7 @@
 
 func (e *Edge) newShare() {
 	e.states = ferrypeer.NewLatest[entryState](ferrypeer.LatestConfig{
-		Name: topicStates, Self: e.cfg.Name, Size: maxEntries, Volatile: true, Clock: e.cfg.Steady, Events: e.events,
+		Name: topicStates, Self: e.cfg.Name, Size: maxEntries, Clock: e.cfg.Steady, Events: e.events,
 	})
 }
 
@@ -67,8 +67,11 @@
 
 // shareInterval grows with the fleet, so that what one entry hears does not.
 func (e *Edge) shareInterval() time.Duration {
-	n := len(e.peer.Members().Live())
-	return shareEvery * time.Duration(max(1, n/shareEntries))
+	return shareInterval(len(e.peer.Members().Live()))
+}
+
+func shareInterval(entries int) time.Duration {
+	return shareEvery * time.Duration(max(1, entries/shareEntries))
 }
 
 func (e *Edge) othersSpent() map[ferryid.ServiceName]ferrybudget.Spent {
