One entry of each failure domain reads the platform for the others

Ruled out: longer watches (a configuration must be in force within 3 s of a connection falling silent); spreading the objects as a topic (each would pass every entry, across failure domains too, and proofs would need one clock).

Change: ferryrelay. The first entry of a failure domain that reaches the platform reads it, the others ask it over the overlay, and ask the platform where it does not answer. A proof passed on is aged by the asker's clock from before the question.

Also: probes of engines notice when they end late, which means that this machine is slow, and then give the engine longer.

--- a/ferry/ferryduty/holder.go
+++ b/ferry/ferryduty/holder.go
@@ -63,6 +63,17 @@
 	return out
 }
 
+// InDomain returns the usable members of a failure domain, those that hold the duty there first.
+func InDomain(ms ferrypeer.Members, d Duty, domain ferryid.DomainName) []ferryid.EntryName {
+	var out []ferryid.EntryName
+	for _, c := range rank(ms, d) {
+		if c.domain == domain {
+			out = append(out, c.name)
+		}
+	}
+	return out
+}
+
 // Holds reports whether this process is among the k holders of the duty.
 func Holds(ms ferrypeer.Members, d Duty, k int) bool {
 	return slices.Contains(Holders(ms, d, k), ms.Self)
--- a/ferry/ferryfollow/follower.go
+++ b/ferry/ferryfollow/follower.go
@@ -21,12 +21,20 @@
 	firstTimeout = 3 * time.Second
 )
 
-// Config says what a Follower follows and who hears of it; Store, Kind, Clock and Watcher must be set.
+// Source is where objects are read: the platform, or an entry that reads it for others.
+type Source interface {
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind string) (ferryplatform.Changes, error)
+	// Watch waits until objects of a kind change after a version, or until the wait is over.
+	Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error)
+}
+
+// Config says what a Follower follows and who hears of it; Source, Kind, Clock and Watcher must be set.
 type Config struct {
-	Store ferryplatform.Store
-	Kind  string
-	Clock clockwork.Clock
-	Log   zerolog.Logger
+	Source Source
+	Kind   string
+	Clock  clockwork.Clock
+	Log    zerolog.Logger
 	// Wait is how long the platform may hold one watch; a silent connection is noticed that late.
 	Wait time.Duration
 	// Pace is the pause after an answer with changes, so that a quick series of them costs few calls.
@@ -88,7 +96,7 @@
 func (f *Follower) list(ctx context.Context) (int, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, f.cfg.Clock, firstTimeout)
 	defer cancel()
-	changes, err := f.cfg.Store.List(ctx, f.cfg.Kind)
+	changes, err := f.cfg.Source.List(ctx, f.cfg.Kind)
 	if err != nil {
 		return 0, err
 	}
@@ -101,7 +109,7 @@
 func (f *Follower) watch(ctx context.Context) (int, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, f.cfg.Clock, f.cfg.Wait+answerGrace)
 	defer cancel()
-	changes, err := f.cfg.Store.Watch(ctx, f.cfg.Kind, f.after, f.cfg.Wait)
+	changes, err := f.cfg.Source.Watch(ctx, f.cfg.Kind, f.after, f.cfg.Wait)
 	if err != nil {
 		return 0, err
 	}
--- a/ferry/ferryfollow/follower_test.go
+++ b/ferry/ferryfollow/follower_test.go
@@ -103,7 +103,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		New(Config{Store: f, Kind: "k", Clock: clock, Log: zerolog.Nop(), Wait: 3 * time.Second, Pace: 500 * time.Millisecond, Watcher: r}).Run(ctx)
+		New(Config{Source: f, Kind: "k", Clock: clock, Log: zerolog.Nop(), Wait: 3 * time.Second, Pace: 500 * time.Millisecond, Watcher: r}).Run(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -47,7 +47,7 @@
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, log: cfg.Log, metrics: metrics{cfg.Scope}, prober: newProber(cfg.Client)}
+	f := &Forwarder{cfg: cfg, log: cfg.Log, metrics: metrics{cfg.Scope}, prober: newProber(cfg.Client, cfg.Clock)}
 	f.SetMaxAge(cfg.MaxAge)
 	return f
 }
--- a/ferry/ferryforward/probe.go
+++ b/ferry/ferryforward/probe.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferrypath"
 )
@@ -21,11 +23,23 @@
 // links between domains take a millisecond.
 var probeTimes = []time.Duration{15 * time.Millisecond, 25 * time.Millisecond}
 
+const (
+	// lateBy is how much later than its time a probe may end on a machine that keeps up; timers are late by less than a millisecond there.
+	lateBy = 5 * time.Millisecond
+	// slowProbeTime is what an engine gets while this machine does not keep up, so that the machine's own slowness is not taken for the engine's.
+	slowProbeTime = 200 * time.Millisecond
+	// slowFor is how long the machine counts as slow after a probe ended late.
+	slowFor = time.Second
+)
+
 // prober tells whether engines still answer; many streams that suspect the same one share a probe.
 type prober struct {
 	client *ferryexchange.Client
+	clock  clockwork.Clock
 	mu     sync.Mutex
 	probes map[string]*probe
+	// slowUntil is how long this machine counts as slow.
+	slowUntil time.Time
 }
 
 // probe is one question to an address; done is closed when it is answered.
@@ -35,8 +49,15 @@
 	alive bool
 }
 
-func newProber(c *ferryexchange.Client) *prober {
-	return &prober{client: c, probes: map[string]*probe{}}
+func newProber(c *ferryexchange.Client, clock clockwork.Clock) *prober {
+	return &prober{client: c, clock: clock, probes: map[string]*probe{}}
+}
+
+// slow reports whether this machine has not kept up lately.
+func (p *prober) slow() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Now().Before(p.slowUntil)
 }
 
 // dead returns which of the hops at the given indices have engines that do not answer. If nothing answers, the trouble is probably
@@ -63,37 +84,57 @@
 func (p *prober) ask(address string) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pr := p.probes[address]; pr != nil && pr.recent() {
+	now := p.clock.Now()
+	if pr := p.probes[address]; pr != nil && pr.recent(now) {
 		return pr
 	}
 	if len(p.probes) >= maxProbes {
 		clear(p.probes)
 	}
-	pr := &probe{done: make(chan struct{}), at: time.Now()}
+	pr := &probe{done: make(chan struct{}), at: now}
 	p.probes[address] = pr
 	go func() {
 		defer close(pr.done)
+		pr.alive = p.answers(address)
+	}()
+	return pr
+}
+
+// answers tries an address a few times, and once for longer if this machine turns out to be slow.
+func (p *prober) answers(address string) bool {
+	if !p.slow() {
 		for _, d := range probeTimes {
-			ctx, cancel := context.WithTimeout(context.Background(), d)
-			err := p.client.Probe(ctx, address)
-			cancel()
-			if pr.alive = err == nil; pr.alive {
-				return
+			if p.try(address, d) {
+				return true
 			}
 		}
-	}()
-	return pr
+	}
+	return p.slow() && p.try(address, slowProbeTime)
+}
+
+// try opens a connection and notes whether this machine was late to see that it did not come.
+func (p *prober) try(address string, most time.Duration) bool {
+	began := p.clock.Now()
+	ctx, cancel := clockwork.WithTimeout(context.Background(), p.clock, most)
+	defer cancel()
+	err := p.client.Probe(ctx, address)
+	if now := p.clock.Now(); now.Sub(began) > most+lateBy {
+		p.mu.Lock()
+		p.slowUntil = now.Add(slowFor)
+		p.mu.Unlock()
+	}
+	return err == nil
 }
 
 // recent reports whether the probe is under way or its result can still be used.
-func (pr *probe) recent() bool {
+func (pr *probe) recent(now time.Time) bool {
 	select {
 	case <-pr.done:
 	default:
 		return true
 	}
 	if pr.alive {
-		return time.Since(pr.at) < aliveAge
+		return now.Sub(pr.at) < aliveAge
 	}
-	return time.Since(pr.at) < deadAge
+	return now.Sub(pr.at) < deadAge
 }
--- /dev/null
+++ b/ferry/ferryforward/probe_test.go
@@ -0,0 +1,62 @@
+package ferryforward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryexchange"
+)
+
+// TestProbes tells engines that are gone from a machine that is too slow to notice that they answer.
+func TestProbes(t *testing.T) {
+	const silent = time.Hour
+	for _, tc := range []struct {
+		name string
+		// answers are how long the engine takes to accept each connection in turn; the last holds for all later ones.
+		answers []time.Duration
+		// lag is how much later than it should this machine sees anything.
+		lag         time.Duration
+		alive, slow bool
+	}{
+		{name: "answers at once", answers: []time.Duration{time.Millisecond}, alive: true},
+		{name: "one opening packet was lost", answers: []time.Duration{silent, time.Millisecond}, alive: true},
+		{name: "gone", answers: []time.Duration{silent}},
+		{name: "gone, on a slow machine", answers: []time.Duration{silent}, lag: 30 * time.Millisecond, slow: true},
+		{name: "answers, on a slow machine", answers: []time.Duration{silent, silent, 60 * time.Millisecond}, lag: 30 * time.Millisecond, alive: true, slow: true},
+		{name: "refuses", answers: []time.Duration{-1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tries := 0
+				dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+					d := tc.answers[min(tries, len(tc.answers)-1)]
+					tries++
+					if d < 0 {
+						return nil, errors.New("connection refused")
+					}
+					select {
+					case <-time.After(d):
+						here, there := net.Pipe()
+						return here, there.Close()
+					case <-ctx.Done():
+						time.Sleep(tc.lag)
+						return nil, ctx.Err()
+					}
+				}
+				clock := clockwork.NewRealClock()
+				p := newProber(ferryexchange.New(ferryexchange.Config{Clock: clock, Dial: dial}), clock)
+				pr := p.ask("10.0.0.1:1")
+				<-pr.done
+				assert.Equal(t, pr.alive, tc.alive)
+				assert.Equal(t, p.slow(), tc.slow)
+			})
+		})
+	}
+}
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -31,6 +31,8 @@
 	rerouteTime = 300 * time.Millisecond
 	// leaveAfter is how long a run stays on an engine that leaves: most are done by then, and the engine serves at least twice as long.
 	leaveAfter = time.Second
+	// slowPatience is how many times longer a run may be silent while this machine is slow, before it is suspect.
+	slowPatience = 4
 	// usualGaps is how many usual pauses of a run its silence must exceed to be suspect.
 	usualGaps = 4
 )
@@ -143,10 +145,14 @@
 
 // limits are how long the run may be silent until it is suspect, and until it is given up.
 func (d *watchdog) limits() (suspect, giveUp time.Duration) {
+	first, next := suspectFirst, suspectNext
+	if d.prober.slow() {
+		first, next = slowPatience*first, slowPatience*next
+	}
 	if !d.events.Load() {
-		return suspectFirst, giveUpFirst
+		return first, giveUpFirst
 	}
-	return max(suspectNext, usualGaps*time.Duration(d.gap.Load())), giveUpNext
+	return max(next, usualGaps*time.Duration(d.gap.Load())), giveUpNext
 }
 
 // look runs when the timer fires.
--- /dev/null
+++ b/ferry/ferryrelay/relay_test.go
@@ -0,0 +1,340 @@
+package ferryrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferry/ferryplatform/ferryplatformtest"
+)
+
+// fleet is a few relays that share one platform; the first entry of order that is none itself is read from.
+type fleet struct {
+	platform *ferryplatformtest.Fake
+	relays   map[ferryid.EntryName]*Relay
+	links    map[ferryid.EntryName]*gate
+	// reader is the entry that all others read from, or empty.
+	reader ferryid.EntryName
+	// silent entries do not answer questions.
+	silent map[ferryid.EntryName]bool
+}
+
+// gate is one entry's way to the platform.
+type gate struct {
+	ferryplatform.Store
+	shut  bool
+	calls int
+}
+
+func (g *gate) pass() error {
+	g.calls++
+	if g.shut {
+		return &ferryplatform.UnavailableError{Op: "call", Err: errors.New("no route")}
+	}
+	return nil
+}
+
+func (g *gate) Get(ctx context.Context, kind, name string) (ferryplatform.Object, error) {
+	if err := g.pass(); err != nil {
+		return ferryplatform.Object{}, err
+	}
+	return g.Store.Get(ctx, kind, name)
+}
+
+func (g *gate) List(ctx context.Context, kind string) (ferryplatform.Changes, error) {
+	if err := g.pass(); err != nil {
+		return ferryplatform.Changes{}, err
+	}
+	return g.Store.List(ctx, kind)
+}
+
+func (g *gate) Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error) {
+	if err := g.pass(); err != nil {
+		return ferryplatform.Changes{}, err
+	}
+	return g.Store.Watch(ctx, kind, after, wait)
+}
+
+func newFleet(names ...ferryid.EntryName) *fleet {
+	clock := clockwork.NewRealClock()
+	f := &fleet{
+		platform: ferryplatformtest.New(clock), relays: map[ferryid.EntryName]*Relay{}, links: map[ferryid.EntryName]*gate{},
+		silent: map[ferryid.EntryName]bool{},
+	}
+	for _, name := range names {
+		f.links[name] = &gate{Store: f.platform}
+		f.relays[name] = New(Config{
+			Platform: f.links[name], Clock: clock, Log: zerolog.Nop(),
+			Reader: func() (Reader, bool) { return Reader{Name: f.reader}, f.reader != "" && f.reader != name },
+			Ask: func(ctx context.Context, to ferryid.EntryName, _ ferryid.Incarnation, _ ferrypeer.AskKind, body []byte) ([]byte, error) {
+				if f.silent[to] {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return f.relays[to].Answer(ctx, ferrypeer.Member{}, body)
+			},
+		})
+	}
+	return f
+}
+
+func (f *fleet) put(t *testing.T, name, value string) {
+	t.Helper()
+	expected := ferryplatform.NoVersion
+	if o, err := f.platform.Get(t.Context(), "k", name); err == nil {
+		expected = o.Version
+	}
+	_, err := f.platform.Put(t.Context(), "k", name, expected, []byte(value))
+	assert.NilError(t, err)
+}
+
+// calls returns how often an entry has called the platform since it was last asked.
+func (f *fleet) calls(name ferryid.EntryName) int {
+	n := f.links[name].calls
+	f.links[name].calls = 0
+	return n
+}
+
+func text(c ferryplatform.Changes) string {
+	var out []string
+	for _, o := range c.Objects {
+		if o.Deleted {
+			out = append(out, "-"+o.Name)
+			continue
+		}
+		out = append(out, o.Name+"="+string(o.Value))
+	}
+	return strings.Join(out, " ")
+}
+
+// list reads all objects through an entry.
+func (f *fleet) list(t *testing.T, name ferryid.EntryName) ferryplatform.Changes {
+	t.Helper()
+	c, err := f.relays[name].List(t.Context(), "k")
+	assert.NilError(t, err)
+	return c
+}
+
+func (f *fleet) watch(t *testing.T, name ferryid.EntryName, after ferryplatform.Version) (ferryplatform.Changes, error) {
+	t.Helper()
+	return f.relays[name].Watch(t.Context(), "k", after, 3*time.Second)
+}
+
+func TestOneEntryReadsForTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.reader = "a"
+		f.put(t, "x", "1")
+		f.put(t, "y", "1")
+		assert.Equal(t, text(f.list(t, "a")), "x=1 y=1")
+		got := f.list(t, "b")
+		assert.Equal(t, text(got), "x=1 y=1")
+
+		// The reader's watch brings what b waits for.
+		done := make(chan string)
+		go func() {
+			c, err := f.watch(t, "b", got.Version)
+			done <- fmt.Sprint(text(c), " ", c.Version, " ", err)
+		}()
+		synctest.Wait()
+		f.put(t, "x", "2")
+		_, err := f.watch(t, "a", got.Version)
+		assert.NilError(t, err)
+		assert.Equal(t, <-done, "x=2 3 <nil>")
+
+		// Without changes b's watch ends early, and what it follows stays.
+		began := time.Now()
+		c, err := f.watch(t, "b", 3)
+		assert.NilError(t, err)
+		assert.Equal(t, text(c), "")
+		assert.Equal(t, c.Version, ferryplatform.Version(3))
+		assert.Equal(t, time.Since(began), relayWait)
+		assert.Equal(t, f.calls("b"), 0)
+	})
+}
+
+func TestProofsOfAnotherEntryAreNeverYoungerThanTheyAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.reader = "a"
+		f.put(t, "x", "1")
+		read := time.Now()
+		_, at, err := f.relays["a"].Prove(t.Context(), "k", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, at, read)
+		time.Sleep(time.Second)
+		o, at, err := f.relays["b"].Prove(t.Context(), "k", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, string(o.Value), "1")
+		assert.Assert(t, !at.After(read), "proved at %s, read at %s", at, read)
+		assert.Equal(t, f.calls("b"), 0)
+
+		// A proof that grew old is not passed on; b reads by itself.
+		time.Sleep(proofKept)
+		_, at, err = f.relays["b"].Prove(t.Context(), "k", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, at, time.Now())
+		assert.Equal(t, f.calls("b"), 1)
+	})
+}
+
+func TestASilentReaderIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.reader = "a"
+		f.put(t, "x", "1")
+		f.list(t, "a")
+		got := f.list(t, "b")
+		f.silent["a"] = true
+		began := time.Now()
+		f.put(t, "x", "2")
+		c, err := f.watch(t, "b", got.Version)
+		assert.NilError(t, err)
+		assert.Equal(t, text(c), "x=2")
+		assert.Equal(t, time.Since(began), relayWait+askGrace)
+
+		// For a while the reader is not asked at all.
+		began = time.Now()
+		f.put(t, "x", "3")
+		c, err = f.watch(t, "b", c.Version)
+		assert.NilError(t, err)
+		assert.Equal(t, text(c), "x=3")
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
+func TestEntriesWaitWhileTheReaderHasLostThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.reader = "a"
+		f.put(t, "x", "1")
+		at := f.list(t, "a").Version
+		f.list(t, "b")
+		f.links["a"].shut, f.links["b"].shut = true, true
+		_, err := f.watch(t, "a", at)
+		assert.ErrorContains(t, err, "no route")
+		assert.Assert(t, !f.relays["a"].Reached())
+
+		// The first try is b's own, the next ones are not.
+		for range 20 {
+			_, err = f.watch(t, "b", at)
+			assert.Assert(t, err != nil)
+			time.Sleep(100 * time.Millisecond)
+		}
+		var lost *LostError
+		assert.Assert(t, errors.As(err, &lost))
+		assert.Equal(t, lost.Reader, ferryid.EntryName("a"))
+		assert.Equal(t, f.calls("b"), 1)
+
+		// Where the platform only turned the reader away, b finds out by itself.
+		f.links["b"].shut = false
+		time.Sleep(retestEvery)
+		f.put(t, "x", "2")
+		c, err := f.watch(t, "b", at)
+		assert.NilError(t, err)
+		assert.Equal(t, text(c), "x=2")
+		assert.Assert(t, f.relays["b"].Reached())
+	})
+}
+
+// TestANewReaderBeginsWithAList lets the duty move to an entry that has only followed another so far.
+func TestANewReaderBeginsWithAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.reader = "a"
+		f.put(t, "x", "1")
+		f.list(t, "a")
+		at := f.list(t, "b").Version
+		f.list(t, "c")
+		f.reader = "b"
+		_, err := f.watch(t, "c", at)
+		assert.NilError(t, err, "c asks the platform while b has no list")
+		var gone *ferryplatform.HistoryGoneError
+		_, err = f.watch(t, "b", at)
+		assert.Assert(t, errors.As(err, &gone))
+		assert.Equal(t, text(f.list(t, "b")), "x=1")
+		f.calls("c")
+		assert.Equal(t, text(f.list(t, "c")), "x=1")
+		assert.Equal(t, f.calls("c"), 0)
+
+		// a follows b now, and does not answer with what it held.
+		f.list(t, "a")
+		assert.Equal(t, f.relays["a"].answer(t.Context(), question{Op: opList, Kind: "k"}).Verdict, verdictLost)
+	})
+}
+
+// TestChangesAreServedFromWholeAnswersOnly keeps a follower of another reader from taking an old removal for a new one.
+func TestChangesAreServedFromWholeAnswersOnly(t *testing.T) {
+	m := newMirror("k", clockwork.NewFakeClock())
+	m.listed(ferryplatform.Changes{Version: 5, Objects: []ferryplatform.Object{{Name: "x", Version: 4}}})
+	m.changed(5, ferryplatform.Changes{Version: 8, Objects: []ferryplatform.Object{
+		{Name: "x", Version: 4, Deleted: true}, {Name: "x", Version: 7, Value: []byte("new")}, {Name: "y", Version: 8},
+	}})
+	for _, tc := range []struct {
+		after   ferryplatform.Version
+		want    verdict
+		changes int
+	}{
+		{after: 5, want: verdictOK, changes: 3},
+		{after: 6, want: verdictGone},
+		{after: 8, want: verdictOK},
+		{after: 9, want: verdictOK},
+		{after: 4, want: verdictGone},
+	} {
+		c, v, _ := m.since(tc.after)
+		assert.Equal(t, v, tc.want, "after %d", tc.after)
+		assert.Equal(t, len(c.Objects), tc.changes, "after %d", tc.after)
+		assert.Assert(t, c.Version >= tc.after)
+	}
+	list, ok := m.list()
+	assert.Assert(t, ok)
+	assert.Equal(t, text(list), "x=new y=")
+}
+
+func TestFoundObjectsArePassedOnBeforeTheWatchTellsOfThem(t *testing.T) {
+	m := newMirror("k", clockwork.NewFakeClock())
+	m.listed(ferryplatform.Changes{Version: 5})
+	m.found(ferryplatform.Object{Name: "x", Version: 9, Value: []byte("new")})
+	c, v, _ := m.since(5)
+	assert.Equal(t, v, verdictOK)
+	assert.Equal(t, text(c), "x=new")
+	m.changed(5, ferryplatform.Changes{Version: 9, Objects: []ferryplatform.Object{{Name: "x", Version: 9, Value: []byte("new")}}})
+	c, v, _ = m.since(9)
+	assert.Equal(t, v, verdictOK)
+	assert.Equal(t, len(c.Objects), 0)
+}
+
+func TestMessagesAreChecked(t *testing.T) {
+	for _, b := range []string{"", "\xa0", "\xa1\x01\x09", "\xa2\x01\x01\x02\x60", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"} {
+		_, err := decodeQuestion([]byte(b))
+		assert.ErrorContains(t, err, "decode question", "%x", b)
+	}
+	for _, b := range []string{"", "\xa0", "\xa2\x01\x01\x04\x20", "\xa2\x01\x01\x03\x81\xa0"} {
+		_, err := decodeAnswer([]byte(b))
+		assert.ErrorContains(t, err, "decode answer", "%x", b)
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("\xa2\x01\x01\x02\x05"))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		r := newFleet("a").relays["a"]
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, _ = r.Answer(ctx, ferrypeer.Member{}, b)
+		if a, err := decodeAnswer(b); err == nil {
+			_ = a.changes("k")
+		}
+	})
+}
--- /dev/null
+++ b/ferry/ferryrelay/serve.go
@@ -0,0 +1,50 @@
+package ferryrelay
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cactusferry.dev/ferry/ferrypeer"
+)
+
+// Answer answers another entry; it is the overlay's Handler for AskKind.
+func (r *Relay) Answer(ctx context.Context, _ ferrypeer.Member, body []byte) ([]byte, error) {
+	q, err := decodeQuestion(body)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(r.answer(ctx, q))
+}
+
+func (r *Relay) answer(ctx context.Context, q question) answer {
+	switch q.Op {
+	case opList:
+		c, ok := r.mirror(q.Kind).list()
+		if !ok {
+			return answer{Verdict: verdictLost}
+		}
+		return answerOf(c)
+	case opWatch:
+		c, v := r.mirror(q.Kind).watch(ctx, q.After, q.Wait)
+		a := answerOf(c)
+		a.Verdict = v
+		return a
+	}
+	return r.answerProof(q)
+}
+
+// answerProof passes this entry's own newest proof on.
+func (r *Relay) answerProof(q question) answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.proofs[q.Kind+"/"+q.Name]
+	age := r.cfg.Clock.Since(p.at)
+	if !ok || age > proofKept {
+		return answer{Verdict: verdictLost}
+	}
+	return answer{
+		Verdict: verdictOK, Age: age,
+		Objects: []object{{Name: p.object.Name, Version: p.object.Version, Value: p.object.Value}},
+	}
+}
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -12,14 +12,18 @@
 	// configWait is how long one watch of the configuration lasts without a change, less than the platform keeps its history; readings that
 	// prove the configuration current notice a silent connection before.
 	configWait = 12 * time.Second
-	// paceShare is the part of a promise that the pause between two answers of a watch may take.
+	// watchPace is the pause after an answer with changes, so that a quick series of them costs few calls.
+	watchPace = 300 * time.Millisecond
+	// paceShare is the part of a promise that such a pause may take at most.
 	paceShare = 4
-	// proofShare is how many times the configuration is proved current within the age that keys may have.
-	proofShare = 1.6
+	// proofShare is how many times the configuration is proved current within the age that keys may have; what another entry has read may be old by proofRead already.
+	proofShare = 2.5
+	// proofRead is the pause between two proofs of an entry that reads for others.
+	proofRead = time.Second
 	// proofRetry follows a failed proof.
-	proofRetry = 300 * time.Millisecond
-	// proofTimeout bounds one reading.
-	proofTimeout = time.Second
+	proofRetry = 500 * time.Millisecond
+	// proofTimeout bounds one reading, from another entry or, failing that, from the platform.
+	proofTimeout = 1500 * time.Millisecond
 	// proofIdle is the pause between two proofs where keys may have any age.
 	proofIdle = 5 * time.Second
 )
@@ -40,7 +44,15 @@
 }
 
 func (e *Edge) followConfig(ctx context.Context) {
-	e.follow(ctx, e.cfg.Objects.ConfigurationKind, configWait, e.cfg.Promise.ConfigWithin/paceShare, configWatcher{e})
+	e.follow(ctx, e.cfg.Objects.ConfigurationKind, configWait, pace(e.cfg.Promise.ConfigWithin), configWatcher{e})
+}
+
+// pace is the pause after changes where they must be known within a time; zero stands for no promise.
+func pace(within time.Duration) time.Duration {
+	if within <= 0 {
+		return watchPace
+	}
+	return min(watchPace, within/paceShare)
 }
 
 // offer decodes a configuration and brings it into force if it is newer.
@@ -61,10 +73,6 @@
 
 // proveConfig reads the configuration now and then, since a watch that says nothing proves nothing.
 func (e *Edge) proveConfig(ctx context.Context) {
-	every := proofIdle
-	if e.cfg.Promise.KeyAge > 0 {
-		every = time.Duration(float64(e.cfg.Promise.KeyAge) / proofShare)
-	}
 	lost := false
 	for ctx.Err() == nil {
 		err := e.prove(ctx)
@@ -82,7 +90,7 @@
 			e.blind.Store(false)
 			e.cfg.Log.Info().Msg("configuration is proved current again")
 		}
-		wait := every
+		wait := e.proofPause()
 		if err != nil {
 			wait = proofRetry
 		}
@@ -90,11 +98,21 @@
 	}
 }
 
+// proofPause is how long one proof lasts.
+func (e *Edge) proofPause() time.Duration {
+	switch age := e.cfg.Promise.KeyAge; {
+	case e.relay.Reads():
+		return proofRead
+	case age > 0:
+		return time.Duration(float64(age) / proofShare)
+	}
+	return proofIdle
+}
+
 func (e *Edge) prove(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
-	at := e.cfg.Steady.Now()
-	o, err := e.cfg.Store.Get(ctx, e.cfg.Objects.ConfigurationKind, e.cfg.Objects.ConfigurationName)
+	o, at, err := e.relay.Prove(ctx, e.cfg.Objects.ConfigurationKind, e.cfg.Objects.ConfigurationName)
 	if err != nil {
 		return err
 	}
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -19,6 +19,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
 	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferryrelay"
 	"cactusferry.dev/ferryd/ferrymetrics"
 )
 
@@ -62,7 +63,8 @@
 	peer      *ferrypeer.Node
 	placement *placement
 	states    *ferrypeer.Latest[entryState]
-	// blind says that this entry does not reach the platform.
+	relay     *ferryrelay.Relay
+	// blind says that this entry cannot prove the configuration current.
 	blind atomic.Bool
 	// conditions are what the engines say of themselves, as some entries have read it.
 	conditions *ferrypeer.Latest[conditions]
@@ -89,6 +91,7 @@
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Handle: e.forwarder.Handle, Refused: e.forwarder.Refused, Limits: e.limits, MaxConns: cfg.MaxConns,
 	})
+	e.newRelay()
 	e.placement = e.newPlacement()
 	e.holder.OnChange(e.onConfig)
 	e.upstreams.OnChange(e.services.SetView)
@@ -199,7 +202,7 @@
 // follow keeps a view of one kind of the platform's objects current until the context ends.
 func (e *Edge) follow(ctx context.Context, kind string, wait, pace time.Duration, w ferryfollow.Watcher) {
 	ferryfollow.New(ferryfollow.Config{
-		Store: e.cfg.Store, Kind: kind, Clock: e.cfg.Clock, Log: e.cfg.Log, Wait: wait, Pace: pace, Watcher: w,
+		Source: e.relay, Kind: kind, Clock: e.cfg.Clock, Log: e.cfg.Log, Wait: wait, Pace: pace, Watcher: w,
 	}).Run(ctx)
 }
 
--- a/ferryd/ferryedge/overlay.go
+++ b/ferryd/ferryedge/overlay.go
@@ -3,6 +3,7 @@
 import (
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferryrelay"
 )
 
 // newOverlay makes this entry's part in the overlay.
@@ -12,7 +13,8 @@
 			Name: e.cfg.Name, Incarnation: e.self, FailureDomain: e.cfg.Domain, PeerAddress: e.cfg.Peers, CallerAddress: e.cfg.Callers,
 		},
 		Seeds: e.cfg.Seeds, Clock: e.cfg.Steady, Log: e.cfg.Log, Events: e.events, OnMembers: e.onMembers,
-		Topics: []ferrypeer.Topic{e.states.Topic(), e.conditions.Topic()},
+		Topics:   []ferrypeer.Topic{e.states.Topic(), e.conditions.Topic()},
+		Handlers: map[ferrypeer.AskKind]ferrypeer.Handler{ferryrelay.AskKind: e.relay.Answer},
 	})
 	e.states.Notify(e.peer.Publish)
 	e.conditions.Notify(e.peer.Publish)
--- a/ferryd/ferryedge/placement.go
+++ b/ferryd/ferryedge/placement.go
@@ -84,12 +84,12 @@
 		return true
 	}
 	for _, m := range ms.List {
-		if entry, ok := p.states.Get(string(m.Name)); ok && entry.Value.Orders && m.Usable() && !p.isBlind(m.Name) {
+		if entry, ok := p.states.Get(string(m.Name)); ok && entry.Value.Orders && m.Usable() && p.reaches(m.Name) {
 			return false
 		}
 	}
 	for _, name := range ferryduty.Holders(ms, dutyPlacement, len(ms.List)) {
-		if !p.isBlind(name) {
+		if p.reaches(name) {
 			return name == p.cfg.Name
 		}
 	}
--- a/ferryd/ferryedge/share.go
+++ b/ferryd/ferryedge/share.go
@@ -25,10 +25,12 @@
 type entryState struct {
 	// Spent is what it has sent again of each service in the last window.
 	Spent map[ferryid.ServiceName]ferrybudget.Spent `cbor:"1,keyasint"`
-	// Blind says that it does not reach the platform, and so should hold no duty that needs it.
+	// Blind says that it cannot prove the configuration current, and so should get no callers where others can.
 	Blind bool `cbor:"2,keyasint,omitempty"`
 	// Orders says that it holds the lease for the orders to engines.
 	Orders bool `cbor:"3,keyasint,omitempty"`
+	// Unreached says that its own calls to the platform fail, and so that it should hold no duty that needs them.
+	Unreached bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Check returns an error for numbers that no entry can have.
@@ -56,7 +58,7 @@
 	toldAt := e.cfg.Clock.Now()
 	for e.pause(ctx, e.shareInterval()) {
 		e.services.SetSpent(e.othersSpent())
-		now := entryState{Spent: e.services.Spent(), Blind: e.blind.Load(), Orders: e.placement.held.Load()}
+		now := entryState{Spent: e.services.Spent(), Blind: e.blind.Load(), Orders: e.placement.held.Load(), Unreached: !e.relay.Reached()}
 		if !told.differs(now) && (now.quiet() || e.cfg.Clock.Since(toldAt) < stateKept/2) {
 			continue
 		}
@@ -88,7 +90,7 @@
 	return sum
 }
 
-// isBlind reports whether an entry does not reach the platform, as far as this one has heard.
+// isBlind reports whether an entry cannot prove the configuration current, as far as this one has heard.
 func (e *Edge) isBlind(name ferryid.EntryName) bool {
 	if name == e.cfg.Name {
 		return e.blind.Load()
@@ -97,6 +99,15 @@
 	return ok && entry.Value.Blind
 }
 
+// reaches reports whether an entry's own calls to the platform are answered, as far as this one has heard.
+func (e *Edge) reaches(name ferryid.EntryName) bool {
+	if name == e.cfg.Name {
+		return e.relay.Reached()
+	}
+	entry, ok := e.states.Get(string(name))
+	return !ok || !entry.Value.Unreached
+}
+
 // differs reports whether the others should know of the newer state.
 func (s entryState) differs(newer entryState) bool {
 	for name, v := range newer.Spent {
@@ -104,7 +115,7 @@
 			return true
 		}
 	}
-	return s.Blind != newer.Blind || s.Orders != newer.Orders
+	return s.Blind != newer.Blind || s.Orders != newer.Orders || s.Unreached != newer.Unreached
 }
 
 // quiet reports whether there is nothing that the others must go on knowing.
@@ -114,5 +125,5 @@
 			return false
 		}
 	}
-	return !s.Blind && !s.Orders
+	return !s.Blind && !s.Orders && !s.Unreached
 }
--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -74,7 +74,7 @@
 }
 
 func (e *Edge) followUpstreams(ctx context.Context) {
-	e.follow(ctx, e.cfg.Objects.UpstreamKind, upstreamWait, e.cfg.Promise.LeaveWithin/paceShare, upstreamWatcher{e})
+	e.follow(ctx, e.cfg.Objects.UpstreamKind, upstreamWait, pace(e.cfg.Promise.LeaveWithin), upstreamWatcher{e})
 }
 
 func (e *Edge) expireUpstreams(ctx context.Context) {
