--- a/ferry/ferrybudget/budget.go
+++ b/ferry/ferrybudget/budget.go
@@ -13,6 +13,10 @@
 	safety = 0.95
 	// leastHearing is how long what one entry has spent takes at least until all others know it.
 	leastHearing = 300 * time.Millisecond
+	// untoldShare is the part of the allowance that entries of a large fleet may use without telling the others, which take it for used. In
+	// fleets of up to smallFleet entries it would be missed where one failure domain needs most of the budget, and telling costs little.
+	untoldShare = 0.3
+	smallFleet  = 16
 	// leastEntries is how many entries are assumed until more are known.
 	leastEntries = 3
 )
@@ -74,11 +78,32 @@
 	return Spent{Requests: sum(b.requests), Repeats: sum(b.repeats)}
 }
 
-// SetOthers says what all other entries have counted, as far as this one has heard; it is called several times a second.
-func (b *Budget) SetOthers(s Spent) {
+// Untold is how many repetitions in a window this entry need not tell the others of.
+func (b *Budget) Untold() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others, b.heard = s, b.cfg.Clock.Now()
+	return b.untold()
+}
+
+func (b *Budget) untold() int {
+	if b.entries <= smallFleet {
+		return 0
+	}
+	return int(untoldShare * b.allowance() / float64(b.entries))
+}
+
+// SetOthers says what other entries have told, as far as this one has heard; it is called several times a second. Entries that tell
+// nothing may have used what they need not tell.
+func (b *Budget) SetOthers(told []Spent) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	untold := b.untold()
+	sum := Spent{Repeats: untold * max(0, b.entries-1-len(told))}
+	for _, s := range told {
+		sum.Requests += s.Requests
+		sum.Repeats += max(untold, s.Repeats)
+	}
+	b.others, b.heard = sum, b.cfg.Clock.Now()
 }
 
 // Request counts a caller's request.
@@ -121,9 +146,9 @@
 	if b.heard.IsZero() || b.cfg.Clock.Since(b.heard) > max(heardFor, b.hearing) {
 		return safety*(b.cfg.Ratio*float64(sum(b.requests))+b.allowance()/float64(b.entries)) - spent
 	}
-	all := safety*(b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests)+b.allowance()) - spent - float64(b.others.Repeats)
+	all := safety*(b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests)+b.allowance()) - max(spent, float64(b.untold())) - float64(b.others.Repeats)
 	fresh := float64(b.forget())
-	return min((all+fresh)/float64(2*b.entries)-fresh, all)
+	return max(min((all+fresh)/float64(2*b.entries)-fresh, all), float64(b.untold())-spent)
 }
 
 // allowance is what may be sent again beside the share of the requests.
--- a/ferry/ferryduty/duty_test.go
+++ b/ferry/ferryduty/duty_test.go
@@ -138,3 +138,16 @@
 		})
 	}
 }
+
+func TestDutiesOfAFailureDomainGoToUsableEntriesFirst(t *testing.T) {
+	ms := membersOf(9, 3)
+	first := ferryduty.InDomain(ms, "reader", "domain-0")
+	assert.Equal(t, len(first), 3)
+	for i := range ms.List {
+		if ms.List[i].Name == first[0] {
+			ms.List[i].State = ferrypeer.Draining
+		}
+	}
+	assert.DeepEqual(t, ferryduty.InDomain(ms, "reader", "domain-0"), []ferryid.EntryName{first[1], first[2], first[0]})
+	assert.DeepEqual(t, ferryduty.InDomain(without(ms, first[0]), "reader", "domain-0"), []ferryid.EntryName{first[1], first[2]})
+}
--- a/ferry/ferryduty/holder.go
+++ b/ferry/ferryduty/holder.go
@@ -63,15 +63,20 @@
 	return out
 }
 
-// InDomain returns the usable members of a failure domain, those that hold the duty there first.
+// InDomain returns the live members of a failure domain, usable ones first, and among these the ones that hold the duty there.
 func InDomain(ms ferrypeer.Members, d Duty, domain ferryid.DomainName) []ferryid.EntryName {
-	var out []ferryid.EntryName
-	for _, c := range rank(ms, d) {
+	var usable, others []ferryid.EntryName
+	for _, c := range order(ms, d, ferrypeer.MemberInfo.Usable) {
 		if c.domain == domain {
-			out = append(out, c.name)
+			usable = append(usable, c.name)
 		}
 	}
-	return out
+	for _, c := range order(ms, d, ferrypeer.MemberInfo.Live) {
+		if c.domain == domain && !slices.Contains(usable, c.name) {
+			others = append(others, c.name)
+		}
+	}
+	return append(usable, others...)
 }
 
 // Holds reports whether this process is among the k holders of the duty.
@@ -84,10 +89,15 @@
 	return slices.Contains(HoldersPerDomain(ms, d, k), ms.Self)
 }
 
+// rank orders the usable members by their weight for a duty.
 func rank(ms ferrypeer.Members, d Duty) []candidate {
+	return order(ms, d, ferrypeer.MemberInfo.Usable)
+}
+
+func order(ms ferrypeer.Members, d Duty, may func(ferrypeer.MemberInfo) bool) []candidate {
 	out := make([]candidate, 0, len(ms.List))
 	for _, m := range ms.List {
-		if m.Usable() {
+		if may(m) {
 			out = append(out, candidate{name: m.Name, domain: m.FailureDomain, weight: weigh(d, m.Name)})
 		}
 	}
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -101,19 +101,21 @@
 	return out
 }
 
-// Spent is what this entry has sent again of each service in the last window.
+// Spent is what this entry has sent again of each service in the last window, where the others have to know it.
 func (s *Services) Spent() map[ferryid.ServiceName]ferrybudget.Spent {
 	out := map[ferryid.ServiceName]ferrybudget.Spent{}
 	for name, sv := range *s.current.Load() {
-		out[name] = sv.budget.Own()
+		if own := sv.budget.Own(); own.Repeats > sv.budget.Untold() {
+			out[name] = own
+		}
 	}
 	return out
 }
 
-// SetSpent takes what the other entries have sent again in the last window.
-func (s *Services) SetSpent(others map[ferryid.ServiceName]ferrybudget.Spent) {
+// SetSpent takes what other entries have told of each service.
+func (s *Services) SetSpent(told map[ferryid.ServiceName][]ferrybudget.Spent) {
 	for name, sv := range *s.current.Load() {
-		sv.budget.SetOthers(others[name])
+		sv.budget.SetOthers(told[name])
 	}
 }
 
--- a/ferry/ferrypeer/member.go
+++ b/ferry/ferrypeer/member.go
@@ -124,6 +124,9 @@
 	Load   Load
 }
 
+// Live reports whether it is alive or only suspected.
+func (m MemberInfo) Live() bool { return m.Status == Alive || m.Status == Suspect }
+
 // Usable reports whether new callers and duties may be given to the member.
 func (m MemberInfo) Usable() bool {
 	return m.Status == Alive && m.State == Ready
@@ -151,7 +154,7 @@
 func (ms Members) Live() []MemberInfo {
 	out := make([]MemberInfo, 0, len(ms.List))
 	for _, m := range ms.List {
-		if m.Status == Alive || m.Status == Suspect {
+		if m.Live() {
 			out = append(out, m)
 		}
 	}
--- a/ferry/ferrypeer/spread.go
+++ b/ferry/ferrypeer/spread.go
@@ -15,6 +15,8 @@
 	// repair joins them, and twice as many copies cost little.
 	smallEagerLinks = 4
 	smallFleet      = 32
+	// leastFarEager is how many links into other failure domains go on pushing, so that no domain is left to repairs.
+	leastFarEager   = 1
 	maxPendingItems = 4096
 	maxPushBytes    = 64 << 10
 	pullFor         = 2 * time.Second
@@ -239,11 +241,35 @@
 		l.eager = true
 		o.do(Send{Link: l.id, Message: &Tree{Eager: true}})
 	case !m.Repair && changed == 0 && l.eager && o.eagerLinks() > o.leastEager():
-		l.eager = false
-		o.do(Send{Link: l.id, Message: &Tree{Eager: false}})
+		spare := o.spare(l)
+		spare.eager = false
+		o.do(Send{Link: spare.id, Message: &Tree{Eager: false}})
 	}
 }
 
+// spare returns the link that is left to digests when this one brings nothing new: rather one into another failure domain, as long as
+// another such link goes on, since bytes between domains cost more.
+func (o *Overlay) spare(l *link) *link {
+	if o.far(l) {
+		return l
+	}
+	var far []*link
+	for _, id := range o.linkIDs() {
+		if f := o.links[id]; f.eager && o.far(f) {
+			far = append(far, f)
+		}
+	}
+	if len(far) <= leastFarEager {
+		return l
+	}
+	return far[0]
+}
+
+// far reports whether a link leads into another failure domain.
+func (o *Overlay) far(l *link) bool {
+	return l.peer.FailureDomain != o.table.self.Member.FailureDomain
+}
+
 // leastEager is the number of links that go on pushing whatever they bring.
 func (o *Overlay) leastEager() int {
 	if len(o.table.rows) <= smallFleet {
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -81,7 +81,7 @@
 	relayed, direct, refused tally.Counter
 }
 
-// proof is an object as the platform gave it, and when the call for it began.
+// proof is an object as the platform gave it, and when the call for it began; an object without a name is not there.
 type proof struct {
 	object ferryplatform.Object
 	at     time.Time
@@ -200,8 +200,11 @@
 	}
 	asked := r.cfg.Clock.Now()
 	a, err := r.ask(ctx, question{Op: opProve, Kind: kind, Name: name})
-	if err == nil && len(a.Objects) == 1 {
+	switch {
+	case err == nil && len(a.Objects) == 1:
 		return a.changes(kind).Objects[0], asked.Add(-a.Age), nil
+	case err == nil:
+		return ferryplatform.Object{}, asked.Add(-a.Age), &ferryplatform.NotFoundError{Kind: kind, Name: name}
 	}
 	if lost := r.rest(err); lost != nil {
 		return ferryplatform.Object{}, time.Time{}, lost
@@ -214,14 +217,16 @@
 	at := r.cfg.Clock.Now()
 	o, err := r.cfg.Platform.Get(ctx, kind, name)
 	r.note(ctx, err)
-	if err != nil {
+	if err != nil && !known(err) {
 		return o, at, err
 	}
-	r.mirror(kind).found(o)
+	if err == nil {
+		r.mirror(kind).found(o)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.proofs[kind+"/"+name] = proof{object: o, at: at}
-	return o, at, nil
+	return o, at, err
 }
 
 // ask asks the reader; the error is errNoReader if there is none or it does not answer, or a *LostError.
--- a/ferry/ferryrelay/relay_test.go
+++ b/ferry/ferryrelay/relay_test.go
@@ -189,6 +189,20 @@
 	})
 }
 
+func TestThatAnObjectIsMissingIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.reader = "a"
+		for _, name := range []ferryid.EntryName{"a", "b"} {
+			_, _, err := f.relays[name].Prove(t.Context(), "k", "x")
+			var missing *ferryplatform.NotFoundError
+			assert.Assert(t, errors.As(err, &missing))
+		}
+		assert.Equal(t, f.calls("b"), 0)
+		assert.Assert(t, f.relays["a"].Reached(), "that it is missing is an answer")
+	})
+}
+
 func TestASilentReaderIsLeftOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b")
--- a/ferry/ferryrelay/serve.go
+++ b/ferry/ferryrelay/serve.go
@@ -43,8 +43,9 @@
 	if !ok || age > proofKept {
 		return answer{Verdict: verdictLost}
 	}
-	return answer{
-		Verdict: verdictOK, Age: age,
-		Objects: []object{{Name: p.object.Name, Version: p.object.Version, Value: p.object.Value}},
+	out := answer{Verdict: verdictOK, Age: age}
+	if p.object.Name != "" {
+		out.Objects = []object{{Name: p.object.Name, Version: p.object.Version, Value: p.object.Value}}
 	}
+	return out
 }
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -158,9 +159,7 @@
 		return merry.Prepend(err, "listen")
 	}
 	g.Go(func() error { return e.peer.Run(ctx) })
-	g.Go(func() error { e.followConfig(ctx); return nil })
-	g.Go(func() error { e.proveConfig(ctx); return nil })
-	g.Go(func() error { e.followUpstreams(ctx); return nil })
+	g.Go(func() error { e.readPlatform(ctx); return nil })
 	g.Go(func() error { e.expireUpstreams(ctx); return nil })
 	g.Go(func() error { e.placement.run(ctx); return nil })
 	g.Go(func() error { e.shareState(ctx); return nil })
@@ -180,6 +179,16 @@
 	return err
 }
 
+// readPlatform follows the configuration and the upstreams.
+func (e *Edge) readPlatform(ctx context.Context) {
+	e.awaitCompany(ctx)
+	var wg sync.WaitGroup
+	for _, read := range []func(context.Context){e.followConfig, e.proveConfig, e.followUpstreams} {
+		wg.Go(func() { read(ctx) })
+	}
+	wg.Wait()
+}
+
 // sweep closes idle connections to upstreams now and then.
 func (e *Edge) sweep(ctx context.Context) {
 	for e.pause(ctx, sweepEvery) {
--- a/ferryd/ferryedge/overlay.go
+++ b/ferryd/ferryedge/overlay.go
@@ -1,6 +1,8 @@
 package ferryedge
 
 import (
+	"time"
+
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryrelay"
@@ -40,5 +42,5 @@
 	for _, m := range ms.Live() {
 		byDomain[m.FailureDomain]++
 	}
-	e.services.SetEntries(byDomain, shareHops*shareInterval(len(ms.Live())))
+	e.services.SetEntries(byDomain, shareHops*shareEvery*time.Duration(crowd(len(ms.Live()))))
 }
--- a/ferryd/ferryedge/relay.go
+++ b/ferryd/ferryedge/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"cactusferry.dev/ferry/ferryduty"
 	"cactusferry.dev/ferry/ferryid"
@@ -46,3 +47,16 @@
 	m, ok := ms.Get(name)
 	return ferryrelay.Reader{Name: name, Incarnation: m.Incarnation}, ok && name != e.cfg.Name
 }
+
+const (
+	// companyWait is how long a starting entry waits for word of others before it reads the platform by itself; seeds answer within a few milliseconds.
+	companyWait  = 300 * time.Millisecond
+	companyCheck = 20 * time.Millisecond
+)
+
+// awaitCompany waits until others are known, from which the platform's objects may be read, or a little while.
+func (e *Edge) awaitCompany(ctx context.Context) {
+	for waited := time.Duration(0); waited < companyWait && len(e.peer.Members().Live()) <= 1; waited += companyCheck {
+		e.pause(ctx, companyCheck)
+	}
+}
--- a/ferryd/ferryedge/share.go
+++ b/ferryd/ferryedge/share.go
@@ -12,9 +12,9 @@
 
 const (
 	topicStates ferrypeer.TopicName = "states"
-	// shareEvery is how often an entry looks whether it has something to tell, in a fleet of up to shareEntries; larger ones tell less often.
-	shareEvery   = 100 * time.Millisecond
-	shareEntries = 16
+	// shareEvery is how often an entry looks whether it has something to tell, in a fleet of up to smallFleet entries; larger ones tell less often.
+	shareEvery = 100 * time.Millisecond
+	smallFleet = 16
 	// stateKept is how long what an entry told is believed; it tells again in half that time while there is anything to tell.
 	stateKept   = 4 * time.Second
 	maxServices = 64
@@ -69,25 +69,25 @@
 
 // shareInterval grows with the fleet, so that what one entry hears does not.
 func (e *Edge) shareInterval() time.Duration {
-	return shareInterval(len(e.peer.Members().Live()))
+	return shareEvery * time.Duration(e.crowd())
 }
 
-func shareInterval(entries int) time.Duration {
-	return shareEvery * time.Duration(max(1, entries/shareEntries))
-}
+// crowd is how many times as large as a small fleet this one is, and at least one.
+func (e *Edge) crowd() int { return crowd(len(e.peer.Members().Live())) }
+
+func crowd(entries int) int { return max(1, entries/smallFleet) }
 
-func (e *Edge) othersSpent() map[ferryid.ServiceName]ferrybudget.Spent {
-	sum := map[ferryid.ServiceName]ferrybudget.Spent{}
+func (e *Edge) othersSpent() map[ferryid.ServiceName][]ferrybudget.Spent {
+	told := map[ferryid.ServiceName][]ferrybudget.Spent{}
 	for _, entry := range e.states.All() {
 		if entry.Origin == e.cfg.Name {
 			continue
 		}
 		for name, v := range entry.Value.Spent {
-			s := sum[name]
-			sum[name] = ferrybudget.Spent{Requests: s.Requests + v.Requests, Repeats: s.Repeats + v.Repeats}
+			told[name] = append(told[name], v)
 		}
 	}
-	return sum
+	return told
 }
 
 // isBlind reports whether an entry cannot prove the configuration current, as far as this one has heard.
@@ -108,10 +108,10 @@
 	return !ok || !entry.Value.Unreached
 }
 
-// differs reports whether the others should know of the newer state.
+// differs reports whether the others should know of the newer state at once; that less was spent they may hear later.
 func (s entryState) differs(newer entryState) bool {
 	for name, v := range newer.Spent {
-		if v.Repeats != s.Spent[name].Repeats {
+		if v.Repeats > s.Spent[name].Repeats {
 			return true
 		}
 	}
@@ -120,10 +120,5 @@
 
 // quiet reports whether there is nothing that the others must go on knowing.
 func (s entryState) quiet() bool {
-	for _, v := range s.Spent {
-		if v.Repeats > 0 {
-			return false
-		}
-	}
-	return !s.Blind && !s.Orders && !s.Unreached
+	return len(s.Spent) == 0 && !s.Blind && !s.Orders && !s.Unreached
 }
