Requests wait for a starting entry, and a planned stop does not wait for silent peers

Ruled out: reading the platform without waiting for others (150 ms stay, and cost a call each); not listening before the start is done (callers would be refused all the same); closing connections without saying why (successors would take the process for dead).

Change: a request that comes before configuration, upstreams and the proof of the keys are known waits 400 ms at most; a connection that ends hands over for 400 ms at most; peers are told for 500 ms at most that an entry leaves. Connections end by their reason alone, no longer by the node's context, which hid the fault in a test.

--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -17,7 +17,7 @@
 	"cactusferry.dev/ferry/ferryoutcome"
 )
 
-// Config is what a Forwarder needs; all but MaxAge and OthersServe must be set.
+// Config is what a Forwarder needs; all but MaxAge, OthersServe and Started must be set.
 type Config struct {
 	Clock clockwork.Clock
 	// Steady is a clock that also counts the time for which the instance is suspended.
@@ -26,6 +26,8 @@
 	Services *Services
 	Dialect  Dialect
 	Client   *ferryexchange.Client
+	// Started is closed once the entry knows all that it needs to serve; requests that come before wait a little. It may be nil.
+	Started <-chan struct{}
 	// OthersServe reports whether some other entry could serve what this one cannot for want of the platform.
 	OthersServe func() bool
 	// Rerouter moves runs around engines that are gone.
@@ -59,6 +61,7 @@
 
 // Handle answers one call.
 func (f *Forwarder) Handle(ctx context.Context, c *ferryingress.Call) {
+	f.awaitStart(ctx)
 	r, p := f.admit(c)
 	if p != nil {
 		f.problem(c, r.ID, p)
@@ -74,6 +77,26 @@
 	f.plain(ctx, r)
 }
 
+// startWait is how long a request waits for an entry that starts, which reads what it needs in about 150 ms where the platform answers.
+const startWait = 400 * time.Millisecond
+
+// awaitStart keeps a request that came while the entry was starting for a little while: it will be served sooner than by coming back.
+func (f *Forwarder) awaitStart(ctx context.Context) {
+	if f.cfg.Started == nil {
+		return
+	}
+	select {
+	case <-f.cfg.Started:
+		return
+	default:
+	}
+	select {
+	case <-f.cfg.Started:
+	case <-ctx.Done():
+	case <-f.cfg.Clock.After(startWait):
+	}
+}
+
 // admit finds the route and the customer of a call, or the problem that stands in its way.
 func (f *Forwarder) admit(c *ferryingress.Call) (*request, *ferryoutcome.Problem) {
 	r := &request{call: c}
--- a/ferry/ferrypeer/conn.go
+++ b/ferry/ferrypeer/conn.go
@@ -19,6 +19,9 @@
 	writeTimeout      = 4 * time.Second
 	dialTimeout       = 2 * time.Second
 	compressFromBytes = 4 << 10
+	// closeTimeout is how long a connection that ends may take to hand over what is queued; links take a few milliseconds, and a process
+	// that stops must not wait for a peer that fell silent.
+	closeTimeout = 400 * time.Millisecond
 )
 
 // conn is one authenticated connection, a link or one for asks; one goroutine reads it and one writes it.
@@ -33,6 +36,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	reason  atomic.Pointer[CloseReason]
+	// reading ends the reads of a connection that has not ended by itself.
+	reading     context.Context
+	stopReading context.CancelFunc
 
 	mu      sync.Mutex
 	askID   uint64
@@ -45,7 +51,9 @@
 		purpose: purpose, peer: peer, tag: peer.Tag(), ws: ws,
 		out: make(chan []byte, outboxFrames), pending: map[uint64]chan *Answer{},
 	}
-	c.ctx, c.cancel = context.WithCancel(ctx)
+	// The connection outlives the node's context for as long as it takes to tell the peer why it ends.
+	c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	c.reading, c.stopReading = context.WithCancel(context.Background())
 	return c
 }
 
@@ -235,6 +243,9 @@
 	n.nextID++
 	c.id = n.nextID
 	n.conns[c.id] = c
+	if n.ended {
+		c.end(CloseLeaving)
+	}
 	if c.purpose == PurposeLink {
 		n.byTag[c.tag] = c
 	}
@@ -255,11 +266,11 @@
 
 // write sends what is queued; after the end it still tries what was queued before, so that a leaving process is heard.
 func (n *Node) write(c *conn) {
-	defer func() { _ = c.ws.CloseNow() }()
 	for {
 		select {
 		case frame := <-c.out:
 			if !n.writeFrame(c, frame) {
+				_ = c.ws.CloseNow()
 				return
 			}
 		case <-c.ctx.Done():
@@ -269,18 +280,38 @@
 	}
 }
 
+// writeRest sends what is queued, says why the connection ends, and waits a little for the peer to have heard it.
 func (n *Node) writeRest(c *conn) {
+	defer c.stopReading()
+	heard := make(chan struct{})
+	go func() {
+		defer close(heard)
+		if !n.writeQueued(c) {
+			_ = c.ws.CloseNow()
+			return
+		}
+		if r := c.reason.Load(); r != nil && *r != CloseSilent {
+			_ = c.ws.Close(websocket.StatusNormalClosure, string(*r))
+			return
+		}
+		_ = c.ws.CloseNow()
+	}()
+	select {
+	case <-heard:
+	case <-n.cfg.Clock.After(closeTimeout):
+	}
+}
+
+// writeQueued reports whether all that was queued is written.
+func (n *Node) writeQueued(c *conn) bool {
 	for {
 		select {
 		case frame := <-c.out:
 			if !n.writeFrame(c, frame) {
-				return
+				return false
 			}
 		default:
-			if r := c.reason.Load(); r != nil && *r != CloseSilent {
-				_ = c.ws.Close(websocket.StatusNormalClosure, string(*r))
-			}
-			return
+			return true
 		}
 	}
 }
@@ -296,10 +327,11 @@
 	return true
 }
 
-// read ends when the writer has closed the connection; a cancelled read would close it before the rest is written.
+// read ends when the writer has closed the connection; a read cancelled with the connection's context would close it before the rest is written.
 func (n *Node) read(c *conn) {
+	defer c.stopReading()
 	for {
-		typ, frame, err := c.ws.Read(context.Background())
+		typ, frame, err := c.ws.Read(c.reading)
 		if err != nil {
 			return
 		}
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -122,5 +122,6 @@
 	}
 	e.holder.Offer(s)
 	e.holder.Prove(s.Version, at)
+	e.startIf()
 	return nil
 }
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -65,6 +65,9 @@
 	placement *placement
 	states    *ferrypeer.Latest[entryState]
 	relay     *ferryrelay.Relay
+	// started is closed once requests can be served.
+	started chan struct{}
+	start   sync.Once
 	// blind says that this entry cannot prove the configuration current.
 	blind atomic.Bool
 	// conditions are what the engines say of themselves, as some entries have read it.
@@ -76,7 +79,7 @@
 func New(cfg Config) *Edge {
 	e := &Edge{
 		cfg: cfg, self: newIncarnation(cfg.Name),
-		holder: &ferryconfig.Holder{}, upstreams: ferrydiscovery.NewTable(cfg.Clock),
+		holder: &ferryconfig.Holder{}, started: make(chan struct{}), upstreams: ferrydiscovery.NewTable(cfg.Clock),
 		events:  ferryevent.NewLog(cfg.Steady, string(cfg.Name), eventRing),
 		metrics: ferrymetrics.New("edge", metricsInterval),
 		client:  ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout}),
@@ -87,7 +90,7 @@
 	})
 	e.forwarder = ferryforward.New(ferryforward.Config{
 		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Rerouter: cfg.Engines(e.client),
-		Log: cfg.Log, Scope: e.metrics.Scope, MaxAge: cfg.Promise.KeyAge, OthersServe: func() bool { return e.anySighted(false) },
+		Log: cfg.Log, Scope: e.metrics.Scope, MaxAge: cfg.Promise.KeyAge, Started: e.started, OthersServe: func() bool { return e.anySighted(false) },
 	})
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Handle: e.forwarder.Handle, Refused: e.forwarder.Refused, Limits: e.limits, MaxConns: cfg.MaxConns,
@@ -129,6 +132,18 @@
 	if e.holder.Current() != nil && e.listed.Load() {
 		e.setState(StateReady)
 	}
+	e.startIf()
+}
+
+// startIf lets the requests go that wait for the start: configuration and upstreams must be known, and keys known to be valid.
+func (e *Edge) startIf() {
+	s := e.holder.Current()
+	if s == nil || !e.listed.Load() {
+		return
+	}
+	if _, proved := e.holder.Age(e.cfg.Steady.Now()); proved || !s.Keyed() || e.cfg.Promise.KeyAge <= 0 {
+		e.start.Do(func() { close(e.started) })
+	}
 }
 
 // onConfig brings a new configuration into force.
--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -11,6 +11,8 @@
 	lingerShare = 0.35
 	// exitMargin is kept free of the grace for the exit itself.
 	exitMargin = 300 * time.Millisecond
+	// leaveTimeout is how long the peers may take to hear that this entry goes; links take a few milliseconds.
+	leaveTimeout = 500 * time.Millisecond
 )
 
 // stop waits for a signal and then takes the entry out of use without cutting anything off.
@@ -36,7 +38,9 @@
 	err := e.ingress.Wait(waiting)
 	conns, calls := e.ingress.Open()
 	e.cfg.Log.Info().Dur("Took", e.cfg.Clock.Since(began)).Int64("OpenConnections", conns).Int64("OpenCalls", calls).AnErr("Left", err).Msg("stopped")
-	if err := e.peer.Leave(waiting); err != nil {
+	leaving, cancel := context.WithTimeout(waiting, leaveTimeout)
+	defer cancel()
+	if err := e.peer.Leave(leaving); err != nil {
 		e.cfg.Log.Info().Err(err).Msg("peers not told")
 	}
 }
