--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -14,6 +14,7 @@
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferrylog"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
 
@@ -40,20 +41,34 @@
 
 // Forwarder takes requests to upstreams.
 type Forwarder struct {
-	cfg     Config
-	log     zerolog.Logger
-	metrics metrics
-	prober  *prober
-	maxAge  atomic.Int64
+	cfg Config
+	// log takes what goes wrong with requests, and answers the lines of those that went well; each is bounded by itself.
+	log, answers zerolog.Logger
+	metrics      metrics
+	prober       *prober
+	maxAge       atomic.Int64
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, log: cfg.Log, metrics: metrics{cfg.Scope}, prober: newProber(cfg.Client, cfg.Clock)}
+	f := &Forwarder{
+		cfg: cfg, log: bounded(cfg, troubleLines), answers: bounded(cfg, answerLines),
+		metrics: metrics{cfg.Scope}, prober: newProber(cfg.Client, cfg.Clock),
+	}
 	f.SetMaxAge(cfg.MaxAge)
 	return f
 }
 
+// The most lines in a second on requests that went well, and on all else; a line costs about ten microseconds.
+const (
+	answerLines  = 60
+	troubleLines = 150
+)
+
+func bounded(cfg Config, perSecond int) zerolog.Logger {
+	return ferrylog.New(ferrylog.Config{Log: cfg.Log, Clock: cfg.Clock, PerSecond: perSecond, Scope: cfg.Scope})
+}
+
 // SetMaxAge says how long ago the configuration must have been proved current for a request with a key; zero stands for no limit.
 func (f *Forwarder) SetMaxAge(d time.Duration) {
 	f.maxAge.Store(int64(d))
@@ -64,7 +79,7 @@
 	f.awaitStart(ctx)
 	r, p := f.admit(c)
 	if p != nil {
-		f.problem(c, r.ID, p)
+		f.problem(r, p)
 		return
 	}
 	ctx, cancel := r.timed(ctx)
@@ -99,7 +114,7 @@
 
 // admit finds the route and the customer of a call, or the problem that stands in its way.
 func (f *Forwarder) admit(c *ferryingress.Call) (*request, *ferryoutcome.Problem) {
-	r := &request{call: c}
+	r := &request{call: c, proofAge: noProof}
 	ask, err := f.cfg.Dialect.Ask(c.Header)
 	r.Ask = ask
 	if err != nil {
@@ -109,6 +124,10 @@
 	if s == nil {
 		return r, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "This entry has no configuration yet.").After(afterRestart)
 	}
+	r.version = s.Version
+	if age, proved := f.cfg.Holder.Age(f.cfg.Steady.Now()); proved {
+		r.proofAge = age
+	}
 	if r.route = s.Route(c.Host, c.Path()); r.route == nil {
 		return r, ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "No route for host %q and this path in configuration %d.", c.Host, s.Version)
 	}
@@ -138,9 +157,8 @@
 	if !s.Keyed() || r.route.Public {
 		return nil
 	}
-	age, proved := f.cfg.Holder.Age(f.cfg.Steady.Now())
-	if most := time.Duration(f.maxAge.Load()); most > 0 && (!proved || age >= most) {
-		p := ferryoutcome.New(ferryoutcome.KindPlatformDown, ferryoutcome.NotRun, "The keys were last known to be valid %s ago, the limit is %s.", age.Round(time.Millisecond), most)
+	if most := time.Duration(f.maxAge.Load()); most > 0 && (r.proofAge == noProof || r.proofAge >= most) {
+		p := ferryoutcome.New(ferryoutcome.KindPlatformDown, ferryoutcome.NotRun, "The keys were last known to be valid %s ago, the limit is %s.", r.proofAge.Round(time.Millisecond), most)
 		if f.cfg.OthersServe != nil && f.cfg.OthersServe() {
 			return p.After(afterStale)
 		}
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -58,7 +58,7 @@
 		// An earlier send may have run, so the refusal of the last one says nothing of the request.
 		last = ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Unknown, "An upstream broke off, and then: %s", last.Detail).Because(last.Cause)
 	}
-	f.problem(r.call, r.ID, last)
+	f.problem(r, last)
 }
 
 // wholeAnswer is an upstream's answer, read to its end or as far as it is kept.
@@ -193,7 +193,7 @@
 func (f *Forwarder) deliver(r *request, w *wholeAnswer) {
 	f.cfg.Dialect.Deliver(w.header)
 	defer func() { f.metrics.answered(r.service.name, w.status, f.cfg.Clock.Since(r.call.At)) }()
-	f.log.Debug().Str("Request", string(r.ID)).Str("Service", string(r.service.name)).Str("Upstream", w.pick.Upstream.Name).
+	r.describe(f.answers.Info()).Str("Upstream", w.pick.Upstream.Name).
 		Int("Status", w.status).Int("Sends", r.arrived+r.unsent).Dur("Took", f.cfg.Clock.Since(r.call.At)).Msg("answered")
 	if w.rest != nil {
 		f.deliverRest(r, w)
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
@@ -33,26 +32,27 @@
 }
 
 // problem answers a call with a problem, if it has no answer yet, and logs why.
-func (f *Forwarder) problem(c *ferryingress.Call, id ferryid.RequestID, p *ferryoutcome.Problem) {
+func (f *Forwarder) problem(r *request, p *ferryoutcome.Problem) {
+	c := r.call
 	f.metrics.failed(p)
 	ev := f.log.Warn()
 	if p.Status == http.StatusNotFound || p.Status == http.StatusUnauthorized || p.Status == http.StatusBadRequest {
 		ev = f.log.Info()
 	}
-	ev.Str("Request", string(id)).Str("Target", c.Target).Str("Kind", string(p.Kind)).Int("Status", p.Status).
+	r.describe(ev).Str("Target", c.Target).Int("Sends", r.arrived+r.unsent).Int("Ran", r.ran).Dur("Held", f.cfg.Clock.Since(c.At)).Str("Kind", string(p.Kind)).Int("Status", p.Status).
 		Str("Outcome", string(p.Outcome)).Dur("RetryAfter", p.RetryAfter).AnErr("Cause", p.Cause).Msg(p.Detail)
 	if c.Answered() {
 		return
 	}
-	p.RequestID = string(id)
+	p.RequestID = string(r.ID)
 	body, err := json.Marshal(p)
 	if err != nil {
 		f.log.Error().Err(err).Msg("encode problem")
 	}
 	h := http.Header{"Content-Type": {ferryoutcome.ContentType}, ferryoutcome.Header: {string(p.Outcome)}}
-	f.cfg.Dialect.Refuse(h, id, p.RetryAfter)
+	f.cfg.Dialect.Refuse(h, r.ID, p.RetryAfter)
 	if err := c.Answer(p.Status, h, append(body, '\n')); err != nil {
-		f.log.Info().Str("Request", string(id)).Err(err).Msg("answer not delivered")
+		f.log.Info().Str("Request", string(r.ID)).Err(err).Msg("answer not delivered")
 	}
 }
 
@@ -64,5 +64,5 @@
 	if err != nil {
 		ask.ID = ""
 	}
-	f.problem(c, ask.ID, p)
+	f.problem(&request{call: c, Ask: ask, proofAge: noProof}, p)
 }
--- a/ferry/ferryforward/request.go
+++ b/ferry/ferryforward/request.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
@@ -18,6 +20,9 @@
 	route    *ferryconfig.Route
 	service  *service
 	customer ferryid.CustomerName
+	// version is that of the configuration that the request was judged by, and proofAge how long before it had been proved current.
+	version  ferryconfig.Version
+	proofAge time.Duration
 	// deadline is when the caller must have its answer.
 	deadline time.Time
 	// header are the caller's headers that are passed on.
@@ -34,6 +39,24 @@
 	avoid, full []ferryid.UpstreamName
 }
 
+// noProof is the age of a configuration that has not been proved current yet.
+const noProof = time.Duration(-1)
+
+// describe adds what a request was judged by to a line of the log.
+func (r *request) describe(ev *zerolog.Event) *zerolog.Event {
+	ev.Str("Request", string(r.ID)).Uint64("Configuration", uint64(r.version)).Int64("ProofAge", r.proofAge.Milliseconds())
+	if r.route != nil {
+		ev.Str("Route", string(r.route.Name))
+	}
+	if r.service != nil {
+		ev.Str("Service", string(r.service.name))
+	}
+	if r.customer != "" {
+		ev.Str("Customer", string(r.customer))
+	}
+	return ev
+}
+
 // repeatable reports whether the request may be sent again after it may have run.
 func (r *request) repeatable() bool {
 	return r.route.Repeat == ferryconfig.RepeatAlways || r.route.Repeat == ferryconfig.RepeatFromEvent
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -257,12 +257,15 @@
 // logDone writes how the stream went; late ones stand out.
 func (s *streaming) logDone(w way) {
 	r := s.r
-	ev := s.log.Debug()
+	ev := s.answers.Info()
 	first := s.first.Sub(r.call.At)
 	if (r.route.Objective > 0 && first > r.route.Objective) || (r.route.GapObjective > 0 && s.longest > r.route.GapObjective) {
-		ev = s.log.Info()
+		ev = s.log.Info().Bool("Late", true)
 	}
-	ev.Str("Request", string(r.ID)).Str("Path", pathOf(w)).Int("Events", s.events).Dur("First", first).Dur("LongestPause", s.longest).
+	if c, ok := w.(chain); ok {
+		ev.Int64("ReportAge", c.run.ReportAge().Milliseconds())
+	}
+	r.describe(ev).Str("Path", pathOf(w)).Int("Events", s.events).Dur("First", first).Dur("LongestPause", s.longest).
 		Dur("Took", s.latest.Sub(r.call.At)).Int("Sends", r.arrived+r.unsent).Msg("streamed")
 }
 
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -141,6 +141,8 @@
 	path    atomic.Pointer[Path]
 	chooser *Chooser
 	work    Work
+	// reportAge is how old the oldest of the engines' reports was by which the path was chosen, or Unreported.
+	reportAge time.Duration
 	// progress is when the last event came, by the chooser's clock in nanoseconds.
 	progress atomic.Int64
 }
@@ -151,6 +153,12 @@
 // Path is the path that the generation runs on now.
 func (r *Run) Path() *Path { return r.path.Load() }
 
+// Unreported is the age of a report that was not there.
+const Unreported = time.Duration(-1)
+
+// ReportAge is how old the oldest of the engines' reports was by which the path was chosen, or Unreported if one had none.
+func (r *Run) ReportAge() time.Duration { return r.reportAge }
+
 // Chooser is what the run was picked by.
 func (r *Run) Chooser() *Chooser { return r.chooser }
 
@@ -261,12 +269,25 @@
 		c.names[ferryid.UpstreamName(h.Upstream.Name)].health.Chosen(now)
 	}
 	c.count(path, w, 1)
-	run := &Run{chooser: c, work: w}
+	run := &Run{chooser: c, work: w, reportAge: c.reportAge(path, now)}
 	run.path.Store(path)
 	c.runs[run] = struct{}{}
 	return run, nil
 }
 
+// reportAge is the age of the oldest report of a path's engines.
+func (c *Chooser) reportAge(p *Path, now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, h := range p.hops {
+		e := c.names[ferryid.UpstreamName(h.Upstream.Name)]
+		if !e.known(now) {
+			return Unreported
+		}
+		oldest = max(oldest, now.Sub(e.at))
+	}
+	return oldest
+}
+
 func need(w Work, h Hop) int64 {
 	return int64(w.Prompt+w.Answer) * int64(h.Layers.Len())
 }
--- a/ferry/ferryrelay/message.go
+++ b/ferry/ferryrelay/message.go
@@ -28,10 +28,12 @@
 
 const (
 	verdictOK verdict = iota + 1
-	// verdictLost says that the reader does not follow the platform, or has lost it.
+	// verdictLost says that the reader has lost the platform.
 	verdictLost
 	// verdictGone says that the changes after the version are not kept.
 	verdictGone
+	// verdictNotRead says that the entry does not read the platform, or not yet; nothing is known to be wrong with it.
+	verdictNotRead
 )
 
 func (v verdict) String() string {
@@ -42,6 +44,8 @@
 		return "Lost"
 	case verdictGone:
 		return "Gone"
+	case verdictNotRead:
+		return "NotRead"
 	}
 	return fmt.Sprintf("verdict %d", uint8(v))
 }
@@ -92,7 +96,7 @@
 	if err := cbor.Unmarshal(b, &a); err != nil {
 		return a, fmt.Errorf("decode answer: %w", err)
 	}
-	if a.Verdict < verdictOK || a.Verdict > verdictGone {
+	if a.Verdict < verdictOK || a.Verdict > verdictNotRead {
 		return a, fmt.Errorf("decode answer: %s", a.Verdict)
 	}
 	if a.Age < 0 || a.Age > maxAge {
--- a/ferry/ferryrelay/mirror.go
+++ b/ferry/ferryrelay/mirror.go
@@ -54,6 +54,13 @@
 	m.wake()
 }
 
+// isFilled reports whether the kind has been read from the platform.
+func (m *mirror) isFilled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.filled
+}
+
 // follows reports whether the answer to a watch after a version can be added to what is held.
 func (m *mirror) follows(after ferryplatform.Version) bool {
 	m.mu.Lock()
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -243,6 +243,8 @@
 		return a, errNoReader
 	case a.Verdict == verdictLost:
 		return a, &LostError{Reader: to.Name}
+	case a.Verdict == verdictNotRead:
+		return a, errNoReader
 	}
 	r.route(string(to.Name))
 	r.counts.relayed.Inc(1)
--- a/ferry/ferryrelay/serve.go
+++ b/ferry/ferryrelay/serve.go
@@ -22,11 +22,14 @@
 	case opList:
 		c, ok := r.mirror(q.Kind).list()
 		if !ok {
-			return answer{Verdict: verdictLost}
+			return answer{Verdict: r.unread(q.Kind)}
 		}
 		return answerOf(c)
 	case opWatch:
 		c, v := r.mirror(q.Kind).watch(ctx, q.After, q.Wait)
+		if v == verdictLost {
+			v = r.unread(q.Kind)
+		}
 		a := answerOf(c)
 		a.Verdict = v
 		return a
@@ -34,13 +37,24 @@
 	return r.answerProof(q)
 }
 
+// unread says why a kind cannot be read from this entry: it may just have become the reader.
+func (r *Relay) unread(kind string) verdict {
+	if r.Reached() && !r.mirror(kind).isFilled() {
+		return verdictNotRead
+	}
+	return verdictLost
+}
+
 // answerProof passes this entry's own newest proof on.
 func (r *Relay) answerProof(q question) answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p, ok := r.proofs[q.Kind+"/"+q.Name]
 	age := r.cfg.Clock.Since(p.at)
-	if !ok || age > proofKept {
+	switch {
+	case !ok && r.failed.IsZero():
+		return answer{Verdict: verdictNotRead}
+	case !ok || age > proofKept:
 		return answer{Verdict: verdictLost}
 	}
 	out := answer{Verdict: verdictOK, Age: age}
--- a/ferryd/ferryedge/relay.go
+++ b/ferryd/ferryedge/relay.go
@@ -26,14 +26,14 @@
 
 // reader returns the entry to read the platform's objects from; false means that this entry is one that reads them by itself.
 //
-// It is the first of the failure domain that reaches the platform, else the first of all entries that does; where none does, the first of
-// the failure domain goes on trying for the others.
+// It is the first of the failure domain that serves and reaches the platform, else the first of all entries that does; where none does, the
+// first of the failure domain goes on trying for the others.
 func (e *Edge) reader() (ferryrelay.Reader, bool) {
 	ms := e.peer.Members()
 	near := ferryduty.InDomain(ms, dutyReader, e.cfg.Domain)
 	far := ferryduty.Holders(ms, dutyReader, len(ms.List))
 	for _, name := range slices.Concat(near, far) {
-		if e.reaches(name) {
+		if m, _ := ms.Get(name); e.usable(m) && e.reaches(name) {
 			return e.readFrom(ms, name)
 		}
 	}
