Tests of ferrypath: choices by table, detours, and histories against the layers that engines hold

Cause: the package that chooses paths had no tests of its own. Ruled out: nothing was found wrong; two expectations of the first draft were (equal engines without a cost per request are not spread; a run's avoided engines stay avoided on its detours).

--- /dev/null
+++ b/ferry/ferrypath/chooser_test.go
@@ -0,0 +1,327 @@
+package ferrypath
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cactusferry.dev/ferry/ferryconfig"
+	"cactusferry.dev/ferry/ferrydiscovery"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform"
+	"cactusferry.dev/ferry/ferryrapid"
+)
+
+func TestMain(m *testing.M) { ferryrapid.Main(m, ferryrapid.Settings{Seed: 11, Checks: 200, Steps: 40}) }
+
+// model has 8 layers; a card of it holds 20,000 tokens times layers beside 4 layers.
+func model() *ferryconfig.Model {
+	delays := []ferryconfig.Delay{{From: "a", To: "b", OneWay: time.Millisecond}}
+	return &ferryconfig.Model{
+		Layers: 8, LayerSize: 100, TokenBytes: 80000, StepTime: time.Millisecond, RequestTime: 10 * time.Microsecond, UsualPrompt: 100, UsualAnswer: 20, Delays: delays,
+		Accelerators: []ferryconfig.Accelerator{{Name: "card", Memory: 600, StepFactor: 1, ReadFactor: 1}},
+	}
+}
+
+func upstream(name string, domain ferryid.DomainName, from, to ferryid.Layer) *ferrydiscovery.Upstream {
+	return &ferrydiscovery.Upstream{Instance: ferryplatform.Instance{
+		Name: name, Address: name + ":1", FailureDomain: domain, State: ferryplatform.StateLive, Accelerator: "card",
+		Layers: ferryid.LayerRange{From: from, To: to},
+	}}
+}
+
+// two domains hold the model each, a with two engines for the first layers.
+func twoDomains() []*ferrydiscovery.Upstream {
+	return []*ferrydiscovery.Upstream{
+		upstream("a1", "a", 0, 4), upstream("a2", "a", 0, 4), upstream("a3", "a", 4, 8),
+		upstream("b1", "b", 0, 4), upstream("b2", "b", 4, 8),
+	}
+}
+
+func chooser(list []*ferrydiscovery.Upstream) (*Chooser, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	c := NewChooser(Options{Clock: clock, Domain: "a"})
+	c.Set(model(), list)
+	c.SetEntries(map[ferryid.DomainName]int{"a": 1})
+	return c, clock
+}
+
+func text(p *Path) string {
+	var parts []string
+	for _, h := range p.Hops() {
+		parts = append(parts, h.Upstream.Name+h.Layers.String())
+	}
+	return strings.Join(parts, " ")
+}
+
+var small = Work{Prompt: 50, Answer: 10}
+
+func TestPick(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(c *Chooser, now time.Time)
+		work   Work
+		want   string
+		err    error
+	}{
+		{"its own failure domain", func(*Chooser, time.Time) {}, small, "a1[0,4) a3[4,8)", nil},
+		{"around one that is down", func(c *Chooser, _ time.Time) { c.Dead("a1") }, small, "a2[0,4) a3[4,8)", nil},
+		{"around one that failed the request", func(*Chooser, time.Time) {}, Work{Prompt: 50, Answer: 10, Avoid: []ferryid.UpstreamName{"a1"}}, "a2[0,4) a3[4,8)", nil},
+		{"whole in another domain where its own lacks a part", func(c *Chooser, _ time.Time) { c.Dead("a3") }, small, "b1[0,4) b2[4,8)", nil},
+		{"around one that is slow", func(c *Chooser, now time.Time) {
+			c.Report("a3", Condition{Pace: 5, Room: 20000}, now)
+		}, small, "b1[0,4) b2[4,8)", nil},
+		{"around one without memory", func(c *Chooser, now time.Time) {
+			c.Report("a3", Condition{Pace: 1, Used: 19900, Room: 20000}, now)
+		}, small, "b1[0,4) b2[4,8)", nil},
+		{"no memory anywhere", func(c *Chooser, now time.Time) {
+			for _, name := range []string{"a3", "b2"} {
+				c.Report(name, Condition{Pace: 1, Used: 19900, Room: 20000}, now)
+			}
+		}, small, "", ErrNoRoom},
+		{"no engine for a part", func(c *Chooser, _ time.Time) {
+			c.Dead("a3")
+			c.Dead("b2")
+		}, small, "", ErrNoPath},
+		{"again once it answers", func(c *Chooser, _ time.Time) {
+			c.Dead("a1")
+			c.Alive("a1")
+			c.Dead("a2")
+		}, small, "a1[0,4) a3[4,8)", nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, clock := chooser(twoDomains())
+			tt.change(c, clock.Now())
+			run, err := c.Pick(tt.work)
+			assert.Assert(t, errors.Is(err, tt.err), "%v", err)
+			if err == nil {
+				assert.Equal(t, text(run.Path()), tt.want)
+			}
+		})
+	}
+}
+
+// TestWorkIsSpread gives runs that last: both engines of the first layers get as many.
+func TestWorkIsSpread(t *testing.T) {
+	c, _ := chooser(twoDomains()[:3])
+	first := map[string]int{}
+	for range 10 {
+		run, err := c.Pick(small)
+		assert.NilError(t, err)
+		first[run.Path().First().Name]++
+	}
+	assert.DeepEqual(t, first, map[string]int{"a1": 5, "a2": 5})
+}
+
+func TestReportAge(t *testing.T) {
+	c, clock := chooser(twoDomains()[:3])
+	run, err := c.Pick(small)
+	assert.NilError(t, err)
+	assert.Equal(t, run.ReportAge(), Unreported)
+	for i, name := range []string{"a1", "a2", "a3"} {
+		c.Report(name, Condition{Pace: 1, Room: 20000}, clock.Now().Add(time.Duration(i)*-time.Second))
+	}
+	run, err = c.Pick(small)
+	assert.NilError(t, err)
+	assert.Equal(t, run.ReportAge(), 2*time.Second)
+	clock.Advance(conditionAge)
+	run, err = c.Pick(small)
+	assert.NilError(t, err)
+	assert.Equal(t, run.ReportAge(), Unreported)
+}
+
+func TestDetour(t *testing.T) {
+	list := append(twoDomains(), upstream("a4", "a", 3, 8))
+	c, _ := chooser(list)
+	c.Dead("a2")
+	c.Dead("a4")
+	run, err := c.Pick(small)
+	assert.NilError(t, err)
+	c.Alive("a4")
+	assert.Equal(t, text(run.Path()), "a1[0,4) a3[4,8)")
+	to, err := run.Detour([]ferryid.UpstreamName{"a3"})
+	assert.NilError(t, err)
+	assert.Equal(t, text(to), "a1[0,4) a4[4,8)")
+	run.Move(to)
+	assert.Equal(t, c.names["a3"].running, 0)
+	assert.Equal(t, c.names["a4"].running, 1)
+	to, err = run.Detour([]ferryid.UpstreamName{"a3", "a4"})
+	assert.NilError(t, err)
+	assert.Equal(t, text(to), "a1[0,4) b2[4,8)")
+	_, err = run.Detour([]ferryid.UpstreamName{"a3", "a4", "b2"})
+	assert.Assert(t, errors.Is(err, ErrNoPath))
+	run.Done()
+	assert.Equal(t, c.names["a4"].running, 0)
+	assert.Equal(t, c.names["a4"].held, int64(0))
+}
+
+func TestWhatIsKnownOfARunsEngines(t *testing.T) {
+	c, clock := chooser(twoDomains()[:3])
+	run, err := c.Pick(small)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, run.Quiet(clock.Now()), []int{0, 1})
+	run.Progress(clock.Now())
+	assert.Equal(t, len(run.Quiet(clock.Now())), 0)
+	c.Report("a3", Condition{Pace: tooSlow, Room: 20000}, clock.Now())
+	assert.DeepEqual(t, run.Slow(), []ferryid.UpstreamName{"a3"})
+	assert.Equal(t, len(run.Leaving()), 0)
+	smaller := upstream("a3", "a", 5, 8)
+	c.Set(model(), []*ferrydiscovery.Upstream{twoDomains()[0], smaller})
+	assert.DeepEqual(t, run.Leaving(), []ferryid.UpstreamName{"a3"})
+	c.Set(model(), nil)
+	run.Failed(0) // an engine that is gone takes no blame and no counts
+	_, err = c.Pick(small)
+	assert.Assert(t, errors.Is(err, ErrNoPath))
+}
+
+// pathModel plays random histories of engines and runs.
+type pathModel struct {
+	c     *Chooser
+	clock *clockwork.FakeClock
+	list  []*ferrydiscovery.Upstream
+	runs  []*Run
+	next  int
+}
+
+// TestHistories checks that each path runs each layer once and in order over engines that hold them, that no engine counts more or less than
+// the runs on it, and that a path is found whenever the usable engines hold all layers.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &pathModel{}
+		m.c, m.clock = chooser(nil)
+		rt.Repeat(map[string]func(*rapid.T){
+			"come":  m.come,
+			"go":    m.leave,
+			"pick":  m.pick,
+			"end":   m.end,
+			"move":  m.move,
+			"state": m.state,
+			"":      m.check,
+		})
+	})
+}
+
+func (m *pathModel) come(rt *rapid.T) {
+	from := rapid.IntRange(0, 7).Draw(rt, "from")
+	to := rapid.IntRange(from+1, 8).Draw(rt, "to")
+	domain := rapid.SampledFrom([]ferryid.DomainName{"a", "b"}).Draw(rt, "domain")
+	m.next++
+	m.list = append(m.list, upstream(fmt.Sprintf("e%d", m.next), domain, ferryid.Layer(from), ferryid.Layer(to)))
+	m.c.Set(model(), m.list)
+}
+
+func (m *pathModel) leave(rt *rapid.T) {
+	if len(m.list) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.list)-1).Draw(rt, "engine")
+	m.list = slices.Delete(slices.Clone(m.list), i, i+1)
+	m.c.Set(model(), m.list)
+}
+
+func (m *pathModel) state(rt *rapid.T) {
+	if len(m.list) == 0 {
+		return
+	}
+	name := rapid.SampledFrom(m.list).Draw(rt, "engine").Name
+	if rapid.Bool().Draw(rt, "down") {
+		m.c.Dead(name)
+		return
+	}
+	m.c.Alive(name)
+}
+
+// covered reports whether the engines that are up hold all layers.
+func (m *pathModel) covered() bool {
+	var held [8]bool
+	for _, u := range m.list {
+		if m.c.IsDown(u.Name) {
+			continue
+		}
+		for l := u.Layers.From; l < u.Layers.To; l++ {
+			held[l] = true
+		}
+	}
+	return !slices.Contains(held[:], false)
+}
+
+func (m *pathModel) pick(rt *rapid.T) {
+	run, err := m.c.Pick(small)
+	if err != nil {
+		if errors.Is(err, ErrNoPath) && m.covered() {
+			rt.Fatalf("no path although the engines hold all layers")
+		}
+		return
+	}
+	if !m.covered() {
+		rt.Fatalf("path %s although the engines lack layers", text(run.Path()))
+	}
+	m.runs = append(m.runs, run)
+}
+
+func (m *pathModel) end(rt *rapid.T) {
+	if len(m.runs) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.runs)-1).Draw(rt, "run")
+	switch rapid.IntRange(0, 3).Draw(rt, "how") {
+	case 0:
+		m.runs[i].Done()
+	case 1:
+		m.runs[i].Cancelled()
+	case 2:
+		m.runs[i].Refused(0)
+	default:
+		m.runs[i].Failed(len(m.runs[i].Path().Hops()) - 1)
+	}
+	m.runs = slices.Delete(m.runs, i, i+1)
+}
+
+func (m *pathModel) move(rt *rapid.T) {
+	if len(m.runs) == 0 {
+		return
+	}
+	run := rapid.SampledFrom(m.runs).Draw(rt, "run")
+	hops := run.Path().Hops()
+	without := hops[rapid.IntRange(0, len(hops)-1).Draw(rt, "without")].Upstream.Name
+	to, err := run.Detour([]ferryid.UpstreamName{ferryid.UpstreamName(without)})
+	if err != nil {
+		return
+	}
+	if to.Hops()[0] != hops[0] {
+		rt.Fatalf("the first part changed from %s to %s", text(run.Path()), text(to))
+	}
+	if without != hops[0].Upstream.Name && strings.Contains(text(to)+" ", without+"[") {
+		rt.Fatalf("%s leads over %s", text(to), without)
+	}
+	run.Move(to)
+}
+
+func (m *pathModel) check(rt *rapid.T) {
+	running := map[*ferrydiscovery.Upstream]int{}
+	for _, run := range m.runs {
+		next := ferryid.Layer(0)
+		for _, h := range run.Path().Hops() {
+			if h.Layers.From != next || h.Layers.To <= next || !holds(h.Upstream.Layers, h.Layers) {
+				rt.Fatalf("path %s", text(run.Path()))
+			}
+			next = h.Layers.To
+			running[h.Upstream]++
+		}
+		if next != 8 {
+			rt.Fatalf("path %s", text(run.Path()))
+		}
+	}
+	for _, e := range m.c.engines {
+		if e.running != running[e.up] {
+			rt.Fatalf("%s counts %d runs, has %d", e.up.Name, e.running, running[e.up])
+		}
+	}
+}
