--- a/ferry/ferrypath/chooser_test.go
+++ b/ferry/ferrypath/chooser_test.go
@@ -19,7 +19,9 @@
 	"cactusferry.dev/ferry/ferryrapid"
 )
 
-func TestMain(m *testing.M) { ferryrapid.Main(m, ferryrapid.Settings{Seed: 11, Checks: 200, Steps: 40}) }
+func TestMain(m *testing.M) {
+	ferryrapid.Main(m, ferryrapid.Settings{Seed: 11, Checks: 200, Steps: 40})
+}
 
 // model has 8 layers; a card of it holds 20,000 tokens times layers beside 4 layers.
 func model() *ferryconfig.Model {
