The last run of a stream is not given up for its silence

Ruled out: a longer limit for all runs (a run that can be followed by another is rightly given up before callers leave at 2 s).

Change: a run is given up for silence only if another may follow, by attempts and by budget; a run that cannot be led around a dead engine is tried again at each look instead. The same for streams over single upstreams.

--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -163,7 +163,7 @@
 	switch {
 	case silent < suspect:
 		next = suspect - silent
-	case silent >= giveUp:
+	case silent >= giveUp && d.canRestart():
 		d.log.Warn().Str("Request", string(d.r.ID)).Dur("Silent", silent).Str("Path", pathOf(chain{d.run})).Msg("run given up")
 		d.cancel(errStalled)
 		return
@@ -196,11 +196,17 @@
 		d.cancel(errDead)
 		return
 	}
-	if !d.reroute(without, true) {
+	if !d.reroute(without, true) && d.canRestart() {
 		d.cancel(errStalled)
 	}
 }
 
+// canRestart reports whether another run can follow this one now. The last one is never given up for its silence: nothing better can come of
+// that, and the caller decides how long to wait.
+func (d *watchdog) canRestart() bool {
+	return d.mayRestart && d.r.service.budget.Left() > 0
+}
+
 // BlockedError says that a run cannot be moved to a path because of one of its engines.
 type BlockedError struct {
 	Address string
@@ -222,7 +228,7 @@
 func (d *watchdog) reroute(without []ferryid.UpstreamName, lost bool) bool {
 	for range maxDetours {
 		to, err := d.run.Detour(without)
-		if err == nil && lost && to.Crossings() > d.run.Path().Crossings() && d.mayRestart && d.r.service.budget.Left() > 0 {
+		if err == nil && lost && to.Crossings() > d.run.Path().Crossings() && d.canRestart() {
 			// All that was read so far would have to pass between domains; it is read again faster where the new path begins.
 			d.cancel(errElsewhere)
 			return true
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// eventWait is how long a run of a single upstream may be silent before another is tried: callers leave after 2 s.
+	// eventWait is how long a run of a single upstream may be silent before another is tried, where one may be: callers leave after 2 s.
 	eventWait = 1300 * time.Millisecond
 	// maxSends bounds the upstreams that one stream is sent to, those that died among them.
 	maxSends = 5
@@ -133,13 +133,15 @@
 	}
 	waiting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var dog *watchdog
-	timer := s.cfg.Clock.AfterFunc(eventWait, func() { cancel(errStalled) })
-	defer timer.Stop()
+	progress := func() {}
 	if c, ok := w.(chain); ok {
-		timer.Stop()
-		dog = s.watch(c.run, cancel)
+		dog := s.watch(c.run, cancel)
 		defer dog.stop()
+		progress = dog.progress
+	} else if s.mayRestart() {
+		timer := s.cfg.Clock.AfterFunc(eventWait, func() { cancel(errStalled) })
+		defer timer.Stop()
+		progress = func() { timer.Reset(eventWait) }
 	}
 	a, err := s.cfg.Client.Do(waiting, w.first().Address, r.outgoing(s.cfg.Dialect, o))
 	if err != nil {
@@ -156,12 +158,7 @@
 	case !v.Signed || a.Header.Get("Content-Encoding") != "":
 		return s.broken(ctx, w, errUnsigned)
 	}
-	err = s.relay(a, func() {
-		dog.progress()
-		if dog == nil {
-			timer.Reset(eventWait)
-		}
-	})
+	err = s.relay(a, progress)
 	switch {
 	case err == nil:
 		done(w)
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -241,3 +241,52 @@
 		assert.Assert(t, strings.HasSuffix(last, "last-b"), "%v", b.moved.paths)
 	})
 }
+
+// TestTheLastRunIsNotGivenUp lets the last run that a stream may have pause for longer than another would get.
+func TestTheLastRunIsNotGivenUp(t *testing.T) {
+	const pause = 1700 * time.Millisecond
+	late := func(c net.Conn, r *http.Request) bool {
+		time.Sleep(pause)
+		return events(9, time.Millisecond)(c, r)
+	}
+	paused := func(c net.Conn, r *http.Request) bool {
+		say(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk(c, event("1", 4))
+		time.Sleep(pause)
+		for i := 5; i <= 9; i++ {
+			chunk(c, event("1", i))
+		}
+		say(c, "0\r\n\r\n")
+		return true
+	}
+	broken := func(c net.Conn, r *http.Request) bool { return someEvents(c, r, 3, 9, time.Millisecond) }
+	for _, tt := range []struct {
+		name, target  string
+		first, second behaviour
+	}{
+		{"over a path, once begun", "/gen/x", broken, paused},
+		{"over a path, before its first event", "/gen/x", func(c net.Conn, _ *http.Request) bool { return false }, late},
+		{"at one upstream, once begun", "/events/x", broken, paused},
+		{"at one upstream that may run it only once", "/live/x", late, late},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, "u", "v")
+				runs := 0
+				do := func(c net.Conn, r *http.Request) bool {
+					runs++
+					if runs == 1 {
+						return tt.first(c, r)
+					}
+					return tt.second(c, r)
+				}
+				for _, s := range b.servers {
+					s.set(do)
+				}
+				a := b.call("POST", tt.target, "1")
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.body, allEvents("1", 9))
+			})
+		})
+	}
+}
