Runs that this entry gives up count as attempts; an engine alone is not proof that it is gone

Each run was given up because an engine in the midst of its path had died and no detour was free, and the first engine, which held the connection, was then probed, did not answer in time once, and so the run was not counted.

Change: a run that ends because this entry gave it up always counts. Engines are taken for dead only if another engine of the same path answers; before, all engines of a path had to be asked for that comparison.

Before, after: two new tables of cases fail before.

--- a/ferry/ferryforward/probe.go
+++ b/ferry/ferryforward/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,8 +61,8 @@
 	return p.clock.Now().Before(p.slowUntil)
 }
 
-// dead returns which of the hops at the given indices have engines that do not answer. If nothing answers, the trouble is probably
-// this entry's own, and it returns none.
+// dead returns which of the hops at the given indices have engines that do not answer. If none of those answers, another engine of the
+// path is asked too: if that one does not answer either, the trouble is probably this entry's own, and it returns none.
 func (p *prober) dead(hops []ferrypath.Hop, at []int) []int {
 	probes := make([]*probe, len(at))
 	for k, i := range at {
@@ -74,12 +75,24 @@
 			dead = append(dead, i)
 		}
 	}
-	if len(dead) == len(hops) {
+	if len(dead) == len(at) && !p.otherAnswers(hops, at) {
 		return nil
 	}
 	return dead
 }
 
+// otherAnswers reports whether the first engine of the path that is not among the given ones answers.
+func (p *prober) otherAnswers(hops []ferrypath.Hop, but []int) bool {
+	for i := range hops {
+		if !slices.Contains(but, i) {
+			pr := p.ask(hops[i].Upstream.Address)
+			<-pr.done
+			return pr.alive
+		}
+	}
+	return false
+}
+
 // ask returns a recent probe of the address, or begins one.
 func (p *prober) ask(address string) *probe {
 	p.mu.Lock()
--- a/ferry/ferryforward/probe_test.go
+++ b/ferry/ferryforward/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +12,10 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"cactusferry.dev/ferry/ferrydiscovery"
 	"cactusferry.dev/ferry/ferryexchange"
+	"cactusferry.dev/ferry/ferrypath"
+	"cactusferry.dev/ferry/ferryplatform"
 )
 
 // TestProbes tells engines that are gone from a machine that is too slow to notice that they answer.
@@ -60,3 +64,39 @@
 		})
 	}
 }
+
+// TestDeadEngines compares the engines of a path: where nothing answers, the fault is this entry's own.
+func TestDeadEngines(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		gone  []string
+		asked []int
+		want  []int
+	}{
+		{"one of all", []string{"b"}, []int{0, 1, 2}, []int{1}},
+		{"the only one asked", []string{"a"}, []int{0}, []int{0}},
+		{"all that were asked, and no other", []string{"a", "b"}, []int{0, 1}, []int{0, 1}},
+		{"all that were asked, and another", []string{"a", "b", "c"}, []int{1}, nil},
+		{"all", []string{"a", "b", "c"}, []int{0, 1, 2}, nil},
+		{"none", nil, []int{0, 1, 2}, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial := func(_ context.Context, _, address string) (net.Conn, error) {
+					if slices.Contains(tt.gone, address) {
+						return nil, errors.New("connection refused")
+					}
+					here, there := net.Pipe()
+					return here, there.Close()
+				}
+				clock := clockwork.NewRealClock()
+				p := newProber(ferryexchange.New(ferryexchange.Config{Clock: clock, Dial: dial}), clock)
+				var hops []ferrypath.Hop
+				for _, name := range []string{"a", "b", "c"} {
+					hops = append(hops, ferrypath.Hop{Upstream: &ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: name, Address: name}}})
+				}
+				assert.DeepEqual(t, p.dead(hops, tt.asked), tt.want)
+			})
+		})
+	}
+}
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -372,7 +372,7 @@
 		cancelled(w)
 		return s.timeUp(s.r, ferryoutcome.Unknown, err)
 	}
-	gone := errors.Is(err, errDead) || s.ended(w)
+	gone := errors.Is(err, errDead) || (!givenUp(err) && s.ended(w))
 	if !gone || !s.r.repeatable() {
 		s.r.ran++
 	}
@@ -386,11 +386,16 @@
 	return ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Unknown, "The upstream broke off.").Because(err)
 }
 
-// ended reports whether the upstream that held the connection answers no more.
+// givenUp reports whether a run ended because this entry gave it up, whose first upstream worked until then.
+func givenUp(err error) bool {
+	return errors.Is(err, errStalled) || errors.Is(err, errElsewhere)
+}
+
+// ended reports whether the engine that held the connection answers no more, while another one of the path does. What is not certain counts
+// as an attempt.
 func (s *streaming) ended(w way) bool {
-	pr := s.prober.ask(w.first().Address)
-	<-pr.done
-	return !pr.alive
+	c, ok := w.(chain)
+	return ok && slices.Contains(s.prober.dead(c.run.Path().Hops(), []int{0}), 0)
 }
 
 // pathOf names the upstreams of a way, for the log.
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferrypath"
 )
 
@@ -290,3 +292,37 @@
 		})
 	}
 }
+
+// TestWhichRunsCountAsAttempts ends runs whose first engine takes no new connection any more.
+func TestWhichRunsCountAsAttempts(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		err   error
+		alone bool
+		want  int
+	}{
+		{"its first engine is found dead", errDead, false, 0},
+		{"it broke off, and its first engine is gone", io.ErrUnexpectedEOF, false, 0},
+		{"it broke off, and nothing answers any more", io.ErrUnexpectedEOF, true, 1},
+		{"it was given up because it made no progress", errStalled, false, 1},
+		{"it was given up for a run elsewhere", errElsewhere, false, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t)
+				chooser := b.forward.cfg.Services.Chooser("llm")
+				run, err := chooser.Pick(ferrypath.Work{Prompt: 1, Answer: 1})
+				assert.NilError(t, err)
+				for i, h := range run.Path().Hops() {
+					if i == 0 || tt.alone {
+						b.servers[h.Upstream.Name].l.Close()
+					}
+				}
+				r := &request{route: &ferryconfig.Route{Repeat: ferryconfig.RepeatFromEvent, MaxAttempts: 2}}
+				s := &streaming{Forwarder: b.forward, r: r}
+				s.broken(t.Context(), chain{run}, tt.err)
+				assert.Equal(t, r.ran, tt.want)
+			})
+		})
+	}
+}
