--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -121,7 +121,14 @@
 		s.Forwarder.giveUp(ctx, s.r, last, nil)
 		return
 	}
-	s.log.Warn().Str("Request", string(s.r.ID)).Int("Events", s.events).Int("Ran", s.r.ran).AnErr("Cause", last.Cause).Msg("stream broken off")
+	msg := "stream broken off"
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ferryingress.ErrCallerLeft):
+		msg = "the caller left"
+	case errors.Is(cause, context.Canceled):
+		msg = "stream broken off: this process ends"
+	}
+	s.log.Warn().Str("Request", string(s.r.ID)).Int("Events", s.events).Int("Ran", s.r.ran).AnErr("Cause", last.Cause).Msg(msg)
 }
 
 // run sends the request over one way and passes its events on; it returns nil once the caller has all it will get.
@@ -254,6 +261,7 @@
 // logDone writes how the stream went; late ones stand out.
 func (s *streaming) logDone(w way) {
 	r := s.r
+	s.leaving.took(s.latest.Sub(s.r.call.At), r.expected())
 	ev := s.answers.Info()
 	first := s.first.Sub(r.call.At)
 	if (r.route.Objective > 0 && first > r.route.Objective) || (r.route.GapObjective > 0 && s.longest > r.route.GapObjective) {
