--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -47,7 +47,6 @@
 	metrics      metrics
 	prober       *prober
 	maxAge       atomic.Int64
-	leaving      leaving
 }
 
 // New returns a forwarder.
@@ -87,10 +86,6 @@
 	defer cancel()
 	r.service.budget.Request()
 	if r.route.Streaming || r.service.chooser != nil {
-		if p := f.tooLong(r); p != nil {
-			f.problem(r, p)
-			return
-		}
 		f.stream(ctx, r)
 		return
 	}
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -261,7 +261,6 @@
 // logDone writes how the stream went; late ones stand out.
 func (s *streaming) logDone(w way) {
 	r := s.r
-	s.leaving.took(s.latest.Sub(s.r.call.At), r.expected())
 	ev := s.answers.Info()
 	first := s.first.Sub(r.call.At)
 	if (r.route.Objective > 0 && first > r.route.Objective) || (r.route.GapObjective > 0 && s.longest > r.route.GapObjective) {
--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -28,7 +28,6 @@
 	}
 	began := e.cfg.Clock.Now()
 	e.setState(StateStopping)
-	e.forwarder.Stop(began.Add(e.cfg.Promise.Grace - exitMargin))
 	linger := time.Duration(lingerShare * float64(e.cfg.Promise.Grace))
 	e.pause(ctx, min(linger, e.cfg.Promise.AnswerLifetime))
 	e.ingress.Stop()
