Engines that are rather full get work after those with room

Ruled out: fresher reports (a call each); paths at random (slow cards would slow every stream of their path).

Change: paths are first looked for over engines with a fifth of their memory free, then as before.

--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -171,7 +171,7 @@
 	}
 	now := c.opts.Clock.Now()
 	plan := ferrypipeline.Plan{}
-	for _, try := range []rule{{within: true, healthy: true, fits: true}, {healthy: true, fits: true}, {healthy: true, fits: true, tight: true}, {fits: true, tight: true}} {
+	for _, try := range []rule{{within: true, healthy: true, fits: true, roomy: true}, {within: true, healthy: true, fits: true}, {healthy: true, fits: true}, {healthy: true, fits: true, tight: true}, {fits: true, tight: true}} {
 		c.weigh(w, now, try)
 		if err := c.planner.Choose(c.loads, nil, max(1, w.Answer), &plan); err == nil {
 			return c.begin(&plan, w)
@@ -189,9 +189,10 @@
 	// within allows engines of this entry's failure domain only.
 	within  bool
 	healthy bool
-	// fits asks for memory for the work, and tight leaves out what runs already and will still grow.
+	// fits asks for memory for the work, and tight leaves out what runs already and will still grow; roomy keeps some free besides.
 	fits  bool
 	tight bool
+	roomy bool
 }
 
 // weigh prepares what the planner has to know of each engine.
@@ -206,7 +207,7 @@
 	l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
 	l.Avoid = e.down || (r.within && e.up.FailureDomain != c.opts.Domain) ||
 		(r.healthy && (e.pace(now) >= tooSlow || !e.health.Usable(now, true))) ||
-		(r.fits && !c.fits(e, w, now, r.tight)) || avoids(w.Avoid, e)
+		(r.fits && !c.fits(e, w, now, r)) || avoids(w.Avoid, e)
 }
 
 // tooSlow is the pace from which an engine gets work only where there is no other.
@@ -244,19 +245,27 @@
 	othersSince = 1.5
 )
 
+// roomyShare is the part of an engine's memory up to which it gets work before others. The fastest engine of a layer would else be filled
+// by all entries at once, since each hears only a second later what the others have given it.
+const roomyShare = 0.8
+
 // fits reports whether the engine's memory holds the work besides what runs there, and, unless it is tight, what that will grow to.
-func (c *Chooser) fits(e *engine, w Work, now time.Time, tight bool) bool {
+func (c *Chooser) fits(e *engine, w Work, now time.Time, r rule) bool {
 	layers := int64(e.up.Layers.Len())
 	work := int64(w.Prompt+w.Answer) * layers
+	most := 1.0
+	if r.roomy {
+		most = roomyShare
+	}
 	if !e.known(now) || e.reported.Room == 0 {
 		share := overcommit * float64(room(c.model, e.kind, int(layers))) / float64(c.sharers(e))
-		return e.running == 0 || float64(e.held+work) <= share
+		return e.running == 0 || float64(e.held+work) <= most*share
 	}
 	used := e.reported.Used + int64(othersSince*float64(max(0, e.held-e.heldThen)))
-	if !tight {
+	if !r.tight {
 		used += int64(growth*float64(c.model.UsualAnswer)) * layers * int64(e.reported.Running)
 	}
-	return used+work <= e.reported.Room
+	return float64(used+work) <= most*float64(e.reported.Room)
 }
 
 func (c *Chooser) begin(plan *ferrypipeline.Plan, w Work) (*Run, error) {
