--- a/ferry/ferrypath/chooser_test.go
+++ b/ferry/ferrypath/chooser_test.go
@@ -84,12 +84,12 @@
 			c.Report("a3", Condition{Pace: 1, Used: 19900, Room: 20000}, now)
 		}, small, "b1[0,4) b2[4,8)", nil},
 		{"an emptier one before one that is rather full", func(c *Chooser, now time.Time) {
-			c.Report("a1", Condition{Pace: 1, Used: 15000, Room: 20000}, now)
+			c.Report("a1", Condition{Pace: 1, Used: 17000, Room: 20000}, now)
 			c.Report("a2", Condition{Pace: 1.5, Used: 100, Room: 20000}, now)
 		}, small, "a2[0,4) a3[4,8)", nil},
 		{"the faster one where both are rather full", func(c *Chooser, now time.Time) {
-			c.Report("a1", Condition{Pace: 1, Used: 15000, Room: 20000}, now)
-			c.Report("a2", Condition{Pace: 1.5, Used: 15000, Room: 20000}, now)
+			c.Report("a1", Condition{Pace: 1, Used: 17000, Room: 20000}, now)
+			c.Report("a2", Condition{Pace: 1.5, Used: 17000, Room: 20000}, now)
 		}, small, "a1[0,4) a3[4,8)", nil},
 		{"no memory anywhere", func(c *Chooser, now time.Time) {
 			for _, name := range []string{"a3", "b2"} {
