--- a/ferry/ferrypath/chooser_test.go
+++ b/ferry/ferrypath/chooser_test.go
@@ -335,3 +335,25 @@
 		}
 	}
 }
+
+// TestEntriesTogetherDoNotOverfillAnEngine lets all entries of a large failure domain give work between two reports of an engine that is the
+// fastest of its layers and rather full.
+func TestEntriesTogetherDoNotOverfillAnEngine(t *testing.T) {
+	const entries, each = 25, 3
+	list := append(twoDomains()[:3], upstream("a4", "a", 4, 8))
+	work := Work{Prompt: 100, Answer: 20}
+	held := map[string]int64{"a3": 17000}
+	for range entries {
+		c, clock := chooser(list)
+		c.SetEntries(map[ferryid.DomainName]int{"a": entries})
+		c.Report("a3", Condition{Pace: 1, Used: held["a3"], Room: 20000}, clock.Now())
+		c.Report("a4", Condition{Pace: 1.8, Used: 1000, Room: 20000}, clock.Now())
+		for range each {
+			run, err := c.Pick(work)
+			assert.NilError(t, err)
+			held[run.Path().Hops()[1].Upstream.Name+" later"] += need(work, run.Path().Hops()[1])
+		}
+	}
+	assert.Assert(t, held["a3"]+held["a3 later"] <= 20000, "%d of 20000 on the faster one", held["a3"]+held["a3 later"])
+	assert.Assert(t, held["a4 later"] > 0)
+}
