--- a/ferry/ferrybudget/budget.go
+++ b/ferry/ferrybudget/budget.go
@@ -138,7 +138,7 @@
 // heardFor is how long what the others told is taken as current.
 const heardFor = time.Second
 
-// left is how many repetitions this entry may make now. While it hears of the others, all entries together may use half of what is
+// left is how many repetitions this entry may make now. While it hears of the others, all entries together may use no more than what is
 // left before they hear of each other again: an upstream's loss meets the entries of one failure domain, which then need more than
 // an even part of the whole. Otherwise an entry keeps to its even part.
 func (b *Budget) left() float64 {
@@ -148,7 +148,16 @@
 	}
 	all := safety*(b.cfg.Ratio*float64(sum(b.requests)+b.others.Requests)+b.allowance()) - max(spent, float64(b.untold())) - float64(b.others.Repeats)
 	fresh := float64(b.forget())
-	return max(min((all+fresh)/float64(2*b.entries)-fresh, all), float64(b.untold())-spent)
+	return max(min((all+fresh)/b.caution()/float64(b.entries)-fresh, all), float64(b.untold())-spent)
+}
+
+// caution divides what all entries together may use before they hear of each other; it covers that they hear at different moments. In small
+// fleets, where a few entries that hear late would spend a large part again, it is larger.
+func (b *Budget) caution() float64 {
+	if b.entries > smallFleet {
+		return 1.3
+	}
+	return 2
 }
 
 // allowance is what may be sent again beside the share of the requests.
--- a/ferry/ferryforward/metrics.go
+++ b/ferry/ferryforward/metrics.go
@@ -37,6 +37,10 @@
 	m.scope.Tagged(map[string]string{"service": string(s)}).Histogram("first_event_seconds", waits()).RecordDuration(took)
 }
 
+func (m metrics) heldBack(s ferryid.ServiceName) {
+	m.scope.Tagged(map[string]string{"service": string(s)}).Counter("requests_held_back").Inc(1)
+}
+
 func (m metrics) sentAgain(s ferryid.ServiceName, why string) {
 	m.scope.Tagged(map[string]string{"service": string(s), "why": why}).Counter("requests_sent_again").Inc(1)
 }
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -25,7 +25,7 @@
 			f.giveUp(ctx, r, last, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "No upstream of the service takes work.").After(afterNobody))
 			return
 		}
-		if r.arrived > 0 && !r.service.budget.Repeat() {
+		if r.arrived > 0 && !f.mayRepeat(r) {
 			pick.Cancelled()
 			f.giveUp(ctx, r, last, nil)
 			return
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -25,6 +25,16 @@
 	afterOutage = 1500 * time.Millisecond
 )
 
+// mayRepeat takes one repetition from the budget of the request's service, if there is one.
+func (f *Forwarder) mayRepeat(r *request) bool {
+	if r.service.budget.Repeat() {
+		return true
+	}
+	f.metrics.heldBack(r.service.name)
+	f.log.Info().Str("Request", string(r.ID)).Int("Arrived", r.arrived).Int("Ran", r.ran).Msg("not sent again: the budget is used up")
+	return false
+}
+
 // noRoom is the problem of a request for which the upstreams have no room; the longer that lasts, the later the caller should come back.
 func (f *Forwarder) noRoom(r *request, err error) *ferryoutcome.Problem {
 	after := r.service.congestion.retryAfter(f.cfg.Clock.Now())
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -78,7 +78,7 @@
 		}
 		return none, false
 	}
-	if s.r.arrived > 0 && !s.r.service.budget.Repeat() {
+	if s.r.arrived > 0 && !s.mayRepeat(s.r) {
 		cancelled(w)
 		s.stuck = true
 		return nil, false
