Tests of what entries of ferryedge tell each other

Cause: ferryedge had no test of its own beside the site tests of platform/. Change: tables of what is told at once, what is checked, units, silent engines, names and paces. Found: nothing. Conclusion: kept.

--- /dev/null
+++ b/ferryd/ferryedge/state_test.go
@@ -0,0 +1,103 @@
+package ferryedge
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferrybudget"
+	"cactusferry.dev/ferry/ferrydiscovery"
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform"
+)
+
+func spent(repeats int) map[ferryid.ServiceName]ferrybudget.Spent {
+	return map[ferryid.ServiceName]ferrybudget.Spent{"s": {Requests: 10, Repeats: repeats}}
+}
+
+// TestWhatIsTold tells the others at once of whatever they could do wrong for not knowing it, and of nothing else.
+func TestWhatIsTold(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		told, newer entryState
+		differs     bool
+		quiet       bool
+	}{
+		{"nothing", entryState{}, entryState{}, false, true},
+		{"more was sent again", entryState{Spent: spent(1)}, entryState{Spent: spent(2)}, true, false},
+		{"less was sent again", entryState{Spent: spent(2)}, entryState{Spent: spent(1)}, false, false},
+		{"it went blind", entryState{}, entryState{Blind: true}, true, false},
+		{"it sees again", entryState{Blind: true}, entryState{}, true, true},
+		{"it gives the orders", entryState{}, entryState{Orders: true}, true, false},
+		{"it lost the platform", entryState{}, entryState{Unreached: true}, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, tt.told.differs(tt.newer), tt.differs)
+			assert.Equal(t, tt.newer.quiet(), tt.quiet)
+			b, err := cbor.Marshal(tt.newer)
+			assert.NilError(t, err)
+			var back entryState
+			assert.NilError(t, cbor.Unmarshal(b, &back))
+			assert.Assert(t, !tt.newer.differs(back) && !back.differs(tt.newer))
+		})
+	}
+}
+
+func TestStatesAreChecked(t *testing.T) {
+	many := map[ferryid.ServiceName]ferrybudget.Spent{}
+	for i := range maxServices + 1 {
+		many[ferryid.ServiceName(rune('a'+i))] = ferrybudget.Spent{}
+	}
+	assert.NilError(t, entryState{Spent: spent(3)}.Check())
+	assert.ErrorContains(t, entryState{Spent: spent(-1)}.Check(), `spent -1 of 10 on "s"`)
+	assert.ErrorContains(t, entryState{Spent: many}.Check(), "spent on 65 services")
+	assert.NilError(t, conditions{List: []engineCondition{{Pace: 64, Used: 10, Room: 20}}}.Check())
+	assert.ErrorContains(t, conditions{List: []engineCondition{{Pace: maxPace + 1}}}.Check(), "condition of engine")
+	assert.ErrorContains(t, conditions{List: make([]engineCondition, maxPerItem+1)}.Check(), "conditions of 41 engines")
+}
+
+func TestUnits(t *testing.T) {
+	for _, tt := range []struct {
+		v, unit float64
+		want    uint64
+	}{
+		{0, 1, 0}, {-3, 1, 0}, {1.5, paceUnit, 96}, {640, roomUnit, 10}, {math.NaN(), 1, 0}, {math.Inf(1), 1, 100}, {500, 1, 100},
+	} {
+		assert.Equal(t, units(tt.v, tt.unit, 100), tt.want, "%v", tt)
+	}
+	told := engineCondition{Pace: 96, Running: 3, Used: 10, Room: 20}.told()
+	assert.Equal(t, told.Pace, 1.5)
+	assert.Equal(t, told.Used, int64(640))
+	assert.Equal(t, told.Room, int64(1280))
+}
+
+// TestSilentEngines believes that engines are silent only while most are not: else the reader itself is cut off.
+func TestSilentEngines(t *testing.T) {
+	list := func(silent, heard int) []engineCondition {
+		var out []engineCondition
+		for range silent {
+			out = append(out, engineCondition{Silent: true})
+		}
+		return append(out, make([]engineCondition, heard)...)
+	}
+	assert.Equal(t, len(believable(list(1, 5))), 6)
+	assert.Equal(t, len(believable(list(3, 3))), 6)
+	assert.Equal(t, len(believable(list(4, 2))), 2)
+}
+
+func TestNamesAndPaces(t *testing.T) {
+	a := &ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: "i-1", Service: "s"}}
+	b := &ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: "i-1", Service: "other"}}
+	assert.Assert(t, markOf(a) != markOf(b))
+	id := newIncarnation("entry-1")
+	assert.Equal(t, entryOf(id), ferryid.EntryName("entry-1"))
+	assert.Assert(t, id != newIncarnation("entry-1"))
+	assert.Equal(t, pace(0), watchPace)
+	assert.Equal(t, pace(400*time.Millisecond), 100*time.Millisecond)
+	assert.Equal(t, pace(time.Minute), watchPace)
+	assert.Equal(t, crowd(3), 1)
+	assert.Equal(t, crowd(84), 5)
+}
