ferryforward: a probe answered before a run broke does not show its engine alive

What callers saw: when an engine crashes, its streams move to another one.

Cause: firstEngineGone asks the prober whether the engine that held the connection still answers, and takes a result of up to 150 ms before, that is from before the crash. The run then counts as an attempt of the route and as a failure of a live engine, which other requests go on choosing. Class: evidence older than the event that it is to explain.

Change: the probe that judges a broken run must have been answered after the break. Runs that break together share one. The watchdogs' own probes and refusals are not judged by an earlier break and keep sharing results.

Test: TestAttemptCounting, "connection lost, first engine gone after it answered a probe": failed before (ran 1, want 0). It is what tells a crash from other ends of a run.

--- a/ferry/ferryforward/probe.go
+++ b/ferry/ferryforward/probe.go
@@ -65,13 +65,14 @@
 	return p.clock.Now().Before(p.hostOverloadedUntil)
 }
 
-// deadHops returns the given indices of hops whose engines do not answer. If none of them answers, one more
+// deadHops returns the given indices of hops whose engines do not answer; answers to probes begun before the given
+// time do not count. If none of them answers, one more
 // engine of the path is probed: if that one does not answer either, the fault is probably on this
 // entry's side and no hop is reported.
-func (p *prober) deadHops(hops []ferrypath.Hop, indices []int) []int {
+func (p *prober) deadHops(hops []ferrypath.Hop, indices []int, since time.Time) []int {
 	probes := make([]*probe, len(indices))
 	for k, i := range indices {
-		probes[k] = p.probe(hops[i].Upstream.Address)
+		probes[k] = p.probe(hops[i].Upstream.Address, since)
 	}
 	var dead []int
 	for k, i := range indices {
@@ -90,7 +91,7 @@
 func (p *prober) otherReachable(hops []ferrypath.Hop, excluded []int) bool {
 	for i := range hops {
 		if !slices.Contains(excluded, i) {
-			pr := p.probe(hops[i].Upstream.Address)
+			pr := p.probe(hops[i].Upstream.Address, time.Time{})
 			<-pr.done
 			return pr.alive
 		}
@@ -98,12 +99,12 @@
 	return false
 }
 
-// probe returns a recent probe of the address, or starts one.
-func (p *prober) probe(address string) *probe {
+// probe returns a recent probe of the address that was not answered before the given time, or starts one.
+func (p *prober) probe(address string, since time.Time) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	if pr := p.probes[address]; pr != nil && pr.recent(now) {
+	if pr := p.probes[address]; pr != nil && pr.recent(now, since) {
 		return pr
 	}
 	if len(p.probes) >= maxProbes {
@@ -145,14 +146,14 @@
 }
 
 // recent reports whether the probe is in progress or its result is fresh enough to be reused.
-func (pr *probe) recent(now time.Time) bool {
+func (pr *probe) recent(now, since time.Time) bool {
 	select {
 	case <-pr.done:
 	default:
 		return true
 	}
 	if pr.alive {
-		return now.Sub(pr.at) < aliveTTL
+		return now.Sub(pr.at) < aliveTTL && !pr.at.Before(since)
 	}
 	return now.Sub(pr.at) < deadTTL
 }
--- a/ferry/ferryforward/probe_test.go
+++ b/ferry/ferryforward/probe_test.go
@@ -58,7 +58,7 @@
 				}
 				clock := clockwork.NewRealClock()
 				p := newProber(ferryexchange.New(ferryexchange.Config{Clock: clock, Dial: dial}), clock, ferryguard.New(ferryguard.Config{}))
-				pr := p.probe("10.0.0.1:1")
+				pr := p.probe("10.0.0.1:1", time.Time{})
 				<-pr.done
 				assert.Equal(t, pr.alive, tc.alive)
 				assert.Equal(t, p.hostOverloaded(), tc.slow)
@@ -98,7 +98,7 @@
 				for _, name := range []string{"a", "b", "c"} {
 					hops = append(hops, ferrypath.Hop{Upstream: &ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: name, Address: name}}})
 				}
-				assert.DeepEqual(t, p.deadHops(hops, tt.asked), tt.want)
+				assert.DeepEqual(t, p.deadHops(hops, tt.asked, time.Time{}), tt.want)
 			})
 		})
 	}
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -200,7 +200,7 @@
 // inspect probes the engines of the path and reroutes the run around dead or slow ones.
 func (d *watchdog) inspect(silent time.Duration) {
 	hops := d.run.Path().Hops()
-	dead := d.prober.deadHops(hops, d.run.WithoutProgress(d.cfg.Clock.Now().Add(-livenessTTL)))
+	dead := d.prober.deadHops(hops, d.run.WithoutProgress(d.cfg.Clock.Now().Add(-livenessTTL)), time.Time{})
 	if len(dead) == 0 {
 		if slow := d.run.Slow(); len(slow) > 0 && silent >= slowRerouteGap && d.cfg.Clock.Since(d.lastSlowReroute) >= slowRerouteInterval {
 			d.lastSlowReroute = d.cfg.Clock.Now()
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -382,7 +382,7 @@
 	hops := c.run.Path().Hops()
 	hop := hops[c.run.Path().At(address)]
 	s.guard.Go("engine probe", hop.Upstream.Address, func() {
-		if dead := s.prober.deadHops([]ferrypath.Hop{hops[0], hop}, []int{0, 1}); slices.Contains(dead, 1) {
+		if dead := s.prober.deadHops([]ferrypath.Hop{hops[0], hop}, []int{0, 1}, time.Time{}); slices.Contains(dead, 1) {
 			c.run.Chooser().MarkDown(hop.Upstream.Name)
 		}
 	})
@@ -433,11 +433,15 @@
 	return errors.Is(err, errStalled) || errors.Is(err, errRestartElsewhere) || errors.Is(err, errReplaced)
 }
 
+// breakSlack is how long before the end of a run its engine may have been probed. The runs of an engine that dies end
+// together and share a probe.
+const breakSlack = 2 * time.Millisecond
+
 // firstEngineGone reports whether the engine that held the connection is unreachable while another one of the
 // path answers. In doubt it returns false, so that the run counts as an attempt.
 func (s *callerStream) firstEngineGone(dest destination) bool {
 	c, ok := dest.(enginePath)
-	return ok && slices.Contains(s.prober.deadHops(c.run.Path().Hops(), []int{0}), 0)
+	return ok && slices.Contains(s.prober.deadHops(c.run.Path().Hops(), []int{0}, s.cfg.Clock.Now().Add(-breakSlack)), 0)
 }
 
 // formatDestination formats the upstreams of a destination for the log.
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -371,14 +371,17 @@
 		name  string
 		err   error
 		alone bool
-		want  int
+		// probed is set if the first engine answered a probe just before it was gone.
+		probed bool
+		want   int
 	}{
-		{"first engine failed the probe", errFirstEngineDead, false, 0},
-		{"connection lost, first engine gone", io.ErrUnexpectedEOF, false, 0},
-		{"connection lost, all engines gone", io.ErrUnexpectedEOF, true, 1},
-		{"idle timeout", errStalled, false, 1},
-		{"replaced by a run in another failure domain", errRestartElsewhere, false, 1},
-		{"replaced by a run that was started beside it", errReplaced, false, 1},
+		{"first engine failed the probe", errFirstEngineDead, false, false, 0},
+		{"connection lost, first engine gone", io.ErrUnexpectedEOF, false, false, 0},
+		{"connection lost, first engine gone after it answered a probe", io.ErrUnexpectedEOF, false, true, 0},
+		{"connection lost, all engines gone", io.ErrUnexpectedEOF, true, false, 1},
+		{"idle timeout", errStalled, false, false, 1},
+		{"replaced by a run in another failure domain", errRestartElsewhere, false, false, 1},
+		{"replaced by a run that was started beside it", errReplaced, false, false, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -386,12 +389,16 @@
 				chooser := b.forwarder.cfg.Services.Chooser("llm")
 				run, err := chooser.Pick(ferrypath.Work{Prompt: 1, Answer: 1})
 				assert.NilError(t, err)
+				if tt.probed {
+					assert.Equal(t, len(b.forwarder.prober.deadHops(run.Path().Hops(), []int{0}, time.Time{})), 0)
+					time.Sleep(aliveTTL / 2)
+				}
 				for i, h := range run.Path().Hops() {
 					if i == 0 || tt.alone {
 						b.upstreams[h.Upstream.Name].l.Close()
 					}
 				}
-				r := &request{route: &ferryconfig.Route{Repeat: ferryconfig.RepeatFromEvent, MaxAttempts: 2}}
+				r := &request{route: &ferryconfig.Route{Repeat: ferryconfig.RepeatFromEvent, MaxAttempts: 2}, service: b.forwarder.cfg.Services.get("llm")}
 				s := &callerStream{Forwarder: b.forwarder, r: r}
 				s.handleBrokenRun(t.Context(), enginePath{run}, tt.err)
 				assert.Equal(t, r.ran, tt.want)
