ferryforward: log and count requests that end without a complete answer

Callers saw a whole request get neither an answer nor a refusal beside a change of the configuration. The log could not tell why: an aborted stream has a line without the configuration's age, a failed write of a plain answer and a handler that returns early have none.

Change: one line for each such request with the reason, the configuration that admitted it, the one in force and for how long, and a counter by reason.

--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -55,6 +55,8 @@
 	prober          *prober
 	guard           *ferryguard.Guard
 	maxProofAge     atomic.Int64
+	// configChanged is when the configuration in force took effect.
+	configChanged atomic.Pointer[time.Time]
 }
 
 // New returns a Forwarder.
@@ -71,6 +73,10 @@
 	}
 	f.prober = newProber(cfg.Client, cfg.Clock, f.guard)
 	f.SetMaxProofAge(cfg.MaxProofAge)
+	cfg.Holder.OnChange(func(*ferryconfig.Snapshot) {
+		now := cfg.Clock.Now()
+		f.configChanged.Store(&now)
+	})
 	return f
 }
 
@@ -94,6 +100,7 @@
 func (f *Forwarder) Handle(ctx context.Context, c *ferryingress.Call) {
 	f.awaitStart(ctx)
 	r, p := f.admit(c)
+	defer f.recordUnanswered(ctx, r)
 	if p != nil {
 		f.answerProblem(r, p)
 		return
--- a/ferry/ferryforward/metrics.go
+++ b/ferry/ferryforward/metrics.go
@@ -33,6 +33,10 @@
 	sc.Histogram("answer_seconds", latencyBuckets()).RecordDuration(took)
 }
 
+func (m metrics) unanswered(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_unanswered").Inc(1)
+}
+
 func (m metrics) firstEvent(s ferryid.ServiceName, took time.Duration) {
 	m.scope.Tagged(map[string]string{"service": string(s)}).Histogram("first_event_seconds", latencyBuckets()).RecordDuration(took)
 }
--- a/ferry/ferryingress/call.go
+++ b/ferry/ferryingress/call.go
@@ -48,6 +48,16 @@
 	return c.w.started
 }
 
+// Complete reports whether a complete answer has been written to the connection.
+func (c *Call) Complete() bool {
+	return c.w.ended && c.w.err == nil
+}
+
+// WriteError returns the error of the write that ended the answer, or nil.
+func (c *Call) WriteError() error {
+	return c.w.err
+}
+
 // Stream is a streamed answer; callers recognise it as incomplete unless End is called.
 type Stream struct{ w *writer }
 
