ferryforward: a failed liveness probe no longer cuts a silent run

Callers of a stream whose first engine fell silent for a moment and accepted no connections meanwhile saw the stream cut in the middle, or a 502, although the engine went on: also where the stream cannot be resumed, so that nothing else could complete it.

Cause: the watchdog cancelled a run at once when its first engine failed the probe, which takes 40 ms of connect timeouts, before any other run had been accepted. If the other engines refused, or the retry budget was spent, the caller's connection ended with the answer incomplete. Runs that are merely silent have been kept until a replacement is accepted since; this path was left.

Ruled out: the ingress timers, which do not run while a call is handled, and the replacement of services, since a request keeps the one that it was admitted to.

Change: a failed probe of the first engine starts a replacement, which may use the attempt that the dead run does not count for; the run ends when the replacement is accepted. A stream of which nothing was forwarded still fails within three quarters of its caller's patience, so that the caller gets an answer. Replacements ask refusing engines again, as retries do.

Test: TestSilentRunOutlivesAFailedProbe; all five cases failed before (502 before the first event, unexpected EOF after one) and pass now. TestAttemptCounting has one case more.

--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -40,7 +40,8 @@
 	suspectGapFactor = 4
 )
 
-// errFirstEngineDead ends a run whose first engine, which holds the connection, is unreachable.
+// errFirstEngineDead ends a run whose first engine, which holds the connection, is unreachable, or is the reason for
+// its replacement.
 var errFirstEngineDead = errors.New("run ended: first engine of the path does not answer")
 
 // errRestartElsewhere ends a run that is better replaced by a new run in another failure domain.
@@ -217,7 +218,7 @@
 	}
 	d.log.Warn().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Dead", names(deadNames)).Msg("engines failed the liveness probe")
 	if dead[0] == 0 {
-		d.cancel(errFirstEngineDead)
+		d.leaveFirstEngine(silent)
 		return
 	}
 	if !d.reroute(deadNames, true) && d.canReplace() {
@@ -225,6 +226,18 @@
 	}
 }
 
+// leaveFirstEngine starts a replacement of a run whose first engine does not answer. The engine may be alive and
+// continue, so the run goes on until the replacement is accepted; a run that has forwarded nothing ends in time for
+// its caller to get an answer.
+func (d *watchdog) leaveFirstEngine(silent time.Duration) {
+	switch {
+	case !d.hasStarted() && silent >= shareOf(d.patience(), resumeShare):
+		d.cancel(errFirstEngineDead)
+	case d.r.repeatable() && d.r.service.budget.Remaining() > 0:
+		d.replaceRun(errFirstEngineDead)
+	}
+}
+
 // canReplace reports whether another run can replace this one now. The last permitted run is never replaced;
 // the caller decides how long to wait for it.
 func (d *watchdog) canReplace() bool {
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -379,6 +379,7 @@
 		{"idle timeout", errStalled, false, 1},
 		{"replaced by a run in another failure domain", errRestartElsewhere, false, 1},
 		{"replaced by a run that was started beside it", errReplaced, false, 1},
+		{"replaced since its first engine failed the probe", errors.Join(errReplaced, errFirstEngineDead), false, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -49,8 +49,9 @@
 	stopPending context.CancelCauseFunc
 	// triedAt is the time of the last attempt.
 	triedAt time.Time
-	// next is the accepted replacement.
-	next *upstreamRun
+	// next is the accepted replacement, and replaced the error with which it ended the run before.
+	next     *upstreamRun
+	replaced error
 }
 
 // beginRun makes a run the present one.
@@ -82,8 +83,8 @@
 	return fresh, n, nil
 }
 
-// settle waits for the end of a pending attempt after the present run has failed. It returns errReplaced in
-// place of the run's error if a replacement has taken over.
+// settle waits for the end of a pending attempt after the present run has failed. If a replacement has taken over,
+// it returns the error with which that ended the run.
 func (c *succession) settle(err error) error {
 	c.mu.Lock()
 	c.open = false
@@ -96,12 +97,21 @@
 	if pending != nil {
 		<-pending
 	}
-	if !errors.Is(err, errCallerWrite) && c.hasNext() {
-		return errReplaced
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !errors.Is(err, errCallerWrite) && c.next != nil {
+		return c.replaced
 	}
 	return err
 }
 
+// hasStarted reports whether an event was forwarded.
+func (c *succession) hasStarted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started
+}
+
 func (c *succession) hasNext() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,15 +128,19 @@
 }
 
 // accept makes a replacement the next run and ends the present one. It reports false if the replacement is not
-// needed or, since events after the given one have been forwarded meanwhile, cannot continue the stream.
-func (c *succession) accept(u *upstreamRun, after string, resumable bool) bool {
+// needed or, since events after the given one have been forwarded meanwhile, cannot continue the stream. The reason
+// holds unless the present run has gone on meanwhile.
+func (c *succession) accept(u *upstreamRun, after string, resumable bool, reason error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.complete || (c.started && !resumable) || (c.position.id != after && !c.position.known) {
 		return false
 	}
-	c.next = u
-	c.end(errReplaced)
+	c.next, c.replaced = u, errReplaced
+	if c.position.id == after {
+		c.replaced = errors.Join(errReplaced, reason)
+	}
+	c.end(c.replaced)
 	return true
 }
 
@@ -165,7 +179,7 @@
 		defer close(done)
 		defer s.endAttempt()
 		u := s.startReplacement(ctx, cancel, present, after, reason)
-		if u != nil && !s.accept(u, after, s.r.resumable()) {
+		if u != nil && !s.accept(u, after, s.r.resumable(), reason) {
 			s.discard(u)
 		}
 	})
@@ -181,7 +195,7 @@
 // startReplacement sends the request to a destination that begins elsewhere. It returns nil if there is none,
 // no retry is left or the upstream does not accept the run.
 func (s *callerStream) startReplacement(ctx context.Context, cancel context.CancelCauseFunc, present destination, after string, reason error) *upstreamRun {
-	dest := s.pickReplacement(present)
+	dest := s.pickReplacement(present, reason)
 	if dest == nil {
 		cancel(nil)
 		return nil
@@ -216,13 +230,15 @@
 }
 
 // pickReplacement returns a destination that begins at another upstream than the present one, with a retry
-// taken for it, or nil.
-func (s *callerStream) pickReplacement(present destination) destination {
-	if !s.mayRestart() {
+// taken for it, or nil. A run whose first engine is dead does not count towards the route's attempts.
+func (s *callerStream) pickReplacement(present destination, reason error) destination {
+	dead := errors.Is(reason, errFirstEngineDead) && s.r.repeatable() && s.r.mayRunAgain()
+	if !dead && !s.mayRestart() {
 		return nil
 	}
 	dest, none := s.pickDestination(s.r, ferryid.UpstreamName(present.first().Name))
 	if none != nil {
+		s.r.full = nil // they may have room at the next attempt
 		return nil
 	}
 	if !s.takeRetry(s.r) {
--- a/ferry/ferryforward/succession_test.go
+++ b/ferry/ferryforward/succession_test.go
@@ -154,3 +154,33 @@
 		})
 	}
 }
+
+// TestSilentRunOutlivesAFailedProbe has a sound run stay silent while its first engine accepts no connections.
+func TestSilentRunOutlivesAFailedProbe(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		repeat ferryconfig.Repeat
+		after  int
+	}{
+		{"before the first event", ferryconfig.RepeatFromEvent, 0},
+		{"resumable, after an event", ferryconfig.RepeatFromEvent, 3},
+		{"repeatable, after an event", ferryconfig.RepeatAlways, 3},
+		{"not repeatable, before the first event", ferryconfig.RepeatNever, 0},
+		{"not repeatable, after an event", ferryconfig.RepeatNever, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t)
+				b.setRoute("gen", func(r *ferryconfig.Route) { r.Repeat = tt.repeat })
+				firstThen(b, func(c net.Conn, r *http.Request) bool {
+					b.upstreams[r.Header.Get("Instance")].l.Close()
+					return pausedStream(9, tt.after, 1200*time.Millisecond)(c, r)
+				}, answerNotRun)
+				a := b.call("POST", "/gen/x", "1")
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, http.StatusOK)
+				assert.Equal(t, a.body, completeStream("1", 9))
+			})
+		})
+	}
+}
