ferryforward: a panic in the admission of a request is answered

Callers whose request made the route, key or service lookup panic got a reset connection: neither an answer nor a refusal.

Cause: the guard of a request began after its admission; the next one up is that of the connection, which can only close it. Ruled out for the other steps: the handling of an admitted request has had its own guard.

Change: the admission is guarded too and answered with 500 and NotRun, since nothing has been sent. No input that panics is known.

Test: TestPanicDuringAdmissionIsAnswered; before, an unexpected EOF.

--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -99,8 +99,12 @@
 // Handle serves one call.
 func (f *Forwarder) Handle(ctx context.Context, c *ferryingress.Call) {
 	f.awaitStart(ctx)
-	r, p := f.admit(c)
+	r := &request{call: c, proofAge: noProof}
 	defer f.recordUnanswered(ctx, r)
+	var p *ferryoutcome.Problem
+	if err := f.guard.Run("admission", c.Remote, func() { p = f.admit(r) }); err != nil {
+		p = ferryoutcome.New(ferryoutcome.KindInternal, ferryoutcome.NotRun, "The request failed inside the router.").WithCause(err)
+	}
 	if p != nil {
 		f.answerProblem(r, p)
 		return
@@ -151,26 +155,26 @@
 }
 
 // admit resolves the route, customer and service of a call, or returns the problem to answer with.
-func (f *Forwarder) admit(c *ferryingress.Call) (*request, *ferryoutcome.Problem) {
-	r := &request{call: c, proofAge: noProof}
+func (f *Forwarder) admit(r *request) *ferryoutcome.Problem {
+	c := r.call
 	info, err := f.cfg.Dialect.DecodeRequest(c.Header)
 	r.RequestInfo = info
 	if err != nil {
-		return r, ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%s", err)
+		return ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%s", err)
 	}
 	s := f.cfg.Holder.Current()
 	if s == nil {
-		return r, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "This entry has no configuration yet.").WithRetryAfter(retryAfterRestart)
+		return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "This entry has no configuration yet.").WithRetryAfter(retryAfterRestart)
 	}
 	r.version = s.Version
 	if age, proved := f.cfg.Holder.Age(f.cfg.Steady.Now()); proved {
 		r.proofAge = age
 	}
 	if r.route = s.Route(c.Host, c.Path()); r.route == nil {
-		return r, ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "No route for host %q and this path in configuration %d.", c.Host, s.Version)
+		return ferryoutcome.New(ferryoutcome.KindNotFound, ferryoutcome.NotRun, "No route for host %q and this path in configuration %d.", c.Host, s.Version)
 	}
 	if p := f.authenticate(r, s); p != nil {
-		return r, p
+		return p
 	}
 	now := f.cfg.Clock.Now()
 	r.deadline = now.Add(maxTimeout)
@@ -181,10 +185,10 @@
 	}
 	r.service = f.cfg.Services.get(r.route.Target(xxhash.Sum64String(string(r.ID))))
 	if r.service == nil {
-		return r, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "The route's service is not known here yet.").WithRetryAfter(retryAfterRestart)
+		return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "The route's service is not known here yet.").WithRetryAfter(retryAfterRestart)
 	}
 	r.header = ferryexchange.EndToEndHeaders(c.Header)
-	return r, nil
+	return nil
 }
 
 // maxTimeout is the timeout of a request for which neither caller nor route sets a shorter one.
--- a/ferry/ferryforward/panic_test.go
+++ b/ferry/ferryforward/panic_test.go
@@ -98,3 +98,27 @@
 		assert.Assert(t, a.err != nil || a.body == completeStream("1", 9), "%q", a.body)
 	})
 }
+
+// rejectingDialect panics on requests with a Panic header.
+type rejectingDialect struct{ testDialect }
+
+func (d rejectingDialect) DecodeRequest(h http.Header) (RequestInfo, error) {
+	if h.Get("Panic") != "" {
+		panic("unexpected request")
+	}
+	return d.testDialect.DecodeRequest(h)
+}
+
+// TestPanicDuringAdmissionIsAnswered has the admission of a request panic.
+func TestPanicDuringAdmissionIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, "u")
+		b.forwarder.cfg.Dialect = rejectingDialect{}
+		a := b.call("POST", "/once/x", "bad", "Key: good", "Panic: 1")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusInternalServerError)
+		assert.Equal(t, a.header.Get("Outcome"), "NotRun")
+		assert.Equal(t, b.upstreams["u"].runCount(), 0)
+		assert.Equal(t, b.call("POST", "/once/x", "next").status, http.StatusOK)
+	})
+}
