ferryforward: a failed replacement reads the progress of its stream under the lock

Callers saw nothing of it. A replacement that breaks off beside a silent run logs the number of events and the position, which the forwarding goroutine writes: a data race, and the position is a string.

Change: both belong to the succession, whose lock guards them.

--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -44,9 +44,8 @@
 	// retry budget.
 	refusals   int
 	noCapacity bool
-	// events counts forwarded events; firstAt and lastAt are the times of the first and the last one, and
-	// longestGap is the longest time between two.
-	events          int
+	// firstAt and lastAt are the times of the first and the last forwarded event, and longestGap is the longest time
+	// between two.
 	firstAt, lastAt time.Time
 	longestGap      time.Duration
 }
@@ -259,11 +258,10 @@
 
 // forwardEvents writes events to the caller, without those already forwarded.
 func (s *callerStream) forwardEvents(a *ferryexchange.Answer, whole []byte) error {
-	from, n, err := s.advance(whole)
+	from, err := s.advance(whole)
 	if err != nil || len(from) == 0 {
 		return err
 	}
-	s.events += n
 	if err := s.openAnswer(a); err != nil {
 		return err
 	}
@@ -418,7 +416,8 @@
 	if !gone || !s.r.repeatable() {
 		s.r.ran++
 	}
-	s.log.Warn().Str("Request", string(s.r.ID)).Str("Path", formatDestination(dest)).Int("Events", s.events).Str("Last", s.position.id).
+	events, last := s.progress()
+	s.log.Warn().Str("Request", string(s.r.ID)).Str("Path", formatDestination(dest)).Int("Events", events).Str("Last", last).
 		Bool("Gone", gone).Err(err).Msg("run ended before its stream was complete")
 	if gone {
 		s.r.avoidUpstream(finishUnreachable(dest, ""))
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -36,8 +36,9 @@
 // replacement from replace until settle or the end of its attempt.
 type succession struct {
 	mu sync.Mutex
-	// position is the last forwarded event; only the forwarding goroutine changes it.
+	// position is the last forwarded event, and events their number; only the forwarding goroutine changes them.
 	position position
+	events   int
 	// started is set once an event was forwarded.
 	started bool
 	// open is set while a run may be replaced, complete once the stream needs no other run.
@@ -61,15 +62,15 @@
 	c.open, c.end = true, end
 }
 
-// advance moves the position over the new ones of complete events. It returns them and their number, or
-// errReplaced if another run has taken over.
-func (c *succession) advance(whole []byte) (fresh []byte, n int, err error) {
+// advance moves the position over the new ones of complete events. It returns them, or errReplaced if another run
+// has taken over.
+func (c *succession) advance(whole []byte) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.next != nil {
-		return nil, 0, errReplaced
+		return nil, errReplaced
 	}
-	fresh = whole
+	n, fresh := 0, whole
 	for events := whole; len(events) > 0; {
 		event, rest := nextEvent(events)
 		if c.position.advance(eventID(event)) {
@@ -79,8 +80,18 @@
 		}
 		events = rest
 	}
-	c.started = c.started || len(fresh) > 0
-	return fresh, n, nil
+	if len(fresh) > 0 {
+		c.started = true
+		c.events += n
+	}
+	return fresh, nil
+}
+
+// progress returns the number of forwarded events and the id of the last one.
+func (c *succession) progress() (events int, last string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.events, c.position.id
 }
 
 // settle waits for the end of a pending attempt after the present run has failed. If a replacement has taken over,
--- a/ferry/ferryforward/succession_test.go
+++ b/ferry/ferryforward/succession_test.go
@@ -184,3 +184,25 @@
 		})
 	}
 }
+
+// TestBrokenReplacementLeavesItsSilentRunAlone has replacements break off. Under the race detector it checks that they
+// do not read what the present run counts.
+func TestBrokenReplacementLeavesItsSilentRunAlone(t *testing.T) {
+	unsigned := func(c net.Conn, r *http.Request) bool {
+		writef(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"))
+		return false
+	}
+	for _, target := range []string{"/gen/x", "/events/x"} {
+		for name, others := range map[string]handler{"closed": closeUnanswered, "unsigned": unsigned} {
+			t.Run(target+" "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newHarness(t, "u", "v")
+					firstThen(b, pausedStream(9, 3, 1800*time.Millisecond), others)
+					a := b.call("POST", target, "1")
+					assert.NilError(t, a.err)
+					assert.Equal(t, a.body, completeStream("1", 9))
+				})
+			})
+		}
+	}
+}
