ferryforward: a silent run goes on until its replacement gives something

Callers of a stream whose upstream fell silent for more than a second and then went on saw it cut, or got a 502 or 504, if the replacement was answered with 200 but broke off or stayed silent itself.

Cause: the silent run was ended when the head of the replacement's answer arrived. Nothing was left then but the replacement, the last attempt of most routes. Ruled out: refused replacements, which have left the silent run alone since.

Change: a replacement is accepted when the body of its answer begins, or when the present run fails, whichever comes first. Until then it has its own watchdog, so that it is rerouted around engines that die.

Test: TestSilentRunOutlivesAReplacementWithoutEvents; its eight cases failed before (unexpected EOF, 502, 504) and pass now. Two more tests keep what worked: a replacement takes over from a run that breaks off, and is rerouted before its first event.

--- a/ferry/ferryexchange/answer.go
+++ b/ferry/ferryexchange/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 )
@@ -42,6 +43,34 @@
 	return n, err
 }
 
+// AwaitBody waits until the body begins, or until the channel is closed. It fails if the connection or the context ends
+// before; it must be called before the first Read.
+func (a *Answer) AwaitBody(giveUp <-chan struct{}) error {
+	if a.body == http.NoBody {
+		return nil
+	}
+	begun, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		select {
+		case <-giveUp:
+			_ = a.conn.SetReadDeadline(time.Unix(1, 0))
+		case <-begun:
+		}
+	}()
+	_, err := a.conn.br.Peek(1)
+	close(begun)
+	<-stopped
+	_ = a.conn.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
+		return nil
+	case a.ctx.Err() != nil:
+		return context.Cause(a.ctx)
+	}
+	return unexpectedEOF(err)
+}
+
 // ReadTimeout sets the timeout of the next reads, counted from now; zero removes it.
 func (a *Answer) ReadTimeout(d time.Duration) {
 	var at time.Time
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -87,6 +87,11 @@
 // the run.
 func (s *callerStream) watch(ctx context.Context, dest destination, cancel context.CancelCauseFunc) *watchdog {
 	s.beginRun(cancel)
+	return s.supervise(ctx, dest, cancel)
+}
+
+// supervise starts the watchdog of a run.
+func (s *callerStream) supervise(ctx context.Context, dest destination, cancel context.CancelCauseFunc) *watchdog {
 	d := &watchdog{callerStream: s, ctx: ctx, dest: dest, cancel: cancel, began: s.cfg.Clock.Now(), mayReplace: s.mayRestart()}
 	if c, ok := dest.(enginePath); ok {
 		d.run, d.seenVersion = c.run, c.run.Chooser().Version()
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -29,8 +29,8 @@
 	cancel context.CancelCauseFunc
 }
 
-// succession hands a stream from a silent run to its replacement. The silent run ends only when the
-// replacement has been accepted, so that a refused replacement costs the caller nothing.
+// succession hands a stream from a silent run to its replacement. The silent run ends only when the replacement's
+// body has begun, so that a replacement that is refused, fails or is silent itself costs the caller nothing.
 //
 // The counters of the request belong to the forwarding goroutine between runs, and to the goroutine of the
 // replacement from replace until settle or the end of its attempt.
@@ -48,6 +48,8 @@
 	// pending is closed at the end of the attempt in progress, which stopPending ends; it is nil if there is none.
 	pending     chan struct{}
 	stopPending context.CancelCauseFunc
+	// failed is closed when the present run fails during the attempt; it is nil if there is none, or it has failed.
+	failed chan struct{}
 	// triedAt is the time of the last attempt.
 	triedAt time.Time
 	// next is the accepted replacement, and replaced the error with which it ended the run before.
@@ -100,6 +102,10 @@
 	c.mu.Lock()
 	c.open = false
 	pending := c.pending
+	if c.failed != nil {
+		close(c.failed)
+		c.failed = nil
+	}
 	c.complete = c.complete || errors.Is(err, errCallerWrite)
 	if c.complete && pending != nil {
 		c.stopPending(errNotNeeded)
@@ -183,13 +189,13 @@
 		return
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	done := make(chan struct{})
-	s.triedAt, s.pending, s.stopPending = now, done, cancel
+	done, failed := make(chan struct{}), make(chan struct{})
+	s.triedAt, s.pending, s.stopPending, s.failed = now, done, cancel, failed
 	after := s.position.id
 	s.guard.Go("replacement", string(s.r.ID), func() {
 		defer close(done)
 		defer s.endAttempt()
-		u := s.startReplacement(ctx, cancel, present, after, reason)
+		u := s.startReplacement(ctx, cancel, present, after, reason, failed)
 		if u != nil && !s.accept(u, after, s.r.resumable(), reason) {
 			s.discard(u)
 		}
@@ -200,12 +206,12 @@
 func (c *succession) endAttempt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending = nil
+	c.pending, c.failed = nil, nil
 }
 
-// startReplacement sends the request to a destination that begins elsewhere. It returns nil if there is none,
-// no retry is left or the upstream does not accept the run.
-func (s *callerStream) startReplacement(ctx context.Context, cancel context.CancelCauseFunc, present destination, after string, reason error) *upstreamRun {
+// startReplacement sends the request to a destination that begins elsewhere and waits for the answer's body, unless
+// the present run fails. It returns nil if there is no destination, no retry is left or the run fails.
+func (s *callerStream) startReplacement(ctx context.Context, cancel context.CancelCauseFunc, present destination, after string, reason error, failed <-chan struct{}) *upstreamRun {
 	dest := s.pickReplacement(present, reason)
 	if dest == nil {
 		cancel(nil)
@@ -225,18 +231,28 @@
 		return nil
 	}
 	v := s.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
-	if v.acceptsRun(a) {
+	accepted := v.acceptsRun(a)
+	err = errUnsigned
+	if accepted {
+		wd := s.supervise(ctx, dest, cancel)
+		err = a.AwaitBody(failed)
+		wd.stop()
+	}
+	if err == nil {
 		s.metrics.retried(s.r.service.name, string(ferryoutcome.KindUpstreamFailed))
 		return &upstreamRun{dest: dest, answer: a, cancel: cancel}
 	}
 	defer cancel(nil)
 	defer a.Close()
 	s.r.arrived++
-	if v.CertainlyNotRun() {
+	switch {
+	case v.CertainlyNotRun():
 		s.handleRefusal(dest, a.Status, v)
-		return nil
+	case errors.Is(err, errNotNeeded):
+		finishCancelled(dest)
+	default:
+		s.handleBrokenRun(ctx, dest, err)
 	}
-	s.handleBrokenRun(ctx, dest, errUnsigned)
 	return nil
 }
 
--- a/ferry/ferryforward/succession_test.go
+++ b/ferry/ferryforward/succession_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferryconfig"
+	"cactusferry.dev/ferry/ferrypath"
 )
 
 // pausedStream streams n events and makes a pause before the event after the given one.
@@ -185,6 +187,86 @@
 	}
 }
 
+// breaksAfterHead answers 200 with the head of a stream and ends the connection without an event.
+func breaksAfterHead(pause time.Duration) handler {
+	return func(c net.Conn, r *http.Request) bool {
+		writef(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"))
+		time.Sleep(pause)
+		return false
+	}
+}
+
+// TestSilentRunOutlivesAReplacementWithoutEvents has a silent run continue after its replacement was answered but
+// gave no event.
+func TestSilentRunOutlivesAReplacementWithoutEvents(t *testing.T) {
+	for _, target := range []string{"/gen/x", "/events/x"} {
+		for _, after := range []int{0, 3} {
+			for _, others := range []struct {
+				name   string
+				handle handler
+			}{{"breaks off", breaksAfterHead(0)}, {"silent", breaksAfterHead(30 * time.Second)}} {
+				t.Run(fmt.Sprintf("%s silent after event %d, replacement %s", target, after, others.name), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						b := newHarness(t, "u", "v")
+						firstThen(b, pausedStream(9, after, 1800*time.Millisecond), others.handle)
+						a := b.call("POST", target, "1")
+						assert.NilError(t, a.err)
+						assert.Equal(t, a.status, http.StatusOK)
+						assert.Equal(t, a.body, completeStream("1", 9))
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestReplacementWithoutEventsTakesOverFromABrokenRun has the present run break off before the first event of its
+// replacement, whose run may then be supervised like any other.
+func TestReplacementWithoutEventsTakesOverFromABrokenRun(t *testing.T) {
+	for _, target := range []string{"/gen/x", "/events/x"} {
+		t.Run(target, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t, "u", "v")
+				firstThen(b, func(c net.Conn, r *http.Request) bool {
+					streamEventsUpTo(c, r, 3, 9, time.Millisecond)
+					time.Sleep(1300 * time.Millisecond)
+					return false
+				}, pausedStream(9, 3, 600*time.Millisecond))
+				a := b.call("POST", target, "1")
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.body, completeStream("1", 9))
+			})
+		})
+	}
+}
+
+// TestReplacementIsReroutedBeforeItsFirstEvent has an engine of a replacement die after its head.
+func TestReplacementIsReroutedBeforeItsFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t)
+		moved := make(chan struct{})
+		b.rerouter.result = func(*ferrypath.Path) error {
+			close(moved)
+			return nil
+		}
+		firstThen(b, pausedStream(9, 3, 30*time.Second), func(c net.Conn, r *http.Request) bool {
+			id := r.Header.Get("Request-Id")
+			writef(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+			b.upstreams[strings.Fields(r.Header.Get("Path"))[1]].l.Close()
+			<-moved
+			for i := 4; i <= 9; i++ {
+				writeChunk(c, eventText(id, i))
+			}
+			writef(c, "0\r\n\r\n")
+			return true
+		})
+		a := b.call("POST", "/gen/x", "1")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, completeStream("1", 9))
+		assert.Assert(t, a.took < 2*time.Second, "%s", a.took)
+	})
+}
+
 // TestBrokenReplacementLeavesItsSilentRunAlone has replacements break off. Under the race detector it checks that they
 // do not read what the present run counts.
 func TestBrokenReplacementLeavesItsSilentRunAlone(t *testing.T) {
