--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -382,6 +382,7 @@
 		{"idle timeout", errStalled, false, false, 1},
 		{"replaced by a run in another failure domain", errRestartElsewhere, false, false, 1},
 		{"replaced by a run that was started beside it", errReplaced, false, false, 1},
+		{"replaced since its first engine failed the probe", errors.Join(errReplaced, errFirstEngineDead), false, false, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -29,15 +29,16 @@
 	cancel context.CancelCauseFunc
 }
 
-// succession hands a stream from a silent run to its replacement. The silent run ends only when the
-// replacement has been accepted, so that a refused replacement costs the caller nothing.
+// succession hands a stream from a silent run to its replacement. The silent run ends only when the replacement's
+// body has begun, so that a replacement that is refused, fails or is silent itself costs the caller nothing.
 //
 // The counters of the request belong to the forwarding goroutine between runs, and to the goroutine of the
 // replacement from replace until settle or the end of its attempt.
 type succession struct {
 	mu sync.Mutex
-	// position is the last forwarded event; only the forwarding goroutine changes it.
+	// position is the last forwarded event, and events their number; only the forwarding goroutine changes them.
 	position position
+	events   int
 	// started is set once an event was forwarded.
 	started bool
 	// open is set while a run may be replaced, complete once the stream needs no other run.
@@ -47,10 +48,13 @@
 	// pending is closed at the end of the attempt in progress, which stopPending ends; it is nil if there is none.
 	pending     chan struct{}
 	stopPending context.CancelCauseFunc
+	// failed is closed when the present run fails during the attempt; it is nil if there is none, or it has failed.
+	failed chan struct{}
 	// triedAt is the time of the last attempt.
 	triedAt time.Time
-	// next is the accepted replacement.
-	next *upstreamRun
+	// next is the accepted replacement, and replaced the error with which it ended the run before.
+	next     *upstreamRun
+	replaced error
 }
 
 // beginRun makes a run the present one.
@@ -60,15 +64,15 @@
 	c.open, c.end = true, end
 }
 
-// advance moves the position over the new ones of complete events. It returns them and their number, or
-// errReplaced if another run has taken over.
-func (c *succession) advance(whole []byte) (fresh []byte, n int, err error) {
+// advance moves the position over the new ones of complete events. It returns them, or errReplaced if another run
+// has taken over.
+func (c *succession) advance(whole []byte) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.next != nil {
-		return nil, 0, errReplaced
+		return nil, errReplaced
 	}
-	fresh = whole
+	n, fresh := 0, whole
 	for events := whole; len(events) > 0; {
 		event, rest := nextEvent(events)
 		if c.position.advance(eventID(event)) {
@@ -78,16 +82,30 @@
 		}
 		events = rest
 	}
-	c.started = c.started || len(fresh) > 0
-	return fresh, n, nil
+	if len(fresh) > 0 {
+		c.started = true
+		c.events += n
+	}
+	return fresh, nil
+}
+
+// progress returns the number of forwarded events and the id of the last one.
+func (c *succession) progress() (events int, last string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.events, c.position.id
 }
 
-// settle waits for the end of a pending attempt after the present run has failed. It returns errReplaced in
-// place of the run's error if a replacement has taken over.
+// settle waits for the end of a pending attempt after the present run has failed. If a replacement has taken over,
+// it returns the error with which that ended the run.
 func (c *succession) settle(err error) error {
 	c.mu.Lock()
 	c.open = false
 	pending := c.pending
+	if c.failed != nil {
+		close(c.failed)
+		c.failed = nil
+	}
 	c.complete = c.complete || errors.Is(err, errCallerWrite)
 	if c.complete && pending != nil {
 		c.stopPending(errNotNeeded)
@@ -96,12 +114,21 @@
 	if pending != nil {
 		<-pending
 	}
-	if !errors.Is(err, errCallerWrite) && c.hasNext() {
-		return errReplaced
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !errors.Is(err, errCallerWrite) && c.next != nil {
+		return c.replaced
 	}
 	return err
 }
 
+// hasStarted reports whether an event was forwarded.
+func (c *succession) hasStarted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started
+}
+
 func (c *succession) hasNext() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,15 +145,19 @@
 }
 
 // accept makes a replacement the next run and ends the present one. It reports false if the replacement is not
-// needed or, since events after the given one have been forwarded meanwhile, cannot continue the stream.
-func (c *succession) accept(u *upstreamRun, after string, resumable bool) bool {
+// needed or, since events after the given one have been forwarded meanwhile, cannot continue the stream. The reason
+// holds unless the present run has gone on meanwhile.
+func (c *succession) accept(u *upstreamRun, after string, resumable bool, reason error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.complete || (c.started && !resumable) || (c.position.id != after && !c.position.known) {
 		return false
 	}
-	c.next = u
-	c.end(errReplaced)
+	c.next, c.replaced = u, errReplaced
+	if c.position.id == after {
+		c.replaced = errors.Join(errReplaced, reason)
+	}
+	c.end(c.replaced)
 	return true
 }
 
@@ -158,14 +189,14 @@
 		return
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	done := make(chan struct{})
-	s.triedAt, s.pending, s.stopPending = now, done, cancel
+	done, failed := make(chan struct{}), make(chan struct{})
+	s.triedAt, s.pending, s.stopPending, s.failed = now, done, cancel, failed
 	after := s.position.id
 	s.guard.Go("replacement", string(s.r.ID), func() {
 		defer close(done)
 		defer s.endAttempt()
-		u := s.startReplacement(ctx, cancel, present, after, reason)
-		if u != nil && !s.accept(u, after, s.r.resumable()) {
+		u := s.startReplacement(ctx, cancel, present, after, reason, failed)
+		if u != nil && !s.accept(u, after, s.r.resumable(), reason) {
 			s.discard(u)
 		}
 	})
@@ -175,13 +206,13 @@
 func (c *succession) endAttempt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending = nil
+	c.pending, c.failed = nil, nil
 }
 
-// startReplacement sends the request to a destination that begins elsewhere. It returns nil if there is none,
-// no retry is left or the upstream does not accept the run.
-func (s *callerStream) startReplacement(ctx context.Context, cancel context.CancelCauseFunc, present destination, after string, reason error) *upstreamRun {
-	dest := s.pickReplacement(present)
+// startReplacement sends the request to a destination that begins elsewhere and waits for the answer's body, unless
+// the present run fails. It returns nil if there is no destination, no retry is left or the run fails.
+func (s *callerStream) startReplacement(ctx context.Context, cancel context.CancelCauseFunc, present destination, after string, reason error, failed <-chan struct{}) *upstreamRun {
+	dest := s.pickReplacement(present, reason)
 	if dest == nil {
 		cancel(nil)
 		return nil
@@ -200,29 +231,41 @@
 		return nil
 	}
 	v := s.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
-	if v.acceptsRun(a) {
+	accepted := v.acceptsRun(a)
+	err = errUnsigned
+	if accepted {
+		wd := s.supervise(ctx, dest, cancel)
+		err = a.AwaitBody(failed)
+		wd.stop()
+	}
+	if err == nil {
 		s.metrics.retried(s.r.service.name, string(ferryoutcome.KindUpstreamFailed))
 		return &upstreamRun{dest: dest, answer: a, cancel: cancel}
 	}
 	defer cancel(nil)
 	defer a.Close()
 	s.r.arrived++
-	if v.CertainlyNotRun() {
+	switch {
+	case v.CertainlyNotRun():
 		s.handleRefusal(dest, a.Status, v)
-		return nil
+	case errors.Is(err, errNotNeeded):
+		finishCancelled(dest)
+	default:
+		s.handleBrokenRun(ctx, dest, err)
 	}
-	s.handleBrokenRun(ctx, dest, errUnsigned)
 	return nil
 }
 
 // pickReplacement returns a destination that begins at another upstream than the present one, with a retry
-// taken for it, or nil.
-func (s *callerStream) pickReplacement(present destination) destination {
-	if !s.mayRestart() || s.blockedProblem(s.r) != nil {
+// taken for it, or nil. A run whose first engine is dead does not count towards the route's attempts.
+func (s *callerStream) pickReplacement(present destination, reason error) destination {
+	dead := errors.Is(reason, errFirstEngineDead) && s.r.repeatable() && s.r.mayRunAgain()
+	if (!dead && !s.mayRestart()) || s.blockedProblem(s.r) != nil {
 		return nil
 	}
 	dest, none := s.pickDestination(s.r, ferryid.UpstreamName(present.first().Name))
 	if none != nil {
+		s.r.full = nil // they may have room at the next attempt
 		return nil
 	}
 	if !s.takeRetry(s.r) {
