--- a/ferry/ferryexchange/limit_test.go
+++ b/ferry/ferryexchange/limit_test.go
@@ -137,6 +137,9 @@
 		}
 		return head + "\r\n" + body
 	}
+	refusal := func(id string) string {
+		return strings.NewReplacer("200 OK", "503 Full", "Length: 1", "Length: 0").Replace(answer(id, ""))
+	}
 	for _, tt := range []struct {
 		name              string
 		first, copy, next string
@@ -146,6 +149,8 @@
 		{"copy with an id", answer("1", "x"), answer("1", "x"), answer("2", "y"), []string{"complete x", "complete y"}, 1},
 		{"copy without an id", answer("1", "x"), answer("", "x"), answer("2", "y"), []string{"complete x", "complete y"}, 1},
 		{"upstream without ids", answer("", "x"), answer("", "x"), answer("", "x"), []string{"complete x", "complete x"}, 2},
+		{"copy of a refusal with its id", refusal("1"), refusal("1"), answer("2", "y"), []string{"complete ", "complete y"}, 1},
+		{"copy of a refusal without an id", refusal("1"), refusal(""), answer("2", "y"), []string{"complete ", "complete y"}, 1},
 		{"next answer without an id", answer("1", "x"), "", answer("", "y"), []string{"complete x", "error Unknown"}, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
