ferryforward: guards against copies of refusals

What callers would see: 'not run, try again' for a request that an upstream had run or was running, or such a request run at a second upstream. Other operators reported it where a faulty upstream wrote an earlier refusal once more on a kept connection.

It cannot happen here, by three mechanisms: a refusal is closed unread, so its connection is never kept (that also covers a request that is sent to the same upstream again, for which the copy carries the right id); answers with another id, and on a reused connection those without one, are passed over; requests that may not be repeated go out on new connections.

Evidence: the tests passed before, too. With refusals read to their end, which keeps their connections, CopyOfRefusalOfTheSameRequest fails with three runs in place of two.

--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -84,6 +84,7 @@
 	}
 	v := f.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
 	if v.CertainlyNotRun() {
+		// Closed unread, so that the connection is not kept: a second copy of the refusal could follow on it.
 		a.Close()
 		return nil, f.handleRefusal(r, pick, a.Status, v)
 	}
