ferryforward: only events of the stream are forwarded

What callers saw: the text of an error, or its whole head, in the middle of their stream, which then ended as if complete; and events missing where ids went back within one read.

Cause: whatever ended with a blank line was taken for an event: a body of text behind a signed 200, or a second head that an upstream wrote inside its own body. And advance dropped all that came before an old event, new ones too.

Ruled out: error statuses, refusals and unsigned successes in place of the next run. They passed before; the tests keep them.

Change: an event consists of comments and of fields that are standard or extensions (x-), has one id at most, and in a stream with ids has one if it has data. The run ends at the first bytes that are not, behind the events before them. Old events are left out one by one.

EventParsing asks the same of readEvent and advance as before of eventID.

--- a/ferry/ferryforward/event.go
+++ b/ferry/ferryforward/event.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 )
 
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	eventEnd  = []byte("\n\n")
+	idField   = []byte("id:")
+	dataField = []byte("data")
 )
 
 // splitEvents splits a buffer after its last complete event.
@@ -39,20 +41,41 @@
 	return false
 }
 
-// eventID returns the id of an event, or nil if it has none.
-func eventID(event []byte) []byte {
-	for len(event) > 0 {
-		line := event
-		if i := bytes.IndexByte(event, '\n'); i >= 0 {
-			line, event = event[:i], event[i+1:]
-		} else {
-			event = nil
+// EventError reports bytes of an upstream that are no event of its stream.
+type EventError struct{ Detail string }
+
+func (e *EventError) Error() string { return "no event: " + e.Detail }
+
+// extensionPrefix begins the names of event fields that are not standard.
+var extensionPrefix = []byte("x-")
+
+// isField reports whether a line of an event is a comment, or a field that is standard or an extension.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return bytes.HasPrefix(name, extensionPrefix)
+}
+
+// readEvent returns the id of a complete event, or nil, and whether it has data.
+func readEvent(event []byte) (id []byte, data bool, err error) {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if !isField(line) {
+			return nil, false, &EventError{Detail: fmt.Sprintf("line %.80q", line)}
 		}
-		if bytes.HasPrefix(line, idField) {
-			return bytes.TrimSpace(line[len(idField):])
+		data = data || bytes.HasPrefix(line, dataField)
+		value, isID := bytes.CutPrefix(line, idField)
+		if isID && id != nil {
+			return nil, false, &EventError{Detail: "two ids"}
+		}
+		if isID {
+			id = bytes.TrimSpace(value)
 		}
 	}
-	return nil
+	return id, data, nil
 }
 
 // position is the last event that was forwarded to the caller.
@@ -69,16 +92,22 @@
 	return p
 }
 
-// advance moves to the id of the next event and reports whether the event is new; non-numeric ids always count
-// as new.
-func (p *position) advance(id []byte) bool {
-	if id == nil {
-		return true
+// advance moves over the next event and reports whether the event is new; non-numeric ids always count as new. In a
+// stream with ids, an event without one has no place.
+func (p *position) advance(event []byte) (bool, error) {
+	id, data, err := readEvent(event)
+	switch {
+	case err != nil:
+		return false, err
+	case id == nil && data && p.id != "":
+		return false, &EventError{Detail: "no id after event " + p.id}
+	case id == nil:
+		return true, nil
 	}
 	n, err := strconv.ParseInt(string(id), 10, 64)
 	if err == nil && p.known && n <= p.number {
-		return false
+		return false, nil
 	}
 	p.id, p.number, p.known = string(id), n, err == nil
-	return true
+	return true, nil
 }
--- a/ferry/ferryforward/harness_test.go
+++ b/ferry/ferryforward/harness_test.go
@@ -380,7 +380,9 @@
 
 func eventText(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i) }
 
-func writeChunk(c net.Conn, s string) { writef(c, "%x\r\n%s\r\n", len(s), s) }
+func writeChunk(c net.Conn, s string) { writeChunkTo(c, s) }
+
+func writeChunkTo(w io.Writer, s string) { _, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(s), s) }
 
 // completeStream returns the text of a complete stream of n events.
 func completeStream(id string, n int) string {
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -259,9 +259,9 @@
 
 // forwardEvents writes events to the caller, without those already forwarded.
 func (s *callerStream) forwardEvents(a *ferryexchange.Answer, whole []byte) error {
-	from, n, err := s.advance(whole)
-	if err != nil || len(from) == 0 {
-		return err
+	from, n, invalid := s.advance(whole)
+	if len(from) == 0 {
+		return invalid
 	}
 	s.events += n
 	if err := s.openAnswer(a); err != nil {
@@ -271,7 +271,7 @@
 		return errors.Join(errCallerWrite, err)
 	}
 	s.recordForwarded(s.cfg.Clock.Now())
-	return nil
+	return invalid
 }
 
 // recordForwarded records the time at which events were forwarded.
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -200,16 +200,51 @@
 	assert.Equal(t, string(whole), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	assert.Equal(t, string(rest), "id: 3\nda")
 	first, _ := nextEvent(whole)
-	assert.Equal(t, string(eventID(first)), "1")
-	assert.Assert(t, eventID([]byte("data: id: 4\n\n")) == nil)
+	id, _, err := readEvent(first)
+	assert.NilError(t, err)
+	assert.Equal(t, string(id), "1")
+	id, _, err = readEvent([]byte("data: id: 4\n\n"))
+	assert.NilError(t, err)
+	assert.Assert(t, id == nil)
 	p := newPosition("2")
-	assert.Assert(t, !p.advance([]byte("2")), "event forwarded twice")
-	assert.Assert(t, p.advance([]byte("3")))
-	assert.Assert(t, p.advance(nil))
-	assert.Assert(t, p.advance([]byte("x")), "non-numeric id not taken as new")
+	advance := func(event string) bool {
+		isNew, err := p.advance([]byte(event))
+		assert.NilError(t, err)
+		return isNew
+	}
+	assert.Assert(t, !advance("id: 2\ndata: a\n\n"), "event forwarded twice")
+	assert.Assert(t, advance("id: 3\ndata: b\n\n"))
+	assert.Assert(t, advance(": comment\n\n"))
+	assert.Assert(t, advance("id: x\ndata: c\n\n"), "non-numeric id not taken as new")
 	assert.Equal(t, p.id, "x")
 }
 
+// TestOnlyEventsAreForwarded checks which bytes count as an event.
+func TestOnlyEventsAreForwarded(t *testing.T) {
+	for _, tt := range []struct {
+		event string
+		want  bool
+	}{
+		{"id: 1\ndata: a\n\n", true},
+		{"x-version: 3\nid: 1\ndata: a\ndata: b\n\n", true},
+		{"event: error\nid:1\ndata\n\n", true},
+		{"id: 1\r\ndata: a\r\n\n", true},
+		{": comment\n\n", true},
+		{"retry: 100\n\n", true},
+		{"data: a\n\n", true},
+		{"internal error\n\n", false},
+		{"error: a\n\n", false},
+		{"HTTP/1.1 500 Bad\r\nContent-Length: 3\r\n\r\nbad\n\n", false},
+		{"id: 1\ndaHTTP/1.1 500 Bad\r\n\r\nbad\n\n", false},
+		{"id: 1\nid: 1\ndata: a\n\n", false},
+		{"{\"error\": 1}\n\n", false},
+		{"\x00\x01\n\n", false},
+	} {
+		_, _, err := readEvent([]byte(tt.event))
+		assert.Equal(t, err == nil, tt.want, "%q: %v", tt.event, err)
+	}
+}
+
 // TestStreamOfCommentsIsReplaced has a run send comments but no event.
 func TestStreamOfCommentsIsReplaced(t *testing.T) {
 	for _, target := range []string{"/gen/x", "/events/x"} {
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -60,25 +60,28 @@
 	c.open, c.end = true, end
 }
 
-// advance moves the position over the new ones of complete events. It returns them and their number, or
-// errReplaced if another run has taken over.
+// advance moves the position over the new ones of complete events. It returns them, in place of the others, and their
+// number. It stops with an *EventError at bytes that are no event, or with errReplaced if another run has taken over.
 func (c *succession) advance(whole []byte) (fresh []byte, n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.next != nil {
 		return nil, 0, errReplaced
 	}
-	fresh = whole
+	fresh = whole[:0]
 	for events := whole; len(events) > 0; {
 		event, rest := nextEvent(events)
-		if c.position.advance(eventID(event)) {
+		isNew, err := c.position.advance(event)
+		if err != nil {
+			return fresh, n, err
+		}
+		if isNew {
 			n++
-		} else {
-			fresh = rest
+			fresh = append(fresh, event...)
 		}
 		events = rest
+		c.started = c.started || isNew
 	}
-	c.started = c.started || len(fresh) > 0
 	return fresh, n, nil
 }
 
