ferryforward: a run is a 200 with a stream of events

What callers saw: a page of another content type in their stream, as long as its bytes resembled events; and a 204 for a stream, framed in chunks, of which the bytes '0' and two line breaks are left over on the caller's connection.

Cause: any signed 2xx counted as the upstream's stream.

Change: a run is accepted with status 200 and, where the answer names a content type, text/event-stream.

--- a/ferry/ferryforward/join_test.go
+++ b/ferry/ferryforward/join_test.go
@@ -44,6 +44,8 @@
 	{"refusal", answerNotRun},
 	{"refusal with a body", writes("HTTP/1.1 503 Full\r\nRequest-Id: 1\r\nNot-Run: 1\r\nContent-Length: 16\r\n\r\ndata: an error\n\n")},
 	{"unsigned", writes("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", eventText("1", 4))},
+	{"no event stream", writes(signedHead + "Content-Type: text/html\r\nContent-Length: 18\r\n\r\ndata: <html>bad\n\n\n")},
+	{"no content", writes("HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\nSigned: yes\r\n\r\n")},
 	{"text", writes(signedHead + "Content-Length: 16\r\n\r\ninternal error\n\n")},
 	{"object", writes(signedHead + "Content-Length: 17\r\n\r\n{\"error\": \"bad\"}\n\n")},
 	{"text that resembles a field", writes(signedHead + "Content-Length: 15\r\n\r\nerror: no luck\n\n")},
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -195,7 +195,7 @@
 	case a.Status/100 != 2:
 		return s.handleErrorStatus(ctx, u.dest, a)
 	case !accepted:
-		return s.handleBrokenRun(ctx, u.dest, errUnsigned)
+		return s.handleBrokenRun(ctx, u.dest, errNoStream)
 	case err == nil:
 		finishDone(u.dest)
 		s.logCompleted(u.dest)
@@ -211,7 +211,14 @@
 
 // acceptsRun reports whether the answer is a stream of the upstream.
 func (v AnswerInfo) acceptsRun(a *ferryexchange.Answer) bool {
-	return !v.CertainlyNotRun() && a.Status/100 == 2 && v.Signed && a.Header.Get("Content-Encoding") == ""
+	return !v.CertainlyNotRun() && a.Status == http.StatusOK && v.Signed && a.Header.Get("Content-Encoding") == "" && isEventStream(a.Header.Get("Content-Type"))
+}
+
+// isEventStream reports whether a content type, if there is one, is that of a series of events.
+func isEventStream(contentType string) bool {
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
 }
 
 var (
@@ -219,6 +226,8 @@
 	errStalled = errors.New("run ended: no progress")
 	// errCallerWrite is returned if the answer cannot be written to the caller, who has probably disconnected.
 	errCallerWrite = errors.New("answer to the caller could not be written")
+	// errNoStream ends a run whose success is not a stream of its upstream.
+	errNoStream = errors.New("upstream answer not accepted: no stream of events with the upstream's signature and without a content encoding")
 )
 
 // forwardAnswer forwards complete events until the upstream's answer ends.
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -214,7 +214,7 @@
 		s.handleRefusal(dest, a.Status, v)
 		return nil
 	}
-	s.handleBrokenRun(ctx, dest, errUnsigned)
+	s.handleBrokenRun(ctx, dest, errNoStream)
 	return nil
 }
 
