ferryforward: a stream without its events is not complete

What callers saw: a stream that had broken off in the middle of an event ended as if complete, since the next run answered with no event; and a success without any event where an upstream ended right after its head.

Cause: an answer that ended was taken as the end of the stream, whatever had been seen of it before.

Change: once a run has begun another event, the stream ends only behind a run that brings one; a stream has an event at least, unless its caller resumed it; and an answer without a length that brings no event may have been broken off, so another run follows where the route permits it, and else the caller's answer is left open.

What remains: an answer without a length that ends between two events is taken as complete, since nothing tells how many events there are.

--- a/ferry/ferryexchange/answer.go
+++ b/ferry/ferryexchange/answer.go
@@ -15,6 +15,8 @@
 	Header http.Header
 	// Skipped is the number of answers to other requests that were skipped before this one.
 	Skipped int
+	// Unframed is set if the end of the body is the end of the connection.
+	Unframed bool
 
 	body      io.ReadCloser
 	conn      *conn
--- a/ferry/ferryexchange/client.go
+++ b/ferry/ferryexchange/client.go
@@ -180,6 +180,7 @@
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, body: resp.Body, conn: cn,
 				reusable: !resp.Close && r.identifies(resp.Header), Skipped: foreign,
+				Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 			}, nil
 		}
 		foreign++
--- a/ferry/ferryexchange/cut_test.go
+++ b/ferry/ferryexchange/cut_test.go
@@ -92,6 +92,7 @@
 			defer c.Close()
 			a, err := c.Do(t.Context(), l.Addr().String(), newPost("1"))
 			assert.NilError(t, err)
+			assert.Assert(t, a.Unframed)
 			defer a.Close()
 			b := make([]byte, 5)
 			_, err = io.ReadFull(a, b)
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -235,7 +235,7 @@
 	if s.buf == nil {
 		s.buf = make([]byte, initialEventBytes)
 	}
-	n := 0
+	n, before := 0, s.events
 	for {
 		if n == len(s.buf) {
 			if n >= maxEventBytes {
@@ -256,16 +256,25 @@
 			n = copy(s.buf, rest)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && n > 0:
+		case errors.Is(err, io.EOF) && (n > 0 || !s.mayEnd(a, s.events > before)):
+			s.breakOff(s.buf[:n])
 			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return s.endAnswer(a)
 		case err != nil:
+			s.breakOff(s.buf[:n])
 			return err
 		}
 	}
 }
 
+// mayEnd reports whether the stream may be complete at the end of a run, which has brought events or not. A stream
+// without any event is not, nor is one of which an earlier run had begun another event. An answer without a length
+// that brings no event may have been broken off.
+func (s *callerStream) mayEnd(a *ferryexchange.Answer, brought bool) bool {
+	return brought || !s.begun && !a.Unframed && (s.events > 0 || s.r.After != "")
+}
+
 // forwardEvents writes events to the caller, without those already forwarded.
 func (s *callerStream) forwardEvents(a *ferryexchange.Answer, whole []byte) error {
 	from, n, invalid := s.advance(whole)
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -40,6 +40,8 @@
 	position position
 	// started is set once an event was forwarded.
 	started bool
+	// begun is set while a run has ended inside the event after the position; only the forwarding goroutine uses it.
+	begun bool
 	// open is set while a run may be replaced, complete once the stream needs no other run.
 	open, complete bool
 	// end ends the present run.
@@ -60,8 +62,8 @@
 	c.open, c.end = true, end
 }
 
-// advance moves the position over the new ones of complete events. It returns them, in place of the others, and their
-// number. It stops with an *EventError at bytes that are no event, or with errReplaced if another run has taken over.
+// advance moves the position over the new ones of complete events. It returns them, in place of the others, and how
+// many have fields. It stops with an *EventError at bytes that are no event, or with errReplaced if another run has taken over.
 func (c *succession) advance(whole []byte) (fresh []byte, n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -73,18 +75,28 @@
 		event, rest := nextEvent(events)
 		isNew, err := c.position.advance(event)
 		if err != nil {
+			c.begun = c.begun || beginsEvent(event)
 			return fresh, n, err
 		}
-		if isNew {
+		events = rest
+		if !isNew {
+			continue
+		}
+		if carryData(event) {
 			n++
-			fresh = append(fresh, event...)
+			c.begun = false
 		}
-		events = rest
-		c.started = c.started || isNew
+		fresh = append(fresh, event...)
+		c.started = true
 	}
 	return fresh, n, nil
 }
 
+// breakOff records that a run has ended with bytes behind its last complete event.
+func (c *succession) breakOff(rest []byte) {
+	c.begun = c.begun || beginsEvent(rest)
+}
+
 // settle waits for the end of a pending attempt after the present run has failed. It returns errReplaced in
 // place of the run's error if a replacement has taken over.
 func (c *succession) settle(err error) error {
