--- a/ferry/ferryingress/server_test.go
+++ b/ferry/ferryingress/server_test.go
@@ -154,6 +154,39 @@
 	})
 }
 
+// TestIncompleteAnswerWithoutChunksIsReset has callers over real sockets whose answers end with their connection.
+func TestIncompleteAnswerWithoutChunksIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	sent := make(chan struct{})
+	s := NewServer(Config{Log: zerolog.Nop(), Handle: func(_ context.Context, c *Call) {
+		s, err := c.Stream(http.StatusOK, http.Header{})
+		assert.Check(t, err)
+		_, err = s.Write([]byte("part"))
+		assert.Check(t, err)
+		<-sent
+		if c.Target == "/whole" {
+			assert.Check(t, s.End())
+		}
+	}})
+	defer s.Stop()
+	go func() { _ = s.Serve(t.Context(), l) }()
+	for _, target := range []string{"/whole", "/broken"} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		writeString(t, c, "GET "+target+" HTTP/1.0\r\nHost: h\r\n\r\n")
+		w, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		_, err = io.ReadFull(w.Body, make([]byte, 4))
+		assert.NilError(t, err)
+		sent <- struct{}{}
+		_, err = io.ReadAll(w.Body)
+		assert.Equal(t, err != nil, target == "/broken", "%s: %v", target, err)
+	}
+}
+
 func TestCallerDisconnectCancelsCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ended := make(chan error, 1)
