ferryforward: a stream without ids is not resumed

What callers saw: the first events of a stream twice, where the events had no ids and the run broke off or fell silent on a route that may be resumed.

Cause: the next run was asked to go on after no event at all, and so began from the start.

Change: once an event with data and without an id has passed, no other run may continue the stream; its caller's answer is left open.

Evidence: StreamWithoutIDsIsNotResumed failed before, in both ways.

--- a/ferry/ferryforward/event.go
+++ b/ferry/ferryforward/event.go
@@ -112,6 +112,8 @@
 	id     string
 	number int64
 	known  bool
+	// lost is set once an event without an id has passed, so that no run can go on after it.
+	lost bool
 }
 
 func newPosition(id string) position {
@@ -131,6 +133,7 @@
 	case id == nil && data && p.id != "":
 		return false, &EventError{Detail: "no id after event " + p.id}
 	case id == nil:
+		p.lost = p.lost || data
 		return true, nil
 	}
 	n, err := strconv.ParseInt(string(id), 10, 64)
--- a/ferry/ferryforward/join_test.go
+++ b/ferry/ferryforward/join_test.go
@@ -110,3 +110,28 @@
 		}
 	}
 }
+
+// TestStreamWithoutIDsIsNotResumed has a stream without ids break off once it has started: another run would begin with
+// events that the caller has.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	const events = "data: a\n\ndata: b\n\n"
+	for _, tt := range []struct {
+		name string
+		rest time.Duration
+	}{{"closes", 0}, {"falls silent", 19 * time.Second}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t, "u", "v")
+				firstThen(b, func(c net.Conn, _ *http.Request) bool {
+					writef(c, "%s", chunkedHead+chunk(events))
+					time.Sleep(tt.rest)
+					return false
+				}, writes(chunkedHead, chunk(events+"data: c\n\n"), "0\r\n\r\n"))
+				a := b.call("POST", "/events/x", "1")
+				assert.Assert(t, a.err != nil, "%q", a.body)
+				assert.Equal(t, a.body, events)
+				assert.Equal(t, b.upstreams["u"].runCount()+b.upstreams["v"].runCount(), 1)
+			})
+		})
+	}
+}
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
@@ -124,7 +123,7 @@
 	if s.out == nil {
 		return s.r.mayRunAgain()
 	}
-	return s.r.route.Repeat == ferryconfig.RepeatFromEvent && s.r.mayRunAgain()
+	return s.resumable(s.r.route.Repeat) && s.r.mayRunAgain()
 }
 
 // abort ends an incomplete stream: with a problem answer if nothing was forwarded, else by leaving the answer
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -134,10 +134,10 @@
 
 // accept makes a replacement the next run and ends the present one. It reports false if the replacement is not
 // needed or, since events after the given one have been forwarded meanwhile, cannot continue the stream.
-func (c *succession) accept(u *upstreamRun, after string, resumable bool) bool {
+func (c *succession) accept(u *upstreamRun, after string, repeat ferryconfig.Repeat) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.complete || (c.started && !resumable) || (c.position.id != after && !c.position.known) {
+	if c.complete || (c.started && !c.resumable(repeat)) || (c.position.id != after && !c.position.known) {
 		return false
 	}
 	c.next = u
@@ -162,14 +162,16 @@
 }
 
 // resumable reports whether another run may continue a started stream.
-func (r *request) resumable() bool { return r.route.Repeat == ferryconfig.RepeatFromEvent }
+func (c *succession) resumable(repeat ferryconfig.Repeat) bool {
+	return repeat == ferryconfig.RepeatFromEvent && !c.position.lost
+}
 
 // replace starts another run beside the present one, unless an attempt is in progress or was made recently.
 func (s *callerStream) replace(ctx context.Context, present destination, reason error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Clock.Now()
-	if !s.open || s.pending != nil || s.next != nil || now.Sub(s.triedAt) < replaceInterval || (s.started && !s.r.resumable()) {
+	if !s.open || s.pending != nil || s.next != nil || now.Sub(s.triedAt) < replaceInterval || (s.started && !s.resumable(s.r.route.Repeat)) {
 		return
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -180,7 +182,7 @@
 		defer close(done)
 		defer s.endAttempt()
 		u := s.startReplacement(ctx, cancel, present, after, reason)
-		if u != nil && !s.accept(u, after, s.r.resumable()) {
+		if u != nil && !s.accept(u, after, s.r.route.Repeat) {
 			s.discard(u)
 		}
 	})
