ferryforward: whatever follows the last event shows that a run went on

What callers saw: a stream ended as complete where one run had written bytes that are no event, properly framed, and the next one answered with no event.

Cause: only bytes that resemble the beginning of an event counted as more to come.

Change: any bytes but comments and blank lines do. This replaces the check of beginnings, and its test with it.

AnswerCutAnywhere announced chunks and bodies of streams one byte too long, so that none of them was whole; with the right lengths it tests the cut between the last event and the end of the answer, too. It passes on as before.

Evidence: the row 'ended with bytes that are no event' of RunWithoutEventsMayCompleteTheStream failed before; the others are guards.

--- a/ferry/ferryforward/cut_test.go
+++ b/ferry/ferryforward/cut_test.go
@@ -16,9 +16,9 @@
 var cutAnswers = map[string]string{
 	"/safe/x":   signedHead + "Content-Length: 11\r\n\r\nanswer to 1",
 	"/once/x":   signedHead + "Transfer-Encoding: chunked\r\n\r\n7\r\nanswer \r\n4\r\nto 1\r\n0\r\n\r\n",
-	"/events/x": chunkedHead + "12\r\nid: 1\ndata: 1 1\n\n\r\n0\r\n\r\n",
-	"/gen/x":    signedHead + "Content-Length: 18\r\n\r\nid: 1\ndata: 1 1\n\n",
-	"/live/x":   chunkedHead + "12\r\nid: 1\ndata: 1 1\n\n\r\n0\r\n\r\n",
+	"/events/x": chunkedHead + chunk(eventText("1", 1)) + "0\r\n\r\n",
+	"/gen/x":    signedHead + "Content-Length: 17\r\n\r\n" + eventText("1", 1),
+	"/live/x":   chunkedHead + chunk(eventText("1", 1)) + "0\r\n\r\n",
 }
 
 // TestAnswerCutAnywhere cuts the first answer to a call or stream after each of its bytes. Where the route permits it,
--- a/ferry/ferryforward/event.go
+++ b/ferry/ferryforward/event.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"strconv"
-	"strings"
 )
 
 var (
@@ -60,34 +59,6 @@
 	return bytes.HasPrefix(name, extensionPrefix)
 }
 
-// isFieldStart reports whether a line that was cut short may have been a field.
-func isFieldStart(line []byte) bool {
-	if bytes.IndexByte(line, ':') >= 0 {
-		return isField(line)
-	}
-	for _, name := range []string{"data", "event", "id", "retry"} {
-		if strings.HasPrefix(name, string(line)) {
-			return true
-		}
-	}
-	return bytes.HasPrefix(line, extensionPrefix) || string(line) == "x"
-}
-
-// beginsEvent reports whether bytes that are no complete event are the beginning of one.
-func beginsEvent(b []byte) bool {
-	for line := range bytes.Lines(b) {
-		text, ended := bytes.CutSuffix(line, []byte("\n"))
-		switch {
-		case len(text) == 0 || text[0] == ':':
-		case ended:
-			return isField(text)
-		default:
-			return isFieldStart(text)
-		}
-	}
-	return false
-}
-
 // readEvent returns the id of a complete event, or nil, and whether it has data.
 func readEvent(event []byte) (id []byte, data bool, err error) {
 	for line := range bytes.Lines(event) {
--- a/ferry/ferryforward/join_test.go
+++ b/ferry/ferryforward/join_test.go
@@ -135,3 +135,33 @@
 		})
 	}
 }
+
+// TestRunWithoutEventsMayCompleteTheStream has the next run of a broken stream answer with no event and a proper end.
+// That completes the stream unless the earlier run had begun to write more.
+func TestRunWithoutEventsMayCompleteTheStream(t *testing.T) {
+	for _, tt := range []struct {
+		name, first string
+		complete    bool
+	}{
+		{"broken between two events", chunk(completeStream("1", 3)), true},
+		{"broken inside an event", chunk(completeStream("1", 3) + "id"), false},
+		{"ended inside an event", chunk(completeStream("1", 3)+"id") + "0\r\n\r\n", false},
+		{"ended with bytes that are no event", chunk(completeStream("1", 3)+"error\n\n") + "0\r\n\r\n", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t, "u", "v")
+				firstThen(b, writes(chunkedHead, tt.first), func(c net.Conn, _ *http.Request) bool {
+					writef(c, "%s0\r\n\r\n", chunkedHead)
+					return true
+				})
+				a := b.call("POST", "/events/x", "1")
+				assert.Equal(t, a.err == nil, tt.complete, "%v", a.err)
+				assert.Equal(t, a.body, completeStream("1", 3))
+				a = b.call("POST", "/events/x", "1", "Key: good", "Last-Event-Id: 3")
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.body, "")
+			})
+		})
+	}
+}
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -219,7 +219,7 @@
 	assert.Equal(t, p.id, "x")
 }
 
-// TestOnlyEventsAreForwarded checks which bytes count as an event, and which as the beginning of one.
+// TestOnlyEventsAreForwarded checks which bytes count as an event.
 func TestOnlyEventsAreForwarded(t *testing.T) {
 	for _, tt := range []struct {
 		event string
@@ -243,13 +243,6 @@
 		_, _, err := readEvent([]byte(tt.event))
 		assert.Equal(t, err == nil, tt.want, "%q: %v", tt.event, err)
 	}
-	const event = "x-version: 3\nid: 1\ndata: a\n\n"
-	for i := 1; i < len(event); i++ {
-		assert.Assert(t, beginsEvent([]byte(event[:i])), "%q", event[:i])
-	}
-	for _, s := range []string{"", "\n", ": comm", ": comment\n", "HTTP/1.1", "error: a", "\x00\x01"} {
-		assert.Assert(t, !beginsEvent([]byte(s)), "%q", s)
-	}
 }
 
 // TestStreamOfCommentsIsReplaced has a run send comments but no event.
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -40,7 +40,8 @@
 	position position
 	// started is set once an event was forwarded.
 	started bool
-	// begun is set while a run has ended inside the event after the position; only the forwarding goroutine uses it.
+	// begun is set while a run has ended with more than whole events behind the position; only the forwarding
+	// goroutine uses it.
 	begun bool
 	// open is set while a run may be replaced, complete once the stream needs no other run.
 	open, complete bool
@@ -75,7 +76,7 @@
 		event, rest := nextEvent(events)
 		isNew, err := c.position.advance(event)
 		if err != nil {
-			c.begun = c.begun || beginsEvent(event)
+			c.begun = true
 			return fresh, n, err
 		}
 		events = rest
@@ -94,7 +95,7 @@
 
 // breakOff records that a run has ended with bytes behind its last complete event.
 func (c *succession) breakOff(rest []byte) {
-	c.begun = c.begun || beginsEvent(rest)
+	c.begun = c.begun || carryData(rest)
 }
 
 // settle waits for the end of a pending attempt after the present run has failed. It returns errReplaced in
