ferryforward: histories of upstreams that spoil their answers

TestGuaranteesUnderUpstreamFaults draws seven more actions: refusals that are written twice, heads that stop, answers without a length, whole and broken off, errors inside a stream, pages and answers without events in place of a stream.

--- a/ferry/ferryforward/oracle_test.go
+++ b/ferry/ferryforward/oracle_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -51,13 +52,71 @@
 		return false
 	}},
 	{"runs and does not answer", true, neverAnswer},
+	{"answers not run, twice", false, func(c net.Conn, r *http.Request) bool {
+		return answerNotRun(c, r) && answerNotRun(c, r)
+	}},
+	{"runs and closes in the middle of the head", true, func(c net.Conn, r *http.Request) bool {
+		writef(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned: yes\r\nConte", r.Header.Get("Request-Id"))
+		return false
+	}},
+	{"answers without a length", true, func(c net.Conn, r *http.Request) bool { return answerUnframed(c, r, streamLength) }},
+	{"closes in the middle of an answer without a length", true, func(c net.Conn, r *http.Request) bool {
+		if !streams(r.URL.Path) {
+			return answerOrStream(2)(c, r)
+		}
+		answerUnframed(c, r, 2)
+		writef(c, "id: 3\nda")
+		return false
+	}},
+	{"answers with an error inside the answer", true, func(c net.Conn, r *http.Request) bool {
+		if !streams(r.URL.Path) {
+			return answerOrStream(2)(c, r)
+		}
+		answerUnframed(c, r, 2)
+		writef(c, "HTTP/1.1 500 Bad\r\nContent-Length: 7\r\n\r\nerror\n\n")
+		return false
+	}},
+	{"answers a stream with a page", true, func(c net.Conn, r *http.Request) bool {
+		if !streams(r.URL.Path) {
+			return answerOK(c, r)
+		}
+		writef(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned: yes\r\nContent-Type: text/html\r\nContent-Length: 7\r\n\r\nerror\n\n", r.Header.Get("Request-Id"))
+		return true
+	}},
+	{"answers a stream without events", true, func(c net.Conn, r *http.Request) bool {
+		if !streams(r.URL.Path) {
+			return answerOK(c, r)
+		}
+		return streamEventsUpTo(c, r, 0, 0, 0)
+	}},
+}
+
+// streams reports whether a path of the tests is that of a stream.
+func streams(path string) bool {
+	return strings.HasPrefix(path, "/events/") || strings.HasPrefix(path, "/live/")
+}
+
+// answerUnframed answers a call, or streams events up to upTo, without a length.
+func answerUnframed(c net.Conn, r *http.Request, upTo int) bool {
+	id := r.Header.Get("Request-Id")
+	writef(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned: yes\r\n\r\n", id)
+	if !streams(r.URL.Path) {
+		writef(c, "answer to %s", id)
+		return false
+	}
+	from, _ := strconv.Atoi("0" + r.Header.Get("Last-Event-Id"))
+	for i := from + 1; i <= upTo; i++ {
+		time.Sleep(time.Millisecond)
+		writef(c, "%s", eventText(id, i))
+	}
+	return false
 }
 
 // answerOrStream streams events up to upTo, or answers a call completely if upTo is streamLength and truncated
 // otherwise.
 func answerOrStream(upTo int) handler {
 	return func(c net.Conn, r *http.Request) bool {
-		if strings.HasPrefix(r.URL.Path, "/events/") || strings.HasPrefix(r.URL.Path, "/live/") {
+		if streams(r.URL.Path) {
 			return streamEventsUpTo(c, r, upTo, streamLength, time.Millisecond)
 		}
 		if upTo < streamLength {
@@ -122,7 +181,7 @@
 // often than its route permits, no incomplete answer may look complete, and no request that ran may be
 // reported as NotRun.
 func checkAnswer(target, id string, a callerAnswer, runs int) string {
-	streaming := strings.HasPrefix(target, "/events/") || strings.HasPrefix(target, "/live/")
+	streaming := streams(target)
 	maxRuns := 2
 	if target == "/once/x" || target == "/live/x" {
 		maxRuns = 1
