ferryforward: events that the caller has are no progress

What callers saw: a stream that stood still until its timeout, while its upstream sent an event again now and then that had been forwarded.

Cause: any data counted as progress of the run, so that the watchdog never replaced it.

Ruled out: comments, single bytes and lines of an event, and header lines now and then; such runs are replaced or end by the route's timeout (TricklingRunEndsInTime passed before). Streams that are slow but sound, with a second of silence, comments or events in pieces, are not cut (SlowButSoundStreams passed before, too).

Change: only events that are new to the caller are progress.

Evidence: the rows 'old events' of TricklingRunIsReplaced failed before.

--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -246,10 +246,7 @@
 		n += m
 		whole, rest := splitEvents(s.buf[:n])
 		if len(whole) > 0 {
-			if carryData(whole) {
-				progress()
-			}
-			if err := s.forwardEvents(a, whole); err != nil {
+			if err := s.forwardEvents(a, whole, progress); err != nil {
 				return err
 			}
 			n = copy(s.buf, rest)
@@ -274,9 +271,12 @@
 	return brought || !s.begun && !a.Unframed && (s.events > 0 || s.r.After != "")
 }
 
-// forwardEvents writes events to the caller, without those already forwarded.
-func (s *callerStream) forwardEvents(a *ferryexchange.Answer, whole []byte) error {
+// forwardEvents writes events to the caller, without those already forwarded, which are no progress.
+func (s *callerStream) forwardEvents(a *ferryexchange.Answer, whole []byte, progress func()) error {
 	from, n, invalid := s.advance(whole)
+	if n > 0 {
+		progress()
+	}
 	if len(from) == 0 {
 		return invalid
 	}
