--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -265,8 +265,8 @@
 }
 
 // mayEnd reports whether the stream may be complete at the end of a run, which has brought events or not. A stream
-// without any event is not, nor is one of which an earlier run had begun more. An answer without a length
-// that brings no event may have been broken off.
+// without any event is not, nor is one of which an earlier run had begun more. An answer without a length that brings
+// no event may have been broken off.
 func (s *callerStream) mayEnd(a *ferryexchange.Answer, brought bool) bool {
 	return brought || !s.begun && !a.Unframed && (s.events > 0 || s.r.After != "")
 }
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -40,8 +40,8 @@
 	position position
 	// started is set once an event was forwarded.
 	started bool
-	// begun is set while a run has ended with more than whole events behind the position; only the forwarding
-	// goroutine uses it.
+	// begun is set when a run ends with bytes behind its last complete event, and reset by the next event; only the
+	// forwarding goroutine uses it.
 	begun bool
 	// open is set while a run may be replaced, complete once the stream needs no other run.
 	open, complete bool
@@ -63,8 +63,9 @@
 	c.open, c.end = true, end
 }
 
-// advance moves the position over the new ones of complete events. It returns them, in place of the others, and how
-// many have fields. It stops with an *EventError at bytes that are no event, or with errReplaced if another run has taken over.
+// advance moves the position over the new ones of complete events. It returns them, moved together within whole, and
+// how many of them have fields. It stops with an *EventError at bytes that are no event, or with errReplaced if
+// another run has taken over.
 func (c *succession) advance(whole []byte) (fresh []byte, n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
