--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
@@ -136,7 +135,7 @@
 	if s.out == nil {
 		return s.r.mayRunAgain()
 	}
-	return s.r.route.Repeat == ferryconfig.RepeatFromEvent && s.r.mayRunAgain()
+	return s.resumable(s.r.route.Repeat) && s.r.mayRunAgain()
 }
 
 // abort ends an incomplete stream: with a problem answer if nothing was forwarded, else by leaving the answer
@@ -208,7 +207,7 @@
 	case a.Status/100 != 2:
 		return s.handleErrorStatus(ctx, u.dest, a)
 	case !accepted:
-		return s.handleBrokenRun(ctx, u.dest, errUnsigned)
+		return s.handleBrokenRun(ctx, u.dest, errNoStream)
 	case err == nil:
 		s.recordWriting(true)
 		finishDone(u.dest)
@@ -225,7 +224,14 @@
 
 // acceptsRun reports whether the answer is a stream of the upstream.
 func (v AnswerInfo) acceptsRun(a *ferryexchange.Answer) bool {
-	return !v.CertainlyNotRun() && a.Status/100 == 2 && v.Signed && a.Header.Get("Content-Encoding") == ""
+	return !v.CertainlyNotRun() && a.Status == http.StatusOK && v.Signed && a.Header.Get("Content-Encoding") == "" && isEventStream(a.Header.Get("Content-Type"))
+}
+
+// isEventStream reports whether a content type, if there is one, is that of a series of events.
+func isEventStream(contentType string) bool {
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
 }
 
 var (
@@ -233,6 +239,8 @@
 	errStalled = errors.New("run ended: no progress")
 	// errCallerWrite is returned if the answer cannot be written to the caller, who has probably disconnected.
 	errCallerWrite = errors.New("answer to the caller could not be written")
+	// errNoStream ends a run whose success is not a stream of its upstream.
+	errNoStream = errors.New("upstream answer not accepted: no stream of events with the upstream's signature and without a content encoding")
 )
 
 // forwardAnswer forwards complete events until the upstream's answer ends.
@@ -240,7 +248,7 @@
 	if s.buf == nil {
 		s.buf = make([]byte, initialEventBytes)
 	}
-	n := 0
+	n, before := 0, s.events
 	for {
 		if n == len(s.buf) {
 			if n >= maxEventBytes {
@@ -252,30 +260,39 @@
 		n += m
 		whole, rest := splitEvents(s.buf[:n])
 		if len(whole) > 0 {
-			if carryData(whole) {
-				progress()
-			}
-			if err := s.forwardEvents(a, whole); err != nil {
+			if err := s.forwardEvents(a, whole, progress); err != nil {
 				return err
 			}
 			n = copy(s.buf, rest)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && n > 0:
+		case errors.Is(err, io.EOF) && (n > 0 || !s.mayEnd(a, s.events > before)):
+			s.breakOff(s.buf[:n])
 			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return s.endAnswer(a)
 		case err != nil:
+			s.breakOff(s.buf[:n])
 			return err
 		}
 	}
 }
 
-// forwardEvents writes events to the caller, without those already forwarded.
-func (s *callerStream) forwardEvents(a *ferryexchange.Answer, whole []byte) error {
-	from, err := s.advance(whole)
-	if err != nil || len(from) == 0 {
-		return err
+// mayEnd reports whether the stream may be complete at the end of a run, which has brought events or not. A stream
+// without any event is not, nor is one of which an earlier run had begun more. An answer without a length that brings
+// no event may have been broken off.
+func (s *callerStream) mayEnd(a *ferryexchange.Answer, brought bool) bool {
+	return brought || !s.begun && !a.Unframed && (s.events > 0 || s.r.After != "")
+}
+
+// forwardEvents writes events to the caller, without those already forwarded, which are no progress.
+func (s *callerStream) forwardEvents(a *ferryexchange.Answer, whole []byte, progress func()) error {
+	from, n, invalid := s.advance(whole)
+	if n > 0 {
+		progress()
+	}
+	if len(from) == 0 {
+		return invalid
 	}
 	if err := s.openAnswer(a); err != nil {
 		return err
@@ -284,7 +301,7 @@
 		return errors.Join(errCallerWrite, err)
 	}
 	s.recordForwarded(s.cfg.Clock.Now())
-	return nil
+	return invalid
 }
 
 // recordForwarded records the time at which events were forwarded.
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -41,6 +41,9 @@
 	events   int
 	// started is set once an event was forwarded.
 	started bool
+	// begun is set when a run ends with bytes behind its last complete event, and reset by the next event; only the
+	// forwarding goroutine uses it.
+	begun bool
 	// open is set while a run may be replaced, complete once the stream needs no other run.
 	open, complete bool
 	// end ends the present run.
@@ -64,29 +67,36 @@
 	c.open, c.end = true, end
 }
 
-// advance moves the position over the new ones of complete events. It returns them, or errReplaced if another run
-// has taken over.
-func (c *succession) advance(whole []byte) ([]byte, error) {
+// advance moves the position over the new ones of complete events. It returns them, moved together within whole, and
+// how many of them have fields. It stops with an *EventError at bytes that are no event, or with errReplaced if
+// another run has taken over.
+func (c *succession) advance(whole []byte) (fresh []byte, n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.next != nil {
-		return nil, errReplaced
+		return nil, 0, errReplaced
 	}
-	n, fresh := 0, whole
+	fresh = whole[:0]
 	for events := whole; len(events) > 0; {
 		event, rest := nextEvent(events)
-		if c.position.advance(eventID(event)) {
-			n++
-		} else {
-			fresh = rest
+		isNew, err := c.position.advance(event)
+		if err != nil {
+			c.begun = true
+			return fresh, n, err
 		}
 		events = rest
-	}
-	if len(fresh) > 0 {
+		if !isNew {
+			continue
+		}
+		if carryData(event) {
+			n++
+			c.events++
+			c.begun = false
+		}
+		fresh = append(fresh, event...)
 		c.started = true
-		c.events += n
 	}
-	return fresh, nil
+	return fresh, n, nil
 }
 
 // progress returns the number of forwarded events and the id of the last one.
@@ -96,6 +106,11 @@
 	return c.events, c.position.id
 }
 
+// breakOff records that a run has ended with bytes behind its last complete event.
+func (c *succession) breakOff(rest []byte) {
+	c.begun = c.begun || carryData(rest)
+}
+
 // settle waits for the end of a pending attempt after the present run has failed. If a replacement has taken over,
 // it returns the error with which that ended the run.
 func (c *succession) settle(err error) error {
@@ -147,10 +162,10 @@
 // accept makes a replacement the next run and ends the present one. It reports false if the replacement is not
 // needed or, since events after the given one have been forwarded meanwhile, cannot continue the stream. The reason
 // holds unless the present run has gone on meanwhile.
-func (c *succession) accept(u *upstreamRun, after string, resumable bool, reason error) bool {
+func (c *succession) accept(u *upstreamRun, after string, repeat ferryconfig.Repeat, reason error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.complete || (c.started && !resumable) || (c.position.id != after && !c.position.known) {
+	if c.complete || (c.started && !c.resumable(repeat)) || (c.position.id != after && !c.position.known) {
 		return false
 	}
 	c.next, c.replaced = u, errReplaced
@@ -178,14 +193,16 @@
 }
 
 // resumable reports whether another run may continue a started stream.
-func (r *request) resumable() bool { return r.route.Repeat == ferryconfig.RepeatFromEvent }
+func (c *succession) resumable(repeat ferryconfig.Repeat) bool {
+	return repeat == ferryconfig.RepeatFromEvent && !c.position.lost
+}
 
 // replace starts another run beside the present one, unless an attempt is in progress or was made recently.
 func (s *callerStream) replace(ctx context.Context, present destination, reason error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Clock.Now()
-	if !s.open || s.pending != nil || s.next != nil || now.Sub(s.triedAt) < replaceInterval || (s.started && !s.r.resumable()) {
+	if !s.open || s.pending != nil || s.next != nil || now.Sub(s.triedAt) < replaceInterval || (s.started && !s.resumable(s.r.route.Repeat)) {
 		return
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -196,7 +213,7 @@
 		defer close(done)
 		defer s.endAttempt()
 		u := s.startReplacement(ctx, cancel, present, after, reason, failed)
-		if u != nil && !s.accept(u, after, s.r.resumable(), reason) {
+		if u != nil && !s.accept(u, after, s.r.route.Repeat, reason) {
 			s.discard(u)
 		}
 	})
@@ -232,7 +249,7 @@
 	}
 	v := s.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
 	accepted := v.acceptsRun(a)
-	err = errUnsigned
+	err = errNoStream
 	if accepted {
 		wd := s.supervise(ctx, dest, cancel)
 		err = a.AwaitBody(failed)
