Upstreams that state in an answer that they are leaving get nothing new

Callers see: requests that an entry sends to an upstream that is about to end, because the entry has not heard from the store that it leaves; they are refused or cut off there.

Cause: only the store's record told that an upstream leaves. The header by which an upstream says so in its answers was not read, so an entry without the store, or ahead of it, went on sending.

Ruled out: a state of the balancer and of the path chooser each. It would be lost when an upstream is listed anew, and placement and running streams would not hear of it.

Change: ferryforward.Observer reads each answer to a request, a stream, a replacement, an order or a report, and ferrydiscovery.Table marks the process as leaving. All rows of a process share the mark, it outlives the row, and only another process under the name is free of it. The view shows the upstream as leaving, so balancer, paths, moves of running streams and placement treat it as any other drain. An answer that another instance gave at the address is not the upstream's. The header is not passed on to callers.

AnswersAreNotUndone applies answers and records in random order.

--- /dev/null
+++ b/ferry/ferrydiscovery/process_test.go
@@ -0,0 +1,122 @@
+package ferrydiscovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cactusferry.dev/ferry/ferryplatform"
+)
+
+// liveSince returns a live upstream whose process started n seconds after the epoch.
+func liveSince(name string, v ferryplatform.Version, n int64) Upstream {
+	u := live(name, v)
+	u.Started = time.Unix(n, 0).UTC()
+	return u
+}
+
+func TestMarkLeaving(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		then func(tb *Table, clock *clockwork.FakeClock)
+		want string
+	}{
+		{"at once", func(*Table, *clockwork.FakeClock) {}, "-a b"},
+		{"later record of the process", func(tb *Table, _ *clockwork.FakeClock) { tb.Apply([]Change{{Upstream: liveSince("a", 9, 100)}}) }, "-a b"},
+		{"later list", func(tb *Table, _ *clockwork.FakeClock) {
+			tb.Replace([]Upstream{liveSince("a", 9, 100), live("b", 2)}, 9)
+		}, "-a b"},
+		{"registered again", func(tb *Table, clock *clockwork.FakeClock) {
+			tb.Apply([]Change{removed("a", 8)})
+			clock.Advance(time.Minute)
+			tb.Expire()
+			tb.Apply([]Change{{Upstream: liveSince("a", 9, 100)}})
+		}, "-a b"},
+		{"restarted", func(tb *Table, _ *clockwork.FakeClock) { tb.Apply([]Change{{Upstream: liveSince("a", 9, 101)}}) }, "a b"},
+		{"restarted and listed as before", func(tb *Table, _ *clockwork.FakeClock) {
+			tb.Apply([]Change{{Upstream: liveSince("a", 9, 101)}, {Upstream: liveSince("a", 10, 100)}})
+		}, "-a b"},
+		{"removed", func(tb *Table, _ *clockwork.FakeClock) { tb.Apply([]Change{removed("a", 9)}) }, "b"},
+		{"removed in an outage", func(tb *Table, _ *clockwork.FakeClock) {
+			tb.MarkUnreachable()
+			tb.Apply([]Change{removed("a", 9)})
+		}, "b"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			tb := NewTable(clock)
+			tb.Apply([]Change{{Upstream: liveSince("a", 1, 100)}, {Upstream: live("b", 2)}})
+			views := 0
+			tb.OnChange(func(*View) { views++ })
+			a := tb.View().Get("a")
+			assert.Assert(t, tb.MarkLeaving(a))
+			assert.Assert(t, !tb.MarkLeaving(a), "known already")
+			assert.Equal(t, views, 1)
+			tt.then(tb, clock)
+			assert.Equal(t, list(tb), tt.want)
+		})
+	}
+}
+
+// TestMarkLeavingOfEarlierProcess has an answer of an earlier process arrive after the restart.
+func TestMarkLeavingOfEarlierProcess(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tb := NewTable(clock)
+	tb.Apply([]Change{{Upstream: liveSince("a", 1, 100)}})
+	earlier := tb.View().Get("a")
+	tb.Apply([]Change{{Upstream: liveSince("a", 2, 200)}})
+	assert.Assert(t, tb.MarkLeaving(earlier))
+	assert.Equal(t, list(tb), "a")
+	clock.Advance(tombstoneRetention + 1)
+	tb.Expire()
+	assert.Equal(t, len(tb.processes), 1, "processes without a row are dropped")
+}
+
+// TestAnswersAreNotUndone applies answers of all processes so far and records of the platform in random order. What
+// a process has stated holds for it in each view.
+func TestAnswersAreNotUndone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		tb := NewTable(clock)
+		left := map[processKey]bool{}
+		stated := map[processKey]ferryplatform.InstanceState{}
+		var seen []*Upstream
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			version := ferryplatform.Version(rapid.IntRange(1, 60).Draw(t, "version"))
+			u := liveSince(fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "name")), version, int64(rapid.IntRange(1, 3).Draw(t, "started")))
+			u.State = rapid.SampledFrom([]ferryplatform.InstanceState{ferryplatform.StateLive, ferryplatform.StateLeaving}).Draw(t, "state")
+			before := tb.View().Get(u.Name)
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				tb.Apply([]Change{{Upstream: u, Removed: true}})
+			case 1:
+				tb.MarkUnreachable()
+			case 2:
+				clock.Advance(time.Duration(rapid.IntRange(0, 3).Draw(t, "seconds")) * time.Second)
+				tb.Expire()
+			case 3, 4:
+				if len(seen) > 0 {
+					answered := rapid.SampledFrom(seen).Draw(t, "answered")
+					tb.MarkLeaving(answered)
+					left[keyOf(answered)] = true
+				}
+			default:
+				tb.Apply([]Change{{Upstream: u}})
+				if now := tb.View().Get(u.Name); now != before && now.Version == version {
+					stated[keyOf(now)] = u.State
+				}
+			}
+			for _, now := range tb.View().Of("s") {
+				seen = append(seen, now)
+				want := !left[keyOf(now)] && stated[keyOf(now)] == ferryplatform.StateLive
+				if now.Ready() != want {
+					t.Fatalf("%s of %s at version %d: ready %t, want %t", now.Name, now.Started, now.Version, now.Ready(), want)
+				}
+			}
+		}
+	})
+}
--- a/ferry/ferrydiscovery/table.go
+++ b/ferry/ferrydiscovery/table.go
@@ -27,6 +27,9 @@
 type Upstream struct {
 	ferryplatform.Instance
 	Version ferryplatform.Version
+
+	// process is nil unless the upstream is from a table's view.
+	process *process
 }
 
 // Ready reports whether the upstream accepts new work.
@@ -67,6 +70,8 @@
 	changed    []func(*View)
 	// touched are the names whose rows may differ from the view.
 	touched map[string]bool
+	// processes are those with a row, and others for tombstoneRetention.
+	processes map[processKey]*process
 }
 
 // tombstone is the record of a removed upstream.
@@ -77,7 +82,7 @@
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
-	t := &Table{clock: clock, rows: map[string]*Upstream{}, tombstones: map[string]tombstone{}, graceUntil: map[string]time.Time{}, touched: map[string]bool{}}
+	t := &Table{clock: clock, rows: map[string]*Upstream{}, tombstones: map[string]tombstone{}, graceUntil: map[string]time.Time{}, touched: map[string]bool{}, processes: map[processKey]*process{}}
 	t.view.Store(&View{services: map[ferryid.ServiceName][]*Upstream{}, byName: map[string]*Upstream{}})
 	return t
 }
@@ -164,6 +169,7 @@
 			delete(t.tombstones, name)
 		}
 	}
+	t.forgetProcesses(now)
 	t.publish(updated)
 	return next
 }
@@ -190,6 +196,10 @@
 	}
 	delete(t.tombstones, u.Name)
 	delete(t.graceUntil, u.Name)
+	u.process = t.processOf(&u)
+	if u.process.leaving.Load() {
+		u.State = ferryplatform.StateLeaving
+	}
 	t.setRow(u.Name, &u)
 	return old == nil || old.Instance != u.Instance
 }
@@ -221,10 +231,12 @@
 // setRow sets the row of an upstream; nil removes it.
 func (t *Table) setRow(name string, u *Upstream) {
 	t.touched[name] = true
+	t.dropProcess(t.rows[name])
 	if u == nil {
 		delete(t.rows, name)
 		return
 	}
+	u.process.goneAt = time.Time{}
 	t.rows[name] = u
 }
 
--- a/ferry/ferryforward/dialect.go
+++ b/ferry/ferryforward/dialect.go
@@ -50,7 +50,9 @@
 	Signed bool
 	// FailedEngine is the address of the engine on the path that failed or refused, or empty.
 	FailedEngine string
-	Load         *ferrybalance.Load
+	// Leaving is set when the upstream that answers is leaving.
+	Leaving bool
+	Load    *ferrybalance.Load
 }
 
 // CertainlyNotRun reports whether the request was certainly not run.
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -19,7 +19,7 @@
 	"cactusferry.dev/ferry/ferryoutcome"
 )
 
-// Config configures a Forwarder; all fields but MaxProofAge, Patience, DrainTime, OthersServe and Started are required.
+// Config configures a Forwarder; all fields but Observer, MaxProofAge, Patience, DrainTime, OthersServe and Started are required.
 type Config struct {
 	Clock clockwork.Clock
 	// Steady is a clock that also advances while the instance is suspended.
@@ -28,6 +28,8 @@
 	Services *Services
 	Dialect  Dialect
 	Client   *ferryexchange.Client
+	// Observer records what upstreams state in their answers. It may be nil.
+	Observer *Observer
 	// Started is closed once the entry is ready to serve; earlier requests wait up to startWait. It may be nil.
 	Started <-chan struct{}
 	// OthersServe reports whether another entry could serve a request that this one refuses because the
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -83,6 +83,7 @@
 		return nil, f.handleSendError(ctx, r, pick, err)
 	}
 	v := f.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
+	f.cfg.Observer.Observe(pick.Upstream, v)
 	if v.CertainlyNotRun() {
 		a.Close()
 		return nil, f.handleRefusal(r, pick, a.Status, v)
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -164,7 +164,11 @@
 	if c, ok := dest.(enginePath); ok {
 		o.Path = c.run.Path()
 	}
-	return s.cfg.Client.Do(ctx, dest.first().Address, s.r.outgoing(s.cfg.Dialect, o))
+	a, err := s.cfg.Client.Do(ctx, dest.first().Address, s.r.outgoing(s.cfg.Dialect, o))
+	if err == nil {
+		s.cfg.Observer.Observe(dest.first(), s.cfg.Dialect.DecodeAnswer(a.Status, a.Header))
+	}
+	return a, err
 }
 
 // forwardRun forwards a run that was started as a replacement.
--- a/ferryd/ferryedge/condition.go
+++ b/ferryd/ferryedge/condition.go
@@ -113,7 +113,7 @@
 
 // readConditions reads the shards of engines that are this entry's duty, and applies all entries' conditions.
 func (e *Edge) readConditions(ctx context.Context) {
-	engines := e.cfg.Engines(e.client)
+	engines := e.cfg.Engines(e.client, e.observer)
 	every := readInterval
 	for e.pause(ctx, every) {
 		if e.Ready() {
--- a/ferryd/ferryedge/config.go
+++ b/ferryd/ferryedge/config.go
@@ -42,8 +42,9 @@
 	Store   ferryplatform.Store
 	Objects Objects
 	Dialect ferryforward.Dialect
-	// Engines returns the client of the engines' interface over the given connections.
-	Engines    func(*ferryexchange.Client) Engines
+	// Engines returns the client of the engines' interface over the given connections, for which the observer
+	// records the answers.
+	Engines    func(*ferryexchange.Client, *ferryforward.Observer) Engines
 	Objectives Objectives
 }
 
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -61,6 +61,7 @@
 	upstreams       *ferrydiscovery.Table
 	services        *ferryforward.Services
 	client          *ferryexchange.Client
+	observer        *ferryforward.Observer
 	guard           *ferryguard.Guard
 	forwarder       *ferryforward.Forwarder
 	ingress         *ferryingress.Server
@@ -101,8 +102,9 @@
 		Clock: cfg.Clock, Domain: cfg.Domain,
 		RetryWindow: cfg.Objectives.RetryWindow, RetryRatio: cfg.Objectives.RetryRatio, RetryAllowance: cfg.Objectives.RetryAllowance, Resumed: !cfg.FirstStart,
 	})
+	e.observer = &ferryforward.Observer{Upstreams: e.upstreams, Log: cfg.Log}
 	e.forwarder = ferryforward.New(ferryforward.Config{
-		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Rerouter: cfg.Engines(e.client),
+		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Observer: e.observer, Rerouter: cfg.Engines(e.client, e.observer),
 		Log: cfg.Log, Scope: e.metrics.Scope, MaxProofAge: cfg.Objectives.KeyAge, DrainTime: cfg.Objectives.LeaveWithin, Started: e.started, OthersServe: func() bool { return e.anyConfigCurrent(false) },
 	})
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
--- a/ferryd/ferryedge/placement.go
+++ b/ferryd/ferryedge/placement.go
@@ -175,7 +175,7 @@
 		pl := p.placers[s.Name]
 		if pl == nil {
 			pl = ferryplacement.New(ferryplacement.Config{
-				Engines: p.cfg.Engines(p.client), Lease: p.lease, Clock: p.cfg.Clock, Log: p.cfg.Log,
+				Engines: p.cfg.Engines(p.client, p.observer), Lease: p.lease, Clock: p.cfg.Clock, Log: p.cfg.Log,
 			})
 			p.placers[s.Name] = pl
 			p.guard.Go("placement of "+string(s.Name), "", func() { p.runPlacer(p.ctx, s.Name, pl) })
