Upstreams that refuse with Retry-After get nothing before that time

Callers see: requests that are sent to an upstream which has just said for how long it wants none; each costs an attempt and adds to its load. Where all upstreams have said so, callers are told to return within a fraction of a second.

Cause: Retry-After of an upstream's 503 was not read. A refusal kept an upstream out for 0.15 to 1.2 s as part of its health, which a success or the last resort ends.

Ruled out: the circuit breaker (ferryhealth). A success of an earlier request closes it, and the last resort ignores it. States of balancer and chooser each: lost when an upstream is listed anew.

Change: ferrydiscovery.Upstream.Defer records the time at the process, as the mark of leaving is; the latest end counts and only its time or another process ends it. Balancer (the last resort too), paths, readers of engines' conditions and placement orders leave such an upstream out. Detours keep it where it already runs the stream. On a path it is the engine that the answer names. Where no upstream or path is left, callers are refused at once with NotRun and the earliest end, and a jitter. Whether a server error may be retried counts the upstreams left for this request, so that it is retried where one of two has asked for time.

--- a/ferry/ferrybalance/balancer.go
+++ b/ferry/ferrybalance/balancer.go
@@ -83,6 +83,7 @@
 }
 
 // Pick chooses an upstream for a call and counts the call as running there, or returns nil if none is left.
+// An upstream that wants no requests for now is not chosen.
 //
 // Recent failures of an upstream weigh more for a call that cannot be retried.
 func (b *Balancer) Pick(avoid []ferryid.UpstreamName, repeatable bool) *Call {
@@ -106,7 +107,7 @@
 	var best *upstreamState
 	least := math.Inf(1)
 	for _, state := range b.states {
-		if !state.up.Ready() || excluded(avoid, state.up) || (!lastResort && !state.health.Usable(now, repeatable)) {
+		if !state.up.Ready() || state.up.Deferred(now) || excluded(avoid, state.up) || (!lastResort && !state.health.Usable(now, repeatable)) {
 			continue
 		}
 		c := b.cost(state, now, repeatable)
@@ -230,14 +231,36 @@
 	f(c.state, b.opts.Clock.Now())
 }
 
-// Usable returns the number of ready upstreams that are not ejected.
-func (b *Balancer) Usable() int {
+// AvailableAt returns the earliest time at which an upstream wants requests again, or zero unless all ready
+// upstreams want none now.
+func (b *Balancer) AvailableAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.opts.Clock.Now()
+	earliest := time.Time{}
+	for _, state := range b.states {
+		if !state.up.Ready() {
+			continue
+		}
+		at := state.up.RetryAt()
+		if !now.Before(at) {
+			return time.Time{}
+		}
+		if earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
+// Usable returns the number of ready upstreams that are not ejected and want requests, without the given ones.
+func (b *Balancer) Usable(except ...ferryid.UpstreamName) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.opts.Clock.Now()
 	n := 0
 	for _, state := range b.states {
-		if state.up.Ready() && state.health.Usable(now, true) {
+		if state.up.Ready() && !state.up.Deferred(now) && state.health.Usable(now, true) && !excluded(except, state.up) {
 			n++
 		}
 	}
--- a/ferry/ferrybalance/balancer_test.go
+++ b/ferry/ferrybalance/balancer_test.go
@@ -127,3 +127,43 @@
 	got = pickCounts(b, true, func(c *Call) { c.Cancelled() })
 	assert.Assert(t, got["u0"] > 50)
 }
+
+// TestUpstreamsThatWantNoRequests has upstreams ask for no requests until a time, which holds also where no other is
+// left, and whatever their health is.
+func TestUpstreamsThatWantNoRequests(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := ferrydiscovery.NewTable(clock)
+	var changes []ferrydiscovery.Change
+	for _, u := range upstreams(3) {
+		u.Service, u.Version = "s", 1
+		changes = append(changes, ferrydiscovery.Change{Upstream: *u})
+	}
+	table.Apply(changes)
+	b := New(Options{Clock: clock, Domain: "d0"})
+	b.SetUpstreams(table.View().Of("s"))
+	now := clock.Now()
+	deferFor := func(name string, d time.Duration) { table.View().Get(name).Defer(now.Add(d)) }
+
+	deferFor("u0", 4*time.Second)
+	assert.Assert(t, b.Pick([]ferryid.UpstreamName{"u1", "u2"}, true) == nil)
+	got := pickCounts(b, true, func(c *Call) { c.Done(nil) })
+	assert.Equal(t, got["u0"], 0)
+	assert.Equal(t, b.Usable(), 2)
+	assert.Equal(t, b.Usable("u1"), 1)
+	assert.Equal(t, b.Known(), 3)
+	assert.Assert(t, b.AvailableAt().IsZero())
+
+	deferFor("u1", 2*time.Second)
+	deferFor("u2", 9*time.Second)
+	assert.Assert(t, b.Pick(nil, true) == nil, "not even as the last resort")
+	assert.Equal(t, b.AvailableAt(), now.Add(2*time.Second))
+	b.SetUpstreams(table.View().Of("s")[:1])
+	assert.Equal(t, b.AvailableAt(), now.Add(4*time.Second))
+	b.SetUpstreams(nil)
+	b.SetUpstreams(table.View().Of("s"))
+	assert.Assert(t, b.Pick(nil, true) == nil, "an upstream that is listed again is the same process")
+
+	clock.Advance(2 * time.Second)
+	assert.Equal(t, b.Pick(nil, false).Upstream.Name, "u1")
+	assert.Assert(t, b.AvailableAt().IsZero())
+}
--- a/ferry/ferrydiscovery/process.go
+++ b/ferry/ferrydiscovery/process.go
@@ -11,6 +11,8 @@
 // it, whatever the platform reports later.
 type process struct {
 	leaving atomic.Bool
+	// retryAt is the time until which the process wants no requests; nil means that it never stated one.
+	retryAt atomic.Pointer[time.Time]
 	// goneAt is when the table last lost the row of the process, or zero; the table's mutex guards it.
 	goneAt time.Time
 }
@@ -64,6 +66,34 @@
 	return wasReady
 }
 
+// RetryAt returns the time until which the upstream's process wants no requests; it is zero if it never stated one.
+func (u *Upstream) RetryAt() time.Time {
+	if u.process == nil {
+		return time.Time{}
+	}
+	if at := u.process.retryAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Deferred reports whether the upstream wants no requests now.
+func (u *Upstream) Deferred(now time.Time) bool { return now.Before(u.RetryAt()) }
+
+// Defer records that the upstream wants no requests until the given time. An earlier time than the one on record
+// changes nothing. It has no effect on an upstream that is not from a table's view.
+func (u *Upstream) Defer(until time.Time) {
+	if u.process == nil {
+		return
+	}
+	for {
+		old := u.process.retryAt.Load()
+		if (old != nil && !until.After(*old)) || u.process.retryAt.CompareAndSwap(old, &until) {
+			return
+		}
+	}
+}
+
 // dropProcess notes that a process has lost its row.
 func (t *Table) dropProcess(u *Upstream) {
 	if u != nil && u.process != nil {
--- a/ferry/ferrydiscovery/process_test.go
+++ b/ferry/ferrydiscovery/process_test.go
@@ -76,6 +76,30 @@
 	assert.Equal(t, len(tb.processes), 1, "processes without a row are dropped")
 }
 
+func TestDefer(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tb := NewTable(clock)
+	now := clock.Now()
+	tb.Apply([]Change{{Upstream: liveSince("a", 1, 100)}})
+	a := tb.View().Get("a")
+	assert.Assert(t, !a.Deferred(now))
+	a.Defer(now.Add(4 * time.Second))
+	a.Defer(now.Add(2 * time.Second))
+	assert.Equal(t, a.RetryAt(), now.Add(4*time.Second), "an earlier end must not shorten it")
+	assert.Assert(t, a.Deferred(now.Add(4*time.Second-1)))
+	assert.Assert(t, !a.Deferred(now.Add(4*time.Second)))
+	tb.Apply([]Change{removed("a", 2)})
+	tb.Apply([]Change{{Upstream: liveSince("a", 3, 100)}})
+	assert.Assert(t, tb.View().Get("a").Deferred(now), "the same process registered again")
+	tb.Apply([]Change{{Upstream: liveSince("a", 4, 101)}})
+	assert.Assert(t, !tb.View().Get("a").Deferred(now), "another process")
+	a.Defer(now.Add(9 * time.Second))
+	assert.Assert(t, !tb.View().Get("a").Deferred(now), "late answer of the earlier process")
+	unlisted := live("b", 1)
+	unlisted.Defer(now.Add(time.Second))
+	assert.Assert(t, !unlisted.Deferred(now))
+}
+
 // TestAnswersAreNotUndone applies answers of all processes so far and records of the platform in random order. What
 // a process has stated holds for it in each view.
 func TestAnswersAreNotUndone(t *testing.T) {
@@ -83,6 +107,7 @@
 		clock := clockwork.NewFakeClock()
 		tb := NewTable(clock)
 		left := map[processKey]bool{}
+		retryAt := map[processKey]time.Time{}
 		stated := map[processKey]ferryplatform.InstanceState{}
 		var seen []*Upstream
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -90,7 +115,7 @@
 			u := liveSince(fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "name")), version, int64(rapid.IntRange(1, 3).Draw(t, "started")))
 			u.State = rapid.SampledFrom([]ferryplatform.InstanceState{ferryplatform.StateLive, ferryplatform.StateLeaving}).Draw(t, "state")
 			before := tb.View().Get(u.Name)
-			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
 			case 0:
 				tb.Apply([]Change{{Upstream: u, Removed: true}})
 			case 1:
@@ -98,7 +123,16 @@
 			case 2:
 				clock.Advance(time.Duration(rapid.IntRange(0, 3).Draw(t, "seconds")) * time.Second)
 				tb.Expire()
-			case 3, 4:
+			case 3:
+				if len(seen) > 0 {
+					answered := rapid.SampledFrom(seen).Draw(t, "answered")
+					until := clock.Now().Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "after")) * time.Second)
+					answered.Defer(until)
+					if until.After(retryAt[keyOf(answered)]) {
+						retryAt[keyOf(answered)] = until
+					}
+				}
+			case 4:
 				if len(seen) > 0 {
 					answered := rapid.SampledFrom(seen).Draw(t, "answered")
 					tb.MarkLeaving(answered)
@@ -113,6 +147,9 @@
 			for _, now := range tb.View().Of("s") {
 				seen = append(seen, now)
 				want := !left[keyOf(now)] && stated[keyOf(now)] == ferryplatform.StateLive
+				if at := retryAt[keyOf(now)]; !now.RetryAt().Equal(at) {
+					t.Fatalf("%s of %s at version %d: wants no requests until %s, want %s", now.Name, now.Started, now.Version, now.RetryAt(), at)
+				}
 				if now.Ready() != want {
 					t.Fatalf("%s of %s at version %d: ready %t, want %t", now.Name, now.Started, now.Version, now.Ready(), want)
 				}
--- a/ferry/ferryforward/congestion.go
+++ b/ferry/ferryforward/congestion.go
@@ -45,6 +45,9 @@
 		lasted = 0
 	}
 	c.mu.Unlock()
-	after := min(minRetryAfter+lasted, maxRetryAfter)
+	return withJitter(min(minRetryAfter+lasted, maxRetryAfter))
+}
+
+func withJitter(after time.Duration) time.Duration {
 	return time.Duration(float64(after) * (1 + retryJitter*rand.Float64())).Round(time.Millisecond)
 }
--- a/ferry/ferryforward/destination.go
+++ b/ferry/ferryforward/destination.go
@@ -37,7 +37,7 @@
 		if c := r.service.balancer.Pick(avoid, r.repeatable()); c != nil {
 			return r.chose(singleUpstream{c}), nil
 		}
-		return nil, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "No upstream of the service takes work.").WithRetryAfter(retryAfterNoUpstream)
+		return nil, f.unavailableProblem(r, "No upstream of the service takes work.", nil)
 	}
 	run, err := r.service.chooser.Pick(ferrypath.Work{Prompt: r.Prompt, Answer: r.expectedTokens(), Avoid: avoid})
 	switch {
@@ -45,7 +45,7 @@
 		r.service.congestion.recordRefusal(f.cfg.Clock.Now())
 		return nil, f.overloadProblem(r, err)
 	case err != nil:
-		return nil, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "No engines hold the whole model now.").WithRetryAfter(retryAfterNoUpstream).WithCause(err)
+		return nil, f.unavailableProblem(r, "No engines hold the whole model now.", err)
 	}
 	return r.chose(enginePath{run}), nil
 }
@@ -64,6 +64,16 @@
 	return r.Answer
 }
 
+// upstreamAt returns the upstream at the address, or the first one if the address is not on the path.
+func upstreamAt(dest destination, address string) *ferrydiscovery.Upstream {
+	if c, ok := dest.(enginePath); ok {
+		if p := c.run.Path(); p.At(address) > 0 {
+			return p.Hops()[p.At(address)].Upstream
+		}
+	}
+	return dest.first()
+}
+
 // finishDone releases a destination whose stream completed.
 func finishDone(dest destination) {
 	switch dest := dest.(type) {
--- a/ferry/ferryforward/dialect.go
+++ b/ferry/ferryforward/dialect.go
@@ -52,7 +52,11 @@
 	FailedEngine string
 	// Leaving is set when the upstream that answers is leaving.
 	Leaving bool
-	Load    *ferrybalance.Load
+	// RetryAfter is for how long the upstream that refused, FailedEngine if that is set, wants no requests.
+	RetryAfter time.Duration
+	// InvalidRetryAfter is the stated value of RetryAfter if it could not be decoded.
+	InvalidRetryAfter string
+	Load              *ferrybalance.Load
 }
 
 // CertainlyNotRun reports whether the request was certainly not run.
--- a/ferry/ferryforward/harness_test.go
+++ b/ferry/ferryforward/harness_test.go
@@ -60,7 +60,12 @@
 }
 
 func (testDialect) DecodeAnswer(_ int, h http.Header) AnswerInfo {
-	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Elsewhere: h.Get("Elsewhere") != "", Signed: h.Get("Signed") != "", FailedEngine: h.Get("Failed-Engine"), Leaving: h.Get("Leaving") != ""}
+	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Elsewhere: h.Get("Elsewhere") != "", Signed: h.Get("Signed") != "", FailedEngine: h.Get("Failed-Engine"), Leaving: h.Get("Leaving") != "", RetryAfter: decodeRetryAfter(h), InvalidRetryAfter: h.Get("Invalid-Retry-After")}
+}
+
+func decodeRetryAfter(h http.Header) time.Duration {
+	s, _ := strconv.ParseFloat("0"+h.Get("Retry-After"), 64)
+	return time.Duration(s * float64(time.Second))
 }
 
 func (testDialect) StripInternal(h http.Header) { delete(h, "Internal") }
@@ -244,7 +249,7 @@
 	b.table, b.listed = table, list
 	services.SetEntries(map[ferryid.DomainName]int{"d": 1}, 0)
 	b.forwarder = New(Config{
-		Clock: clock, Steady: clock, Holder: b.holder, Services: services, Dialect: testDialect{}, Client: b.client, Observer: &Observer{Upstreams: table, Log: zerolog.Nop()}, Rerouter: b.rerouter,
+		Clock: clock, Steady: clock, Holder: b.holder, Services: services, Dialect: testDialect{}, Client: b.client, Observer: &Observer{Upstreams: table, Clock: clock, Log: zerolog.Nop()}, Rerouter: b.rerouter,
 		Log: zerolog.Nop(), Scope: tally.NoopScope, MaxProofAge: testMaxProofAge,
 	})
 	b.listen()
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"cactusferry.dev/ferry/ferrybalance"
 	"cactusferry.dev/ferry/ferryexchange"
+	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
@@ -23,7 +25,7 @@
 	for {
 		pick := r.service.balancer.Pick(r.avoid, r.repeatable())
 		if pick == nil {
-			f.answerFailure(ctx, r, last, ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "No upstream of the service takes work.").WithRetryAfter(retryAfterNoUpstream))
+			f.answerFailure(ctx, r, last, f.unavailableProblem(r, "No upstream of the service takes work.", nil))
 			return
 		}
 		r.chose(singleUpstream{pick})
@@ -83,7 +85,7 @@
 		return nil, f.handleSendError(ctx, r, pick, err)
 	}
 	v := f.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
-	f.cfg.Observer.Observe(pick.Upstream, v)
+	f.cfg.Observer.Observe(pick.Upstream, pick.Upstream, v)
 	if v.CertainlyNotRun() {
 		a.Close()
 		return nil, f.handleRefusal(r, pick, a.Status, v)
@@ -108,7 +110,7 @@
 	if a.Status >= http.StatusInternalServerError {
 		f.log.Info().Str("Request", string(r.ID)).Str("Upstream", pick.Upstream.Name).Int("Status", a.Status).Int("Ran", r.ran+1).Msg("upstream answered with a server error")
 	}
-	if a.Status >= http.StatusInternalServerError && f.mayRetryServerError(r) {
+	if a.Status >= http.StatusInternalServerError && f.mayRetryServerError(r, pick) {
 		w.discard()
 		return nil, ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Ran, "The upstream answered with status %d.", a.Status)
 	}
@@ -121,10 +123,10 @@
 
 // mayRetryServerError reports whether a request that an upstream answered with a server error may be retried at
 // another one. It marks the request as possibly run, and counts the run in ran if it may be retried.
-func (f *Forwarder) mayRetryServerError(r *request) bool {
+func (f *Forwarder) mayRetryServerError(r *request, pick *ferrybalance.Call) bool {
 	r.ran++
 	r.mayHaveRun = true
-	if r.mayRunAgain() && r.service.balancer.Usable() > len(r.avoid)+1 && r.service.budget.Remaining() > 0 {
+	if r.mayRunAgain() && r.service.balancer.Usable(append(slices.Clone(r.avoid), ferryid.UpstreamName(pick.Upstream.Name))...) > 0 && r.service.budget.Remaining() > 0 {
 		return true
 	}
 	r.ran--
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -38,10 +38,33 @@
 // overloadProblem returns the problem of a request refused for lack of capacity; Retry-After grows with the
 // duration of the congestion.
 func (f *Forwarder) overloadProblem(r *request, err error) *ferryoutcome.Problem {
+	if p := f.deferredProblem(r, err); p != nil {
+		return p
+	}
 	after := r.service.congestion.retryAfter(f.cfg.Clock.Now())
 	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams have no room.").WithRetryAfter(after).WithCause(err)
 }
 
+// deferredProblem returns the problem of a request that no upstream wants before a time that they stated, or nil.
+func (f *Forwarder) deferredProblem(r *request, err error) *ferryoutcome.Problem {
+	now := f.cfg.Clock.Now()
+	at := r.service.availableAt()
+	if !at.After(now) {
+		return nil
+	}
+	// Rounding up keeps a caller from returning before that time.
+	wait := withJitter(at.Sub(now)) + time.Millisecond
+	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams want no requests for another %s.", at.Sub(now).Round(time.Millisecond)).WithRetryAfter(wait).WithCause(err)
+}
+
+// unavailableProblem returns the problem of a request for which there is no upstream.
+func (f *Forwarder) unavailableProblem(r *request, detail string, err error) *ferryoutcome.Problem {
+	if p := f.deferredProblem(r, err); p != nil {
+		return p
+	}
+	return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "%s", detail).WithRetryAfter(retryAfterNoUpstream).WithCause(err)
+}
+
 // answerProblem logs a problem and sends it to the caller, unless the call has been answered already.
 func (f *Forwarder) answerProblem(r *request, p *ferryoutcome.Problem) {
 	c := r.call
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -31,6 +31,15 @@
 // domainEntries returns the number of entries that share the moves of this failure domain.
 func (s *service) domainEntries() int { return int(s.inDomain.Load()) }
 
+// availableAt returns the earliest time at which upstreams want requests again if none of them can be sent the
+// request before, and zero otherwise.
+func (s *service) availableAt() time.Time {
+	if s.chooser != nil {
+		return s.chooser.AvailableAt()
+	}
+	return s.balancer.AvailableAt()
+}
+
 // ServicesConfig configures Services.
 type ServicesConfig struct {
 	Clock clockwork.Clock
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -166,7 +166,8 @@
 	}
 	a, err := s.cfg.Client.Do(ctx, dest.first().Address, s.r.outgoing(s.cfg.Dialect, o))
 	if err == nil {
-		s.cfg.Observer.Observe(dest.first(), s.cfg.Dialect.DecodeAnswer(a.Status, a.Header))
+		v := s.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
+		s.cfg.Observer.Observe(dest.first(), upstreamAt(dest, v.FailedEngine), v)
 	}
 	return a, err
 }
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"slices"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -221,6 +223,10 @@
 	reserve bool
 	// moving is set for a running generation. Other entries probably move theirs at the same time.
 	moving bool
+	// present is set for an engine that already runs the generation.
+	present bool
+	// asOf replaces the time at which engines must want requests; it is zero for the present time.
+	asOf time.Time
 }
 
 // updateLoads updates the planner's load of each engine.
@@ -231,7 +237,11 @@
 }
 
 func (c *Chooser) updateLoad(l *ferrypipeline.Load, e *engine, w Work, now time.Time, cons constraints) {
-	if e.down || (cons.sameDomain && e.up.FailureDomain != c.opts.Domain) {
+	wanted := now
+	if !cons.asOf.IsZero() {
+		wanted = cons.asOf
+	}
+	if e.down || (!cons.present && e.up.Deferred(wanted)) || (cons.sameDomain && e.up.FailureDomain != c.opts.Domain) {
 		l.Avoid = true
 		return
 	}
@@ -241,6 +251,36 @@
 		(cons.fits && !c.fits(e, w, now, cons)) || excluded(w.Avoid, e)
 }
 
+// AvailableAt returns the earliest time at which the engines of some path want requests again, or zero unless every
+// path has an engine that wants none now.
+func (c *Chooser) AvailableAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updatePlanner()
+	now := c.opts.Clock.Now()
+	var ends []time.Time
+	for _, e := range c.engines {
+		if e.up.Deferred(now) {
+			ends = append(ends, e.up.RetryAt())
+		}
+	}
+	if c.planner == nil || len(ends) == 0 || c.hasPath(now, now) {
+		return time.Time{}
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	i := sort.Search(len(ends), func(i int) bool { return c.hasPath(now, ends[i]) })
+	if i == len(ends) {
+		return time.Time{}
+	}
+	return ends[i]
+}
+
+// hasPath reports whether the engines that want requests at a time and are not down hold a path.
+func (c *Chooser) hasPath(now, asOf time.Time) bool {
+	c.updateLoads(Work{}, now, constraints{asOf: asOf})
+	return c.planner.Choose(c.loads, nil, 1, &ferrypipeline.Plan{}) == nil
+}
+
 // slowPace is the slowdown from which an engine is used only if there is no other.
 const slowPace = 2
 
--- a/ferry/ferrypath/chooser_test.go
+++ b/ferry/ferrypath/chooser_test.go
@@ -360,3 +360,87 @@
 	assert.Assert(t, held["a3"]+held["a3 later"] <= 20000, "%d of 20000 tokens times layers on the faster engine", held["a3"]+held["a3 later"])
 	assert.Assert(t, held["a4 later"] > 0)
 }
+
+// listed returns upstreams as a table of them lists these.
+func listed(clock clockwork.Clock, list []*ferrydiscovery.Upstream) *ferrydiscovery.View {
+	table := ferrydiscovery.NewTable(clock)
+	for _, u := range list {
+		u.Service, u.Version = "s", 1
+		table.Apply([]ferrydiscovery.Change{{Upstream: *u}})
+	}
+	return table.View()
+}
+
+func TestEnginesThatWantNoRequests(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// seconds is for how long engines want no requests.
+		seconds map[string]int
+		want    string
+		err     error
+		// available is the number of seconds until a path is available.
+		available int
+	}{
+		{"none", nil, "a1[0,4) a3[4,8)", nil, 0},
+		{"one of two", map[string]int{"a1": 5}, "a2[0,4) a3[4,8)", nil, 0},
+		{"other domain", map[string]int{"a3": 5}, "b1[0,4) b2[4,8)", nil, 0},
+		{"across domains", map[string]int{"a3": 5, "b1": 5}, "", nil, 0},
+		{"all", map[string]int{"a1": 5, "a2": 4, "a3": 3, "b1": 8, "b2": 2}, "", ErrNoPath, 4},
+		{"all last engines", map[string]int{"a3": 3, "b2": 9}, "", ErrNoPath, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, clock := chooser(nil)
+			v := listed(clock, twoDomains())
+			c.Set(model(), v.Of("s"))
+			for name, n := range tt.seconds {
+				v.Get(name).Defer(clock.Now().Add(time.Duration(n) * time.Second))
+			}
+			run, err := c.Pick(small)
+			assert.Assert(t, errors.Is(err, tt.err), "%v", err)
+			if err == nil {
+				for _, h := range run.Path().Hops() {
+					assert.Assert(t, tt.seconds[h.Upstream.Name] == 0, h.Upstream.Name)
+				}
+			}
+			if tt.want != "" {
+				assert.Equal(t, text(run.Path()), tt.want)
+			}
+			at := c.AvailableAt()
+			if tt.available == 0 {
+				assert.Assert(t, at.IsZero())
+				return
+			}
+			assert.Equal(t, at.Sub(clock.Now()), time.Duration(tt.available)*time.Second)
+			clock.Advance(at.Sub(clock.Now()) - 1)
+			_, err = c.Pick(small)
+			assert.Assert(t, errors.Is(err, ErrNoPath))
+			clock.Advance(1)
+			_, err = c.Pick(small)
+			assert.NilError(t, err)
+			assert.Assert(t, c.AvailableAt().IsZero())
+		})
+	}
+}
+
+// TestDetourKeepsEnginesThatWantNoRequests has engines of the present path ask for time. The run stays on them, and
+// no other engine that asked is added.
+func TestDetourKeepsEnginesThatWantNoRequests(t *testing.T) {
+	c, clock := chooser(nil)
+	v := listed(clock, []*ferrydiscovery.Upstream{
+		upstream("a1", "a", 0, 3), upstream("a2", "a", 3, 6), upstream("a3", "a", 3, 6), upstream("a4", "a", 6, 8), upstream("a5", "a", 6, 8), upstream("a6", "a", 6, 8),
+	})
+	c.Set(model(), v.Of("s"))
+	for _, name := range []string{"a3", "a5", "a6"} {
+		v.Get(name).Defer(clock.Now().Add(time.Second))
+	}
+	run, err := c.Pick(small)
+	assert.NilError(t, err)
+	assert.Equal(t, text(run.Path()), "a1[0,3) a2[3,6) a4[6,8)")
+	clock.Advance(time.Second)
+	for _, name := range []string{"a1", "a2", "a5"} {
+		v.Get(name).Defer(clock.Now().Add(time.Minute))
+	}
+	p, err := run.Detour([]ferryid.UpstreamName{"a4"})
+	assert.NilError(t, err)
+	assert.Equal(t, text(p), "a1[0,3) a2[3,6) a6[6,8)")
+}
--- a/ferry/ferrypath/repath.go
+++ b/ferry/ferrypath/repath.go
@@ -50,7 +50,7 @@
 	loads := make([]ferrypipeline.Load, len(d.engines))
 	for i, e := range d.engines {
 		engineCons := cons
-		engineCons.fits = cons.fits && !d.kept[i]
+		engineCons.fits, engineCons.present = cons.fits && !d.kept[i], d.kept[i]
 		c.updateLoad(&loads[i], e, r.work, now, engineCons)
 		if !d.kept[i] {
 			loads[i].Outstanding = ferryid.Tokens(newEngineCost.Seconds() * float64(loads[i].Rate))
--- a/ferry/ferryplacement/placer.go
+++ b/ferry/ferryplacement/placer.go
@@ -173,6 +173,10 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, p.cfg.Clock, orderTimeout)
 	defer cancel()
 	log := p.cfg.Log.With().Str("Engine", s.Upstream.Name).Stringer("Layers", s.Layers).Logger()
+	if s.Upstream.Deferred(p.cfg.Clock.Now()) {
+		log.Info().Time("Until", s.Upstream.RetryAt()).Msg("engine wants no requests now; order not sent")
+		return Refused
+	}
 	state, err := p.cfg.Engines.State(ctx, s.Upstream)
 	switch {
 	case err != nil:
--- a/ferry/ferryplacement/placer_test.go
+++ b/ferry/ferryplacement/placer_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// TestNoOrdersToEngineThatWantsNoRequests has an engine ask for no requests until a time.
+func TestNoOrdersToEngineThatWantsNoRequests(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := ferrydiscovery.NewTable(clock)
+	table.Apply([]ferrydiscovery.Change{{Upstream: ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: "e"}, Version: 1}}})
+	e := table.View().Get("e")
+	e.Defer(clock.Now().Add(time.Second))
+	b := &busyEngines{placed: map[string]bool{}}
+	p := New(Config{Engines: b, Lease: heldLease{}, Clock: clock, Log: zerolog.Nop()})
+	s := Send{Upstream: e, Layers: ferryid.LayerRange{To: 4}}
+	assert.Equal(t, p.sendOrder(t.Context(), s), Refused)
+	assert.Equal(t, b.most, 0, "the engine was asked for its state")
+	clock.Advance(time.Second)
+	assert.Equal(t, p.sendOrder(t.Context(), s), Begun)
+	assert.Assert(t, b.placed["e"])
+}
+
 // BenchmarkNext decides the orders of a fleet whose engines all hold layers.
 func BenchmarkNext(b *testing.B) {
 	for _, n := range []int{200, 1000, 3000} {
--- a/ferryd/ferryedge/condition.go
+++ b/ferryd/ferryedge/condition.go
@@ -196,6 +196,7 @@
 func (e *Edge) readShard(ctx context.Context, engines Engines, key shardKey, list []*ferrydiscovery.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	list = e.wanting(list)
 	read := make([]engineCondition, len(list))
 	var wg sync.WaitGroup
 	for i, u := range list {
@@ -214,6 +215,12 @@
 	}
 }
 
+// wanting returns the engines that want requests now.
+func (e *Edge) wanting(list []*ferrydiscovery.Upstream) []*ferrydiscovery.Upstream {
+	now := e.cfg.Clock.Now()
+	return slices.DeleteFunc(slices.Clone(list), func(u *ferrydiscovery.Upstream) bool { return u.Deferred(now) })
+}
+
 func (e *Edge) readOne(ctx context.Context, engines Engines, u *ferrydiscovery.Upstream) engineCondition {
 	c := engineCondition{Engine: hashOf(u)}
 	s, err := engines.State(ctx, u)
--- a/ferryd/ferryedge/condition_test.go
+++ b/ferryd/ferryedge/condition_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
@@ -86,3 +88,18 @@
 	upstreamWatcher{e}.logChanges(changes[:maxLoggedChanges])
 	assert.Equal(t, strings.Count(b.String(), "upstream changed"), maxLoggedChanges)
 }
+
+// TestEnginesThatWantNoRequestsAreNotRead has one of two engines ask for no requests until a time.
+func TestEnginesThatWantNoRequestsAreNotRead(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := &Edge{cfg: Config{Clock: clock}, upstreams: ferrydiscovery.NewTable(clock)}
+	for _, name := range []string{"a", "b"} {
+		e.upstreams.Apply([]ferrydiscovery.Change{{Upstream: ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: name, Service: "s"}, Version: 1}}})
+	}
+	list := e.upstreams.View().Of("s")
+	list[0].Defer(clock.Now().Add(time.Second))
+	assert.Equal(t, len(e.wanting(list)), 1)
+	assert.Equal(t, e.wanting(list)[0].Name, "b")
+	clock.Advance(time.Second)
+	assert.Equal(t, len(e.wanting(list)), 2)
+}
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -21,6 +21,7 @@
 	"cactusferry.dev/ferry/ferryguard"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferrylog"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryrelay"
 	"cactusferry.dev/ferryd/ferrymetrics"
@@ -32,6 +33,8 @@
 	firstAnswers    = 1 << 16 // numbers from which entries count their answers
 	// dialTimeout is shorter than the 1 s after which TCP repeats a lost SYN, since another upstream answers sooner.
 	dialTimeout = 400 * time.Millisecond
+	// observerLinesPerSecond limits the log lines on what upstreams state in their answers.
+	observerLinesPerSecond = 20
 )
 
 // State is the serving state of an edge.
@@ -102,7 +105,10 @@
 		Clock: cfg.Clock, Domain: cfg.Domain,
 		RetryWindow: cfg.Objectives.RetryWindow, RetryRatio: cfg.Objectives.RetryRatio, RetryAllowance: cfg.Objectives.RetryAllowance, Resumed: !cfg.FirstStart,
 	})
-	e.observer = &ferryforward.Observer{Upstreams: e.upstreams, Log: cfg.Log}
+	e.observer = &ferryforward.Observer{
+		Upstreams: e.upstreams, Clock: cfg.Clock,
+		Log: ferrylog.New(ferrylog.Config{Log: cfg.Log, Clock: cfg.Clock, PerSecond: observerLinesPerSecond, Scope: e.metrics.Scope}),
+	}
 	e.forwarder = ferryforward.New(ferryforward.Config{
 		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Observer: e.observer, Rerouter: cfg.Engines(e.client, e.observer),
 		Log: cfg.Log, Scope: e.metrics.Scope, MaxProofAge: cfg.Objectives.KeyAge, DrainTime: cfg.Objectives.LeaveWithin, Started: e.started, OthersServe: func() bool { return e.anyConfigCurrent(false) },
