--- a/ferry/ferryforward/dialect.go
+++ b/ferry/ferryforward/dialect.go
@@ -53,7 +53,13 @@
 	Signed bool
 	// FailedEngine is the address of the engine on the path that failed or refused, or empty.
 	FailedEngine string
-	Load         *ferrybalance.Load
+	// Leaving is set when the upstream that answers is leaving.
+	Leaving bool
+	// RetryAfter is for how long the upstream that refused, FailedEngine if that is set, wants no requests.
+	RetryAfter time.Duration
+	// InvalidRetryAfter is the stated value of RetryAfter if it could not be decoded.
+	InvalidRetryAfter string
+	Load              *ferrybalance.Load
 }
 
 // CertainlyNotRun reports whether the request was certainly not run.
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -175,7 +175,12 @@
 	if c, ok := dest.(enginePath); ok {
 		o.Path = c.run.Path()
 	}
-	return s.cfg.Client.Do(ctx, dest.first().Address, s.r.outgoing(s.cfg.Dialect, o))
+	a, err := s.cfg.Client.Do(ctx, dest.first().Address, s.r.outgoing(s.cfg.Dialect, o))
+	if err == nil {
+		v := s.cfg.Dialect.DecodeAnswer(a.Status, a.Header)
+		s.cfg.Observer.Observe(dest.first(), upstreamAt(dest, v.FailedEngine), v)
+	}
+	return a, err
 }
 
 // forwardRun forwards a run that was started as a replacement.
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -21,6 +21,7 @@
 	"cactusferry.dev/ferry/ferryguard"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferrylog"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryrelay"
 	"cactusferry.dev/ferry/ferrysuspect"
@@ -33,6 +34,8 @@
 	firstAnswers    = 1 << 16 // numbers from which entries count their answers
 	// dialTimeout is shorter than the 1 s after which TCP repeats a lost SYN, since another upstream answers sooner.
 	dialTimeout = 400 * time.Millisecond
+	// observerLinesPerSecond limits the log lines on what upstreams state in their answers.
+	observerLinesPerSecond = 20
 )
 
 // State is the serving state of an edge.
@@ -62,6 +65,7 @@
 	upstreams       *ferrydiscovery.Table
 	services        *ferryforward.Services
 	client          *ferryexchange.Client
+	observer        *ferryforward.Observer
 	guard           *ferryguard.Guard
 	forwarder       *ferryforward.Forwarder
 	ingress         *ferryingress.Server
@@ -108,8 +112,12 @@
 		RetryWindow: cfg.Objectives.RetryWindow, RetryRatio: cfg.Objectives.RetryRatio, RetryAllowance: cfg.Objectives.RetryAllowance, Resumed: !cfg.FirstStart,
 	})
 	e.newSuspects()
+	e.observer = &ferryforward.Observer{
+		Upstreams: e.upstreams, Clock: cfg.Clock,
+		Log: ferrylog.New(ferrylog.Config{Log: cfg.Log, Clock: cfg.Clock, PerSecond: observerLinesPerSecond, Scope: e.metrics.Scope}),
+	}
 	e.forwarder = ferryforward.New(ferryforward.Config{
-		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Rerouter: cfg.Engines(e.client), Suspects: e.suspects,
+		Clock: cfg.Clock, Steady: cfg.Steady, Holder: e.holder, Services: e.services, Dialect: cfg.Dialect, Client: e.client, Observer: e.observer, Rerouter: cfg.Engines(e.client, e.observer), Suspects: e.suspects,
 		Log: cfg.Log, Scope: e.metrics.Scope, MaxProofAge: cfg.Objectives.KeyAge, DrainTime: cfg.Objectives.LeaveWithin, Started: e.started, OthersServe: func() bool { return e.anyConfigCurrent(false) },
 	})
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
