ferrysuspect: only a broken connection to a dead engine counts, and started streams go on

Cause: probes of waiting runs were taken for crashes, once for each engine and each recheck, though they fail for cuts too; the check before each send did not ask whether an engine had written on the stream; answers that speak for a part only decided between parts; the trial was taken before a destination was found; an empty id equals an empty id; and the only other upstream that was probed to rule out a fault of this entry could be one that had just crashed. Ruled out: lengthening blocks only by trials in vain, which let up to 4 late requests through in TestDeadlyPartStopsAndSoundRequestsGoOn.

Tests, each failed before: StartedStreamResumesThoughItsPartIsBlocked, UnreachableEnginesBlockNoPart, CrashIsSeenThoughAnotherUpstreamIsDown (new function), TrialOfARequestThatIsNotSentIsWithdrawn (new function), ProvenPartIsBlockedAfterMoreCrashes (its first lines).

--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -212,6 +212,9 @@
 		return
 	}
 	w.reportResult()
+	if w.status/100 == 2 {
+		f.cfg.Suspects.Written(r.service.name, r.Parts)
+	}
 	if err := r.call.Answer(w.status, w.header, w.body); err != nil {
 		f.log.Info().Str("Request", string(r.ID)).Err(err).Msg("could not write the answer to the caller")
 	}
--- a/ferry/ferryforward/probe.go
+++ b/ferry/ferryforward/probe.go
@@ -87,6 +87,27 @@
 	return dead
 }
 
+// maxBeside is the number of other upstreams that are probed to tell a dead one from a fault of this entry.
+const maxBeside = 8
+
+// deadBeside reports whether an upstream does not answer a probe begun since the given time while another one does.
+func (p *prober) deadBeside(address string, others []string, since time.Time) bool {
+	if pr := p.probe(address, since); !pr.wait() {
+		var beside []*probe
+		for _, other := range others[:min(len(others), maxBeside)] {
+			beside = append(beside, p.probe(other, time.Time{}))
+		}
+		return slices.ContainsFunc(beside, (*probe).wait)
+	}
+	return false
+}
+
+// wait returns the result of the probe.
+func (pr *probe) wait() bool {
+	<-pr.done
+	return pr.alive
+}
+
 // otherReachable reports whether the first engine of the path outside the excluded hops answers.
 func (p *prober) otherReachable(hops []ferrypath.Hop, excluded []int) bool {
 	for i := range hops {
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -220,19 +220,12 @@
 		name := hops[i].Upstream.Name
 		d.run.Chooser().MarkDown(name)
 		deadNames = append(deadNames, ferryid.UpstreamName(name))
-		if !d.written.Load() {
-			d.cfg.Suspects.Crashed(d.r.ID, d.r.service.name, ferryid.UpstreamName(name), d.r.Parts)
-		}
 	}
 	d.log.Warn().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Dead", names(deadNames)).Msg("engines failed the liveness probe")
 	if dead[0] == 0 {
 		d.leaveFirstEngine(silent)
 		return
 	}
-	if !d.written.Load() && d.blockedProblem(d.r) != nil {
-		d.cancel(errBlocked)
-		return
-	}
 	if !d.reroute(deadNames, true) && d.canReplace() {
 		d.replaceRun(errStalled)
 	}
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -86,12 +86,13 @@
 		p := s.forwardRun(ctx, next)
 		return p, p == nil
 	}
-	if p := s.blockedProblem(s.r); p != nil {
+	if p := s.isBlocked(); p != nil {
 		s.blocked = true
 		return p, false
 	}
 	dest, none := s.pickDestination(s.r)
 	if none != nil {
+		s.cfg.Suspects.Withdraw(s.r.ID, s.r.service.name, s.r.Parts)
 		s.noCapacity = true
 		if sends > 0 {
 			return nil, false
@@ -100,6 +101,7 @@
 	}
 	if s.r.arrived > 0 && !s.takeRetry(s.r) {
 		finishCancelled(dest)
+		s.cfg.Suspects.Withdraw(s.r.ID, s.r.service.name, s.r.Parts)
 		s.noCapacity = true
 		return nil, false
 	}
@@ -453,7 +455,7 @@
 	if !gone || !s.r.repeatable() {
 		s.r.ran++
 	}
-	if !s.written.Load() && (gone || (!endedByEntry(err) && s.onlyUpstreamGone(dest))) {
+	if !s.written.Load() && !errors.Is(err, errFirstEngineDead) && (gone || (!endedByEntry(err) && s.onlyUpstreamGone(dest))) {
 		s.crashedBeforeWriting(s.r, dest.first().Name)
 	}
 	events, last := s.progress()
@@ -469,7 +471,7 @@
 
 // endedByEntry reports whether this entry ended the run itself, while its first upstream was alive.
 func endedByEntry(err error) bool {
-	return errors.Is(err, errStalled) || errors.Is(err, errBlocked) || errors.Is(err, errRestartElsewhere) || errors.Is(err, errReplaced)
+	return errors.Is(err, errStalled) || errors.Is(err, errRestartElsewhere) || errors.Is(err, errReplaced)
 }
 
 // breakSlack is how long before the end of a run its engine may have been probed. The runs of an engine that dies end
@@ -488,13 +490,13 @@
 	if c, ok := dest.(enginePath); ok && len(c.run.Path().Hops()) > 1 {
 		return false
 	}
-	hops := []ferrypath.Hop{{Upstream: dest.first()}}
+	var others []string
 	for _, u := range s.cfg.Services.upstreams(s.r.service.name) {
 		if u.Name != dest.first().Name {
-			hops = append(hops, ferrypath.Hop{Upstream: u})
+			others = append(others, u.Address)
 		}
 	}
-	return slices.Contains(s.prober.deadHops(hops, []int{0}, s.cfg.Clock.Now().Add(-breakSlack)), 0)
+	return s.prober.deadBeside(dest.first().Address, others, s.cfg.Clock.Now().Add(-breakSlack))
 }
 
 // formatDestination formats the upstreams of a destination for the log.
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -277,7 +277,7 @@
 // taken for it, or nil. A run whose first engine is dead does not count towards the route's attempts.
 func (s *callerStream) pickReplacement(present destination, reason error) destination {
 	dead := errors.Is(reason, errFirstEngineDead) && s.r.repeatable() && s.r.mayRunAgain()
-	if (!dead && !s.mayRestart()) || s.blockedProblem(s.r) != nil {
+	if (!dead && !s.mayRestart()) || s.isBlocked() != nil {
 		return nil
 	}
 	dest, none := s.pickDestination(s.r, ferryid.UpstreamName(present.first().Name))
--- a/ferry/ferryforward/suspect.go
+++ b/ferry/ferryforward/suspect.go
@@ -20,9 +20,6 @@
 	isolationTime = time.Second
 )
 
-// errBlocked ends a run whose prompt holds a part that crashes engines.
-var errBlocked = errors.New("run ended: a part of its prompt crashes engines")
-
 // blockedProblem returns the problem of a request whose prompt holds a blocked part, or nil.
 func (f *Forwarder) blockedProblem(r *request) *ferryoutcome.Problem {
 	err := f.cfg.Suspects.Admit(r.ID, r.service.name, r.Parts)
@@ -37,6 +34,15 @@
 		WithRetryAfter(blocked.RetryAfter).WithCause(err)
 }
 
+// isBlocked returns the problem of a stream whose prompt holds a blocked part, or nil. A stream that an engine has
+// written on goes on: that shows its parts to be sound.
+func (s *callerStream) isBlocked() *ferryoutcome.Problem {
+	if s.written.Load() {
+		return nil
+	}
+	return s.blockedProblem(s.r)
+}
+
 // crashedBeforeWriting records that an engine crashed before it wrote on the request.
 func (f *Forwarder) crashedBeforeWriting(r *request, engine string) {
 	r.crashes++
--- a/ferry/ferryforward/suspect_test.go
+++ b/ferry/ferryforward/suspect_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,3 +106,62 @@
 		assert.Equal(t, len(services.get("llm").isolation.avoided(true, b.clock.Now())), 0)
 	})
 }
+
+func TestStartedStreamResumesThoughItsPartIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t)
+		var runs atomic.Int32
+		setFirstEngines(b, func(s *testUpstream) handler {
+			return func(c net.Conn, r *http.Request) bool {
+				if runs.Add(1) > 1 {
+					return streamEvents(9, 30*time.Millisecond)(c, r)
+				}
+				streamEventsUpTo(c, r, 6, 9, 50*time.Millisecond)
+				s.l.Close()
+				return false
+			}
+		})
+		time.AfterFunc(250*time.Millisecond, func() {
+			for _, engine := range []ferryid.UpstreamName{"w", "x", "y", "z"} {
+				b.forwarder.cfg.Suspects.Crashed("other", "llm", engine, []ferrysuspect.PartID{1})
+			}
+			assert.Check(t, b.forwarder.cfg.Suspects.Admit("other", "llm", []ferrysuspect.PartID{1}) != nil)
+		})
+		a := b.call("POST", "/gen/x", "1", "Key: good", "Wait-Ms: 20000", "Prompt: 1")
+		assert.NilError(t, a.err, a.body)
+		assert.Equal(t, a.body, completeStream("1", 9))
+	})
+}
+
+// TestUnreachableEnginesBlockNoPart ends the engines after the first of a path while a run waits.
+func TestUnreachableEnginesBlockNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t)
+		setFirstEngines(b, func(*testUpstream) handler {
+			return func(c net.Conn, r *http.Request) bool {
+				time.Sleep(700 * time.Millisecond)
+				return streamEvents(9, time.Millisecond)(c, r)
+			}
+		})
+		for _, name := range []string{"mid-a", "mid-b", "last-a"} {
+			b.upstreams[name].l.Close()
+		}
+		b.call("POST", "/gen/x", "1", "Key: good", "Wait-Ms: 20000", "Prompt: 1")
+		assert.Assert(t, !b.forwarder.cfg.Suspects.Suspected("llm", []ferrysuspect.PartID{1}))
+	})
+}
+
+func TestCrashIsSeenThoughAnotherUpstreamIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, "a", "b", "c")
+		dead := b.upstreams["a"].address
+		b.upstreams["a"].l.Close()
+		b.upstreams["b"].l.Close()
+		others := []string{b.upstreams["b"].address, b.upstreams["c"].address}
+		assert.Assert(t, b.forwarder.prober.deadBeside(dead, others, time.Time{}))
+		assert.Assert(t, !b.forwarder.prober.deadBeside(others[1], others[:1], time.Time{}))
+		b.upstreams["c"].l.Close()
+		time.Sleep(time.Second)
+		assert.Assert(t, !b.forwarder.prober.deadBeside(dead, others, time.Time{}), "fault of this entry")
+	})
+}
--- a/ferry/ferrysuspect/conclude.go
+++ b/ferry/ferrysuspect/conclude.go
@@ -68,7 +68,7 @@
 			if out[k] == nil {
 				out[k] = &suspicion{}
 				if s.proven[k] || s.provenBefore[k] {
-					out[k].crashes = -provenCrashes
+					out[k].crashes, out[k].proven = -provenCrashes, true
 				}
 			}
 			out[k].crashes++
--- a/ferry/ferrysuspect/suspects.go
+++ b/ferry/ferrysuspect/suspects.go
@@ -84,6 +84,8 @@
 	crashes, unexplained int
 	// last is when the last unexplained one was seen.
 	last time.Time
+	// proven is set if an answer speaks for the part.
+	proven bool
 	// rivals are the parts, with this one, that the same crashes speak against.
 	rivals []PartID
 	// trial is the request that tries the part again, since the given time.
@@ -91,7 +93,15 @@
 	trialAt time.Time
 }
 
-func (s *suspicion) blocked() bool { return s.unexplained >= minCrashes }
+func (s *suspicion) blocked() bool { return s.unexplained >= s.threshold() }
+
+// threshold is the number of crashes from which the part is blocked.
+func (s *suspicion) threshold() int {
+	if s.proven {
+		return minCrashes + provenCrashes
+	}
+	return minCrashes
+}
 
 // until returns the end of the block for a request with the given parts.
 func (s *suspicion) until(parts []PartID) time.Time {
@@ -99,7 +109,7 @@
 		return s.last.Add(rivalBlock)
 	}
 	d := firstBlock
-	for n := minCrashes; n < s.unexplained && d < maxBlock; n++ {
+	for n := s.threshold(); n < s.unexplained && d < maxBlock; n++ {
 		d *= blockGrowth
 	}
 	return s.last.Add(min(d, maxBlock))
@@ -151,7 +161,7 @@
 	var trials []*suspicion
 	for _, p := range parts {
 		u := s.suspicions[key{service, p}]
-		if u == nil || !u.blocked() || u.trial == id {
+		if u == nil || !u.blocked() || (id != "" && u.trial == id) {
 			continue
 		}
 		if wait := s.wait(u, key{service, p}, parts, now); wait > 0 {
@@ -166,13 +176,27 @@
 	return nil
 }
 
+// Withdraw ends the trial of a request that was not sent after all.
+func (s *Suspects) Withdraw(id ferryid.RequestID, service ferryid.ServiceName, parts []PartID) {
+	if !s.any.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range parts {
+		if u := s.suspicions[key{service, p}]; u != nil && u.trial == id {
+			u.trial, u.trialAt = "", time.Time{}
+		}
+	}
+}
+
 // wait returns in how long a request with the given parts may try a blocked one, rounded up to milliseconds.
 func (s *Suspects) wait(u *suspicion, k key, parts []PartID, now time.Time) time.Duration {
 	wait := u.until(parts).Sub(now)
 	if wait <= 0 {
 		wait = max(0, wait+s.cfg.TrialDelay(k.service, k.part))
 	}
-	if u.trial != "" {
+	if !u.trialAt.IsZero() {
 		wait = max(wait, u.trialAt.Add(trialTimeout).Sub(now))
 	}
 	return (wait + time.Millisecond - 1).Truncate(time.Millisecond)
@@ -278,7 +302,12 @@
 
 // prove remembers the parts of an answer.
 func (s *Suspects) prove(service ferryid.ServiceName, parts []PartID) {
-	if now := s.cfg.Clock.Now(); now.Sub(s.provenFrom) >= provenTime || len(s.proven) >= maxProven/2 {
+	now := s.cfg.Clock.Now()
+	age := now.Sub(s.provenFrom)
+	if age >= 2*provenTime {
+		s.proven = nil
+	}
+	if age >= provenTime || len(s.proven) >= maxProven/2 {
 		s.proven, s.provenBefore, s.provenFrom = map[key]bool{}, s.proven, now
 	}
 	for _, p := range parts[:min(len(parts), MaxParts)] {
--- a/ferry/ferrysuspect/suspects_test.go
+++ b/ferry/ferrysuspect/suspects_test.go
@@ -144,6 +144,11 @@
 func TestProvenPartIsBlockedAfterMoreCrashes(t *testing.T) {
 	e := newEntry()
 	e.written(1)
+	e.crash(1)
+	e.crash(1)
+	assert.Equal(t, e.block("a", 1), time.Duration(0), "blocked like a part that nothing speaks for")
+	e.clock.Advance(Retention + time.Second)
+	e.written(1)
 	for n := range 2 {
 		e.crash(1, PartID(100+n))
 		assert.Equal(t, e.block("a", 1), time.Duration(0), "after %d crashes, each with a part that nothing speaks for", n+1)
@@ -159,6 +164,19 @@
 	assert.Assert(t, e.block("b", 1) > 0, "proven long ago")
 }
 
+func TestTrialOfARequestThatIsNotSentIsWithdrawn(t *testing.T) {
+	e := newEntry()
+	e.crash(1)
+	e.crash(1)
+	e.clock.Advance(firstBlock)
+	assert.Equal(t, e.block("a", 1), time.Duration(0))
+	e.Withdraw("b", service, []PartID{1})
+	assert.Equal(t, e.block("b", 1), trialTimeout)
+	e.Withdraw("a", service, []PartID{1})
+	assert.Equal(t, e.block("", 1), time.Duration(0))
+	assert.Equal(t, e.block("", 1), trialTimeout, "requests without an id are different ones")
+}
+
 func TestBlocksAreBounded(t *testing.T) {
 	e := newEntry()
 	for range 3 * maxCrashes {
