ferryforward: a replacement that stays silent makes room for the next one

Its watchdog began after the head, and could only start a replacement, which an attempt in progress prevents; the watchdog of the present run did the same and no longer probed its engine. An attempt that its watchdog ended was judged by its own, ended context. Class: two parts that each wait for the other to give up.

Change: an attempt has a watchdog from its sending on, which ends it when its engine is dead, or silent for the replacement's time while the present run goes on. The present run is inspected before it is replaced for its silence, so that a dead first engine does not count as an attempt.

--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -63,6 +63,8 @@
 	cancel context.CancelCauseFunc
 	began  time.Time
 	timer  clockwork.Timer
+	// attempt is set for a replacement that has not been accepted yet, which is ended instead of being replaced.
+	attempt bool
 	// mayReplace is set if the request may be run once more elsewhere.
 	mayReplace bool
 
@@ -87,12 +89,12 @@
 // the run.
 func (s *callerStream) watch(ctx context.Context, dest destination, cancel context.CancelCauseFunc) *watchdog {
 	s.beginRun(cancel)
-	return s.supervise(ctx, dest, cancel)
+	return s.supervise(ctx, dest, cancel, false)
 }
 
-// supervise starts the watchdog of a run.
-func (s *callerStream) supervise(ctx context.Context, dest destination, cancel context.CancelCauseFunc) *watchdog {
-	d := &watchdog{callerStream: s, ctx: ctx, dest: dest, cancel: cancel, began: s.cfg.Clock.Now(), mayReplace: s.mayRestart()}
+// supervise starts the watchdog of a run, or of an attempt to replace one.
+func (s *callerStream) supervise(ctx context.Context, dest destination, cancel context.CancelCauseFunc, attempt bool) *watchdog {
+	d := &watchdog{callerStream: s, ctx: ctx, dest: dest, cancel: cancel, began: s.cfg.Clock.Now(), attempt: attempt, mayReplace: !attempt && s.mayRestart()}
 	if c, ok := dest.(enginePath); ok {
 		d.run, d.seenVersion = c.run, c.run.Chooser().Version()
 	}
@@ -192,8 +194,12 @@
 	switch {
 	case silent < suspect:
 		next = suspect - silent
-	case silent >= timeout && d.canReplace():
-		d.replaceRun(errStalled)
+	case silent >= timeout && d.attempt && d.presentGoesOn():
+		d.cancel(errStalled)
+	case silent >= timeout && d.canReplace() && !d.isReplacing():
+		if d.run == nil || !d.inspect(silent) {
+			d.replaceRun(errStalled)
+		}
 	case d.run != nil:
 		d.inspect(silent)
 	}
@@ -203,8 +209,8 @@
 // replaceRun starts a replacement of the run.
 func (d *watchdog) replaceRun(reason error) { d.replace(d.ctx, d.dest, reason) }
 
-// inspect probes the engines of the path and reroutes the run around dead or slow ones.
-func (d *watchdog) inspect(silent time.Duration) {
+// inspect probes the engines of the path and reroutes the run around dead or slow ones. It reports whether some are dead.
+func (d *watchdog) inspect(silent time.Duration) bool {
 	hops := d.run.Path().Hops()
 	dead := d.prober.deadHops(hops, d.run.WithoutProgress(d.cfg.Clock.Now().Add(-livenessTTL)), time.Time{})
 	if len(dead) == 0 {
@@ -213,7 +219,7 @@
 			d.log.Info().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Slow", names(slow)).Msg("engines slower than expected: rerouting the run")
 			d.reroute(slow, false)
 		}
-		return
+		return false
 	}
 	var deadNames []ferryid.UpstreamName
 	for _, i := range dead {
@@ -224,11 +230,12 @@
 	d.log.Warn().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Dead", names(deadNames)).Msg("engines failed the liveness probe")
 	if dead[0] == 0 {
 		d.leaveFirstEngine(silent)
-		return
+		return true
 	}
 	if !d.reroute(deadNames, true) && d.canReplace() {
 		d.replaceRun(errStalled)
 	}
+	return true
 }
 
 // leaveFirstEngine starts a replacement of a run whose first engine does not answer. The engine may be alive and
@@ -236,6 +243,8 @@
 // its caller to get an answer.
 func (d *watchdog) leaveFirstEngine(silent time.Duration) {
 	switch {
+	case d.attempt:
+		d.cancel(errFirstEngineDead)
 	case !d.hasStarted() && silent >= shareOf(d.patience(), resumeShare):
 		d.cancel(errFirstEngineDead)
 	case d.r.repeatable() && d.r.service.budget.Remaining() > 0:
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -144,6 +144,20 @@
 	return c.started
 }
 
+// isReplacing reports whether an attempt to replace the present run is in progress.
+func (c *succession) isReplacing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending != nil
+}
+
+// presentGoesOn reports whether the run that an attempt is to replace has not failed yet.
+func (c *succession) presentGoesOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed != nil
+}
+
 func (c *succession) hasNext() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -205,14 +219,14 @@
 	if !s.open || s.pending != nil || s.next != nil || now.Sub(s.triedAt) < replaceInterval || (s.started && !s.resumable(s.r.route.Repeat)) {
 		return
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	done, failed := make(chan struct{}), make(chan struct{})
 	s.triedAt, s.pending, s.stopPending, s.failed = now, done, cancel, failed
 	after := s.position.id
 	s.guard.Go("replacement", string(s.r.ID), func() {
 		defer close(done)
 		defer s.endAttempt()
-		u := s.startReplacement(ctx, cancel, present, after, reason, failed)
+		u := s.startReplacement(ctx, attemptCtx, cancel, present, after, reason, failed)
 		if u != nil && !s.accept(u, after, s.r.route.Repeat, reason) {
 			s.discard(u)
 		}
@@ -227,8 +241,8 @@
 }
 
 // startReplacement sends the request to a destination that begins elsewhere and waits for the answer's body, unless
-// the present run fails. It returns nil if there is no destination, no retry is left or the run fails.
-func (s *callerStream) startReplacement(ctx context.Context, cancel context.CancelCauseFunc, present destination, after string, reason error, failed <-chan struct{}) *upstreamRun {
+// the present run fails. The attempt has a context of its own, within that of the request. It returns nil if there is no destination, no retry is left or the run fails.
+func (s *callerStream) startReplacement(ctx, attemptCtx context.Context, cancel context.CancelCauseFunc, present destination, after string, reason error, failed <-chan struct{}) *upstreamRun {
 	dest := s.pickReplacement(present, reason)
 	if dest == nil {
 		cancel(nil)
@@ -236,7 +250,9 @@
 	}
 	s.log.Warn().Str("Request", string(s.r.ID)).AnErr("Reason", reason).Str("Path", formatDestination(present)).
 		Str("Replacement", formatDestination(dest)).Str("After", after).Msg("replacement of a silent run started")
-	a, err := s.send(ctx, dest, after)
+	wd := s.supervise(ctx, dest, cancel, true)
+	defer wd.stop()
+	a, err := s.send(attemptCtx, dest, after)
 	if err != nil {
 		defer cancel(nil)
 		if errors.Is(err, errNotNeeded) {
@@ -251,9 +267,7 @@
 	accepted := v.acceptsRun(a)
 	err = errNoStream
 	if accepted {
-		wd := s.supervise(ctx, dest, cancel)
 		err = a.AwaitBody(failed)
-		wd.stop()
 	}
 	if err == nil {
 		s.metrics.retried(s.r.service.name, string(ferryoutcome.KindUpstreamFailed))
