--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -139,8 +139,10 @@
 		events    = 60
 		pause     = 100 * time.Millisecond
 		timeLimit = 20 * time.Second
-		openAfter = 2500 * time.Millisecond
-		sendAfter = 3400 * time.Millisecond
+		// Half of the channels are opened before the signal, the others after it.
+		openBefore = time.Second
+		openAfter  = 2500 * time.Millisecond
+		sendAfter  = 3400 * time.Millisecond
 	)
 	w.modelConfig()
 	w.configure("first", func(map[string]any) {})
@@ -163,19 +165,22 @@
 	}
 	time.Sleep(stableWindow + time.Second)
 	e := w.entries[0]
-	stopped := time.Now()
-	if trouble {
-		w.record.printf("trouble: SIGTERM to entry %s", e.name)
-		if err := e.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-			return false, err
-		}
-	}
-	time.Sleep(openAfter - time.Since(stopped))
+	stopped := time.Now().Add(openBefore)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	lost, passed := 0, 0
-	for range clients {
+	wg.Go(func() {
+		time.Sleep(time.Until(stopped))
+		if trouble {
+			w.record.printf("trouble: SIGTERM to entry %s", e.name)
+			_ = e.cmd.Process.Signal(syscall.SIGTERM)
+		}
+	})
+	for i := range clients {
 		wg.Go(func() {
+			if i%2 == 1 {
+				time.Sleep(time.Until(stopped.Add(openAfter)))
+			}
 			c, err := net.DialTimeout("tcp", e.front, time.Second)
 			if err != nil {
 				w.record.printf("client: no channel to %s: %s", e.name, err)
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -126,7 +126,7 @@
 		r.mu.Lock()
 		if r.up {
 			r.publish()
-		} else if time.Since(r.lastUpdate) > 3*heartbeat {
+		} else if r.state == "ready" && time.Since(r.lastUpdate) > 3*heartbeat {
 			r.w.store.remove("servers", r.id)
 		}
 		r.mu.Unlock()
@@ -158,6 +158,12 @@
 	return time.Now()
 }
 
+// leave ends a runner that has drained.
+func (r *runner) leave() {
+	r.end()
+	r.w.store.remove("servers", r.id)
+}
+
 func (r *runner) holds(from, to int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -246,6 +246,7 @@
 	mu     sync.Mutex
 	silent bool
 	conns  map[net.Conn]bool
+	dead   map[net.Conn]bool
 	// watches counts the watches of the list of runners that are waiting.
 	watches   int
 	lastWatch time.Time
@@ -256,7 +257,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{name: name, address: l.Addr().String(), target: target, l: l, conns: map[net.Conn]bool{}}
+	k := &link{name: name, address: l.Addr().String(), target: target, l: l, conns: map[net.Conn]bool{}, dead: map[net.Conn]bool{}}
 	go k.serve()
 	return k, nil
 }
@@ -288,7 +289,7 @@
 	for {
 		n, err := from.Read(buf)
 		k.mu.Lock()
-		lost = lost || k.silent
+		lost = lost || k.silent || k.dead[from]
 		if n > 0 && calls && strings.HasPrefix(string(buf[:n]), "GET /api/objects/servers?watch=") {
 			k.lastWatch = time.Now()
 		}
@@ -312,6 +313,15 @@
 	}
 }
 
+// silenceOpen makes the channels that are open now silent for good; new ones work.
+func (k *link) silenceOpen() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		k.dead[c] = true
+	}
+}
+
 func (k *link) setSilent(on bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
