--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -8,7 +8,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -43,7 +45,7 @@
 }
 
 func run(name, program, out string) int {
-	cases := map[string]func(*world, bool) (bool, error){"reader": readerCase, "stop": stopCase, "parts": partsCase, "channels": channelsCase}
+	cases := map[string]func(*world, bool) (bool, error){"reader": readerCase, "stop": stopCase, "parts": partsCase, "channels": channelsCase, "last": lastCase}
 	play := cases[name]
 	if play == nil {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
@@ -62,6 +64,13 @@
 		return exitFailed
 	}
 	defer w.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := play(w, trouble)
 	switch {
 	case err != nil:
--- a/review/stand/parts.go
+++ b/review/stand/parts.go
@@ -40,12 +40,20 @@
 	begun bool
 }
 
-// partsCase sends sound requests all the while, and for a time others whose prompts hold a part on which runners
-// crash. All prompts are long conversations: they share their first parts.
-func partsCase(w *world, trouble bool) (bool, error) {
+// partsCase has the first runner of a path crash. All prompts are long conversations: they share their first parts.
+func partsCase(w *world, trouble bool) (bool, error) { return w.poisonCase(trouble, 34) }
+
+// lastCase has the last runner of a path crash, which returns the tokens. The prompts share two parts.
+func lastCase(w *world, trouble bool) (bool, error) {
+	poisonLast = true
+	return w.poisonCase(trouble, 2)
+}
+
+// poisonCase sends sound requests all the while, and for a time others whose prompts hold one more part, on which
+// runners crash. All prompts share their first parts.
+func (w *world) poisonCase(trouble bool, shared int) (bool, error) {
 	const (
 		engines  = 24
-		shared   = 34
 		warm     = 12 * time.Second
 		crashing = 40 * time.Second
 		every    = 100 * time.Millisecond
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -44,18 +44,23 @@
 	from, to   int
 	orders     int
 	running    int
+	active     map[string]*work
 	lastUpdate time.Time
 }
 
-// poison is the prompt part on which runners crash; it is empty if there is none.
-var poison string
+// poison is the prompt part on which runners crash; it is empty if there is none. It crashes the first runner of a path,
+// which holds the client's answer, or with poisonLast the last one, which returns the tokens.
+var (
+	poison     string
+	poisonLast bool
+)
 
 // outage is how long a crashed runner is away.
 const outage = 3 * time.Second
 
 // addRunner starts a runner and registers it.
 func (w *world) addRunner(id, service string, change func(*runner)) (*runner, error) {
-	r := &runner{w: w, id: id, service: service, zone: zoneName, state: "ready", work: 15 * time.Millisecond, pause: 20 * time.Millisecond, events: 20}
+	r := &runner{w: w, id: id, active: map[string]*work{}, service: service, zone: zoneName, state: "ready", work: 15 * time.Millisecond, pause: 20 * time.Millisecond, events: 20}
 	if change != nil {
 		change(r)
 	}
@@ -232,10 +237,19 @@
 	if r.service != modelService {
 		return 0, ""
 	}
-	hops := q.Header.Get("X-Hop-Count")
-	if hops == "" {
-		hops = fmt.Sprintf("%s=0-%d", r.address, layers)
+	return r.checkPath(r.pathOf(q))
+}
+
+// pathOf returns the path of a request; without one this runner alone serves it.
+func (r *runner) pathOf(q *http.Request) string {
+	if path := q.Header.Get("X-Hop-Count"); path != "" {
+		return path
 	}
+	return fmt.Sprintf("%s=0-%d", r.address, layers)
+}
+
+// checkPath compares a path with the layers that its runners hold; a status other than 0 refuses it.
+func (r *runner) checkPath(hops string) (status int, at string) {
 	for i, hop := range strings.Split(hops, ",") {
 		address, part, _ := strings.Cut(hop, "=")
 		var from, to int
@@ -282,12 +296,84 @@
 	r.events, r.pause = events, pause
 }
 
+// stall is how long work waits for a dead runner.
+const stall = 2 * time.Second
+
+// work is a request that runs at its first runner.
+type work struct {
+	mu   sync.Mutex
+	path string
+}
+
+func (n *work) hops() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	for _, hop := range strings.Split(n.path, ",") {
+		address, _, _ := strings.Cut(hop, "=")
+		out = append(out, address)
+	}
+	return out
+}
+
+// dead returns the address of a runner of the path that is down, or an empty one.
+func (r *runner) dead(n *work) string {
+	for _, address := range n.hops() {
+		r.w.mu.Lock()
+		o := r.w.runners[address]
+		r.w.mu.Unlock()
+		if o == nil || !o.isUp() {
+			return address
+		}
+	}
+	return ""
+}
+
+// crashOn crashes the runner that begins to write the answer.
+func (r *runner) crashOn(n *work, id string) {
+	if !poisonLast {
+		r.crash(id)
+		panic(http.ErrAbortHandler)
+	}
+	hops := n.hops()
+	r.w.mu.Lock()
+	last := r.w.runners[hops[len(hops)-1]]
+	r.w.mu.Unlock()
+	last.crash(id)
+}
+
+// awaitPath waits while a runner of the path is down. It returns the address of that runner if the request is not moved
+// within the time for which work stalls.
+func (r *runner) awaitPath(q *http.Request, n *work) string {
+	since := time.Now()
+	for at := r.dead(n); at != ""; at = r.dead(n) {
+		if time.Since(since) > stall {
+			return at
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-q.Context().Done():
+			return ""
+		}
+	}
+	return ""
+}
+
 func (r *runner) stream(w http.ResponseWriter, q *http.Request, a arrival) {
 	flush := http.NewResponseController(w)
 	r.mu.Lock()
 	events, next := r.events, r.pause
 	r.mu.Unlock()
 	pause := readTime
+	n := &work{path: r.pathOf(q)}
+	r.mu.Lock()
+	r.active[a.id] = n
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.active, a.id)
+		r.mu.Unlock()
+	}()
 	for i := 1; i <= events; i++ {
 		select {
 		case <-time.After(pause):
@@ -296,8 +382,21 @@
 		}
 		pause = next
 		if a.poison {
-			r.crash(a.id)
+			r.crashOn(n, a.id)
+		}
+		switch at := r.awaitPath(q, n); {
+		case at != "" && i == 1:
+			refuse(w, http.StatusServiceUnavailable, at)
+			return
+		case at != "":
 			panic(http.ErrAbortHandler)
+		case q.Context().Err() != nil:
+			return
+		case a.poison:
+			// It was moved to another path, which reads the prompt first.
+			i--
+			pause = readTime
+			continue
 		}
 		if i == 1 {
 			w.Header().Set("X-Response-Signature", "signed."+a.id)
@@ -319,10 +418,11 @@
 	})
 }
 
-// order carries out a place order at once; an order to move a request gets 404, as if that had just ended.
+// order carries out a place order, or one that moves a request to another path, at once.
 func (r *runner) order(w http.ResponseWriter, q *http.Request) {
 	var o struct {
 		Operation    string
+		ID, Path     string
 		From, Target int
 		Expected     *int
 	}
@@ -330,8 +430,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if o.Operation != "place" {
-		w.WriteHeader(http.StatusNotFound)
+	switch o.Operation {
+	case "repath":
+		r.repath(w, o.ID, o.Path)
+		return
+	case "place":
+	default:
+		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	r.mu.Lock()
@@ -347,6 +452,27 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// repath moves a request that this runner was the first to receive to another path.
+func (r *runner) repath(w http.ResponseWriter, id, path string) {
+	r.mu.Lock()
+	n := r.active[id]
+	r.mu.Unlock()
+	if n == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if _, at := r.checkPath(path); at != "" {
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(map[string]string{"error": "a part is not there", "address": at})
+		return
+	}
+	n.mu.Lock()
+	n.path = path
+	n.mu.Unlock()
+	r.w.record.printf("request %s is moved to %s", id, path)
+	w.WriteHeader(http.StatusAccepted)
+}
+
 func hasPart(list, part string) bool {
 	if part == "" {
 		return false
