--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -30,6 +30,8 @@
 	body        string
 	// first is when the first byte of the body arrived, or zero.
 	first time.Time
+	// noChannel is set if no channel could be opened.
+	noChannel bool
 	// err is set if the channel ended without a complete answer.
 	err error
 }
@@ -46,7 +48,7 @@
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		now := time.Now()
-		return answer{sent: now, ended: now, err: err}
+		return answer{sent: now, ended: now, err: err, noChannel: true}
 	}
 	defer c.Close()
 	return callOn(c, r)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -45,7 +45,7 @@
 }
 
 func run(name, program, out string) int {
-	cases := map[string]func(*world, bool) (bool, error){"reader": readerCase, "stop": stopCase, "parts": partsCase, "channels": channelsCase, "last": lastCase}
+	cases := map[string]func(*world, bool) (bool, error){"reader": readerCase, "stop": stopCase, "parts": partsCase, "channels": channelsCase, "last": lastCase, "roll": rollCase}
 	play := cases[name]
 	if play == nil {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
--- a/review/stand/parts.go
+++ b/review/stand/parts.go
@@ -41,23 +41,37 @@
 }
 
 // partsCase has the first runner of a path crash. All prompts are long conversations: they share their first parts.
-func partsCase(w *world, trouble bool) (bool, error) { return w.poisonCase(trouble, 34) }
+func partsCase(w *world, trouble bool) (bool, error) { return w.poisonCase(trouble, 34, false) }
 
 // lastCase has the last runner of a path crash, which returns the tokens. The prompts share two parts.
 func lastCase(w *world, trouble bool) (bool, error) {
 	poisonLast = true
-	return w.poisonCase(trouble, 2)
+	return w.poisonCase(trouble, 2, false)
 }
 
+// rollCase has the first runner of a path crash on a part, four runners crash for causes of their own, and then the
+// entries stopped and started again one after the other.
+func rollCase(w *world, trouble bool) (bool, error) { return w.poisonCase(trouble, 1, true) }
+
 // poisonCase sends sound requests all the while, and for a time others whose prompts hold one more part, on which
 // runners crash. All prompts share their first parts.
-func (w *world) poisonCase(trouble bool, shared int) (bool, error) {
+//
+// With roll set, sound requests are fewer, runners also crash for causes of their own, and the entries are restarted.
+func (w *world) poisonCase(trouble bool, shared int, roll bool) (bool, error) {
 	const (
 		engines  = 24
 		warm     = 12 * time.Second
 		crashing = 40 * time.Second
 		every    = 100 * time.Millisecond
 	)
+	pause := every
+	if roll {
+		pause = 350 * time.Millisecond
+	}
+	length := warm + crashing
+	if roll {
+		length += 25 * time.Second
+	}
 	w.modelConfig()
 	w.configure("first", func(map[string]any) {})
 	for i := range engines {
@@ -81,12 +95,17 @@
 	var mu sync.Mutex
 	var sounds []sound
 	began := time.Now()
-	end := began.Add(warm + crashing)
+	end := began.Add(length)
 	send := func(n int, parts []string, soundRequest bool) {
 		e := w.entries[n%len(w.entries)]
 		id := newID()
 		list := strings.Join(append(append([]string{}, parts...), newID()[:8]+":20"), ",")
 		a := call(e.front, request{method: "POST", path: "/letter/x", id: id, wait: 6 * time.Second, parts: list})
+		for k := 1; a.noChannel && k < len(w.entries); k++ {
+			// An entry that is being restarted; a client goes to another one then.
+			e = w.entries[(n+k)%len(w.entries)]
+			a = call(e.front, request{method: "POST", path: "/letter/x", id: id, wait: 6 * time.Second, parts: list})
+		}
 		what := "sound"
 		if !soundRequest {
 			what = "crashing"
@@ -98,15 +117,27 @@
 			mu.Unlock()
 		}
 	}
+	var rollErr error
+	if roll {
+		wg.Go(func() {
+			time.Sleep(time.Until(began.Add(warm + 4*time.Second)))
+			for range 4 {
+				w.failing.Store(trouble)
+				time.Sleep(2500 * time.Millisecond)
+			}
+			w.failing.Store(false)
+			rollErr = w.roll()
+		})
+	}
 	for n := 0; time.Now().Before(end); n++ {
 		wg.Go(func() { send(n, history, true) })
-		if trouble && time.Since(began) > warm && n%5 == 0 {
+		if trouble && time.Since(began) > warm && (roll || n%5 == 0) {
 			wg.Go(func() { send(n/5, append(append([]string{}, history...), bad+":30"), false) })
 		}
-		time.Sleep(every)
+		time.Sleep(pause)
 	}
 	wg.Wait()
-	return w.judgeParts(sounds, began.Add(warm), end), nil
+	return w.judgeParts(sounds, began.Add(warm), end), rollErr
 }
 
 // judgeParts applies the rules on prompt parts that crash runners.
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -99,7 +99,8 @@
 	_ = r.server.Close()
 }
 
-// crash ends the boot with all its channels, and starts the next one after the outage.
+// crash ends the boot with all its channels, and starts the next one after the outage. The request that is the cause is
+// empty if there is none.
 func (r *runner) crash(id string) {
 	r.mu.Lock()
 	if !r.up {
@@ -109,8 +110,12 @@
 	r.up = false
 	s := r.server
 	r.mu.Unlock()
-	r.w.record.printf("runner %s crashes on request %s", r.id, id)
-	r.w.noteCrash()
+	if id != "" {
+		r.w.record.printf("runner %s crashes on request %s", r.id, id)
+		r.w.noteCrash()
+	} else {
+		r.w.record.printf("runner %s crashes, for a cause of its own", r.id)
+	}
 	_ = s.Close()
 	time.AfterFunc(outage, func() {
 		if l, err := net.Listen("tcp", r.address); err == nil {
@@ -374,6 +379,11 @@
 		delete(r.active, a.id)
 		r.mu.Unlock()
 	}()
+	if !a.poison && r.w.failing.CompareAndSwap(true, false) {
+		time.Sleep(pause / 2)
+		r.crash("")
+		panic(http.ErrAbortHandler)
+	}
 	for i := 1; i <= events; i++ {
 		select {
 		case <-time.After(pause):
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -34,6 +35,8 @@
 	// storeAddress is the address of the store itself; each entry reaches it through a link of its own.
 	storeAddress string
 	closers      []func()
+	// failing is set if the next runner that reads a prompt is to crash.
+	failing atomic.Bool
 
 	mu      sync.Mutex
 	config  map[string]any
@@ -94,6 +97,8 @@
 type entry struct {
 	name, ip                         string
 	front, ready, control, directory string
+	seeds                            []string
+	boots                            int
 	cmd                              *exec.Cmd
 	ended                            chan struct{}
 	link                             *link
@@ -156,11 +161,13 @@
 
 // start starts the process of an entry with the command of the deploy file.
 func (w *world) start(e *entry, seeds []string) error {
+	e.seeds = seeds
+	e.boots++
 	path := filepath.Join(w.dir, e.name+".toml")
 	if err := os.WriteFile(path, []byte(e.settings(seeds)), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(w.dir, e.name+".log"))
+	log, err := os.OpenFile(filepath.Join(w.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -193,7 +200,7 @@
 	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
 	line("nodeName = %q\nrole = \"entry\"\nmachineClass = \"front\"\nserves = [\"front\",\"control\",\"directory\"]", e.name)
 	line("ip = %q\nzone = %q\nregion = \"neweng\"\nportRange = [7340,7355]", e.ip, zoneName)
-	line("seeds = [\"%s\"]\nbootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"directory\"\nheartbeatMs = %d", strings.Join(seeds, "\",\""), heartbeat.Milliseconds())
+	line("seeds = [\"%s\"]\nbootstrap = %t\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"directory\"\nheartbeatMs = %d", strings.Join(seeds, "\",\""), e.boots == 1, heartbeat.Milliseconds())
 	line("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\",\"layers\"]")
 	line("[zones]\n%s = \"neweng\"", zoneName)
 	line("[listen]\nfront = %q\nready = %q\ncontrol = %q\ndirectory = %q", e.front, e.ready, e.control, e.directory)
@@ -205,6 +212,26 @@
 	return b.String()
 }
 
+// roll stops the entries by SIGTERM one after the other, and starts each again once it has ended.
+func (w *world) roll() error {
+	for _, e := range w.entries {
+		w.record.printf("planned work: SIGTERM to entry %s", e.name)
+		if err := e.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		<-e.ended
+		if err := w.start(e, e.seeds); err != nil {
+			return err
+		}
+		for !e.isReady() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		w.record.printf("entry %s is ready again", e.name)
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
 // isReady asks the readiness check of an entry.
 func (e *entry) isReady() bool {
 	client := http.Client{Timeout: time.Second}
