Relay: the age of a view travels with every answer, and decides when the platform is called

Cause: a reader answered "no changes" until a call of its own had failed (1.5 s for proofs, 3.7 s for the watch of the upstreams), the question waited 1 s and 0.4 s more, and only then did anyone call the store. Each timer fits the bound, the sum does not.

Ruled out: the spread of the loss over the overlay (entries must be in time without it); a late store.

Change: an age travels with each answer of a reader, one budget is worked out from the objective of the kind, and an entry calls the platform as soon as its share is spent.

Tests changed: watches through a reader end with its next proof in place of 1 s; a sound direct watch is started once a proof, exactly; an answer's age may be negative, but not below the longest wait.

--- a/ferry/ferryrelay/direct_test.go
+++ b/ferry/ferryrelay/direct_test.go
@@ -79,7 +79,8 @@
 	}
 }
 
-// TestSoundDirectWatchIsKept has an entry read directly for a minute. Its watch must not be started again before it ends.
+// TestSoundDirectWatchIsKept has an entry read directly for a minute. Its watch must not be started again before it ends,
+// which it does once for each proof that the entry owes to those that read through it.
 func TestSoundDirectWatchIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b")
@@ -90,7 +91,8 @@
 			_, err := f.relays["a"].Watch(t.Context(), "k", after, 12*time.Second)
 			assert.NilError(t, err)
 		}
-		assert.Equal(t, f.calls("a"), 5)
+		proofs := int((time.Minute + f.relays["a"].ProofInterval("k") - 1) / f.relays["a"].ProofInterval("k"))
+		assert.Equal(t, f.calls("a"), proofs)
 	})
 }
 
--- a/ferry/ferryrelay/message.go
+++ b/ferry/ferryrelay/message.go
@@ -12,6 +12,8 @@
 const (
 	maxNameBytes = 1 << 10
 	maxAge       = time.Hour
+	// maxWait bounds the wait that another entry may ask for.
+	maxWait = 30 * time.Second
 )
 
 // operation is the read that one entry requests from another.
@@ -65,8 +67,12 @@
 	Status  status                `cbor:"1,keyasint"`
 	Version ferryplatform.Version `cbor:"2,keyasint,omitempty"`
 	Objects []object              `cbor:"3,keyasint,omitempty"`
-	// Age is the time from the start of the reader's own read to its answer.
+	// Age is the time from when the reader's objects were last certainly current to the arrival of the question. It is
+	// negative if the reader has proved them current since.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
+
+	// provedAt is the same moment on the clock of the entry that asked.
+	provedAt time.Time
 }
 
 // object is one object of the requested kind.
@@ -88,7 +94,7 @@
 	if q.Kind == "" || len(q.Kind) > maxNameBytes || len(q.Name) > maxNameBytes {
 		return q, fmt.Errorf("decode question: kind of %d bytes, name of %d", len(q.Kind), len(q.Name))
 	}
-	q.Wait = min(max(q.Wait, 0), relayWait)
+	q.Wait = min(max(q.Wait, 0), maxWait)
 	return q, nil
 }
 
@@ -100,8 +106,8 @@
 	if a.Status < statusOK || a.Status > statusNotRead {
 		return a, fmt.Errorf("decode answer: invalid %s", a.Status)
 	}
-	if a.Age < 0 || a.Age > maxAge {
-		return a, fmt.Errorf("decode answer: age %s is not between 0 and 1 h", a.Age)
+	if a.Age < -maxWait || a.Age > maxAge {
+		return a, fmt.Errorf("decode answer: age %s is not between -30 s and 1 h", a.Age)
 	}
 	for _, o := range a.Objects {
 		if o.Name == "" || len(o.Name) > maxNameBytes {
@@ -111,8 +117,9 @@
 	return a, nil
 }
 
-func answerOf(c ferryplatform.Changes) answer {
-	a := answer{Status: statusOK, Version: c.Version}
+// answerOf returns the answer with changes that the given time before the question were certainly the latest.
+func answerOf(c ferryplatform.Changes, age time.Duration) answer {
+	a := answer{Status: statusOK, Version: c.Version, Age: min(max(age, -maxWait), maxAge)}
 	for _, o := range c.Objects {
 		a.Objects = append(a.Objects, object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: o.Value})
 	}
--- a/ferry/ferryrelay/mirror.go
+++ b/ferry/ferryrelay/mirror.go
@@ -32,6 +32,8 @@
 	// has answered since its last failure.
 	complete bool
 	current  bool
+	// provedAt is when the objects were last certainly current.
+	provedAt time.Time
 	version  ferryplatform.Version
 	objects  map[string]ferryplatform.Object
 	batches  []batch
@@ -42,8 +44,8 @@
 	return &mirror{kind: kind, clock: clock, objects: map[string]ferryplatform.Object{}, notified: make(chan struct{})}
 }
 
-// replace replaces the objects by those of a complete list.
-func (m *mirror) replace(c ferryplatform.Changes) {
+// replace replaces the objects by those of a complete list that was current at the given time.
+func (m *mirror) replace(c ferryplatform.Changes, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	clear(m.objects)
@@ -52,7 +54,7 @@
 			m.objects[o.Name] = o
 		}
 	}
-	m.batches, m.version, m.complete, m.current = nil, c.Version, true, true
+	m.batches, m.version, m.complete, m.current, m.provedAt = nil, c.Version, true, true, at
 	m.notify()
 }
 
@@ -70,8 +72,8 @@
 	return m.complete && after <= m.version
 }
 
-// apply applies the answer to a watch after a version.
-func (m *mirror) apply(after ferryplatform.Version, c ferryplatform.Changes) {
+// apply applies the answer to a watch after a version, which was current at the given time.
+func (m *mirror) apply(after ferryplatform.Version, c ferryplatform.Changes, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.complete || after > m.version {
@@ -79,17 +81,30 @@
 		return
 	}
 	m.current = true
+	m.prove(at)
 	if c.Version > m.version {
 		m.add(batch{after: m.version, upTo: c.Version, objects: c.Objects})
 	}
 }
 
-// applyObject applies an object that was read alone and is the only relevant one of its kind. If the
+// prove records that the objects were current at the given time. The caller must hold the lock.
+func (m *mirror) prove(at time.Time) {
+	if at.After(m.provedAt) {
+		m.provedAt = at
+		m.notify()
+	}
+}
+
+// applyObject applies an object that was read alone at the given time and is the only relevant one of its kind. If the
 // connection of the watch hangs, the watch returns the change only later.
-func (m *mirror) applyObject(o ferryplatform.Object) {
+func (m *mirror) applyObject(o ferryplatform.Object, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.complete && o.Version > m.version {
+	if !m.complete {
+		return
+	}
+	m.prove(at)
+	if o.Version > m.version {
 		m.add(batch{after: m.version, upTo: o.Version, objects: []ferryplatform.Object{o}})
 	}
 }
@@ -141,58 +156,69 @@
 	m.notified = make(chan struct{})
 }
 
-// list returns all objects; false means that they may be out of date.
-func (m *mirror) list() (ferryplatform.Changes, bool) {
+// list returns all objects and when they were current; false means that the platform could not be read since.
+func (m *mirror) list() (ferryplatform.Changes, time.Time, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.current {
-		return ferryplatform.Changes{}, false
+		return ferryplatform.Changes{}, time.Time{}, false
 	}
 	c := ferryplatform.Changes{Version: m.version}
 	for _, name := range slices.Sorted(maps.Keys(m.objects)) {
 		c.Objects = append(c.Objects, m.objects[name])
 	}
-	return c, true
+	return c, m.provedAt, true
+}
+
+// news are the changes after a version, which were the latest at provedAt; changed is closed when there may be more.
+type news struct {
+	changes  ferryplatform.Changes
+	status   status
+	provedAt time.Time
+	changed  <-chan struct{}
 }
 
-// watch waits until an object changes after a version. The changes are valid only with statusOK.
-func (m *mirror) watch(ctx context.Context, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, status) {
+// watch waits until an object changes after a version, or until the objects are proved current after the given time.
+// The changes are valid only with statusOK.
+func (m *mirror) watch(ctx context.Context, after ferryplatform.Version, asked time.Time, wait time.Duration) news {
 	timer := m.clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		c, st, changed := m.since(after)
-		if st != statusOK || len(c.Objects) > 0 {
-			return c, st
+		n := m.since(after)
+		if n.status != statusOK || len(n.changes.Objects) > 0 || n.provedAt.After(asked) {
+			return n
 		}
 		select {
-		case <-changed:
+		case <-n.changed:
 		case <-timer.Chan():
-			return c, statusOK
+			return n
 		case <-ctx.Done():
-			return c, statusOK
+			return n
 		}
 	}
 }
 
-// since returns the changes after a version, and a channel that is closed when there are more.
-func (m *mirror) since(after ferryplatform.Version) (ferryplatform.Changes, status, <-chan struct{}) {
+// since returns the changes after a version.
+func (m *mirror) since(after ferryplatform.Version) news {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := ferryplatform.Changes{Version: max(after, m.version)}
+	n := news{changes: ferryplatform.Changes{Version: max(after, m.version)}, status: statusOK, provedAt: m.provedAt, changed: m.notified}
 	switch {
 	case !m.current:
-		return c, statusPlatformLost, m.notified
+		n.status = statusPlatformLost
+		return n
 	case after >= m.version:
-		return c, statusOK, m.notified
+		return n
 	}
 	first := slices.IndexFunc(m.batches, func(b batch) bool { return b.after == after })
 	if first < 0 {
 		// A caller that followed another reader may be within a batch, and would apply an old
 		// removal over a later change.
-		return c, statusHistoryGone, m.notified
+		n.status = statusHistoryGone
+		return n
 	}
 	for _, b := range m.batches[first:] {
-		c.Objects = append(c.Objects, b.objects...)
+		n.changes.Objects = append(n.changes.Objects, b.objects...)
 	}
-	return c, statusOK, m.notified
+	return n
 }
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -21,18 +21,12 @@
 const AskKind ferrypeer.AskKind = 6
 
 const (
-	// relayWait is the longest wait of a relayed watch. A configuration must be in force 3 s after it was
-	// accepted, even if a reader stops answering meanwhile.
-	relayWait = time.Second
-	// askGrace is the time allowed for an answer beyond the wait of its request. Links within a failure
-	// domain take less than a millisecond.
+	// askGrace is the time allowed for an answer to a list or a proof beyond the wait of its request. Links within a
+	// failure domain take less than a millisecond.
 	askGrace = 400 * time.Millisecond
 	// excludeFor is how long a reader that did not answer is not asked. The membership protocol takes about as
 	// long to detect its failure.
 	excludeFor = time.Second
-	// directRetryInterval is the interval of direct calls to the platform after one failed, while a reader
-	// answers or reports that it has lost the platform.
-	directRetryInterval = 5 * time.Second
 	// directRetryTimeout bounds such a direct call. A reachable platform answers within milliseconds.
 	directRetryTimeout = 400 * time.Millisecond
 	// directGrace is the time allowed for a direct watch beyond its wait.
@@ -57,7 +51,7 @@
 	Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error)
 }
 
-// Config configures a Relay. All fields but Log and Scope are required.
+// Config configures a Relay. All fields but Log, Scope and Within are required.
 type Config struct {
 	Platform Source
 	// Clock must include the time for which the instance is suspended.
@@ -66,6 +60,8 @@
 	Scope tally.Scope
 	// Reader returns the entry to read from; false means that this entry reads from the platform directly.
 	Reader func() (Reader, bool)
+	// Within returns the time within which changes to a kind must be known here; zero means the default of 2 s.
+	Within func(kind string) time.Duration
 	// Ask sends a request over the overlay.
 	Ask func(ctx context.Context, name ferryid.EntryName, inc ferryid.Incarnation, kind ferrypeer.AskKind, body []byte) ([]byte, error)
 }
@@ -79,12 +75,17 @@
 	mu      sync.Mutex
 	mirrors map[string]*mirror
 	proofs  map[string]proof
+	// views holds, by kind, the time at which what this entry knows was last certainly current, and lastGets when a
+	// direct read of a single object last proved that.
+	views, lastGets map[string]time.Time
 	// failingSince is the time since which direct calls have failed, zero if they succeed; lastDirect is
 	// the time of the last one.
 	failingSince, lastDirect time.Time
 	excluded                 Reader
 	excludedUntil            time.Time
 	source                   string
+	// behind maps the kinds whose reader has not proved them current in time to that reader.
+	behind map[string]ferryid.EntryName
 	// relayed is set once another entry has answered.
 	relayed bool
 	// directWatches holds the functions that end the waiting direct watches.
@@ -96,7 +97,7 @@
 
 // counts are the numbers of reads by their source.
 type counts struct {
-	relayed, direct, refused tally.Counter
+	relayed, direct, refused, behind tally.Counter
 }
 
 // proof is an object as read from the platform and the start of that read. An object
@@ -110,9 +111,14 @@
 type LostError struct {
 	// Reader is the entry that was asked.
 	Reader ferryid.EntryName
+	// Age is the age of the reader's proof, zero if it reported the loss itself.
+	Age time.Duration
 }
 
 func (e *LostError) Error() string {
+	if e.Age > 0 {
+		return fmt.Sprintf("reader %s last proved its objects current %s ago, and this entry has lost the platform", e.Reader, e.Age)
+	}
 	return fmt.Sprintf("reader %s has lost the platform, and so has this entry", e.Reader)
 }
 
@@ -121,12 +127,15 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
+	if cfg.Within == nil {
+		cfg.Within = func(string) time.Duration { return 0 }
+	}
 	count := func(from string) tally.Counter {
 		return cfg.Scope.Tagged(map[string]string{"from": from}).Counter("platform_readings")
 	}
 	return &Relay{
-		cfg: cfg, counts: counts{relayed: count("entry"), direct: count("platform"), refused: count("none")},
-		mirrors: map[string]*mirror{}, proofs: map[string]proof{}, directWatches: map[*directWatch]context.CancelCauseFunc{},
+		cfg: cfg, counts: counts{relayed: count("entry"), direct: count("platform"), refused: count("none"), behind: cfg.Scope.Counter("platform_readers_behind")},
+		mirrors: map[string]*mirror{}, proofs: map[string]proof{}, views: map[string]time.Time{}, lastGets: map[string]time.Time{}, behind: map[string]ferryid.EntryName{}, directWatches: map[*directWatch]context.CancelCauseFunc{},
 	}
 }
 
@@ -161,39 +170,47 @@
 // List returns all objects of a kind.
 func (r *Relay) List(ctx context.Context, kind string) (ferryplatform.Changes, error) {
 	m := r.mirror(kind)
-	a, err := r.ask(ctx, question{Op: opList, Kind: kind, Wait: r.readerWait()})
+	wait := r.readerWait()
+	a, err := r.ask(ctx, question{Op: opList, Kind: kind, Wait: wait}, wait+askGrace)
 	if err == nil {
 		m.reset()
+		r.recordView(kind, a.provedAt)
 		return a.changes(kind), nil
 	}
-	if lost := r.lostUntilRetry(err); lost != nil {
+	if lost := r.lostUntilRetry(kind, err); lost != nil {
 		return ferryplatform.Changes{}, lost
 	}
+	at := r.cfg.Clock.Now()
 	c, err := r.cfg.Platform.List(ctx, kind)
 	r.recordDirect(ctx, err)
 	if err != nil {
 		m.markStale()
 		return c, err
 	}
-	m.replace(c)
+	m.replace(c, at)
+	r.recordView(kind, at)
 	return c, nil
 }
 
 // Watch waits until objects of a kind change after a version, or until the wait is over.
 //
-// A watch through another entry returns after relayWait at the latest.
+// A watch through another entry returns with that entry's next proof at the latest. If that does not come in time, the
+// platform is called directly.
 func (r *Relay) Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error) {
 	m := r.mirror(kind)
 	began := r.cfg.Clock.Now()
-	a, err := r.ask(ctx, question{Op: opWatch, Kind: kind, After: after, Wait: min(wait, relayWait)})
+	b := r.budget(kind)
+	patience := min(wait, b.patience(r.viewAge(kind)))
+	a, err := r.ask(ctx, question{Op: opWatch, Kind: kind, After: after, Wait: patience}, patience+b.hop)
 	if err == nil {
 		m.reset()
 		if a.Status == statusHistoryGone {
 			return ferryplatform.Changes{}, &ferryplatform.HistoryGoneError{Kind: kind, After: after}
 		}
+		r.recordView(kind, a.provedAt)
 		return a.changes(kind), nil
 	}
-	if lost := r.lostUntilRetry(err); lost != nil {
+	if lost := r.lostUntilRetry(kind, err); lost != nil {
 		return ferryplatform.Changes{}, lost
 	}
 	return r.watchDirectly(ctx, kind, after, max(wait-r.cfg.Clock.Since(began), 0))
@@ -208,9 +225,10 @@
 		// Other entries will read from this one, which holds only a part of the list.
 		return ferryplatform.Changes{}, &ferryplatform.HistoryGoneError{Kind: kind, After: after}
 	}
-	if relayed {
-		wait = min(wait, relayWait)
+	if relayed || !r.provedByGet(kind) {
+		wait = min(wait, max(0, r.budget(kind).proof-r.viewAge(kind)))
 	}
+	at := r.cfg.Clock.Now()
 	ctx, cancel := clockwork.WithTimeout(ctx, r.cfg.Clock, wait+directGrace)
 	defer cancel()
 	ctx, end := r.untilRelayed(ctx, kind)
@@ -224,7 +242,12 @@
 		m.markStale()
 		return c, err
 	}
-	m.apply(after, c)
+	if len(c.Objects) == 0 && r.cfg.Clock.Since(at) >= wait {
+		// The platform answers without changes only once the wait is over.
+		at = at.Add(wait)
+	}
+	m.apply(after, c, at)
+	r.recordView(kind, at)
 	return c, nil
 }
 
@@ -249,7 +272,7 @@
 // Prove returns an object, the only relevant one of its kind, and a time on Config.Clock at which it was
 // certainly current.
 func (r *Relay) Prove(ctx context.Context, kind, name string) (ferryplatform.Object, time.Time, error) {
-	if r.retryDue() {
+	if r.retryDue(kind) {
 		directCtx, cancel := clockwork.WithTimeout(ctx, r.cfg.Clock, directRetryTimeout)
 		o, at, err := r.prove(directCtx, kind, name)
 		cancel()
@@ -257,15 +280,15 @@
 			return o, at, err
 		}
 	}
-	asked := r.cfg.Clock.Now()
-	a, err := r.ask(ctx, question{Op: opProve, Kind: kind, Name: name, Wait: r.readerWait()})
+	wait := r.readerWait()
+	a, err := r.ask(ctx, question{Op: opProve, Kind: kind, Name: name, Wait: wait}, wait+askGrace)
 	switch {
 	case err == nil && len(a.Objects) == 1:
-		return a.changes(kind).Objects[0], asked.Add(-a.Age), nil
+		return a.changes(kind).Objects[0], a.provedAt, nil
 	case err == nil:
-		return ferryplatform.Object{}, asked.Add(-a.Age), &ferryplatform.NotFoundError{Kind: kind, Name: name}
+		return ferryplatform.Object{}, a.provedAt, &ferryplatform.NotFoundError{Kind: kind, Name: name}
 	}
-	if lost := r.lostUntilRetry(err); lost != nil {
+	if lost := r.lostUntilRetry(kind, err); lost != nil {
 		return ferryplatform.Object{}, time.Time{}, lost
 	}
 	return r.prove(ctx, kind, name)
@@ -280,24 +303,35 @@
 		return o, at, err
 	}
 	if err == nil {
-		r.mirror(kind).applyObject(o)
+		r.mirror(kind).applyObject(o, at)
+		r.recordView(kind, at)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.proofs[kind+"/"+name] = proof{object: o, at: at}
+	r.lastGets[kind] = at
 	return o, at, err
 }
 
 // ask sends a question to the reader. The error is errNoReader if there is none or it does
-// not answer, or a *LostError.
-func (r *Relay) ask(ctx context.Context, q question) (answer, error) {
+// not answer, or a *LostError, also if the reader's objects may be too old.
+func (r *Relay) ask(ctx context.Context, q question, timeout time.Duration) (answer, error) {
 	to, ok := r.reader()
 	if !ok {
 		r.logSource("platform")
 		return answer{}, errNoReader
 	}
-	a, err := r.send(ctx, to, q)
+	asked := r.cfg.Clock.Now()
+	a, err := r.send(ctx, to, q, timeout)
+	now := r.cfg.Clock.Now()
+	a.provedAt = asked.Add(-a.Age)
+	if a.provedAt.After(now) {
+		a.provedAt = now
+	}
+	age := now.Sub(a.provedAt)
 	switch {
+	case err != nil && ctx.Err() != nil:
+		return a, context.Cause(ctx)
 	case err != nil:
 		r.exclude(to, err)
 		return a, errNoReader
@@ -305,7 +339,12 @@
 		return a, &LostError{Reader: to.Name}
 	case a.Status == statusNotRead:
 		return a, errNoReader
+	case a.Status == statusOK && q.Op != opProve && age >= r.budget(q.Kind).stale:
+		r.counts.behind.Inc(1)
+		r.logBehind(to.Name, q.Kind, age)
+		return a, &LostError{Reader: to.Name, Age: age}
 	}
+	r.recordAnswer(to.Name, q.Kind)
 	r.logSource(string(to.Name))
 	r.recordRelayed(to.Name)
 	r.counts.relayed.Inc(1)
@@ -325,8 +364,8 @@
 // errNoReader is returned if no other entry can be read from.
 var errNoReader = errors.New("no relay reader available")
 
-func (r *Relay) send(ctx context.Context, to Reader, q question) (answer, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, r.cfg.Clock, q.Wait+askGrace)
+func (r *Relay) send(ctx context.Context, to Reader, q question, timeout time.Duration) (answer, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, r.cfg.Clock, timeout)
 	defer cancel()
 	body, err := cbor.Marshal(q)
 	if err != nil {
@@ -371,14 +410,14 @@
 
 // lostUntilRetry returns the error if the reader has lost the platform and the last direct call failed
 // too recently to be retried.
-func (r *Relay) lostUntilRetry(err error) error {
+func (r *Relay) lostUntilRetry(kind string, err error) error {
 	var lost *LostError
 	if !errors.As(err, &lost) {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.failingSince.IsZero() || r.cfg.Clock.Since(r.lastDirect) >= directRetryInterval {
+	if r.failingSince.IsZero() || r.cfg.Clock.Since(r.lastDirect) >= r.budget(kind).retry {
 		return nil
 	}
 	r.counts.refused.Inc(1)
@@ -386,10 +425,10 @@
 }
 
 // retryDue reports whether a direct call is due after a failed one, although a reader may answer.
-func (r *Relay) retryDue() bool {
+func (r *Relay) retryDue(kind string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.failingSince.IsZero() && r.cfg.Clock.Since(r.lastDirect) >= directRetryInterval
+	return !r.failingSince.IsZero() && r.cfg.Clock.Since(r.lastDirect) >= r.budget(kind).retry
 }
 
 // recordDirect records the outcome of a direct call.
--- a/ferry/ferryrelay/relay_test.go
+++ b/ferry/ferryrelay/relay_test.go
@@ -192,13 +192,14 @@
 		assert.NilError(t, err)
 		assert.Equal(t, <-done, "x=2 3 <nil>")
 
-		// Without changes, b's watch ends after relayWait with the same version.
+		// Without changes, b's watch ends with a's next proof and the same version.
 		began := time.Now()
+		go func() { _, _ = f.watch(t, "a", 3) }()
 		c, err := f.watch(t, "b", 3)
 		assert.NilError(t, err)
 		assert.Equal(t, text(c), "")
 		assert.Equal(t, c.Version, ferryplatform.Version(3))
-		assert.Equal(t, time.Since(began), relayWait)
+		assert.Equal(t, time.Since(began), f.relays["a"].ProofInterval("k"))
 		assert.Equal(t, f.calls("b"), 0)
 	})
 }
@@ -255,7 +256,8 @@
 		c, err := f.watch(t, "b", got.Version)
 		assert.NilError(t, err)
 		assert.Equal(t, text(c), "x=2")
-		assert.Equal(t, time.Since(began), relayWait+askGrace)
+		b := budgetFor(0)
+		assert.Equal(t, time.Since(began), b.stale+b.hop)
 
 		// Until excludeFor is over, the reader is not asked.
 		began = time.Now()
@@ -292,7 +294,7 @@
 
 		// If the platform is only unreachable for the reader, b detects it by a direct call.
 		f.links["b"].shut = false
-		time.Sleep(directRetryInterval)
+		time.Sleep(budgetFor(0).retry)
 		f.put(t, "x", "2")
 		c, err := f.watch(t, "b", at)
 		assert.NilError(t, err)
@@ -351,10 +353,11 @@
 // followed another one would apply an old removal over a later change.
 func TestWatchStartsAtBatchBoundariesOnly(t *testing.T) {
 	m := newMirror("k", clockwork.NewFakeClock())
-	m.replace(ferryplatform.Changes{Version: 5, Objects: []ferryplatform.Object{{Name: "x", Version: 4}}})
+	at := time.Unix(100, 0)
+	m.replace(ferryplatform.Changes{Version: 5, Objects: []ferryplatform.Object{{Name: "x", Version: 4}}}, at)
 	m.apply(5, ferryplatform.Changes{Version: 8, Objects: []ferryplatform.Object{
 		{Name: "x", Version: 4, Deleted: true}, {Name: "x", Version: 7, Value: []byte("new")}, {Name: "y", Version: 8},
-	}})
+	}}, at)
 	for _, tc := range []struct {
 		after   ferryplatform.Version
 		want    status
@@ -366,27 +369,31 @@
 		{after: 9, want: statusOK},
 		{after: 4, want: statusHistoryGone},
 	} {
-		c, v, _ := m.since(tc.after)
-		assert.Equal(t, v, tc.want, "after %d", tc.after)
-		assert.Equal(t, len(c.Objects), tc.changes, "after %d", tc.after)
-		assert.Assert(t, c.Version >= tc.after)
+		n := m.since(tc.after)
+		assert.Equal(t, n.status, tc.want, "after %d", tc.after)
+		assert.Equal(t, len(n.changes.Objects), tc.changes, "after %d", tc.after)
+		assert.Assert(t, n.changes.Version >= tc.after)
 	}
-	list, ok := m.list()
+	list, provedAt, ok := m.list()
 	assert.Assert(t, ok)
+	assert.Equal(t, provedAt, at)
 	assert.Equal(t, text(list), "x=new y=")
 }
 
 func TestProvedObjectIsServedBeforeTheWatchReturnsIt(t *testing.T) {
 	m := newMirror("k", clockwork.NewFakeClock())
-	m.replace(ferryplatform.Changes{Version: 5})
-	m.applyObject(ferryplatform.Object{Name: "x", Version: 9, Value: []byte("new")})
-	c, v, _ := m.since(5)
-	assert.Equal(t, v, statusOK)
-	assert.Equal(t, text(c), "x=new")
-	m.apply(5, ferryplatform.Changes{Version: 9, Objects: []ferryplatform.Object{{Name: "x", Version: 9, Value: []byte("new")}}})
-	c, v, _ = m.since(9)
-	assert.Equal(t, v, statusOK)
-	assert.Equal(t, len(c.Objects), 0)
+	at := time.Unix(100, 0)
+	m.replace(ferryplatform.Changes{Version: 5}, at)
+	m.applyObject(ferryplatform.Object{Name: "x", Version: 9, Value: []byte("new")}, at.Add(time.Second))
+	n := m.since(5)
+	assert.Equal(t, n.status, statusOK)
+	assert.Equal(t, text(n.changes), "x=new")
+	assert.Equal(t, n.provedAt, at.Add(time.Second))
+	m.apply(5, ferryplatform.Changes{Version: 9, Objects: []ferryplatform.Object{{Name: "x", Version: 9, Value: []byte("new")}}}, at)
+	n = m.since(9)
+	assert.Equal(t, n.status, statusOK)
+	assert.Equal(t, len(n.changes.Objects), 0)
+	assert.Equal(t, n.provedAt, at.Add(time.Second), "an older proof replaced a later one")
 }
 
 func TestInvalidMessagesAreRejected(t *testing.T) {
@@ -394,7 +401,7 @@
 		_, err := decodeQuestion([]byte(b))
 		assert.ErrorContains(t, err, "decode question", "%x", b)
 	}
-	for _, b := range []string{"", "\xa0", "\xa2\x01\x01\x04\x20", "\xa2\x01\x01\x03\x81\xa0"} {
+	for _, b := range []string{"", "\xa0", "\xa2\x01\x01\x04\x3b\x00\x00\x00\x06\xfc\x23\xac\x01", "\xa2\x01\x01\x03\x81\xa0"} {
 		_, err := decodeAnswer([]byte(b))
 		assert.ErrorContains(t, err, "decode answer", "%x", b)
 	}
--- a/ferry/ferryrelay/serve.go
+++ b/ferry/ferryrelay/serve.go
@@ -19,25 +19,26 @@
 }
 
 func (r *Relay) answer(ctx context.Context, q question) answer {
+	asked := r.cfg.Clock.Now()
 	switch q.Op {
 	case opList:
 		r.awaitRead(ctx, q.Wait, r.mirror(q.Kind).isComplete)
-		c, ok := r.mirror(q.Kind).list()
+		c, at, ok := r.mirror(q.Kind).list()
 		if !ok {
 			return answer{Status: r.unreadStatus(q.Kind)}
 		}
-		return answerOf(c)
+		return answerOf(c, asked.Sub(at))
 	case opWatch:
-		c, v := r.mirror(q.Kind).watch(ctx, q.After, q.Wait)
-		if v == statusPlatformLost {
-			v = r.unreadStatus(q.Kind)
+		n := r.mirror(q.Kind).watch(ctx, q.After, asked, q.Wait)
+		if n.status == statusPlatformLost {
+			n.status = r.unreadStatus(q.Kind)
 		}
-		a := answerOf(c)
-		a.Status = v
+		a := answerOf(n.changes, asked.Sub(n.provedAt))
+		a.Status = n.status
 		return a
 	}
 	r.awaitRead(ctx, q.Wait, func() bool { return r.hasProof(q) })
-	return r.answerProof(q)
+	return r.answerProof(q, asked)
 }
 
 const readCheckInterval = 20 * time.Millisecond
@@ -69,19 +70,18 @@
 	return statusPlatformLost
 }
 
-// answerProof answers with this entry's last proof.
-func (r *Relay) answerProof(q question) answer {
+// answerProof answers a question that arrived at the given time with this entry's last proof.
+func (r *Relay) answerProof(q question, asked time.Time) answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p, ok := r.proofs[q.Kind+"/"+q.Name]
-	age := r.cfg.Clock.Since(p.at)
 	switch {
 	case !ok && r.failingSince.IsZero():
 		return answer{Status: statusNotRead}
-	case !ok || age > proofMaxAge:
+	case !ok || r.cfg.Clock.Since(p.at) > proofMaxAge:
 		return answer{Status: statusPlatformLost}
 	}
-	out := answer{Status: statusOK, Age: age}
+	out := answer{Status: statusOK, Age: asked.Sub(p.at)}
 	if p.object.Name != "" {
 		out.Objects = []object{{Name: p.object.Name, Version: p.object.Version, Value: p.object.Value}}
 	}
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// configWait is the duration of one watch of the configuration. It is shorter than the
+	// configWait is the longest duration of one watch of the configuration. It is shorter than the
 	// platform keeps its history. A hanging connection is detected earlier, by the reads that
 	// prove the configuration current.
 	configWait = 12 * time.Second
@@ -19,10 +19,8 @@
 	// pauseDivisor limits this delay to a part of the objective for the changes.
 	pauseDivisor = 4
 	// proofsPerKeyAge is the number of proofs within the maximum age of keys. What another entry has read
-	// may already be directProofInterval old.
+	// may already be as old as that entry's interval.
 	proofsPerKeyAge = 2.5
-	// directProofInterval is the interval of proofs of an entry that reads from the platform directly.
-	directProofInterval = time.Second
 	// proofRetryDelay is the delay after a failed proof.
 	proofRetryDelay = 500 * time.Millisecond
 	// proofTimeout bounds one proof, including the fallback from another entry to the platform.
@@ -107,7 +105,7 @@
 func (e *Edge) proofInterval() time.Duration {
 	switch age := e.cfg.Objectives.KeyAge; {
 	case e.relay.ReadsDirectly():
-		return directProofInterval
+		return e.relay.ProofInterval(e.cfg.Objects.ConfigurationKind)
 	case age > 0:
 		return time.Duration(float64(age) / proofsPerKeyAge)
 	}
--- a/ferryd/ferryedge/relay.go
+++ b/ferryd/ferryedge/relay.go
@@ -15,7 +15,7 @@
 
 func (e *Edge) newRelay() {
 	e.relay = ferryrelay.New(ferryrelay.Config{
-		Platform: e.cfg.Store, Clock: e.cfg.Steady, Log: e.cfg.Log, Scope: e.metrics.Scope, Reader: e.reader,
+		Platform: e.cfg.Store, Clock: e.cfg.Steady, Log: e.cfg.Log, Scope: e.metrics.Scope, Reader: e.reader, Within: e.knownWithin,
 		// The overlay is created later, since its configuration contains the relay.
 		Ask: func(ctx context.Context, name ferryid.EntryName, inc ferryid.Incarnation, kind ferrypeer.AskKind, body []byte) ([]byte, error) {
 			return e.peer.Ask(ctx, name, inc, kind, body)
@@ -23,6 +23,17 @@
 	})
 }
 
+// knownWithin returns the time within which changes to a kind must be known; zero means no objective.
+func (e *Edge) knownWithin(kind string) time.Duration {
+	switch kind {
+	case e.cfg.Objects.ConfigurationKind:
+		return e.cfg.Objectives.ConfigWithin
+	case e.cfg.Objects.UpstreamKind:
+		return e.cfg.Objectives.LeaveWithin
+	}
+	return 0
+}
+
 // reader returns the entry to read the platform's objects from; false means that this
 // entry reads them directly.
 //
--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -8,8 +8,7 @@
 	"cactusferry.dev/ferry/ferryplatform"
 )
 
-// upstreamWait is the duration of one watch of the upstreams. A hanging connection
-// is detected a little later.
+// upstreamWait is the longest duration of one watch of the upstreams.
 const upstreamWait = 3 * time.Second
 
 // expireInterval is the interval at which expired upstreams are removed. Their grace
