Suspects: blocks follow from the set of reports, whatever their order

Cause: an answer on a part that no known crash named was dropped. A restarted entry receives the answers before the crashes, so the answers that cleared the shared part were gone, and are never sent again.

Ruled out: lost reports (the restarted entries log all four crashes); the publishing side.

Change: sightings and answers are kept as bounded sets ordered by their own time, and all else is derived from them. Two more dependences on the order went with it (joining reports of one engine, which crash of more than 128 is dropped).

--- a/ferry/ferrysuspect/conclude.go
+++ b/ferry/ferrysuspect/conclude.go
@@ -11,6 +11,9 @@
 // if that is empty. The caller holds s.mu.
 func (s *Suspects) conclude(origin ferryid.EntryName) {
 	s.forgetOld()
+	if s.crashes == nil {
+		s.crashes = s.deriveCrashes()
+	}
 	old := s.suspicions
 	s.suspicions = s.countCrashes()
 	s.countUnexplained()
@@ -33,36 +36,13 @@
 	s.any.Store(len(s.suspicions) > 0)
 }
 
-// forgetOld drops the crashes older than Retention, and what is known about parts in none of the others.
-func (s *Suspects) forgetOld() {
-	oldest := s.cfg.Clock.Now().Add(-Retention)
-	kept := s.crashes[:0]
-	named := map[key]bool{}
-	for _, c := range s.crashes {
-		if c.seen.Before(oldest) {
-			continue
-		}
-		kept = append(kept, c)
-		for _, p := range c.parts {
-			named[key{c.service, p}] = true
-		}
-	}
-	clear(s.crashes[len(kept):])
-	s.crashes = kept
-	for k := range s.written {
-		if !named[k] {
-			delete(s.written, k)
-		}
-	}
-}
-
 // countCrashes returns the suspicions with their numbers of crashes since the last answer, fewer for proven parts.
 func (s *Suspects) countCrashes() map[key]*suspicion {
 	out := map[key]*suspicion{}
 	for _, c := range s.crashes {
 		for _, p := range c.parts {
 			k := key{c.service, p}
-			if s.written[k].Compare(c.at) > 0 {
+			if s.written[k].at.Compare(c.at) > 0 {
 				continue
 			}
 			if out[k] == nil {
@@ -125,7 +105,7 @@
 // suspected returns the suspicion that a crash adds to, or nil if the part was written on since.
 func (s *Suspects) suspected(c crash, p PartID) *suspicion {
 	k := key{c.service, p}
-	if s.written[k].Compare(c.at) > 0 {
+	if s.written[k].at.Compare(c.at) > 0 {
 		return nil
 	}
 	return s.suspicions[k]
--- /dev/null
+++ b/ferry/ferrysuspect/crash.go
@@ -0,0 +1,112 @@
+package ferrysuspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cactusferry.dev/ferry/ferryevent"
+	"cactusferry.dev/ferry/ferryid"
+)
+
+// sighting is one report of a crash. Several entries may report one crash, each with the parts of its requests.
+type sighting struct {
+	service ferryid.ServiceName
+	engine  ferryid.UpstreamName
+	at      ferryevent.Timestamp
+	seen    time.Time
+	parts   []PartID
+}
+
+// compare orders sightings by time; those that compare as equal are of one crash and moment.
+func (g sighting) compare(o sighting) int {
+	return cmp.Or(g.at.Compare(o.at), cmp.Compare(g.service, o.service), cmp.Compare(g.engine, o.engine))
+}
+
+// crash is the crash of one engine with the parts that it had not written on.
+type crash struct {
+	service ferryid.ServiceName
+	engine  ferryid.UpstreamName
+	at      ferryevent.Timestamp
+	seen    time.Time
+	parts   []PartID
+}
+
+// addSighting adds a report of a crash. If there are too many, the oldest are dropped.
+func (s *Suspects) addSighting(r Report, at ferryevent.Timestamp, age time.Duration) {
+	g := sighting{service: r.Service, engine: r.Crashed, at: at, seen: s.cfg.Clock.Now().Add(-age)}
+	i, found := slices.BinarySearchFunc(s.sightings, g, sighting.compare)
+	if !found {
+		s.sightings = slices.Insert(s.sightings, i, g)
+	}
+	known := &s.sightings[i]
+	if g.seen.Before(known.seen) {
+		known.seen = g.seen
+	}
+	for _, p := range r.Parts {
+		if j, found := slices.BinarySearch(known.parts, p); !found {
+			known.parts = slices.Insert(known.parts, j, p)
+		}
+	}
+	if len(known.parts) > maxCrashedParts {
+		known.parts = known.parts[:maxCrashedParts]
+	}
+	if len(s.sightings) > maxSightings {
+		s.sightings = slices.Delete(s.sightings, 0, 1)
+	}
+	s.crashes = nil
+}
+
+// recordAnswer records an answer on a part. If there are too many, the oldest is dropped.
+func (s *Suspects) recordAnswer(k key, at ferryevent.Timestamp, age time.Duration) {
+	if s.written[k].at.Compare(at) >= 0 {
+		return
+	}
+	s.written[k] = answer{at: at, seen: s.cfg.Clock.Now().Add(-age)}
+	if len(s.written) <= maxWritten {
+		return
+	}
+	oldest := k
+	for o, a := range s.written {
+		if cmp.Or(a.at.Compare(s.written[oldest].at), cmp.Compare(o.service, oldest.service), cmp.Compare(o.part, oldest.part)) < 0 {
+			oldest = o
+		}
+	}
+	delete(s.written, oldest)
+}
+
+// forgetOld drops what was observed longer than Retention ago.
+func (s *Suspects) forgetOld() {
+	oldest := s.cfg.Clock.Now().Add(-Retention)
+	before := len(s.sightings)
+	s.sightings = slices.DeleteFunc(s.sightings, func(g sighting) bool { return g.seen.Before(oldest) })
+	if len(s.sightings) != before {
+		s.crashes = nil
+	}
+	for k, a := range s.written {
+		if a.seen.Before(oldest) {
+			delete(s.written, k)
+		}
+	}
+}
+
+// deriveCrashes returns the crashes that the sightings are of, oldest first.
+func (s *Suspects) deriveCrashes() []crash {
+	crashes := []crash{}
+	last := map[crashed]int{}
+	for _, g := range s.sightings {
+		c := crashed{g.service, g.engine}
+		i, known := last[c]
+		if !known || g.at.Time().Sub(crashes[i].at.Time()) >= sameCrash {
+			i = len(crashes)
+			last[c] = i
+			crashes = append(crashes, crash{service: g.service, engine: g.engine, at: g.at, seen: g.seen})
+		}
+		for _, p := range g.parts {
+			if len(crashes[i].parts) < maxCrashedParts && !slices.Contains(crashes[i].parts, p) {
+				crashes[i].parts = append(crashes[i].parts, p)
+			}
+		}
+	}
+	return crashes[max(0, len(crashes)-maxCrashes):]
+}
--- a/ferry/ferrysuspect/suspects.go
+++ b/ferry/ferrysuspect/suspects.go
@@ -39,6 +39,8 @@
 	maxProven       = 4096
 	maxCrashes      = 128
 	maxCrashedParts = 256 // of one crash, over all reports
+	maxSightings    = 1024
+	maxWritten      = 4096
 	// maxReportsPerSecond bounds the crashes that this entry reports.
 	maxReportsPerSecond = 8
 )
@@ -69,13 +71,10 @@
 	engine  ferryid.UpstreamName
 }
 
-// crash is the crash of one engine with the parts that it had not written on.
-type crash struct {
-	service ferryid.ServiceName
-	engine  ferryid.UpstreamName
-	at      ferryevent.Timestamp
-	seen    time.Time
-	parts   []PartID
+// answer is the last answer on a part.
+type answer struct {
+	at   ferryevent.Timestamp
+	seen time.Time
 }
 
 // suspicion is what the crashes since the last answer on a part amount to.
@@ -121,9 +120,12 @@
 	// any is set while some part is suspect.
 	any atomic.Bool
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// sightings and written are all that is known, whatever the order in which it arrived. crashes follows from sightings
+	// and is nil if it has to be derived again.
+	sightings  []sighting
 	crashes    []crash
-	written    map[key]ferryevent.Timestamp
+	written    map[key]answer
 	suspicions map[key]*suspicion
 	// proven and provenBefore hold the parts that this entry saw answers on, in two generations.
 	proven, provenBefore map[key]bool
@@ -146,7 +148,7 @@
 	if cfg.TrialDelay == nil {
 		cfg.TrialDelay = func(ferryid.ServiceName, PartID) time.Duration { return 0 }
 	}
-	return &Suspects{cfg: cfg, written: map[key]ferryevent.Timestamp{}, suspicions: map[key]*suspicion{}, unreported: map[crashed][]PartID{}, proven: map[key]bool{}}
+	return &Suspects{cfg: cfg, written: map[key]answer{}, suspicions: map[key]*suspicion{}, unreported: map[crashed][]PartID{}, proven: map[key]bool{}}
 }
 
 // Admit returns a *BlockedError if a request must not be sent because of a part of its prompt. Once the block of a part
@@ -219,7 +221,7 @@
 	}
 	r := Report{Service: service, Crashed: engine, Parts: parts[:min(len(parts), MaxParts)]}
 	s.mu.Lock()
-	s.addCrash(r, s.cfg.Now(), 0)
+	s.addSighting(r, s.cfg.Now(), 0)
 	s.conclude("")
 	urgent := slices.ContainsFunc(r.Parts, func(p PartID) bool {
 		u := s.suspicions[key{service, p}]
@@ -287,7 +289,7 @@
 	at := s.cfg.Now()
 	for _, p := range parts[:min(len(parts), MaxParts)] {
 		if k := (key{service, p}); s.suspicions[k] != nil {
-			s.written[k] = at
+			s.recordAnswer(k, at, 0)
 			r.Parts = append(r.Parts, p)
 		}
 	}
@@ -320,33 +322,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Crashed != "" {
-		s.addCrash(r, at, age)
+		s.addSighting(r, at, age)
 	} else {
 		for _, p := range r.Parts {
-			if k := (key{r.Service, p}); s.written[k].Compare(at) < 0 {
-				s.written[k] = at
-			}
+			s.recordAnswer(key{r.Service, p}, at, age)
 		}
 	}
 	s.conclude(origin)
 }
-
-// addCrash adds a crash, or its parts to an earlier report of the same one.
-func (s *Suspects) addCrash(r Report, at ferryevent.Timestamp, age time.Duration) {
-	i := slices.IndexFunc(s.crashes, func(c crash) bool {
-		return c.service == r.Service && c.engine == r.Crashed && c.at.Time().Sub(at.Time()).Abs() < sameCrash
-	})
-	if i < 0 {
-		if len(s.crashes) >= maxCrashes {
-			s.crashes = slices.Delete(s.crashes, 0, 1)
-		}
-		s.crashes = append(s.crashes, crash{service: r.Service, engine: r.Crashed, at: at, seen: s.cfg.Clock.Now().Add(-age)})
-		i = len(s.crashes) - 1
-	}
-	c := &s.crashes[i]
-	for _, p := range r.Parts {
-		if !slices.Contains(c.parts, p) && len(c.parts) < maxCrashedParts {
-			c.parts = append(c.parts, p)
-		}
-	}
-}
