Forward: a stopping entry refuses requests that it may not live to answer

Cause: nothing compared the time that a request may take with what was left of the grace; the linger bounded connections, not requests, and unused connections got a second more.

Ruled out: a late end of the linger; engines that hang (they were still writing at the cut).

Change: the forwarder knows the schedule of the stop and refuses, as not run and once the body is read, what could still run when the last answers must be out: at once if it may not be run again, else after the linger. What fits is served, on whatever connection.

--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -62,6 +62,8 @@
 	maxProofAge     atomic.Int64
 	// configChanged is when the configuration in force took effect.
 	configChanged atomic.Pointer[time.Time]
+	// stopping is set once a planned stop has begun.
+	stopping atomic.Pointer[stopping]
 }
 
 // New returns a Forwarder.
@@ -191,6 +193,9 @@
 			r.deadline = at
 		}
 	}
+	if p := f.refuseLate(r, now); p != nil {
+		return p
+	}
 	r.service = f.cfg.Services.get(r.route.Target(xxhash.Sum64String(string(r.ID))))
 	if r.service == nil {
 		return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "The route's service is not known here yet.").WithRetryAfter(retryAfterRestart)
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -21,6 +21,8 @@
 	retryAfterNoUpstream = time.Second
 	// retryAfterStale is short, because another entry still reaches the platform.
 	retryAfterStale = 50 * time.Millisecond
+	// retryAfterStopping is short, because other entries serve the request.
+	retryAfterStopping = 50 * time.Millisecond
 	// retryAfterOutage is about the duration of a platform outage that affects all entries.
 	retryAfterOutage = 1500 * time.Millisecond
 )
--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -12,6 +12,8 @@
 	lingerShare = 0.35
 	// exitMargin is reserved for the exit within the grace.
 	exitMargin = 300 * time.Millisecond
+	// answerMargin is reserved before that for the last answers to reach their callers.
+	answerMargin = 200 * time.Millisecond
 	// leaveTimeout bounds the notification of the peers. Links take a few milliseconds.
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -19,7 +21,8 @@
 // stop waits for a signal and then stops the entry without aborting open work.
 //
 // First the entry is no longer ready, so that no callers are sent here. Callers that still arrive are served
-// for a while. Then idle connections are closed, and the process ends with the last answer.
+// for a while, unless the process may end before their answer. Then idle connections are closed, and the process ends
+// with the last answer.
 func (e *Edge) stop(ctx context.Context, signals <-chan os.Signal) {
 	select {
 	case <-ctx.Done():
@@ -30,6 +33,7 @@
 	began := e.cfg.Clock.Now()
 	e.setState(StateStopping)
 	linger := time.Duration(lingerShare * float64(e.cfg.Objectives.Grace))
+	e.forwarder.Stop(began.Add(linger), began.Add(e.cfg.Objectives.Grace-exitMargin-answerMargin))
 	e.pause(ctx, min(linger, e.cfg.Objectives.AnswerLifetime))
 	e.ingress.Stop()
 	e.pause(ctx, linger-e.cfg.Clock.Since(began))
