Relay: a call to the platform without an answer is made again on a new connection

Cause: silence was noticed by the time limits of calls alone, 1.5 to 12.7 s, and the next call could take the next silent connection from the idle ones.

Ruled out: the relay between entries as the only delay: entries that read directly were as late.

Change: a second call on a new connection after 15% of the time within which changes must be known; the first answer counts, so a slow store is still waited for. None while the store is unreachable.

The link of the relay's tests is guarded by a mutex, since two calls may be under way.

--- a/ferry/ferryplatform/client.go
+++ b/ferry/ferryplatform/client.go
@@ -84,6 +84,9 @@
 	return &c
 }
 
+// Renew closes the idle connections, so that later calls use new ones.
+func (c *Client) Renew() { c.http.CloseIdleConnections() }
+
 // Calls returns the number of calls sent, by operation.
 func (c *Client) Calls() Calls {
 	return c.calls.snapshot()
--- a/ferry/ferryplatform/client_test.go
+++ b/ferry/ferryplatform/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -226,3 +227,25 @@
 		}
 	})
 }
+
+// TestRenewedClientUsesNewConnections guards against calls on idle connections that have fallen silent.
+func TestRenewedClientUsesNewConnections(t *testing.T) {
+	var opened atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("ETag", `"7"`) }))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	c := ferryplatform.New(ferryplatform.ClientConfig{URL: s.URL})
+	for _, want := range []int32{1, 1, 2} {
+		if want == 2 {
+			c.Renew()
+		}
+		_, err := c.Get(t.Context(), "k", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, opened.Load(), want)
+	}
+}
--- a/ferry/ferryplatform/ferryplatformtest/fake.go
+++ b/ferry/ferryplatform/ferryplatformtest/fake.go
@@ -126,6 +126,9 @@
 	return copyObject(o), nil
 }
 
+// Renew does nothing, since there are no connections.
+func (f *Fake) Renew() {}
+
 // Put writes a value if the object is at the expected version.
 func (f *Fake) Put(ctx context.Context, kind, name string, expected ferryplatform.Version, value []byte) (ferryplatform.Version, error) {
 	w := write{key: objectKey{kind, name}, expected: expected, value: slices.Clone(value)}
--- a/ferry/ferryplatform/store.go
+++ b/ferry/ferryplatform/store.go
@@ -43,6 +43,13 @@
 	Watch(ctx context.Context, kind string, after Version, wait time.Duration) (Changes, error)
 }
 
+// RemoteStore is a Store that is called over connections.
+type RemoteStore interface {
+	Store
+	// Renew makes later calls use new connections.
+	Renew()
+}
+
 // InstanceRole is the role of an instance.
 type InstanceRole string
 
--- a/ferry/ferryrelay/budget.go
+++ b/ferry/ferryrelay/budget.go
@@ -16,6 +16,7 @@
 // proof and the direct call of an entry that reads through it leave the remaining third for slow links and processors.
 const (
 	proofShare = 35
+	callShare  = 15
 	staleShare = 55
 	hopShare   = 10
 	retryShare = 125
@@ -25,6 +26,8 @@
 type budget struct {
 	// proof is the age of its proof at which a reader asks the platform again.
 	proof time.Duration
+	// call is the time after which a call to the platform is repeated on a new connection.
+	call time.Duration
 	// stale is the age of its proof from which a reader's answer is of no use, and the platform is called directly.
 	stale time.Duration
 	// hop is the time allowed for an answer of a reader beyond the wait of its request.
@@ -37,7 +40,8 @@
 	if within <= 0 {
 		within = defaultWithin
 	}
-	return budget{proof: within * proofShare / 100, stale: within * staleShare / 100, hop: within * hopShare / 100, retry: min(within*retryShare/100, maxRetry)}
+	share := func(percent time.Duration) time.Duration { return within * percent / 100 }
+	return budget{proof: share(proofShare), call: share(callShare), stale: share(staleShare), hop: share(hopShare), retry: min(share(retryShare), maxRetry)}
 }
 
 // patience returns how long an entry whose view has the given age may wait for its reader.
--- a/ferry/ferryrelay/current_test.go
+++ b/ferry/ferryrelay/current_test.go
@@ -29,8 +29,10 @@
 	mu sync.Mutex
 	// cut calls get no answer, refused ones fail at once.
 	cut, refused bool
-	// epoch counts the moments at which all open connections fell silent.
+	// epoch counts the moments at which all open connections fell silent, and idle holds the epochs in which the idle
+	// connections were opened.
 	epoch int
+	idle  []int
 	// soundSince is the end of the last fault.
 	soundSince time.Time
 	calls      int
@@ -40,6 +42,9 @@
 	l.mu.Lock()
 	l.calls++
 	epoch, cut, refused := l.epoch, l.cut, l.refused
+	if n := len(l.idle); n > 0 {
+		epoch, l.idle = l.idle[n-1], l.idle[:n-1]
+	}
 	l.mu.Unlock()
 	if refused {
 		return &ferryplatform.UnavailableError{Op: "call", Err: errors.New("refused")}
@@ -50,6 +55,9 @@
 	}
 	l.mu.Lock()
 	lost := cut || l.cut || l.epoch != epoch
+	if !lost {
+		l.idle = append(l.idle, epoch)
+	}
 	l.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -82,6 +90,12 @@
 	return c, err
 }
 
+func (l *faultyLink) Renew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.idle = nil
+}
+
 func (l *faultyLink) set(change func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -146,7 +160,7 @@
 		l := &faultyLink{Store: f.platform, soundSince: time.Now().Add(-settled)}
 		w := &follower{}
 		f.store[name], f.followers[name] = l, w
-		f.links[name].Store = l
+		f.links[name].RemoteStore = l
 		go ferryfollow.New(ferryfollow.Config{
 			Source: f.relays[name], Kind: "k", Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Wait: 3 * time.Second,
 			ChangePause: 300 * time.Millisecond, Watcher: w,
@@ -196,6 +210,13 @@
 	return func(f *followedFleet) { f.change(func() { change(f) }) }
 }
 
+// silenceConnections makes the open connections to the platform silent for good; new ones work.
+func silenceConnections(f *followedFleet) {
+	for _, l := range f.store {
+		l.set(func() { l.epoch++ })
+	}
+}
+
 func readerFaults() []fault {
 	nothing := func(*followedFleet) {}
 	return []fault{
@@ -206,6 +227,7 @@
 		{"reader closed", setFleet(func(f *followedFleet) { f.closed["a"] = true }), setFleet(func(f *followedFleet) { f.closed["a"] = false })},
 		{"reader changed", setFleet(func(f *followedFleet) { f.reader = "b" }), setFleet(func(f *followedFleet) { f.reader = "a" })},
 		{"no reader", setFleet(func(f *followedFleet) { f.reader = "" }), setFleet(func(f *followedFleet) { f.reader = "a" })},
+		{"connections silent", silenceConnections, nothing},
 		{"none", nothing, nothing},
 	}
 }
--- a/ferry/ferryrelay/direct_test.go
+++ b/ferry/ferryrelay/direct_test.go
@@ -60,7 +60,7 @@
 				f.list(t, "a")
 				after := f.list(t, "b").Version
 				tt.begin(t, f)
-				f.links["b"].silent = true
+				f.links["b"].setSilent(true)
 				arrived := make(chan time.Duration, 1)
 				go func() { arrived <- f.followUntil(t, "b", after, "x=2") }()
 				time.Sleep(500 * time.Millisecond)
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -29,6 +29,8 @@
 	excludeFor = time.Second
 	// directRetryTimeout bounds such a direct call. A reachable platform answers within milliseconds.
 	directRetryTimeout = 400 * time.Millisecond
+	// listCalls is how many times as long as another call a list may take, which is read in pages.
+	listCalls = 2
 	// directGrace is the time allowed for a direct watch beyond its wait.
 	directGrace = 700 * time.Millisecond
 	// startWait is how long a reader that has not read yet may take to answer an entry that starts. All entries of a
@@ -49,6 +51,8 @@
 	Get(ctx context.Context, kind, name string) (ferryplatform.Object, error)
 	List(ctx context.Context, kind string) (ferryplatform.Changes, error)
 	Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error)
+	// Renew makes later calls use new connections.
+	Renew()
 }
 
 // Config configures a Relay. All fields but Log, Scope and Within are required.
@@ -97,7 +101,7 @@
 
 // counts are the numbers of reads by their source.
 type counts struct {
-	relayed, direct, refused, behind tally.Counter
+	relayed, direct, refused, behind, hedged tally.Counter
 }
 
 // proof is an object as read from the platform and the start of that read. An object
@@ -134,7 +138,7 @@
 		return cfg.Scope.Tagged(map[string]string{"from": from}).Counter("platform_readings")
 	}
 	return &Relay{
-		cfg: cfg, counts: counts{relayed: count("entry"), direct: count("platform"), refused: count("none"), behind: cfg.Scope.Counter("platform_readers_behind")},
+		cfg: cfg, counts: counts{relayed: count("entry"), direct: count("platform"), refused: count("none"), behind: cfg.Scope.Counter("platform_readers_behind"), hedged: cfg.Scope.Counter("platform_calls_repeated")},
 		mirrors: map[string]*mirror{}, proofs: map[string]proof{}, views: map[string]time.Time{}, lastGets: map[string]time.Time{}, behind: map[string]ferryid.EntryName{}, directWatches: map[*directWatch]context.CancelCauseFunc{},
 	}
 }
@@ -180,16 +184,19 @@
 	if lost := r.lostUntilRetry(kind, err); lost != nil {
 		return ferryplatform.Changes{}, lost
 	}
-	at := r.cfg.Clock.Now()
-	c, err := r.cfg.Platform.List(ctx, kind)
+	v, err := hedge(ctx, r, listCalls*r.budget(kind).call, func(ctx context.Context, _ bool) (view, error) {
+		at := r.cfg.Clock.Now()
+		c, err := r.cfg.Platform.List(ctx, kind)
+		return view{c, at}, err
+	})
 	r.recordDirect(ctx, err)
 	if err != nil {
 		m.markStale()
-		return c, err
+		return v.changes, err
 	}
-	m.replace(c, at)
-	r.recordView(kind, at)
-	return c, nil
+	m.replace(v.changes, v.at)
+	r.recordView(kind, v.at)
+	return v.changes, nil
 }
 
 // Watch waits until objects of a kind change after a version, or until the wait is over.
@@ -228,27 +235,43 @@
 	if relayed || !r.provedByGet(kind) {
 		wait = min(wait, max(0, r.budget(kind).proof-r.viewAge(kind)))
 	}
-	at := r.cfg.Clock.Now()
 	ctx, cancel := clockwork.WithTimeout(ctx, r.cfg.Clock, wait+directGrace)
 	defer cancel()
 	ctx, end := r.untilRelayed(ctx, kind)
 	defer end()
-	c, err := r.cfg.Platform.Watch(ctx, kind, after, wait)
+	v, err := hedge(ctx, r, wait+r.budget(kind).call, func(ctx context.Context, again bool) (view, error) {
+		if again {
+			return r.watchPlatform(ctx, kind, after, 0)
+		}
+		return r.watchPlatform(ctx, kind, after, wait)
+	})
 	if err != nil && errors.Is(context.Cause(ctx), errReaderAnswers) {
 		return ferryplatform.Changes{Version: after}, nil
 	}
 	r.recordDirect(ctx, err)
 	if err != nil {
 		m.markStale()
-		return c, err
+		return v.changes, err
 	}
+	m.apply(after, v.changes, v.at)
+	r.recordView(kind, v.at)
+	return v.changes, nil
+}
+
+// view is what the platform answered to a list or watch, and when that was certainly current.
+type view struct {
+	changes ferryplatform.Changes
+	at      time.Time
+}
+
+func (r *Relay) watchPlatform(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (view, error) {
+	at := r.cfg.Clock.Now()
+	c, err := r.cfg.Platform.Watch(ctx, kind, after, wait)
 	if len(c.Objects) == 0 && r.cfg.Clock.Since(at) >= wait {
 		// The platform answers without changes only once the wait is over.
 		at = at.Add(wait)
 	}
-	m.apply(after, c, at)
-	r.recordView(kind, at)
-	return c, nil
+	return view{c, at}, err
 }
 
 // errReaderAnswers ends direct watches when reads go through another entry again.
@@ -296,21 +319,24 @@
 
 // prove reads an object from the platform directly and keeps the proof for other entries.
 func (r *Relay) prove(ctx context.Context, kind, name string) (ferryplatform.Object, time.Time, error) {
-	at := r.cfg.Clock.Now()
-	o, err := r.cfg.Platform.Get(ctx, kind, name)
+	p, err := hedge(ctx, r, r.budget(kind).call, func(ctx context.Context, _ bool) (proof, error) {
+		at := r.cfg.Clock.Now()
+		o, err := r.cfg.Platform.Get(ctx, kind, name)
+		return proof{o, at}, err
+	})
 	r.recordDirect(ctx, err)
 	if err != nil && !isAnswer(err) {
-		return o, at, err
+		return p.object, p.at, err
 	}
 	if err == nil {
-		r.mirror(kind).applyObject(o, at)
-		r.recordView(kind, at)
+		r.mirror(kind).applyObject(p.object, p.at)
+		r.recordView(kind, p.at)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.proofs[kind+"/"+name] = proof{object: o, at: at}
-	r.lastGets[kind] = at
-	return o, at, err
+	r.proofs[kind+"/"+name] = p
+	r.lastGets[kind] = p.at
+	return p.object, p.at, err
 }
 
 // ask sends a question to the reader. The error is errNoReader if there is none or it does
@@ -437,6 +463,9 @@
 	if err != nil && !isAnswer(err) && errors.Is(context.Cause(ctx), context.Canceled) {
 		return
 	}
+	if err != nil && !isAnswer(err) {
+		r.cfg.Platform.Renew()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastDirect = r.cfg.Clock.Now()
--- a/ferry/ferryrelay/relay_test.go
+++ b/ferry/ferryrelay/relay_test.go
@@ -62,14 +62,35 @@
 
 // platformLink is one entry's connection to the platform. It counts calls and fails them while it is shut.
 type platformLink struct {
-	ferryplatform.Store
+	ferryplatform.RemoteStore
+	mu    sync.Mutex
 	shut  bool
 	calls int
 	// silent watches return nothing, as on a connection that something between the two ends has forgotten.
 	silent bool
 }
 
+func (g *platformLink) setShut(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = on
+}
+
+func (g *platformLink) setSilent(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silent = on
+}
+
+func (g *platformLink) isSilent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.silent
+}
+
 func (g *platformLink) pass() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.calls++
 	if g.shut {
 		return &ferryplatform.UnavailableError{Op: "call", Err: errors.New("no route")}
@@ -81,25 +102,25 @@
 	if err := g.pass(); err != nil {
 		return ferryplatform.Object{}, err
 	}
-	return g.Store.Get(ctx, kind, name)
+	return g.RemoteStore.Get(ctx, kind, name)
 }
 
 func (g *platformLink) List(ctx context.Context, kind string) (ferryplatform.Changes, error) {
 	if err := g.pass(); err != nil {
 		return ferryplatform.Changes{}, err
 	}
-	return g.Store.List(ctx, kind)
+	return g.RemoteStore.List(ctx, kind)
 }
 
 func (g *platformLink) Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error) {
 	if err := g.pass(); err != nil {
 		return ferryplatform.Changes{}, err
 	}
-	if g.silent {
+	if g.isSilent() {
 		<-ctx.Done()
 		return ferryplatform.Changes{}, context.Cause(ctx)
 	}
-	return g.Store.Watch(ctx, kind, after, wait)
+	return g.RemoteStore.Watch(ctx, kind, after, wait)
 }
 
 func newFleet(names ...ferryid.EntryName) *fleet {
@@ -109,7 +130,7 @@
 		unresponsive: map[ferryid.EntryName]bool{}, closed: map[ferryid.EntryName]bool{}, started: clock.Now(),
 	}
 	for _, name := range names {
-		f.links[name] = &platformLink{Store: f.platform}
+		f.links[name] = &platformLink{RemoteStore: f.platform}
 		f.relays[name] = New(Config{
 			Platform: f.links[name], Clock: clock, Log: zerolog.Nop(),
 			Reader: func() (Reader, bool) { return f.readerOf(name) },
@@ -140,8 +161,11 @@
 
 // calls returns the number of an entry's calls to the platform since the last use of calls.
 func (f *fleet) calls(name ferryid.EntryName) int {
-	n := f.links[name].calls
-	f.links[name].calls = 0
+	g := f.links[name]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := g.calls
+	g.calls = 0
 	return n
 }
 
@@ -276,7 +300,8 @@
 		f.put(t, "x", "1")
 		at := f.list(t, "a").Version
 		f.list(t, "b")
-		f.links["a"].shut, f.links["b"].shut = true, true
+		f.links["a"].setShut(true)
+		f.links["b"].setShut(true)
 		_, err := f.watch(t, "a", at)
 		assert.ErrorContains(t, err, "no route")
 		assert.Assert(t, !f.relays["a"].PlatformReachable())
@@ -293,7 +318,7 @@
 		assert.Equal(t, f.calls("b"), 1)
 
 		// If the platform is only unreachable for the reader, b detects it by a direct call.
-		f.links["b"].shut = false
+		f.links["b"].setShut(false)
 		time.Sleep(budgetFor(0).retry)
 		f.put(t, "x", "2")
 		c, err := f.watch(t, "b", at)
@@ -309,10 +334,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b")
 		f.put(t, "x", "1")
-		f.links["b"].shut = true
+		f.links["b"].setShut(true)
 		_, err := f.relays["b"].List(t.Context(), "k")
 		assert.Assert(t, err != nil)
-		f.links["b"].shut = false
+		f.links["b"].setShut(false)
 		f.reader = "a"
 		c, err := f.relays["b"].List(t.Context(), "k")
 		assert.NilError(t, err)
--- a/ferryd/ferryedge/config.go
+++ b/ferryd/ferryedge/config.go
@@ -39,7 +39,7 @@
 	Steady clockwork.Clock
 	Log    zerolog.Logger
 
-	Store   ferryplatform.Store
+	Store   ferryplatform.RemoteStore
 	Objects Objects
 	Dialect ferryforward.Dialect
 	// Engines returns the client of the engines' interface over the given connections, for which the observer
