Relay: an entry that starts waits for each of its reader's first reads

Cause: the reader reads the list and the proof one after the other. An entry that had been given the list asked for the proof without any wait, since a single answer of the reader counted for everything, and called the platform itself if the reader's own proof was not there yet. A fleet that starts would do so at once.

Change: the first question of each operation and kind may wait for the reader.

--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -90,12 +90,18 @@
 	source                   string
 	// behind maps the kinds whose reader has not proved them current in time to that reader.
 	behind map[string]ferryid.EntryName
-	// relayed is set once another entry has answered.
-	relayed bool
+	// relayed holds the operations and kinds for which another entry has answered.
+	relayed map[relayedKey]bool
 	// directWatches holds the functions that end the waiting direct watches.
 	directWatches map[*directWatch]context.CancelCauseFunc
 }
 
+// relayedKey identifies what another entry has answered.
+type relayedKey struct {
+	op   operation
+	kind string
+}
+
 // directWatch identifies a waiting direct watch.
 type directWatch struct{ kind string }
 
@@ -139,7 +145,7 @@
 	}
 	return &Relay{
 		cfg: cfg, counts: counts{relayed: count("entry"), direct: count("platform"), refused: count("none"), behind: cfg.Scope.Counter("platform_readers_behind"), hedged: cfg.Scope.Counter("platform_calls_repeated")},
-		mirrors: map[string]*mirror{}, proofs: map[string]proof{}, views: map[string]time.Time{}, lastGets: map[string]time.Time{}, behind: map[string]ferryid.EntryName{}, directWatches: map[*directWatch]context.CancelCauseFunc{},
+		mirrors: map[string]*mirror{}, proofs: map[string]proof{}, views: map[string]time.Time{}, lastGets: map[string]time.Time{}, behind: map[string]ferryid.EntryName{}, relayed: map[relayedKey]bool{}, directWatches: map[*directWatch]context.CancelCauseFunc{},
 	}
 }
 
@@ -174,7 +180,7 @@
 // List returns all objects of a kind.
 func (r *Relay) List(ctx context.Context, kind string) (ferryplatform.Changes, error) {
 	m := r.mirror(kind)
-	wait := r.readerWait()
+	wait := r.readerWait(opList, kind)
 	a, err := r.ask(ctx, question{Op: opList, Kind: kind, Wait: wait}, wait+askGrace)
 	if err == nil {
 		m.reset()
@@ -303,7 +309,7 @@
 			return o, at, err
 		}
 	}
-	wait := r.readerWait()
+	wait := r.readerWait(opProve, kind)
 	a, err := r.ask(ctx, question{Op: opProve, Kind: kind, Name: name, Wait: wait}, wait+askGrace)
 	switch {
 	case err == nil && len(a.Objects) == 1:
@@ -372,16 +378,17 @@
 	}
 	r.recordAnswer(to.Name, q.Kind)
 	r.logSource(string(to.Name))
-	r.recordRelayed(to.Name)
+	r.recordRelayed(to.Name, relayedKey{q.Op, q.Kind})
 	r.counts.relayed.Inc(1)
 	return a, nil
 }
 
-// readerWait returns how long the reader may wait for its own first read before it answers.
-func (r *Relay) readerWait() time.Duration {
+// readerWait returns how long the reader may wait for its own first read before it answers. It reads each kind and each
+// proof on its own, so that one may be known before the other.
+func (r *Relay) readerWait(op operation, kind string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.relayed {
+	if r.relayed[relayedKey{op, kind}] {
 		return 0
 	}
 	return startWait
@@ -423,10 +430,10 @@
 }
 
 // recordRelayed records that the reader answers, and ends the waiting direct watches.
-func (r *Relay) recordRelayed(reader ferryid.EntryName) {
+func (r *Relay) recordRelayed(reader ferryid.EntryName, what relayedKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.relayed = true
+	r.relayed[what] = true
 	for w, cancel := range r.directWatches {
 		r.cfg.Log.Info().Str("Kind", w.kind).Str("Reader", string(reader)).Msg("direct watch ended: the reader answers")
 		cancel(errReaderAnswers)
