--- a/ferry/ferryrelay/current_test.go
+++ b/ferry/ferryrelay/current_test.go
@@ -122,10 +122,23 @@
 type follower struct {
 	mu    sync.Mutex
 	value int
+	lost  int
 }
 
 func (w *follower) Listed(c ferryplatform.Changes) { w.Changed(c) }
-func (w *follower) Lost(error)                     {}
+
+func (w *follower) Lost(error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost++
+}
+
+func (w *follower) losses() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
+}
+
 func (w *follower) Changed(c ferryplatform.Changes) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -315,3 +328,21 @@
 		assert.Assert(t, calls <= 4*entries, "%d calls after the outage", calls)
 	})
 }
+
+// TestSilentConnectionsAreNoOutage silences the open connections of a whole fleet. New ones work, so that no entry may
+// count the platform as lost: upstreams that vanish during an outage are used for two seconds longer.
+func TestSilentConnectionsAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := followFleet(ctx, t, "a", "b", "c")
+		for range 5 {
+			time.Sleep(2300 * time.Millisecond)
+			silenceConnections(f)
+		}
+		time.Sleep(2300 * time.Millisecond)
+		for name, w := range f.followers {
+			assert.Equal(t, w.losses(), 0, "entry %s", name)
+		}
+	})
+}
