Relay: the list of a new reader is a proof; a new reader proves the configuration at once

What was seen: after 60% of the entries had been killed at the same moment, a starting entry refused 11 requests with keys ("last known to be valid ..."): a list through a new reader took 0.4 s, and the proof, for which it had to wait since, up to 0.6 s.

Cause: an entry that becomes the reader went on proving the configuration at the interval of entries that read through another (2 s), and its list, which is as good a proof, was not passed on as one.

Change: a reader answers with its list if that is the later proof, and the wait for the next proof ends early once an entry reads directly.

Evidence: TestListOfANewReaderIsAProof fails before (0.6 s and a call to the platform).

--- a/ferry/ferryrelay/mirror.go
+++ b/ferry/ferryrelay/mirror.go
@@ -32,12 +32,12 @@
 	// has answered since its last failure.
 	complete bool
 	current  bool
-	// provedAt is when the objects were last certainly current.
-	provedAt time.Time
-	version  ferryplatform.Version
-	objects  map[string]ferryplatform.Object
-	batches  []batch
-	notified chan struct{}
+	// provedAt is when the objects were last certainly current, and listedAt when the platform was last asked for all.
+	provedAt, listedAt time.Time
+	version            ferryplatform.Version
+	objects            map[string]ferryplatform.Object
+	batches            []batch
+	notified           chan struct{}
 }
 
 func newMirror(kind string, clock clockwork.Clock) *mirror {
@@ -54,7 +54,7 @@
 			m.objects[o.Name] = o
 		}
 	}
-	m.batches, m.version, m.complete, m.current, m.provedAt = nil, c.Version, true, true, at
+	m.batches, m.version, m.complete, m.current, m.provedAt, m.listedAt = nil, c.Version, true, true, at, at
 	m.notify()
 }
 
@@ -170,6 +170,13 @@
 	return c, m.provedAt, true
 }
 
+// proof returns an object as proved by the last list; false means that the platform could not be read since.
+func (m *mirror) proof(name string) (proof, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return proof{object: m.objects[name], at: m.listedAt}, m.complete && m.current
+}
+
 // news are the changes after a version, which were the latest at provedAt; changed is closed when there may be more.
 type news struct {
 	changes  ferryplatform.Changes
--- a/ferry/ferryrelay/relay_test.go
+++ b/ferry/ferryrelay/relay_test.go
@@ -444,3 +444,25 @@
 		}
 	})
 }
+
+// TestListOfANewReaderIsAProof has an entry ask a new reader for a proof that has listed the kind and not read the object
+// by itself. Starting entries refused requests while they waited for that read.
+func TestListOfANewReaderIsAProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.reader = "a"
+		f.put(t, "x", "1")
+		listed := time.Now()
+		f.list(t, "a")
+		time.Sleep(300 * time.Millisecond)
+		for name, want := range map[string]string{"x": "1", "y": ""} {
+			o, at, err := f.relays["b"].Prove(t.Context(), "k", name)
+			var missing *ferryplatform.NotFoundError
+			assert.Equal(t, errors.As(err, &missing), want == "")
+			assert.Equal(t, string(o.Value), want)
+			assert.Equal(t, at, listed)
+		}
+		assert.Equal(t, time.Since(listed), 300*time.Millisecond)
+		assert.Equal(t, f.calls("b"), 0)
+	})
+}
--- a/ferry/ferryrelay/serve.go
+++ b/ferry/ferryrelay/serve.go
@@ -56,10 +56,20 @@
 }
 
 func (r *Relay) hasProof(q question) bool {
+	_, ok := r.latestProof(q)
+	return ok
+}
+
+// latestProof returns this entry's latest proof of an object, by a read of its own or by the list of its kind.
+func (r *Relay) latestProof(q question) (proof, bool) {
+	listed, hasList := r.mirror(q.Kind).proof(q.Name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, ok := r.proofs[q.Kind+"/"+q.Name]
-	return ok
+	p, ok := r.proofs[q.Kind+"/"+q.Name]
+	if hasList && listed.at.After(p.at) {
+		return listed, true
+	}
+	return p, ok
 }
 
 // unreadStatus returns why a kind cannot be read from this entry, which may just have become the reader.
@@ -72,11 +82,9 @@
 
 // answerProof answers a question that arrived at the given time with this entry's last proof.
 func (r *Relay) answerProof(q question, asked time.Time) answer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p, ok := r.proofs[q.Kind+"/"+q.Name]
+	p, ok := r.latestProof(q)
 	switch {
-	case !ok && r.failingSince.IsZero():
+	case !ok && r.PlatformReachable():
 		return answer{Status: statusNotRead}
 	case !ok || r.cfg.Clock.Since(p.at) > proofMaxAge:
 		return answer{Status: statusPlatformLost}
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -93,11 +93,22 @@
 			e.configStale.Store(false)
 			e.cfg.Log.Info().Msg("configuration proved current again")
 		}
-		wait := e.proofInterval()
 		if err != nil {
-			wait = proofRetryDelay
+			e.pause(ctx, proofRetryDelay)
+			continue
+		}
+		e.awaitProof(ctx)
+	}
+}
+
+// awaitProof waits until the next proof is due. That is sooner once this entry reads from the platform directly, since
+// others may read from it then.
+func (e *Edge) awaitProof(ctx context.Context) {
+	step := e.relay.ProofInterval(e.cfg.Objects.ConfigurationKind)
+	for waited := time.Duration(0); waited < e.proofInterval(); waited += step {
+		if !e.pause(ctx, min(step, e.proofInterval()-waited)) {
+			return
 		}
-		e.pause(ctx, wait)
 	}
 }
 
