Edge: the process ends when a duty has failed for good

When a duty panics five times in a minute, or the context of Edge.Run ends without a signal, every request's context ends, and so do readiness and steering, but Run does not return: the callers' listener is closed only by a planned stop, and ingress.Serve waits in Accept. Such an entry fails each request that reaches it until somebody kills it, although OPERATIONS.md says that it ends (and is started again).

Ruled out: the other listeners, which close with the context.

Change: the callers' listener closes with the context too. Edge can listen and dial through functions of its configuration, so that whole edges run in a synctest bubble.

--- a/ferryd/ferryedge/config.go
+++ b/ferryd/ferryedge/config.go
@@ -1,6 +1,8 @@
 package ferryedge
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -46,6 +48,10 @@
 	// records the answers.
 	Engines    func(*ferryexchange.Client, *ferryforward.Observer) Engines
 	Objectives Objectives
+
+	// Listen opens listeners and Dial connections to upstreams and other entries; nil means TCP.
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Engines is the client of the engines' interface.
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -98,12 +98,15 @@
 
 // New assembles an edge; Run starts it.
 func New(cfg Config) *Edge {
+	if cfg.Listen == nil {
+		cfg.Listen = net.Listen
+	}
 	e := &Edge{
 		cfg: cfg, self: newIncarnation(cfg.Name),
 		holder: &ferryconfig.Holder{}, started: make(chan struct{}), upstreams: ferrydiscovery.NewTable(cfg.Clock),
 		events:  ferryevent.NewLog(cfg.Steady, string(cfg.Name), eventBuffer),
 		metrics: ferrymetrics.New("edge", metricsInterval),
-		client:  ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout}),
+		client:  ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout, Dial: cfg.Dial}),
 	}
 	e.answers.Store(uint32(xxhash.Sum64String(string(e.self)) % firstAnswers))
 	e.guard = ferryguard.New(ferryguard.Config{Log: &e.cfg.Log, Scope: e.metrics.Scope, Clock: cfg.Clock})
--- a/ferryd/ferryedge/listen.go
+++ b/ferryd/ferryedge/listen.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	stdlog "log"
-	"net"
 	"net/http"
 	"time"
 
@@ -21,11 +20,12 @@
 
 // listen opens all listeners and starts serving them.
 func (e *Edge) listen(ctx context.Context, g *errgroup.Group) error {
-	callers, err := net.Listen("tcp", e.cfg.Callers)
+	callers, err := e.cfg.Listen("tcp", e.cfg.Callers)
 	if err != nil {
 		return err
 	}
 	e.callerListener = callers
+	context.AfterFunc(ctx, func() { _ = callers.Close() })
 	g.Go(func() error { return e.ingress.Serve(ctx, callers) })
 	peers := chi.NewRouter()
 	peers.Handle("/peer", e.peer.Handler())
@@ -42,7 +42,7 @@
 
 // serveHTTP opens a listener and serves it until the context ends.
 func (e *Edge) serveHTTP(ctx context.Context, g *errgroup.Group, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+	l, err := e.cfg.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
--- a/ferryd/ferryedge/overlay.go
+++ b/ferryd/ferryedge/overlay.go
@@ -15,7 +15,7 @@
 			Name: e.cfg.Name, Incarnation: e.self, FailureDomain: e.cfg.Domain, PeerAddress: e.cfg.Peers, CallerAddress: e.cfg.Callers,
 			Capacity: e.cfg.Capacity,
 		},
-		Seeds: e.cfg.Seeds, Clock: e.cfg.Steady, Log: e.cfg.Log, Events: e.events, OnMembers: e.onMembers,
+		Seeds: e.cfg.Seeds, Dial: e.cfg.Dial, Clock: e.cfg.Steady, Log: e.cfg.Log, Events: e.events, OnMembers: e.onMembers,
 		Topics:   []ferrypeer.Topic{e.states.Topic(), e.conditions.Topic(), e.reports.Topic()},
 		Handlers: map[ferrypeer.AskKind]ferrypeer.Handler{ferryrelay.AskKind: e.relay.Answer},
 	})
