Edge: the process ends after the requests that it cuts

Cause: at the end of the grace, and when a duty has failed for good, Edge.Run cancels the requests and returns; nothing waits until they have written what they have. On a busy processor the process ends first: no line, no 504 for calls without an answer yet, and an answer without a length ends like a complete one, since the connection is reset by the handler only.

Ruled out: the rate limit of the lines (150 a second), the ring of the log (it is flushed).

Change: Run waits until the cancelled requests have ended, for up to 0.15 s of the 0.3 s kept for the exit; a write to a caller that does not read and the wait for a caller to close end with the server's context.

--- a/ferry/ferryingress/conn.go
+++ b/ferry/ferryingress/conn.go
@@ -108,7 +108,7 @@
 		call.Body, err = c.readBody(h, limits)
 	}
 	if err != nil {
-		c.reject(call, err)
+		c.reject(ctx, call, err)
 		return false
 	}
 	_ = c.SetReadDeadline(time.Time{})
@@ -121,7 +121,7 @@
 		return false
 	}
 	if c.w.closeAfter {
-		c.linger()
+		c.linger(ctx)
 		return false
 	}
 	return true
@@ -167,7 +167,7 @@
 }
 
 // reject answers an incomplete or invalid request, unless the caller has disconnected.
-func (c *serverConn) reject(call *Call, err error) {
+func (c *serverConn) reject(ctx context.Context, call *Call, err error) {
 	var e *RequestError
 	var timeout net.Error
 	switch {
@@ -182,16 +182,17 @@
 		call.Header = http.Header{}
 	}
 	c.server.refuse(call, e)
-	c.linger()
+	c.linger(ctx)
 }
 
 // linger closes the sending side and discards input for a while: closing a connection with unread bytes
 // resets it, and the caller could lose the answer.
-func (c *serverConn) linger() {
+func (c *serverConn) linger(ctx context.Context) {
 	if tc, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tc.CloseWrite()
 	}
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	defer context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(pastDeadline) })()
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
 }
 
@@ -199,6 +200,7 @@
 func (c *serverConn) handle(ctx context.Context, call *Call) {
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
+	defer context.AfterFunc(ctx, c.w.cut)()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.limited.remaining = int64(readBufferBytes)
--- a/ferry/ferryingress/server_test.go
+++ b/ferry/ferryingress/server_test.go
@@ -339,3 +339,27 @@
 		})
 	}
 }
+
+// TestEndedServerDropsAnswersThatNobodyReads has a caller over a real socket that reads nothing of a long answer.
+func TestEndedServerDropsAnswersThatNobodyReads(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	writing := make(chan struct{})
+	s := NewServer(Config{Log: zerolog.Nop(), Handle: func(_ context.Context, c *Call) {
+		close(writing)
+		_ = c.Answer(http.StatusOK, http.Header{}, make([]byte, 64<<20))
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = s.Serve(ctx, l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	writeString(t, c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-writing
+	cancel()
+	s.Stop()
+	limit, done := context.WithTimeout(t.Context(), writeTimeout/2)
+	defer done()
+	assert.NilError(t, s.Wait(limit))
+}
--- a/ferry/ferryingress/write.go
+++ b/ferry/ferryingress/write.go
@@ -8,11 +8,16 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
-// writeTimeout is the timeout of one write to a caller that does not read; callers time out much earlier.
-const writeTimeout = 10 * time.Second
+const (
+	// writeTimeout is the timeout of one write to a caller that does not read; callers time out much earlier.
+	writeTimeout = 10 * time.Second
+	// cutWriteTimeout applies once the context of the server has ended.
+	cutWriteTimeout = 50 * time.Millisecond
+)
 
 // errAnswered is returned for a second answer to the same call.
 var errAnswered = errors.New("call already has an answer")
@@ -28,6 +33,8 @@
 	chunked    bool
 	ended      bool
 	err        error
+	// cutOff is set once the context of the server has ended.
+	cutOff atomic.Bool
 }
 
 func (w *writer) reset(h head) {
@@ -125,11 +132,20 @@
 		return nil
 	}
 	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if w.cutOff.Load() {
+		w.cut()
+	}
 	_, w.err = w.conn.Write(w.buf.Bytes())
 	w.buf.Reset()
 	return w.err
 }
 
+// cut limits the present write and later ones to cutWriteTimeout each. It may be called at any time.
+func (w *writer) cut() {
+	w.cutOff.Store(true)
+	_ = w.conn.SetWriteDeadline(time.Now().Add(cutWriteTimeout))
+}
+
 // resetIncomplete makes closing the connection a TCP reset if the answer is not chunked, since a regular
 // close could be taken for the end of the body.
 func (w *writer) resetIncomplete() {
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -222,6 +222,7 @@
 	err := g.Wait()
 	cancel()
 	<-stopped
+	e.awaitCut()
 	e.client.Close()
 	return err
 }
--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -16,6 +16,9 @@
 	answerMargin = 200 * time.Millisecond
 	// leaveTimeout bounds the notification of the peers. Links take a few milliseconds.
 	leaveTimeout = 500 * time.Millisecond
+	// cutTime is the part of exitMargin in which requests that did not end within the grace are logged and their
+	// connections closed.
+	cutTime = 150 * time.Millisecond
 )
 
 // stop waits for a signal and then stops the entry without aborting open work.
@@ -49,3 +52,15 @@
 		e.cfg.Log.Info().Err(err).Msg("could not notify all peers of the departure")
 	}
 }
+
+// awaitCut waits until the requests that the end of the process has cancelled have ended, so that each is logged, and no
+// answer without a length looks complete.
+func (e *Edge) awaitCut() {
+	e.ingress.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), cutTime)
+	defer cancel()
+	if err := e.ingress.Wait(ctx); err != nil {
+		conns, calls := e.ingress.Open()
+		e.cfg.Log.Warn().Int64("OpenConnections", conns).Int64("OpenCalls", calls).Msg("process ends before its requests")
+	}
+}
