Edge: peers are told of a stop that uses up its grace

Whether the peers heard of it depended on which goroutine ran first; otherwise they take the entry for live, and a successor for its lease must wait, until the membership protocol misses it.

Evidence: TestPeersHearOfAStopThatUsesUpItsGrace/20s fails without the change, 2s passed before too.

--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -17,8 +17,9 @@
 	// leaveTimeout bounds the notification of the peers. Links take a few milliseconds.
 	leaveTimeout = 500 * time.Millisecond
 	// cutTime is the part of exitMargin in which requests that did not end within the grace are logged and their
-	// connections closed.
-	cutTime = 150 * time.Millisecond
+	// connections closed, and flushTime the part for the end of the process itself.
+	cutTime   = 150 * time.Millisecond
+	flushTime = 50 * time.Millisecond
 )
 
 // stop waits for a signal and then stops the entry without aborting open work.
@@ -46,7 +47,7 @@
 	err := e.ingress.Wait(waitCtx)
 	conns, calls := e.ingress.Open()
 	e.cfg.Log.Info().Dur("Took", e.cfg.Clock.Since(began)).Int64("OpenConnections", conns).Int64("OpenCalls", calls).AnErr("Left", err).Msg("planned stop finished")
-	leaveCtx, cancel := context.WithTimeout(waitCtx, leaveTimeout)
+	leaveCtx, cancel := context.WithTimeout(ctx, min(leaveTimeout, e.cfg.Objectives.Grace-e.cfg.Clock.Since(began)-cutTime-flushTime))
 	defer cancel()
 	if err := e.peer.Leave(leaveCtx); err != nil {
 		e.cfg.Log.Info().Err(err).Msg("could not notify all peers of the departure")
--- a/ferryd/ferryedge/stop_test.go
+++ b/ferryd/ferryedge/stop_test.go
@@ -49,3 +49,24 @@
 		}
 	})
 }
+
+// TestPeersHearOfAStopThatUsesUpItsGrace stops one of two entries with a stream open that outlasts the grace.
+func TestPeersHearOfAStopThatUsesUpItsGrace(t *testing.T) {
+	for _, length := range []time.Duration{2 * time.Second, 20 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, goOn(length))
+				stopped, other := f.start("e1", &slowLog{}), f.start("e2", &slowLog{})
+				stopped.send(t, "/events/x", "stream")
+				for len(other.peer.Members().Live()) < 2 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				stopped.terminate()
+				assert.NilError(t, <-stopped.ended)
+				time.Sleep(20 * time.Millisecond)
+				assert.Equal(t, len(other.peer.Members().Live()), 1, "%v", other.peer.Members().List)
+				assert.Equal(t, stopped.log.count("could not notify"), 0)
+			})
+		})
+	}
+}
