Ingress: requests that cross the close of an idle connection are answered

What callers could see: at a planned stop the entry closes idle connections although a request may already lie in the socket, and the connection of a call or stream in progress as soon as its answer is out, without having said so. A caller that sends its next request then gets a reset; for a call that may not be repeated it can't know whether it ran.

Cause: the read of an idle connection is ended by a deadline in the past, which fails without looking at what has arrived; whether an answer says Connection: close was decided when its request had been read, so that the answers of calls that were in progress at the stop did not say it. TestPlannedStopAnswersReadRequests did not find the latter: its request is read after the stop, since a read of its network takes a microsecond.

Ruled out: a half-close first; most clients take it for a close.

Change: idle connections are read for another 50 ms, also those that become idle in the stop; an answer decides when its head is written.

Evidence: TestRequestThatCrossesTheStopIsAnswered/0s and /10ms, TestCallerIsToldThatItsConnectionCloses and TestRequestThatFollowsAStreamIsAnswered fail without the change; all pass 30 of 30 with -race.

--- a/ferry/ferryingress/conn.go
+++ b/ferry/ferryingress/conn.go
@@ -16,6 +16,10 @@
 // once the server is stopping.
 const stoppingIdleTimeout = time.Second
 
+// crossingTime is how long an idle connection is still read once the server is stopping, for a request that the caller
+// sent just before. Links take a few milliseconds.
+const crossingTime = 50 * time.Millisecond
+
 // pastDeadline is a deadline that unblocks a read immediately.
 var pastDeadline = time.Unix(1, 0)
 
@@ -61,38 +65,41 @@
 	return c.setIdle(false) && err == nil
 }
 
-// setIdle sets whether the connection is waiting for a request. It returns false if the server is stopping and
-// no request is to be read.
+// stoppingWait returns how long the connection may take to its only request once the server is stopping.
+func (c *serverConn) stoppingWait() time.Duration {
+	if c.served > 0 {
+		return crossingTime
+	}
+	return stoppingIdleTimeout
+}
+
+// setIdle sets whether the connection is waiting for a request. When it stops waiting, it returns false if the server is
+// stopping and no byte of a request has arrived.
 func (c *serverConn) setIdle(idle bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	stopping := c.server.stopping.Load()
-	if idle && stopping && c.served > 0 && c.br.Buffered() == 0 {
-		return false
-	}
 	if idle {
 		wait := c.server.limits().IdleTimeout
 		if stopping {
-			wait = min(wait, stoppingIdleTimeout)
+			wait = min(wait, c.stoppingWait())
+			c.ending = c.ending || c.served > 0
 		}
 		_ = c.SetReadDeadline(time.Now().Add(wait))
 	}
 	c.idle = idle
-	return !c.ending || c.br.Buffered() > 0
+	return idle || !c.ending || c.br.Buffered() > 0
 }
 
 // stopIdle ends a connection that waits for a request; a request of which bytes were read is still answered.
 func (c *serverConn) stopIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case !c.idle:
-	case c.served == 0:
-		_ = c.SetReadDeadline(time.Now().Add(stoppingIdleTimeout))
-	default:
-		c.ending = true
-		_ = c.SetReadDeadline(pastDeadline)
+	if !c.idle {
+		return
 	}
+	c.ending = c.ending || c.served > 0
+	_ = c.SetReadDeadline(time.Now().Add(c.stoppingWait()))
 }
 
 // serveOne reads and answers one request and reports whether the connection can be reused.
@@ -112,9 +119,6 @@
 		return false
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	if c.server.stopping.Load() {
-		c.w.closeAfter = true
-	}
 	c.handle(ctx, call)
 	if !c.w.ended || c.w.err != nil {
 		c.w.resetIncomplete()
--- a/ferry/ferryingress/server.go
+++ b/ferry/ferryingress/server.go
@@ -112,7 +112,7 @@
 }
 
 func (s *Server) add(nc net.Conn) *serverConn {
-	c := &serverConn{server: s, Conn: nc, w: writer{conn: nc}}
+	c := &serverConn{server: s, Conn: nc, w: writer{conn: nc, stopping: &s.stopping}}
 	c.limited = &limitedReader{r: nc}
 	c.br = bufio.NewReaderSize(c.limited, readBufferBytes)
 	s.wg.Add(1)
@@ -132,9 +132,8 @@
 	s.wg.Done()
 }
 
-// Stop closes idle connections at once and the others after their current call. A request that arrives on an
-// idle connection meanwhile is not read. A connection that has carried no request yet may still send one within
-// stoppingIdleTimeout.
+// Stop closes idle connections and the others after their current call. A request whose first byte arrives on an idle
+// connection within crossingTime is still answered; one that has carried no request yet has stoppingIdleTimeout.
 func (s *Server) Stop() {
 	s.stopping.Store(true)
 	s.mu.Lock()
--- a/ferry/ferryingress/server_test.go
+++ b/ferry/ferryingress/server_test.go
@@ -235,6 +235,88 @@
 	})
 }
 
+// TestCallerIsToldThatItsConnectionCloses stops the server while a call is handled, which took its request before.
+func TestCallerIsToldThatItsConnectionCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, dial := startServer(t, Config{Handle: func(ctx context.Context, c *Call) {
+			time.Sleep(time.Second)
+			echoHandler(ctx, c)
+		}})
+		c := dial()
+		writeString(t, c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(500 * time.Millisecond)
+		s.Stop()
+		w, _ := readAnswer(t, bufio.NewReader(c))
+		assert.Assert(t, w.Close)
+	})
+}
+
+// TestRequestThatFollowsAStreamIsAnswered stops the server while a stream is open and sends the next request at its end.
+func TestRequestThatFollowsAStreamIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, dial := startServer(t, Config{Handle: func(ctx context.Context, c *Call) {
+			if c.Target == "/next" {
+				echoHandler(ctx, c)
+				return
+			}
+			w, err := c.Stream(http.StatusOK, http.Header{})
+			assert.NilError(t, err)
+			time.Sleep(time.Second)
+			assert.NilError(t, w.End())
+		}})
+		c := dial()
+		br := bufio.NewReader(c)
+		writeString(t, c, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(500 * time.Millisecond)
+		s.Stop()
+		readAnswer(t, br)
+		writeString(t, c, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+		w, _ := readAnswer(t, br)
+		assert.Equal(t, w.Header.Get("X-Target"), "/next")
+		assert.Assert(t, w.Close)
+	})
+}
+
+// TestRequestThatCrossesTheStopIsAnswered sends requests on idle connections just before the server stops and just after.
+func TestRequestThatCrossesTheStopIsAnswered(t *testing.T) {
+	for _, after := range []time.Duration{0, 10 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, dial := startServer(t, Config{Handle: echoHandler})
+				var conns []net.Conn
+				for range 50 {
+					c := dial()
+					writeString(t, c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+					readAnswer(t, bufio.NewReader(c))
+					conns = append(conns, c)
+				}
+				synctest.Wait()
+				send := func() {
+					for _, c := range conns {
+						writeString(t, c, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+					}
+				}
+				if after == 0 {
+					send()
+					s.Stop()
+				} else {
+					s.Stop()
+					time.Sleep(after)
+					send()
+				}
+				for _, c := range conns {
+					w, _ := readAnswer(t, bufio.NewReader(c))
+					assert.Equal(t, w.Header.Get("X-Target"), "/second")
+					assert.Assert(t, w.Close)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				assert.NilError(t, s.Wait(ctx))
+			})
+		})
+	}
+}
+
 func TestIdleTimeoutFollowsLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var idle atomic.Int64
--- a/ferry/ferryingress/write.go
+++ b/ferry/ferryingress/write.go
@@ -24,7 +24,9 @@
 
 // writer writes the answer of one call.
 type writer struct {
-	conn       net.Conn
+	conn net.Conn
+	// stopping is set once the connection is to be closed after its present answer.
+	stopping   *atomic.Bool
 	buf        bytes.Buffer
 	headOnly   bool
 	minor      int
@@ -49,6 +51,9 @@
 		return errAnswered
 	}
 	w.started = true
+	if w.stopping.Load() {
+		w.closeAfter = true
+	}
 	fmt.Fprintf(&w.buf, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	_ = h.WriteSubset(&w.buf, writerHeaders)
 	if w.closeAfter {
