Forward: every request that the end of a stop cuts has its lines

A call that was cut before its answer says that its time ran out, which it had not.

Cause: the limit, made for floods of requests, holds at the moment at which all open requests write their last lines.

Change: no limit once the time for the last answers of a stop is over: no requests follow, so that the lines are bounded by the open connections, two each, fewer than the ring of the log holds. The answer to such a call says that the entry ends.

Evidence: TestCutRequestsEndBeforeTheProcess with 400 requests instead of 80 fails without the change ('stream 0 ended without a log line').

--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -78,9 +78,9 @@
 		cfg.DrainTime = defaultDrainTime
 	}
 	f := &Forwarder{
-		cfg: cfg, log: rateLimited(cfg, problemLinesPerSecond), successLog: rateLimited(cfg, successLinesPerSecond),
-		metrics: metrics{cfg.Scope}, guard: ferryguard.New(ferryguard.Config{Log: &cfg.Log, Scope: cfg.Scope, Clock: cfg.Clock}),
+		cfg: cfg, metrics: metrics{cfg.Scope}, guard: ferryguard.New(ferryguard.Config{Log: &cfg.Log, Scope: cfg.Scope, Clock: cfg.Clock}),
 	}
+	f.log, f.successLog = f.rateLimited(problemLinesPerSecond), f.rateLimited(successLinesPerSecond)
 	f.prober = newProber(cfg.Client, cfg.Clock, f.guard)
 	f.SetMaxProofAge(cfg.MaxProofAge)
 	cfg.Holder.OnChange(func(*ferryconfig.Snapshot) {
@@ -96,8 +96,10 @@
 	problemLinesPerSecond = 150
 )
 
-func rateLimited(cfg Config, perSecond int) zerolog.Logger {
-	return ferrylog.New(ferrylog.Config{Log: cfg.Log, Clock: cfg.Clock, PerSecond: perSecond, Scope: cfg.Scope})
+// rateLimited returns a logger without a limit at the end of a planned stop, when no requests follow and each open one
+// has its last lines.
+func (f *Forwarder) rateLimited(perSecond int) zerolog.Logger {
+	return ferrylog.New(ferrylog.Config{Log: f.cfg.Log, Clock: f.cfg.Clock, PerSecond: perSecond, Scope: f.cfg.Scope, Lifted: f.stopEnds})
 }
 
 // SetMaxProofAge sets the maximum age of the proof that the configuration is current, for requests with a
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -181,7 +181,11 @@
 }
 
 func (f *Forwarder) timeoutProblem(r *request, o ferryoutcome.Outcome, err error) *ferryoutcome.Problem {
-	return ferryoutcome.New(ferryoutcome.KindTimeout, o, "The time for the call ran out after %s.", f.cfg.Clock.Since(r.call.At).Round(time.Millisecond)).WithCause(err)
+	detail := "The time for the call ran out after %s."
+	if f.stopEnds() && f.cfg.Clock.Now().Before(r.deadline) {
+		detail = "The entry ends after %s of the call."
+	}
+	return ferryoutcome.New(ferryoutcome.KindTimeout, o, detail, f.cfg.Clock.Since(r.call.At).Round(time.Millisecond)).WithCause(err)
 }
 
 // handleRefusal returns the problem of a call that the upstream refused without running it.
--- a/ferry/ferryforward/stop.go
+++ b/ferry/ferryforward/stop.go
@@ -24,6 +24,12 @@
 	f.stopping.Store(&stopping{began: f.cfg.Clock.Now(), acceptUntil: acceptUntil, end: end})
 }
 
+// stopEnds reports whether the time for the last answers of a planned stop is over.
+func (f *Forwarder) stopEnds() bool {
+	s := f.stopping.Load()
+	return s != nil && !f.cfg.Clock.Now().Before(s.end)
+}
+
 // addLogFields adds the admission data of the request to a log event, and during a planned stop when the request was
 // accepted: AfterStop is the time since the stop began, negative before it.
 func (f *Forwarder) addLogFields(ev *zerolog.Event, r *request) *zerolog.Event {
--- a/ferry/ferrylog/limiter.go
+++ b/ferry/ferrylog/limiter.go
@@ -22,6 +22,8 @@
 	PerSecond int
 	// Scope is the metrics scope that counts dropped lines.
 	Scope tally.Scope
+	// Lifted reports whether all lines are written now; nil means never.
+	Lifted func() bool
 }
 
 // New returns a logger that writes at most PerSecond lines per second, plus one with the number of lines
@@ -49,7 +51,7 @@
 		l.startWindow(now)
 	}
 	l.lines++
-	if l.lines <= l.cfg.PerSecond {
+	if l.lines <= l.cfg.PerSecond || l.cfg.Lifted != nil && l.cfg.Lifted() {
 		return true
 	}
 	l.droppedInWindow++
--- a/ferryd/ferryedge/stop_test.go
+++ b/ferryd/ferryedge/stop_test.go
@@ -13,12 +13,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestCutRequestsEndBeforeTheProcess has calls and streams that outlast the grace, at an entry that takes 20 ms for each log line.
+// TestCutRequestsEndBeforeTheProcess has more calls and streams that outlast the grace than lines may be written in a second, at an entry
+// that takes 20 ms for each line.
 func TestCutRequestsEndBeforeTheProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, goOn(20*time.Second))
 		e := f.start("e1", &slowLog{lineTime: 20 * time.Millisecond})
-		const each = 40
+		const each = 200
 		var conns []net.Conn
 		for i := range each {
 			conns = append(conns, e.send(t, "/call/x", fmt.Sprintf("call-%d", i)), e.send(t, "/events/x", fmt.Sprintf("stream-%d", i)))
@@ -36,6 +37,7 @@
 				assert.Equal(t, e.log.count(fmt.Sprintf(`"Request":"%s-%d"`, kind, i)) > 0, true, "%s %d ended without a log line", kind, i)
 			}
 		}
+		assert.Equal(t, e.log.count(`"Kind":"Timeout"`, "The entry ends after"), each)
 		for i, c := range conns {
 			w, err := http.ReadResponse(bufio.NewReader(c), nil)
 			assert.NilError(t, err, "request %d", i)
