Log how long after the beginning of a stop a request was accepted

The lines of requests now have AfterStop in a stop, in ms, negative for what was accepted before it.

A test compares the lines of streams that ended early before and in a stop and of a refused one; it fails without the field.

--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -205,7 +205,7 @@
 func (f *Forwarder) deliver(r *request, w *bufferedAnswer) {
 	f.cfg.Dialect.StripInternal(w.header)
 	defer func() { f.metrics.answered(r.service.name, w.status, f.cfg.Clock.Since(r.call.At)) }()
-	r.addLogFields(f.successLog.Info()).Str("Upstream", w.pick.Upstream.Name).
+	f.addLogFields(f.successLog.Info(), r).Str("Upstream", w.pick.Upstream.Name).
 		Int("Status", w.status).Int("Sends", r.arrived+r.unsent).Dur("Took", f.cfg.Clock.Since(r.call.At)).Msg("request answered")
 	if w.rest != nil {
 		f.deliverRest(r, w)
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -75,7 +75,7 @@
 	if p.Status == http.StatusNotFound || p.Status == http.StatusUnauthorized || p.Status == http.StatusBadRequest {
 		ev = f.log.Info()
 	}
-	r.addLogFields(ev).Str("Target", c.Target).Int("Sends", r.arrived+r.unsent).Int("Ran", r.ran).Dur("Held", f.cfg.Clock.Since(c.At)).Str("Kind", string(p.Kind)).Int("Status", p.Status).
+	f.addLogFields(ev, r).Str("Target", c.Target).Int("Sends", r.arrived+r.unsent).Int("Ran", r.ran).Dur("Held", f.cfg.Clock.Since(c.At)).Str("Kind", string(p.Kind)).Int("Status", p.Status).
 		Str("Outcome", string(p.Outcome)).Dur("RetryAfter", p.RetryAfter).AnErr("Cause", p.Cause).Msg(p.Detail)
 	if c.Answered() {
 		return
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -334,7 +334,7 @@
 	if c, ok := dest.(enginePath); ok {
 		ev.Int64("ReportAge", c.run.ReportAge().Milliseconds())
 	}
-	r.addLogFields(ev).Str("Path", formatDestination(dest)).Int("Events", s.events).Dur("First", first).Dur("LongestPause", s.longestGap).
+	s.addLogFields(ev, r).Str("Path", formatDestination(dest)).Int("Events", s.events).Dur("First", first).Dur("LongestPause", s.longestGap).
 		Dur("Took", s.lastAt.Sub(r.call.At)).Int("Sends", r.arrived+r.unsent).Msg("stream completed")
 }
 
--- a/ferry/ferryforward/unanswered.go
+++ b/ferry/ferryforward/unanswered.go
@@ -42,7 +42,7 @@
 	if reason == reasonCaller {
 		return
 	}
-	ev := r.addLogFields(f.log.Warn())
+	ev := f.addLogFields(f.log.Warn(), r)
 	if s, at := f.cfg.Holder.Current(), f.configChanged.Load(); s != nil && at != nil {
 		ev.Uint64("InForce", uint64(s.Version)).Int64("InForceFor", f.cfg.Clock.Since(*at).Milliseconds())
 	}
--- a/ferry/ferryforward/unanswered_test.go
+++ b/ferry/ferryforward/unanswered_test.go
@@ -87,3 +87,44 @@
 		})
 	}
 }
+
+// TestLinesOfAStopTellWhenTheirRequestsWereAccepted compares a planned stop's cut and refused streams: no line told
+// whether they had been accepted before it.
+func TestLinesOfAStopTellWhenTheirRequestsWereAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, "u")
+		var log bytes.Buffer
+		b.forwarder.log = zerolog.New(&log)
+		b.upstreams["u"].setHandler(func(c net.Conn, r *http.Request) bool { return streamEventsUpTo(c, r, 2, 5, 300*time.Millisecond) })
+		began := time.Now().Add(2 * time.Second)
+		time.AfterFunc(2*time.Second, func() { b.forwarder.Stop(began.Add(2800*time.Millisecond), began.Add(7500*time.Millisecond)) })
+		for _, at := range []time.Duration{0, 1800 * time.Millisecond, 3500 * time.Millisecond, 7 * time.Second} {
+			time.Sleep(time.Until(began.Add(at - 2*time.Second)))
+			b.holder.Prove(1, time.Now())
+			b.call(http.MethodGet, "/live/x", at.String(), "Key: good", "Wait-Ms: 3000")
+		}
+		synctest.Wait()
+		type line struct {
+			Request, Kind, Reason string
+			AfterStop             *int64
+		}
+		var got []line
+		for text := range bytes.Lines(log.Bytes()) {
+			var l line
+			assert.NilError(t, json.Unmarshal(text, &l))
+			if l.Kind == "Draining" || l.Reason != "" {
+				if l.AfterStop != nil {
+					*l.AfterStop = (time.Duration(*l.AfterStop) * time.Millisecond).Round(10 * time.Millisecond).Milliseconds()
+				}
+				got = append(got, l)
+			}
+		}
+		ms := func(n int64) *int64 { return &n }
+		assert.DeepEqual(t, got, []line{
+			{Request: "0s", Reason: "UpstreamFailed"},
+			{Request: "1.8s", Reason: "UpstreamFailed", AfterStop: ms(-200)},
+			{Request: "3.5s", Reason: "UpstreamFailed", AfterStop: ms(1500)},
+			{Request: "7s", Kind: "Draining", AfterStop: ms(5000)},
+		})
+	})
+}
