Serve streams that may run once in a stop where they end in time

Callers of streams that cannot be resumed got 503 from a stopping entry from its signal on, whenever their time limit was later than the end of the grace; about nine of ten would have ended in time.

Cause: only the time limit was compared with what is left, not how long the streams of the service take.

Change: a stopping entry accepts such a stream, until the end of the linger, if at the time per expected token of 95% of the last 64 complete streams of its service here (8 at least) it ends in time. What is expected is the caller's estimate, or the maximum without one. Resumed streams, plain calls and everything without known streams are refused as before; the rows of TestStoppingEntryRefusesWhatItMayNotLiveToAnswer are unchanged. What can be resumed is accepted as before.

--- a/ferry/ferryforward/destination.go
+++ b/ferry/ferryforward/destination.go
@@ -84,6 +84,15 @@
 	return r.Answer
 }
 
+// hintedTokens returns the caller's estimate of the number of generated tokens, or their maximum number if there is none.
+// Unlike expectedTokens it may exceed the maximum, and tells longer answers from shorter ones even then.
+func (r *request) hintedTokens() ferryid.Tokens {
+	if r.AnswerHint > 0 {
+		return r.AnswerHint
+	}
+	return r.Answer
+}
+
 // upstreamAt returns the upstream at the address, or the first one if the address is not on the path.
 func upstreamAt(dest destination, address string) *ferrydiscovery.Upstream {
 	if c, ok := dest.(enginePath); ok {
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -193,10 +193,10 @@
 			r.deadline = at
 		}
 	}
+	r.service = f.cfg.Services.get(r.route.Target(xxhash.Sum64String(string(r.ID))))
 	if p := f.refuseLate(r, now); p != nil {
 		return p
 	}
-	r.service = f.cfg.Services.get(r.route.Target(xxhash.Sum64String(string(r.ID))))
 	if r.service == nil {
 		return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "The route's service is not known here yet.").WithRetryAfter(retryAfterRestart)
 	}
--- a/ferry/ferryforward/harness_test.go
+++ b/ferry/ferryforward/harness_test.go
@@ -35,6 +35,7 @@
 
 func (testDialect) DecodeRequest(h http.Header) (RequestInfo, error) {
 	ms, err := strconv.Atoi("0" + h.Get("Wait-Ms"))
+	hint, _ := strconv.Atoi("0" + h.Get("Hint"))
 	var parts []ferrysuspect.PartID
 	for v := range strings.FieldsSeq(h.Get("Prompt")) {
 		n, _ := strconv.Atoi(v)
@@ -43,7 +44,7 @@
 	return RequestInfo{
 		Parts: parts,
 		ID:    ferryid.RequestID(h.Get("Request-Id")), Key: ferryconfig.Key(h.Get("Key")), After: h.Get("Last-Event-Id"),
-		Timeout: time.Duration(ms) * time.Millisecond, Prompt: 100, Answer: 20,
+		Timeout: time.Duration(ms) * time.Millisecond, Prompt: 100, Answer: 20, AnswerHint: ferryid.Tokens(hint),
 	}, err
 }
 
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -25,6 +25,7 @@
 	congestion congestion
 	moves      drainMoves
 	isolation  isolation
+	times      streamTimes
 	// inDomain is the number of entries in this failure domain.
 	inDomain atomic.Int64
 }
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -326,6 +326,9 @@
 func (s *callerStream) logCompleted(dest destination) {
 	r := s.r
 	r.service.moves.recordDuration(s.lastAt.Sub(s.firstAt))
+	if r.After == "" {
+		r.service.times.record(s.lastAt.Sub(r.call.At), r.hintedTokens())
+	}
 	ev := s.successLog.Info()
 	first := s.firstAt.Sub(r.call.At)
 	if (r.route.Objective > 0 && first > r.route.Objective) || (r.route.GapObjective > 0 && s.longestGap > r.route.GapObjective) {
