Bound what is buffered of all answers together

Here each answer had a bound of 256 KiB, their sum had none.

Cause: each of up to 1,600 calls could buffer 256 KiB of a body, an error or an event and 64 KiB of a head; the writer of a caller's connection held a second copy and kept that buffer as long as the connection.

Change: ferrymemory.Budget bounds the sum, in the client that reads all answers. The first 4 KiB of each buffer are free, so usual answers pass at any time. A plain answer that gets no more is streamed from what there is; a head, an event or an error to a stream ends its run as the upstream's fault, with the outcome unknown. Large pieces are written to callers without a copy. An event is searched for its end once, not again with each piece.

Found on the way: a stream whose run was cut short in an event that is too long was taken as complete if its next run ended without an event.

--- a/ferry/ferryexchange/answer.go
+++ b/ferry/ferryexchange/answer.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 // Answer is an upstream's answer with a streamed body, which a single goroutine may read.
@@ -27,6 +29,7 @@
 	ctx       context.Context
 	stopWatch func() bool
 	client    *Client
+	hold      *ferrymemory.Hold
 }
 
 // counter is a counter that is safe for concurrent use.
@@ -87,9 +90,23 @@
 	return a.conn.br.Buffered()
 }
 
-// Close ends the exchange. It keeps the connection if the body was read to its end, and else closes it so
+// Buffer reads the body up to a limit, or to what the memory budget allows; whole tells whether that is all of it.
+func (a *Answer) Buffer(limit int) (b []byte, whole bool, err error) { return a.hold.Read(a, limit) }
+
+// Grow returns a copy of a buffer with more capacity, or false if it is at the limit or the memory budget has no more.
+func (a *Answer) Grow(b []byte, limit int) ([]byte, bool) { return a.hold.Grow(b, limit) }
+
+// Keep returns the memory that the answer has taken, which Close then does not release.
+func (a *Answer) Keep() *ferrymemory.Hold {
+	h := a.hold
+	a.hold = nil
+	return h
+}
+
+// Close ends the exchange and releases the memory of the answer. It keeps the connection if the body was read to its end, and else closes it so
 // that the upstream stops.
 func (a *Answer) Close() {
+	a.hold.Release()
 	stopped := a.stopWatch()
 	if !stopped || !a.complete || a.failed || !a.reusable || a.conn.br.Buffered() > 0 {
 		_ = a.conn.Close()
--- a/ferry/ferryexchange/client.go
+++ b/ferry/ferryexchange/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
 
@@ -40,6 +41,8 @@
 	IdleConns int
 	// Limits bounds what an upstream may send.
 	Limits Limits
+	// Memory bounds what is buffered of all answers together; its default is that of ferrymemory.
+	Memory *ferrymemory.Budget
 	// Dial opens connections; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -67,6 +70,9 @@
 		cfg.IdleConns = defaultIdleConns
 	}
 	cfg.Limits = cfg.Limits.withDefaults()
+	if cfg.Memory == nil {
+		cfg.Memory = ferrymemory.New(ferrymemory.Config{Name: "answers", Clock: cfg.Clock})
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
@@ -106,13 +112,15 @@
 		}
 		return nil, &Error{Address: address, Phase: phase, Reused: reused, Err: cause(ctx, err)}
 	}
-	a, err := c.readAnswer(cn, r, reused)
+	hold := c.cfg.Memory.Hold()
+	a, err := c.readAnswer(cn, r, reused, hold)
 	if err != nil {
 		stop()
+		hold.Release()
 		_ = cn.Close()
 		return nil, &Error{Address: address, Phase: ferryoutcome.PhaseWriting, Reused: reused, Err: cause(ctx, err)}
 	}
-	a.ctx, a.stopWatch, a.client = ctx, stop, c
+	a.ctx, a.stopWatch, a.client, a.hold = ctx, stop, c, hold
 	return a, nil
 }
 
@@ -160,11 +168,11 @@
 }
 
 // readAnswer returns the answer to the request; it skips interim answers and answers to other requests.
-func (c *Client) readAnswer(cn *conn, r *Request, reused bool) (*Answer, error) {
+func (c *Client) readAnswer(cn *conn, r *Request, reused bool, hold *ferrymemory.Hold) (*Answer, error) {
 	method := &http.Request{Method: r.Method}
 	interim := 0
 	for foreign := 0; foreign < maxForeignAnswers; {
-		resp, err := c.readHead(cn, method)
+		resp, err := c.readHead(cn, method, hold)
 		if err != nil {
 			return nil, err
 		}
@@ -191,9 +199,9 @@
 	return nil, ErrForeignAnswers
 }
 
-// readHead reads the head of one answer within the limits.
-func (c *Client) readHead(cn *conn, r *http.Request) (*http.Response, error) {
-	cn.metered.head.begin(c.cfg.Limits)
+// readHead reads the head of one answer within the limits and the budget.
+func (c *Client) readHead(cn *conn, r *http.Request, hold *ferrymemory.Hold) (*http.Response, error) {
+	cn.metered.head.begin(c.cfg.Limits, hold)
 	defer cn.metered.head.end()
 	if _, err := cn.br.Peek(1); err != nil {
 		return nil, unexpectedEOF(err)
--- a/ferry/ferryexchange/limit.go
+++ b/ferry/ferryexchange/limit.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 // Limits bounds what an upstream may send; a zero field stands for its default.
@@ -43,7 +45,10 @@
 
 // headMeter counts the bytes and lines of a head as they are read from the connection.
 type headMeter struct {
-	limits       Limits
+	limits Limits
+	hold   *ferrymemory.Hold
+	// held is how many bytes of the head the hold covers.
+	held         int
 	reading      bool
 	bytes, lines int
 	// lineBytes counts the bytes of the present line without its line break.
@@ -51,10 +56,15 @@
 }
 
 // begin starts to count a head of which some bytes may have been read already.
-func (m *headMeter) begin(l Limits) { *m = headMeter{limits: l, reading: true} }
+func (m *headMeter) begin(l Limits, hold *ferrymemory.Hold) {
+	*m = headMeter{limits: l, hold: hold, held: int(ferrymemory.FreeBytes), reading: true}
+}
+
+// parsedCopies is how often the bytes of a head are held while it is parsed.
+const parsedCopies = 2
 
 // end stops counting.
-func (m *headMeter) end() { m.reading = false }
+func (m *headMeter) end() { m.reading, m.hold = false, nil }
 
 // count counts bytes until the blank line that ends the head.
 func (m *headMeter) count(p []byte) error {
@@ -73,6 +83,12 @@
 			m.lineBytes++
 		}
 		switch {
+		case m.bytes > m.held && !m.hold.Take(ferrymemory.Bytes(parsedCopies*m.held)):
+			return &ferrymemory.ExhaustedError{Part: "head of the answer"}
+		case m.bytes > m.held:
+			m.held *= 2
+		}
+		switch {
 		case m.bytes > m.limits.HeadBytes:
 			return &LimitError{Part: "head of the answer", Limit: fmt.Sprintf("%d bytes", m.limits.HeadBytes)}
 		case m.lines > m.limits.HeadLines:
--- a/ferry/ferryexchange/limit_test.go
+++ b/ferry/ferryexchange/limit_test.go
@@ -221,7 +221,7 @@
 		}()
 		cn := newConn(client, "a")
 		defer cn.Close()
-		a, err := New(Config{}).readAnswer(cn, &Request{Method: http.MethodGet}, false)
+		a, err := New(Config{}).readAnswer(cn, &Request{Method: http.MethodGet}, false, nil)
 		got := "refused"
 		if err == nil {
 			body, err := io.ReadAll(a.body)
--- a/ferry/ferryforward/event.go
+++ b/ferry/ferryforward/event.go
@@ -12,13 +12,15 @@
 	dataField = []byte("data")
 )
 
-// splitEvents splits a buffer after its last complete event.
-func splitEvents(b []byte) (whole, rest []byte) {
-	i := bytes.LastIndex(b, eventEnd)
+// splitEvents splits a buffer after its last complete event; the first known bytes are without one.
+func splitEvents(b []byte, known int) (whole, rest []byte) {
+	from := max(0, known-len(eventEnd)+1)
+	i := bytes.LastIndex(b[from:], eventEnd)
 	if i < 0 {
 		return nil, b
 	}
-	return b[:i+len(eventEnd)], b[i+len(eventEnd):]
+	end := from + i + len(eventEnd)
+	return b[:end], b[end:]
 }
 
 // nextEvent returns the first of a series of complete events and the remaining ones.
--- a/ferry/ferryforward/harness_test.go
+++ b/ferry/ferryforward/harness_test.go
@@ -24,6 +24,7 @@
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferrypath"
 	"cactusferry.dev/ferry/ferryplatform"
@@ -166,6 +167,7 @@
 	holder    *ferryconfig.Holder
 	forwarder *Forwarder
 	client    *ferryexchange.Client
+	memory    *ferrymemory.Budget
 	upstreams map[string]*testUpstream
 	dial      func() net.Conn
 	rerouter  *fakeRerouter
@@ -238,7 +240,8 @@
 	b := &harness{t: t, holder: &ferryconfig.Holder{}, upstreams: map[string]*testUpstream{}, rerouter: &fakeRerouter{}, clock: clock}
 	table := ferrydiscovery.NewTable(clock)
 	services := NewServices(ServicesConfig{Clock: clock, Domain: "d", RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: 100})
-	b.client = ferryexchange.New(ferryexchange.Config{Dial: ferrynettest.Dial})
+	b.memory = ferrymemory.New(ferrymemory.Config{})
+	b.client = ferryexchange.New(ferryexchange.Config{Dial: ferrynettest.Dial, Memory: b.memory})
 	table.OnChange(services.SetView)
 	b.holder.OnChange(services.SetConfig)
 	s, err := ferryconfig.NewSnapshot(configuration())
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -12,15 +12,17 @@
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
 
-// maxBufferedBytes is how much of an answer is buffered before any of it is forwarded. The rest of a longer
-// answer is streamed.
+// maxBufferedBytes is how much of an answer is buffered before any of it is forwarded, or less if the memory budget
+// has less. The rest of a longer answer is streamed.
 const maxBufferedBytes = 256 << 10
 
 // plain sends a call to one upstream after another until one of them answers.
 func (f *Forwarder) plain(ctx context.Context, r *request) {
+	defer func() { r.memory.Release() }()
 	var last *ferryoutcome.Problem
 	for {
 		if p := f.blockedProblem(r); p != nil {
@@ -69,7 +71,7 @@
 	f.answerProblem(r, last)
 }
 
-// bufferedAnswer is an upstream's answer, buffered completely or up to maxBufferedBytes.
+// bufferedAnswer is an upstream's answer, buffered completely or up to maxBufferedBytes or the memory budget.
 type bufferedAnswer struct {
 	status int
 	header http.Header
@@ -95,8 +97,10 @@
 		a.Close()
 		return nil, f.handleRefusal(r, pick, a.Status, v)
 	}
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
-	long := err == nil && len(body) == maxBufferedBytes
+	body, whole, err := a.Buffer(maxBufferedBytes)
+	r.memory.Release()
+	r.memory = a.Keep()
+	long := err == nil && !whole
 	if !long {
 		a.Close()
 	}
@@ -229,6 +233,16 @@
 	w.pick.Done(w.load)
 }
 
+// copyBytes is the size of the buffer through which an answer is streamed, if the memory budget has it.
+const copyBytes = 32 << 10
+
+func copyBuffer(hold *ferrymemory.Hold) []byte {
+	if !hold.Take(copyBytes) {
+		return make([]byte, ferrymemory.FreeBytes)
+	}
+	return make([]byte, copyBytes)
+}
+
 // deliverRest streams a long answer to the caller, and aborts the caller's answer if the upstream's fails.
 func (f *Forwarder) deliverRest(r *request, w *bufferedAnswer) {
 	defer w.rest.Close()
@@ -236,8 +250,10 @@
 	if err == nil {
 		_, err = s.Write(w.body)
 	}
+	w.body = nil
+	r.memory.Release()
 	if err == nil {
-		_, err = io.Copy(s, w.rest)
+		_, err = io.CopyBuffer(s, w.rest, copyBuffer(r.memory))
 	}
 	if err != nil {
 		w.pick.Failed()
--- a/ferry/ferryforward/request.go
+++ b/ferry/ferryforward/request.go
@@ -11,6 +11,7 @@
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 // request is the state of one caller's request.
@@ -43,6 +44,8 @@
 	destinations []destination
 	// avoid lists upstreams that failed the request, and full those that refused it for lack of capacity.
 	avoid, full []ferryid.UpstreamName
+	// memory is what the answer of the last attempt has taken; streams leave it with their runs.
+	memory *ferrymemory.Hold
 }
 
 // noProof is the proofAge of a configuration that has not been proved current yet.
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -14,6 +14,7 @@
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferrypath"
 )
@@ -38,7 +39,6 @@
 	*Forwarder
 	r   *request
 	out *ferryingress.Stream
-	buf []byte
 	succession
 	// writing is the start of the present run's answer; written is set once the start of some run's was survived.
 	writing writing
@@ -252,39 +252,47 @@
 
 // forwardAnswer forwards complete events until the upstream's answer ends.
 func (s *callerStream) forwardAnswer(a *ferryexchange.Answer, progress func()) error {
-	if s.buf == nil {
-		s.buf = make([]byte, initialEventBytes)
-	}
+	buf := make([]byte, initialEventBytes)
 	n, before := 0, s.events
 	for {
-		if n == len(s.buf) {
-			if n >= maxEventBytes {
-				return &ferryexchange.LimitError{Part: "event", Limit: fmt.Sprintf("%d bytes", maxEventBytes)}
+		if n == len(buf) {
+			grown, ok := a.Grow(buf, maxEventBytes)
+			if !ok {
+				s.breakOff(buf)
+				return eventTooLong(n)
 			}
-			s.buf = append(s.buf, make([]byte, n)...)
+			buf = grown[:cap(grown)]
 		}
-		m, err := a.Read(s.buf[n:])
+		m, err := a.Read(buf[n:])
+		whole, rest := splitEvents(buf[:n+m], n)
 		n += m
-		whole, rest := splitEvents(s.buf[:n])
 		if len(whole) > 0 {
 			if err := s.forwardEvents(a, whole, progress); err != nil {
 				return err
 			}
-			n = copy(s.buf, rest)
+			n = copy(buf, rest)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && (n > 0 || !s.mayEnd(a, s.events > before)):
-			s.breakOff(s.buf[:n])
+			s.breakOff(buf[:n])
 			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return s.endAnswer(a)
 		case err != nil:
-			s.breakOff(s.buf[:n])
+			s.breakOff(buf[:n])
 			return err
 		}
 	}
 }
 
+// eventTooLong returns the error of an event of which more than n bytes came.
+func eventTooLong(n int) error {
+	if n < maxEventBytes {
+		return &ferrymemory.ExhaustedError{Part: "event"}
+	}
+	return &ferryexchange.LimitError{Part: "event", Limit: fmt.Sprintf("%d bytes", maxEventBytes)}
+}
+
 // mayEnd reports whether the stream may be complete at the end of a run, which has brought events or not. A stream
 // without any event is not, nor is one of which an earlier run had begun more. An answer without a length that brings
 // no event may have been broken off.
@@ -368,9 +376,12 @@
 	r := s.r
 	r.ran++
 	r.mayHaveRun = true
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
+	body, whole, err := a.Buffer(maxBufferedBytes + 1)
+	switch {
+	case err == nil && len(body) > maxBufferedBytes:
 		err = &ferryexchange.LimitError{Part: "body of an error answer", Limit: fmt.Sprintf("%d bytes", maxBufferedBytes)}
+	case err == nil && !whole:
+		err = &ferrymemory.ExhaustedError{Part: "body of an error answer"}
 	}
 	if err != nil {
 		// handleBrokenRun decides whether the run counts.
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -196,9 +196,14 @@
 }
 
 func TestEventParsing(t *testing.T) {
-	whole, rest := splitEvents([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"))
+	whole, rest := splitEvents([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"), 0)
 	assert.Equal(t, string(whole), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	assert.Equal(t, string(rest), "id: 3\nda")
+	for known := range len("data: a\n") + 1 {
+		whole, rest = splitEvents([]byte("data: a\n\nda"), known)
+		assert.Equal(t, string(whole)+"|"+string(rest), "data: a\n\n|da", "%d bytes known", known)
+	}
+	whole, _ = splitEvents([]byte("id: 1\ndata: a\n\nid: 2\n\n"), 0)
 	first, _ := nextEvent(whole)
 	id, _, err := readEvent(first)
 	assert.NilError(t, err)
--- a/ferry/ferryingress/write.go
+++ b/ferry/ferryingress/write.go
@@ -69,7 +69,7 @@
 	}
 	w.buf.WriteString("\r\n")
 	if !w.headOnly && bodyAllowed(status) {
-		w.buf.Write(body)
+		w.write(body)
 	}
 	w.ended = true
 	return w.flush()
@@ -101,14 +101,34 @@
 	if w.chunked {
 		w.buf.WriteString(strconv.FormatInt(int64(len(p)), 16))
 		w.buf.WriteString("\r\n")
-		w.buf.Write(p)
+		w.write(p)
 		w.buf.WriteString("\r\n")
 		return w.flush()
 	}
-	w.buf.Write(p)
+	w.write(p)
 	return w.flush()
 }
 
+// maxCopiedBytes is the size up to which a piece is copied to be written in one go with what surrounds it, and above
+// which the buffer is not kept.
+const maxCopiedBytes = 8 << 10
+
+// write adds a piece to the buffer, or writes it at once if it is large, so that it is not held twice.
+func (w *writer) write(p []byte) {
+	if len(p) <= maxCopiedBytes {
+		w.buf.Write(p)
+		return
+	}
+	if w.flush() == nil {
+		w.send(p)
+	}
+}
+
+func (w *writer) send(p []byte) {
+	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, w.err = w.conn.Write(p)
+}
+
 func (w *writer) end() error {
 	if w.chunked && !w.headOnly {
 		w.buf.WriteString("0\r\n\r\n")
@@ -124,9 +144,11 @@
 	if w.buf.Len() == 0 {
 		return nil
 	}
-	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, w.err = w.conn.Write(w.buf.Bytes())
+	w.send(w.buf.Bytes())
 	w.buf.Reset()
+	if w.buf.Cap() > 2*maxCopiedBytes {
+		w.buf = bytes.Buffer{}
+	}
 	return w.err
 }
 
--- a/ferry/ferrynettest/memory.go
+++ b/ferry/ferrynettest/memory.go
@@ -15,7 +15,11 @@
 	"time"
 )
 
-const readLatency = time.Microsecond
+const (
+	readLatency = time.Microsecond
+	// keptBytes is the size up to which the buffer of a pipe is kept once it is empty.
+	keptBytes = 4 << 10
+)
 
 // listeners maps addresses to open listeners.
 var listeners sync.Map
@@ -46,7 +50,11 @@
 		case !p.deadline.IsZero() && !time.Now().Before(p.deadline):
 			return 0, os.ErrDeadlineExceeded
 		case p.buf.Len() > 0:
-			return p.buf.Read(b)
+			n, err := p.buf.Read(b)
+			if p.buf.Len() == 0 && p.buf.Cap() > keptBytes {
+				p.buf = bytes.Buffer{}
+			}
+			return n, err
 		case p.closed:
 			return 0, io.EOF
 		}
