--- a/ferryd/ferryedge/config.go
+++ b/ferryd/ferryedge/config.go
@@ -12,6 +12,7 @@
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryforward"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferryplacement"
 	"cactusferry.dev/ferry/ferryplatform"
 )
@@ -34,6 +35,9 @@
 	// it is not known.
 	Capacity uint32
 
+	// Memory is the memory limit of the process; zero means that it is not known.
+	Memory ferrymemory.Bytes
+
 	Clock clockwork.Clock
 	// Steady includes the time for which the instance is suspended.
 	Steady clockwork.Clock
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -22,6 +22,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
 	"cactusferry.dev/ferry/ferrylog"
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryrelay"
 	"cactusferry.dev/ferry/ferrysuspect"
@@ -103,8 +104,8 @@
 		holder: &ferryconfig.Holder{}, started: make(chan struct{}), upstreams: ferrydiscovery.NewTable(cfg.Clock),
 		events:  ferryevent.NewLog(cfg.Steady, string(cfg.Name), eventBuffer),
 		metrics: ferrymetrics.New("edge", metricsInterval),
-		client:  ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout}),
 	}
+	e.client = ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout, Memory: e.newMemory("answers")})
 	e.answers.Store(uint32(xxhash.Sum64String(string(e.self)) % firstAnswers))
 	e.guard = ferryguard.New(ferryguard.Config{Log: &e.cfg.Log, Scope: e.metrics.Scope, Clock: cfg.Clock})
 	e.services = ferryforward.NewServices(ferryforward.ServicesConfig{
@@ -134,6 +135,15 @@
 	return e
 }
 
+// memoryShare is the part of the memory limit that each budget gets. The rest is for connections, state and garbage.
+const memoryShare = 8
+
+func (e *Edge) newMemory(name string) *ferrymemory.Budget {
+	return ferrymemory.New(ferrymemory.Config{
+		Name: name, Size: e.cfg.Memory / memoryShare, Log: e.cfg.Log, Clock: e.cfg.Steady, Scope: e.metrics.Scope,
+	})
+}
+
 // Ready reports whether callers may be sent to this entry.
 func (e *Edge) Ready() bool { return State(e.state.Load()) == StateReady }
 
