Bound the bodies of all requests together

Callers would see: a process that runs out of memory when some callers announce long bodies. A body of 4 MiB was allocated once it was announced, for each of up to 1,600 callers, and copied once more when it was sent to an upstream.

Change: a second budget, of an eighth of the memory limit as well, for the bodies of requests. They grow as they come. A request whose body finds no room is refused as not run, with a time to come back; bodies of up to 4 KiB always pass. Long bodies are sent without a copy.

--- a/ferry/ferryexchange/client.go
+++ b/ferry/ferryexchange/client.go
@@ -158,13 +158,25 @@
 	return newConn(nc, address), nil
 }
 
-// writeRequest sends the request in a single write and returns the number of bytes written.
+// maxCopiedBytes is the size up to which a body is copied to be written in one go with its head.
+const maxCopiedBytes = 8 << 10
+
+// writeRequest sends the request, a short one in a single write, and returns the number of bytes written.
 func (c *Client) writeRequest(cn *conn, r *Request) (int, error) {
 	b, _ := c.bufs.Get().(*bytes.Buffer)
 	defer c.bufs.Put(b)
 	b.Reset()
-	r.appendTo(b)
-	return cn.Write(b.Bytes())
+	r.appendHead(b)
+	if len(r.Body) <= maxCopiedBytes {
+		b.Write(r.Body)
+		return cn.Write(b.Bytes())
+	}
+	n, err := cn.Write(b.Bytes())
+	if err != nil {
+		return n, err
+	}
+	m, err := cn.Write(r.Body)
+	return n + m, err
 }
 
 // readAnswer returns the answer to the request; it skips interim answers and answers to other requests.
--- a/ferry/ferryexchange/request.go
+++ b/ferry/ferryexchange/request.go
@@ -40,8 +40,8 @@
 	return r.Echo == "" || answer.Get(r.Echo) == r.Header.Get(r.Echo)
 }
 
-// appendTo writes the encoded request to a buffer.
-func (r *Request) appendTo(b *bytes.Buffer) {
+// appendHead writes the encoded request without its body to a buffer.
+func (r *Request) appendHead(b *bytes.Buffer) {
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	_ = r.Header.WriteSubset(b, frameHeaders)
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
@@ -50,10 +50,9 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 }
 
-// frameHeaders are the headers that appendTo writes itself.
+// frameHeaders are the headers that appendHead writes itself.
 var frameHeaders = map[string]bool{"Host": true, "Content-Length": true}
 
 // EndToEndHeaders returns a copy of the headers without the hop-by-hop ones.
--- a/ferry/ferryforward/harness_test.go
+++ b/ferry/ferryforward/harness_test.go
@@ -280,7 +280,7 @@
 func (b *harness) listen() {
 	l := ferrynettest.Listen()
 	ctx, cancel := context.WithCancel(b.t.Context())
-	s := ferryingress.NewServer(ferryingress.Config{Log: zerolog.Nop(), Handle: b.forwarder.Handle, Refused: b.forwarder.Refused})
+	s := ferryingress.NewServer(ferryingress.Config{Log: zerolog.Nop(), Handle: b.forwarder.Handle, Refused: b.forwarder.Refused, Memory: b.memory})
 	go func() { _ = s.Serve(ctx, l) }()
 	b.dial = func() net.Conn {
 		c, err := ferrynettest.Dial(b.t.Context(), "tcp", l.Addr().String())
--- a/ferry/ferryforward/memory_test.go
+++ b/ferry/ferryforward/memory_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusferry.dev/ferry/ferrymemory"
+	"cactusferry.dev/ferry/ferryoutcome"
 )
 
 // entryMemory is the memory limit of the smallest entries, and answerShare the share of it that answers may take together.
@@ -206,3 +207,21 @@
 		})
 	}
 }
+
+// TestRequestWithoutMemoryLeftIsRefusedAsNotRun sends a long and a usual request while the budget is exhausted.
+func TestRequestWithoutMemoryLeftIsRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, "u")
+		u := b.upstreams["u"]
+		u.setHandler(countRuns(u, answerOK))
+		b.exhaustMemory()
+		a := b.call("POST", "/once/x", "long", "Key: good", "Content-Length: 20000", "", strings.Repeat("a", 20000))
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		assert.Equal(t, a.header.Get("Request-Id"), "long")
+		assert.Equal(t, a.header.Get(ferryoutcome.Header), string(ferryoutcome.NotRun))
+		assert.Assert(t, a.header.Get("Retry-After") != "")
+		assert.Equal(t, u.runCount(), 0)
+		assert.Equal(t, b.call("POST", "/once/x", "usual").status, http.StatusOK)
+	})
+}
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -21,6 +21,8 @@
 	retryAfterNoUpstream = time.Second
 	// retryAfterStale is short, because another entry still reaches the platform.
 	retryAfterStale = 50 * time.Millisecond
+	// retryAfterNoMemory is about the time in which bodies of other requests end.
+	retryAfterNoMemory = 500 * time.Millisecond
 	// retryAfterStopping is short, because other entries serve the request.
 	retryAfterStopping = 50 * time.Millisecond
 	// retryAfterOutage is about the duration of a platform outage that affects all entries.
@@ -95,6 +97,9 @@
 // Refused answers a request that the ingress could not parse.
 func (f *Forwarder) Refused(c *ferryingress.Call, e *ferryingress.RequestError) {
 	p := ferryoutcome.New(ferryoutcome.KindBadRequest, ferryoutcome.NotRun, "%s", e.Detail)
+	if e.Status == http.StatusServiceUnavailable {
+		p = ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "%s", e.Detail).WithRetryAfter(retryAfterNoMemory)
+	}
 	p.Status = e.Status
 	info, err := f.cfg.Dialect.DecodeRequest(c.Header)
 	if err != nil {
--- a/ferry/ferryingress/conn.go
+++ b/ferry/ferryingress/conn.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 // stoppingIdleTimeout is how long a connection that has carried no request yet may take to its only request
@@ -105,7 +107,9 @@
 	c.w.reset(h)
 	call := &Call{Method: h.method, Target: h.target, Host: h.host, Header: h.header, At: at, Remote: c.RemoteAddr().String(), w: &c.w}
 	if err == nil {
-		call.Body, err = c.readBody(h, limits)
+		hold := c.server.cfg.Memory.Hold()
+		defer hold.Release()
+		call.Body, err = c.readBody(h, limits, hold)
 	}
 	if err != nil {
 		c.reject(call, err)
@@ -142,7 +146,7 @@
 	return h, err
 }
 
-func (c *serverConn) readBody(h head, limits Limits) ([]byte, error) {
+func (c *serverConn) readBody(h head, limits Limits, hold *ferrymemory.Hold) ([]byte, error) {
 	if !h.chunked && h.length == 0 {
 		return nil, nil
 	}
@@ -155,10 +159,10 @@
 		}
 	}
 	if !h.chunked {
-		return readBody(c.br, h.length, limits.BodyBytes)
+		return readBody(c.br, h.length, limits.BodyBytes, hold)
 	}
 	c.limited.remaining = math.MaxInt64 // the decoder bounds the framing by the data
-	body, err := readChunked(c.br, limits.BodyBytes)
+	body, err := readChunked(c.br, limits.BodyBytes, hold)
 	if err != nil {
 		return nil, err
 	}
--- a/ferry/ferryingress/read.go
+++ b/ferry/ferryingress/read.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
+
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 // head is the validated request line and headers of a request.
@@ -163,22 +165,32 @@
 	return nil
 }
 
+// errNoMemory refuses a request whose body finds no room beside those of others.
+var errNoMemory = &RequestError{Status: http.StatusServiceUnavailable, Detail: "no room for the body beside those of other requests"}
+
 // errBodyTooLong refuses a request whose body exceeds the limit.
 var errBodyTooLong = &RequestError{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too long"}
 
 // readBody reads a body of the given length.
-func readBody(br *bufio.Reader, length, limit int64) ([]byte, error) {
+func readBody(br *bufio.Reader, length, limit int64, hold *ferrymemory.Hold) ([]byte, error) {
 	if length > limit {
 		return nil, errBodyTooLong
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(br, body)
-	return body, err
+	body, whole, err := hold.Read(io.LimitReader(br, length), int(length))
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(len(body)) < length && whole:
+		return nil, io.ErrUnexpectedEOF
+	case int64(len(body)) < length:
+		return nil, errNoMemory
+	}
+	return body, nil
 }
 
 // readChunked reads the complete data of a chunked body, without its trailer.
-func readChunked(br *bufio.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), limit+1))
+func readChunked(br *bufio.Reader, limit int64, hold *ferrymemory.Hold) ([]byte, error) {
+	body, whole, err := hold.Read(httputil.NewChunkedReader(br), int(limit)+1)
 	switch {
 	case err != nil && (errors.Is(err, httputil.ErrLineTooLong) || strings.Contains(err.Error(), "chunk")):
 		return nil, malformed("malformed chunk")
@@ -186,6 +198,8 @@
 		return nil, err
 	case int64(len(body)) > limit:
 		return nil, errBodyTooLong
+	case !whole:
+		return nil, errNoMemory
 	}
 	return body, nil
 }
--- a/ferry/ferryingress/server.go
+++ b/ferry/ferryingress/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"cactusferry.dev/ferry/ferryguard"
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Limits func() Limits
 	// Guard confines the panic of a handler to its connection; nil means one that logs to Log.
 	Guard *ferryguard.Guard
+	// Memory bounds the bodies of all requests together; its default is that of ferrymemory.
+	Memory *ferrymemory.Budget
 	// MaxConns is the maximum number of open connections; further ones wait in the accept queue. Zero means
 	// no limit.
 	MaxConns int
@@ -68,6 +71,9 @@
 	if cfg.Guard == nil {
 		cfg.Guard = ferryguard.New(ferryguard.Config{Log: &cfg.Log, Clock: cfg.Clock})
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = ferrymemory.New(ferrymemory.Config{Name: "requests", Log: cfg.Log, Clock: cfg.Clock})
+	}
 	s := &Server{cfg: cfg, conns: map[*serverConn]struct{}{}}
 	if cfg.MaxConns > 0 {
 		s.slots = make(chan struct{}, cfg.MaxConns)
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -122,7 +122,7 @@
 		Log: cfg.Log, Scope: e.metrics.Scope, MaxProofAge: cfg.Objectives.KeyAge, DrainTime: cfg.Objectives.LeaveWithin, Started: e.started, OthersServe: func() bool { return e.anyConfigCurrent(false) },
 	})
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
-		Clock: cfg.Clock, Log: cfg.Log, Handle: e.forwarder.Handle, Refused: e.forwarder.Refused, Limits: e.limits, MaxConns: cfg.MaxConns, Guard: e.guard,
+		Clock: cfg.Clock, Log: cfg.Log, Handle: e.forwarder.Handle, Refused: e.forwarder.Refused, Limits: e.limits, MaxConns: cfg.MaxConns, Guard: e.guard, Memory: e.newMemory("requests"),
 	})
 	e.newRelay()
 	e.placement = e.newPlacement()
