--- a/ferry/ferryengine/client.go
+++ b/ferry/ferryengine/client.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
 
@@ -36,6 +37,8 @@
 	Clock clockwork.Clock
 	// IdleTimeout is the time without progress after which a connection is closed.
 	IdleTimeout time.Duration
+	// Memory bounds the reports and results of all engines together; its default is that of ferrymemory.
+	Memory *ferrymemory.Budget
 }
 
 // Client calls the HTTP interface of engines.
@@ -43,11 +46,12 @@
 	http        *http.Client
 	clock       clockwork.Clock
 	idleTimeout time.Duration
+	memory      *ferrymemory.Budget
 }
 
 // New returns a Client.
 func New(cfg ClientConfig) *Client {
-	c := &Client{http: cfg.HTTP, clock: cfg.Clock, idleTimeout: cfg.IdleTimeout}
+	c := &Client{http: cfg.HTTP, clock: cfg.Clock, idleTimeout: cfg.IdleTimeout, memory: cfg.Memory}
 	if c.http == nil {
 		c.http = &http.Client{Transport: NewTransport(nil)}
 	}
@@ -57,6 +61,9 @@
 	if c.idleTimeout <= 0 {
 		c.idleTimeout = defaultIdleTimeout
 	}
+	if c.memory == nil {
+		c.memory = ferrymemory.New(ferrymemory.Config{Name: "engines", Clock: c.clock})
+	}
 	return c
 }
 
@@ -157,12 +164,16 @@
 		return err
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(&progressReader{call: cl, r: resp.Body}, maxBytes+1))
-	if err != nil {
+	hold := c.memory.Hold()
+	defer hold.Release()
+	b, whole, err := hold.Read(&progressReader{call: cl, r: resp.Body}, int(maxBytes)+1)
+	switch {
+	case err != nil:
 		return cl.answerError(err)
-	}
-	if int64(len(b)) > maxBytes {
+	case int64(len(b)) > maxBytes:
 		return cl.answerError(&LineTooLongError{Max: int(maxBytes)})
+	case !whole:
+		return cl.answerError(&ferrymemory.ExhaustedError{Part: "result"})
 	}
 	if out == nil {
 		return nil
--- a/ferry/ferrymemory/budget.go
+++ b/ferry/ferrymemory/budget.go
@@ -65,8 +65,13 @@
 // Taken returns the sum of what the holds have taken.
 func (b *Budget) Taken() Bytes { return Bytes(b.taken.Load()) }
 
-// Hold returns a Hold that has taken nothing.
-func (b *Budget) Hold() *Hold { return &Hold{budget: b} }
+// Hold returns a Hold that has taken nothing; that of a nil Budget is nil.
+func (b *Budget) Hold() *Hold {
+	if b == nil {
+		return nil
+	}
+	return &Hold{budget: b}
+}
 
 // Hold is what one message has taken of a budget; it is safe for concurrent use, and a nil Hold has no bound.
 type Hold struct {
--- a/ferry/ferryplatform/call.go
+++ b/ferry/ferryplatform/call.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 const (
@@ -96,9 +98,15 @@
 	if maxBytes == 0 {
 		maxBytes = maxListBytes
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxBytes+1))
-	if err == nil && int64(len(b)) > maxBytes {
+	hold := c.memory.Hold()
+	defer hold.Release()
+	b, whole, err := hold.Read(res.Body, int(maxBytes)+1)
+	switch {
+	case err != nil:
+	case int64(len(b)) > maxBytes:
 		err = fmt.Errorf("answer over %d bytes", maxBytes)
+	case !whole:
+		err = &ferrymemory.ExhaustedError{Part: "answer of the platform"}
 	}
 	if err != nil && !in.isWrite() {
 		return Reply{}, &UnavailableError{Op: in.String(), Err: err}
--- a/ferry/ferryplatform/client.go
+++ b/ferry/ferryplatform/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferrymemory"
 )
 
 const (
@@ -33,6 +35,8 @@
 	Budget Budget
 	// Timeout bounds each call, in addition to the wait of a watch; 0 selects 5 s.
 	Timeout time.Duration
+	// Memory bounds the answers of all calls together; nil means no such bound.
+	Memory *ferrymemory.Budget
 }
 
 // Client calls the platform over HTTP; it implements Store and Lister and never retries a call.
@@ -43,6 +47,7 @@
 	clock    clockwork.Clock
 	timeout  time.Duration
 	bucket   *tokenBucket
+	memory   *ferrymemory.Budget
 	calls    counters
 	down     atomic.Bool
 }
@@ -65,6 +70,7 @@
 		clock:    cfg.Clock,
 		timeout:  cfg.Timeout,
 		bucket:   newTokenBucket(cfg.Clock, cfg.Budget),
+		memory:   cfg.Memory,
 	}
 }
 
