--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -22,6 +22,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
 	"cactusferry.dev/ferry/ferrylog"
+	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryrelay"
 	"cactusferry.dev/ferry/ferrysuspect"
@@ -106,8 +107,8 @@
 		holder: &ferryconfig.Holder{}, started: make(chan struct{}), upstreams: ferrydiscovery.NewTable(cfg.Clock),
 		events:  ferryevent.NewLog(cfg.Steady, string(cfg.Name), eventBuffer),
 		metrics: ferrymetrics.New("edge", metricsInterval),
-		client:  ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout, Dial: cfg.Dial}),
 	}
+	e.client = ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout, Dial: cfg.Dial, Memory: e.newMemory("answers")})
 	e.answers.Store(uint32(xxhash.Sum64String(string(e.self)) % firstAnswers))
 	e.guard = ferryguard.New(ferryguard.Config{Log: &e.cfg.Log, Scope: e.metrics.Scope, Clock: cfg.Clock})
 	e.services = ferryforward.NewServices(ferryforward.ServicesConfig{
@@ -124,7 +125,7 @@
 		Log: cfg.Log, Scope: e.metrics.Scope, MaxProofAge: cfg.Objectives.KeyAge, DrainTime: cfg.Objectives.LeaveWithin, Started: e.started, OthersServe: func() bool { return e.anyConfigCurrent(false) },
 	})
 	e.ingress = ferryingress.NewServer(ferryingress.Config{
-		Clock: cfg.Clock, Log: cfg.Log, Handle: e.forwarder.Handle, Refused: e.forwarder.Refused, Limits: e.limits, MaxConns: cfg.MaxConns, Guard: e.guard,
+		Clock: cfg.Clock, Log: cfg.Log, Handle: e.forwarder.Handle, Refused: e.forwarder.Refused, Limits: e.limits, MaxConns: cfg.MaxConns, Guard: e.guard, Memory: e.newMemory("requests"),
 	})
 	e.newRelay()
 	e.placement = e.newPlacement()
@@ -137,6 +138,15 @@
 	return e
 }
 
+// memoryShare is the part of the memory limit that each budget gets. The rest is for connections, state and garbage.
+const memoryShare = 8
+
+func (e *Edge) newMemory(name string) *ferrymemory.Budget {
+	return ferrymemory.New(ferrymemory.Config{
+		Name: name, Size: e.cfg.Memory / memoryShare, Log: e.cfg.Log, Clock: e.cfg.Steady, Scope: e.metrics.Scope,
+	})
+}
+
 // Ready reports whether callers may be sent to this entry.
 func (e *Edge) Ready() bool { return State(e.state.Load()) == StateReady }
 
