Relay: an entry that starts takes no old proof

What callers saw: nothing that was reported. A starting entry could put a configuration in force that was up to 2.5 s old (2 s are allowed), for as long as its own list was on the way.

Cause: answers to lists and watches count as lost from 55% of the objective on, answers to proofs did not, since they say how long keys are known to be valid. But the object of the proof is also offered to the holder of the configuration, which is empty in an entry that starts. An entry that had read the platform for a moment answers with that proof for 2.5 s; if it has lost the platform since, nothing newer replaces it.

Change: an entry that has not read a kind yet treats an old proof as any other old answer and calls the platform.

TestStartingEntryTakesNoOldProof shows the step alone and failed before.

Considered and not built: the same limit for all proofs. Keys would count as valid for less long in an outage.

--- a/ferry/ferryrelay/budget.go
+++ b/ferry/ferryrelay/budget.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// hasView reports whether this entry has read a kind.
+func (r *Relay) hasView(kind string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.views[kind].IsZero()
+}
+
 // viewAge returns the time since this entry's view of a kind was last certainly current.
 func (r *Relay) viewAge(kind string) time.Duration {
 	r.mu.Lock()
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -371,7 +371,8 @@
 		return a, &LostError{Reader: to.Name}
 	case a.Status == statusNotRead:
 		return a, errNoReader
-	case a.Status == statusOK && q.Op != opProve && age >= r.budget(q.Kind).stale:
+	case a.Status == statusOK && age >= r.budget(q.Kind).stale && (q.Op != opProve || !r.hasView(q.Kind)):
+		// An old proof is of use only to an entry that knows the kind: an object that old would be put in force here.
 		r.counts.behind.Inc(1)
 		r.logBehind(to.Name, q.Kind, age)
 		return a, &LostError{Reader: to.Name, Age: age}
--- a/ferry/ferryrelay/relay_test.go
+++ b/ferry/ferryrelay/relay_test.go
@@ -253,6 +253,29 @@
 	})
 }
 
+// TestStartingEntryTakesNoOldProof: the object would be in force there although a later one was known in time elsewhere.
+func TestStartingEntryTakesNoOldProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.reader = "a"
+		f.put(t, "x", "1")
+		f.list(t, "a")
+		f.list(t, "c")
+		_, _, err := f.relays["a"].Prove(t.Context(), "k", "x")
+		assert.NilError(t, err)
+		f.put(t, "x", "2")
+		time.Sleep(proofMaxAge - 100*time.Millisecond)
+		o, _, err := f.relays["b"].Prove(t.Context(), "k", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, string(o.Value), "2")
+
+		// An entry that knows the kind takes the proof for the age of its keys.
+		_, at, err := f.relays["c"].Prove(t.Context(), "k", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, at, f.started)
+	})
+}
+
 func TestMissingObjectIsRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b")
