Relay: a panic in a call to the platform is confined to its duty

Callers could see: the end of the process, and with it of all their requests, where a call to the platform panics, such as in decoding an answer.

Cause: hedge makes its calls in goroutines of their own, which the guard of the duty that waits for them does not cover.

Change: a panic of the call continues in the goroutine that waits for it.

Evidence: TestPanicOfAPlatformCallStaysInItsDuty ended its test process with 'panic: invalid answer' before; the package passes with -race after.

--- a/ferry/ferryrelay/hedge.go
+++ b/ferry/ferryrelay/hedge.go
@@ -9,6 +9,16 @@
 type outcome[T any] struct {
 	result T
 	err    error
+	// panicked is the value of a panic of the call.
+	panicked any
+}
+
+// get returns the outcome; a panic of the call continues in the goroutine that waits for it.
+func (o outcome[T]) get() (T, error) {
+	if o.panicked != nil {
+		panic(o.panicked)
+	}
+	return o.result, o.err
 }
 
 // hedge calls the platform, and once more on a new connection if there is no answer after soon: an open connection may
@@ -21,8 +31,12 @@
 	outcomes := make(chan outcome[T], 2)
 	begin := func(again bool) {
 		go func() {
-			result, err := call(ctx, again)
-			outcomes <- outcome[T]{result, err}
+			var o outcome[T]
+			defer func() {
+				o.panicked = recover()
+				outcomes <- o
+			}()
+			o.result, o.err = call(ctx, again)
 		}()
 	}
 	begin(false)
@@ -30,12 +44,12 @@
 	defer timer.Stop()
 	select {
 	case o := <-outcomes:
-		return o.result, o.err
+		return o.get()
 	case <-timer.Chan():
 	}
 	if !r.PlatformReachable() {
 		o := <-outcomes
-		return o.result, o.err
+		return o.get()
 	}
 	r.counts.hedged.Inc(1)
 	r.cfg.Log.Info().Dur("After", soon).Msg("platform has not answered; calling it again on a new connection")
@@ -45,5 +59,5 @@
 	if o.err != nil && !isAnswer(o.err) {
 		o = <-outcomes
 	}
-	return o.result, o.err
+	return o.get()
 }
