Edge: a silent peer does not keep a stop beyond its grace

Callers could see: no line on their cut requests, where a link of a stopping entry falls silent: the process ends after its grace, is killed, and loses the log lines that are not written yet.

Cause: awaitCut starts after all duties have ended, and the overlay waits 400 ms for the close handshake of each link, of the 300 ms reserved for the exit.

Change: the requests and the duties are awaited together, both for cutTime at most. Requests are awaited once no connection is accepted any more.

A shorter wait in the overlay: with 150 ms TestStopWithSilentPeer hangs on its virtual clock.

--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -78,6 +79,8 @@
 	// started is closed when requests can be served.
 	started   chan struct{}
 	startOnce sync.Once
+	// accepted is closed when no further connection of a caller is accepted.
+	accepted chan struct{}
 	// answers counts the steering answers of this entry, from a number that differs between entries.
 	answers atomic.Uint32
 	// configStale is set while this entry cannot prove its configuration current.
@@ -103,7 +106,7 @@
 	}
 	e := &Edge{
 		cfg: cfg, self: newIncarnation(cfg.Name),
-		holder: &ferryconfig.Holder{}, started: make(chan struct{}), upstreams: ferrydiscovery.NewTable(cfg.Clock),
+		holder: &ferryconfig.Holder{}, started: make(chan struct{}), accepted: make(chan struct{}), upstreams: ferrydiscovery.NewTable(cfg.Clock),
 		events:  ferryevent.NewLog(cfg.Steady, string(cfg.Name), eventBuffer),
 		metrics: ferrymetrics.New("edge", metricsInterval),
 		client:  ferryexchange.New(ferryexchange.Config{Clock: cfg.Clock, DialTimeout: dialTimeout, Dial: cfg.Dial}),
@@ -219,12 +222,24 @@
 		e.stop(ctx, signals)
 		cancel()
 	}()
-	err := g.Wait()
-	cancel()
+	<-ctx.Done()
 	<-stopped
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = g.Wait()
+	}()
+	limit := e.cfg.Clock.After(cutTime)
 	e.awaitCut()
+	select {
+	case <-ended:
+	case <-limit:
+	}
 	e.client.Close()
-	return err
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
 }
 
 // readPlatform keeps the configuration and the upstreams current.
--- a/ferryd/ferryedge/harness_test.go
+++ b/ferryd/ferryedge/harness_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -101,16 +102,55 @@
 	store     *ferryplatformtest.Fake
 	listeners sync.Map
 	seeds     []string
+	// grace is the one of the edges that start from now on, and settle the time for their goroutines to end.
+	grace, settle time.Duration
+	// muted edges send nothing on their connections.
+	muted atomic.Bool
+}
+
+// edgeConn is a connection of an edge.
+type edgeConn struct {
+	net.Conn
+	muted *atomic.Bool
+}
+
+func (c *edgeConn) Write(b []byte) (int, error) {
+	if c.muted.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// edgeListener accepts the connections of an edge.
+type edgeListener struct {
+	net.Listener
+	muted *atomic.Bool
+}
+
+func (l *edgeListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &edgeConn{Conn: c, muted: l.muted}, nil
+}
+
+func (f *testFleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := ferrynettest.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &edgeConn{Conn: c, muted: &f.muted}, nil
 }
 
 // newTestFleet returns a fleet without edges whose upstream answers with the given handler.
 func newTestFleet(t *testing.T, upstream http.Handler) *testFleet {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	f := &testFleet{t: t, clock: clock, store: ferryplatformtest.New(clock)}
+	f := &testFleet{t: t, clock: clock, store: ferryplatformtest.New(clock), grace: testGrace, settle: time.Minute}
 	s := ferrynettest.Serve(upstream)
 	t.Cleanup(func() {
-		time.Sleep(time.Minute) // lets the goroutines of the edges end
+		time.Sleep(f.settle)
 		s.Close()
 	})
 	f.put("config", "main", "1")
@@ -136,16 +176,16 @@
 		Name: name, Domain: "d", Callers: f.address(), Peers: f.address(), Seeds: f.seeds,
 		Clock: f.clock, Steady: f.clock, Log: zerolog.New(log), Store: f.store, Dialect: testDialect{},
 		Engines:    func(*ferryexchange.Client, *ferryforward.Observer) Engines { return nil },
-		Objectives: Objectives{ConfigWithin: 2 * time.Second, LeaveWithin: 2 * time.Second, Grace: testGrace, AnswerLifetime: 2 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: 100},
+		Objectives: Objectives{ConfigWithin: 2 * time.Second, LeaveWithin: 2 * time.Second, Grace: f.grace, AnswerLifetime: 2 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: 100},
 		Objects: Objects{
 			ConfigurationKind: "config", ConfigurationName: "main", Configuration: decodeTestConfiguration,
 			UpstreamKind: "upstreams", Upstream: decodeTestUpstream,
 		},
 		Listen: func(_, address string) (net.Listener, error) {
 			l, _ := f.listeners.Load(address)
-			return l.(net.Listener), nil
+			return &edgeListener{Listener: l.(net.Listener), muted: &f.muted}, nil
 		},
-		Dial: ferrynettest.Dial,
+		Dial: f.dial,
 	}
 	f.seeds = append(f.seeds, cfg.Peers)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/ferryd/ferryedge/listen.go
+++ b/ferryd/ferryedge/listen.go
@@ -26,7 +26,10 @@
 	}
 	e.callerListener = callers
 	context.AfterFunc(ctx, func() { _ = callers.Close() })
-	g.Go(func() error { return e.ingress.Serve(ctx, callers) })
+	g.Go(func() error {
+		defer close(e.accepted)
+		return e.ingress.Serve(ctx, callers)
+	})
 	peers := chi.NewRouter()
 	peers.Handle("/peer", e.peer.Handler())
 	if err := e.serveHTTP(ctx, g, e.cfg.Peers, peers); err != nil {
--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -57,6 +57,7 @@
 // awaitCut waits until the requests that the end of the process has cancelled have ended, so that each is logged, and no
 // answer without a length looks complete.
 func (e *Edge) awaitCut() {
+	<-e.accepted
 	e.ingress.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), cutTime)
 	defer cancel()
--- a/ferryd/ferryedge/stop_test.go
+++ b/ferryd/ferryedge/stop_test.go
@@ -70,3 +70,21 @@
 		})
 	}
 }
+
+// TestStopBesideASilentPeerEndsWithinTheGrace runs on the real clock, since closing a WebSocket blocks on a mutex.
+func TestStopBesideASilentPeerEndsWithinTheGrace(t *testing.T) {
+	f := newTestFleet(t, goOn(5*time.Second))
+	f.grace, f.settle = 2*time.Second, 0
+	f.start("e1", &slowLog{})
+	stopped := f.start("e2", &slowLog{})
+	for len(stopped.peer.Links()) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	stopped.send(t, "/events/x", "stream")
+	began := time.Now()
+	stopped.terminate()
+	time.Sleep(f.grace - time.Second/2)
+	f.muted.Store(true)
+	assert.NilError(t, <-stopped.ended)
+	assert.Assert(t, time.Since(began) < f.grace, "the process ended after %s", time.Since(began))
+}
