Edge: a panic in the lease of the placement is confined to it

Callers could see: the end of the process, and with it of all their requests, where a call for the lease panics.

Cause: the lease ran in a goroutine of its own, outside any guard.

Change: the lease is a duty of its own.

--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -211,7 +211,7 @@
 	g.Go(func() error { return e.peer.Run(ctx) })
 	g.Go(func() error { return e.readPlatform(ctx) })
 	for name, duty := range map[string]func(context.Context){
-		"upstream expiry": e.expireUpstreams, "placement": e.placement.run, "state sharing": e.shareEntryState,
+		"upstream expiry": e.expireUpstreams, "placement": e.placement.run, "placement lease": e.placement.runLease, "state sharing": e.shareEntryState,
 		"condition reader": e.readConditions, "probes of engines that are down": e.probeDown, "connection sweep": e.sweep,
 	} {
 		g.Go(func() error { return e.guard.Loop(ctx, name, duty) })
--- a/ferryd/ferryedge/harness_test.go
+++ b/ferryd/ferryedge/harness_test.go
@@ -104,6 +104,8 @@
 	seeds     []string
 	// grace is the one of the edges that start from now on, and settle the time for their goroutines to end.
 	grace, settle time.Duration
+	// remote is the store as the edges see it.
+	remote ferryplatform.RemoteStore
 	// muted edges send nothing on their connections.
 	muted atomic.Bool
 }
@@ -148,6 +150,7 @@
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	f := &testFleet{t: t, clock: clock, store: ferryplatformtest.New(clock), grace: testGrace, settle: time.Minute}
+	f.remote = f.store
 	s := ferrynettest.Serve(upstream)
 	t.Cleanup(func() {
 		time.Sleep(f.settle)
@@ -174,7 +177,7 @@
 func (f *testFleet) start(name ferryid.EntryName, log *slowLog) *testEdge {
 	cfg := Config{
 		Name: name, Domain: "d", Callers: f.address(), Peers: f.address(), Seeds: f.seeds,
-		Clock: f.clock, Steady: f.clock, Log: zerolog.New(log), Store: f.store, Dialect: testDialect{},
+		Clock: f.clock, Steady: f.clock, Log: zerolog.New(log), Store: f.remote, Dialect: testDialect{},
 		Engines:    func(*ferryexchange.Client, *ferryforward.Observer) Engines { return nil },
 		Objectives: Objectives{ConfigWithin: 2 * time.Second, LeaveWithin: 2 * time.Second, Grace: f.grace, AnswerLifetime: 2 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: 100},
 		Objects: Objects{
--- a/ferryd/ferryedge/placement.go
+++ b/ferryd/ferryedge/placement.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// run holds the lease while that is this entry's duty.
+// run requests the lease while that is this entry's duty.
 func (p *placement) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -67,7 +67,6 @@
 	p.ctx = ctx
 	p.mu.Unlock()
 	p.update()
-	go func() { _ = p.lease.Run(ctx) }()
 	began := p.cfg.Clock.Now()
 	for p.pause(ctx, wantInterval) {
 		p.setDown()
@@ -80,6 +79,9 @@
 	}
 }
 
+// runLease acquires, renews and releases the lease.
+func (p *placement) runLease(ctx context.Context) { _ = p.lease.Run(ctx) }
+
 // shouldHold reports whether this entry should hold the lease. The present holder keeps it; otherwise
 // it is the strongest entry that reaches the platform, the first one in the duty's order. Orders from one
 // entry after another cost more than those of a single one.
