Ingress: answers written in a planned stop announce the close of their connection

Callers could see: an answer without Connection: close on a connection that is closed right after it, so that their next request crosses the close.

Cause: whether the connection is to be closed was decided when the request had been read, before the wait for its answer.

Streams that have begun before the stop are as before.

Ruled out by the existing test: TestPlannedStopAnswersReadRequests asserts this but does not cause it; the in-memory network delivers after 1 us of virtual time, so that its request is read after the stop has begun.

--- a/ferry/ferryingress/conn.go
+++ b/ferry/ferryingress/conn.go
@@ -112,9 +112,6 @@
 		return false
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	if c.server.stopping.Load() {
-		c.w.closeAfter = true
-	}
 	c.handle(ctx, call)
 	if !c.w.ended || c.w.err != nil {
 		c.w.resetIncomplete()
--- a/ferry/ferryingress/server.go
+++ b/ferry/ferryingress/server.go
@@ -112,7 +112,7 @@
 }
 
 func (s *Server) add(nc net.Conn) *serverConn {
-	c := &serverConn{server: s, Conn: nc, w: writer{conn: nc}}
+	c := &serverConn{server: s, Conn: nc, w: writer{conn: nc, stopping: &s.stopping}}
 	c.limited = &limitedReader{r: nc}
 	c.br = bufio.NewReaderSize(c.limited, readBufferBytes)
 	s.wg.Add(1)
--- a/ferry/ferryingress/write.go
+++ b/ferry/ferryingress/write.go
@@ -29,10 +29,12 @@
 	headOnly   bool
 	minor      int
 	closeAfter bool
-	started    bool
-	chunked    bool
-	ended      bool
-	err        error
+	// stopping is set once the connection is to be closed after the answer.
+	stopping *atomic.Bool
+	started  bool
+	chunked  bool
+	ended    bool
+	err      error
 	// cutOff is set once the context of the server has ended.
 	cutOff atomic.Bool
 }
@@ -49,6 +51,7 @@
 		return errAnswered
 	}
 	w.started = true
+	w.closeAfter = w.closeAfter || (w.stopping != nil && w.stopping.Load())
 	fmt.Fprintf(&w.buf, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	_ = h.WriteSubset(&w.buf, writerHeaders)
 	if w.closeAfter {
