--- a/ferry/ferryingress/write.go
+++ b/ferry/ferryingress/write.go
@@ -51,9 +51,7 @@
 		return errAnswered
 	}
 	w.started = true
-	if w.stopping.Load() {
-		w.closeAfter = true
-	}
+	w.closeAfter = w.closeAfter || w.stopping.Load()
 	fmt.Fprintf(&w.buf, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	_ = h.WriteSubset(&w.buf, writerHeaders)
 	if w.closeAfter {
--- a/ferryd/ferryedge/harness_test.go
+++ b/ferryd/ferryedge/harness_test.go
@@ -101,6 +101,10 @@
 	store     *ferryplatformtest.Fake
 	listeners sync.Map
 	seeds     []string
+	// remote is the store as the edges see it.
+	remote ferryplatform.RemoteStore
+	// decode decodes the configuration.
+	decode func([]byte) (*ferryconfig.Snapshot, error)
 }
 
 // newTestFleet returns a fleet without edges whose upstream answers with the given handler.
@@ -108,6 +112,7 @@
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	f := &testFleet{t: t, clock: clock, store: ferryplatformtest.New(clock)}
+	f.remote, f.decode = f.store, decodeTestConfiguration
 	s := ferrynettest.Serve(upstream)
 	t.Cleanup(func() {
 		time.Sleep(time.Minute) // lets the goroutines of the edges end
@@ -134,11 +139,11 @@
 func (f *testFleet) start(name ferryid.EntryName, log *slowLog) *testEdge {
 	cfg := Config{
 		Name: name, Domain: "d", Callers: f.address(), Peers: f.address(), Seeds: f.seeds,
-		Clock: f.clock, Steady: f.clock, Log: zerolog.New(log), Store: f.store, Dialect: testDialect{},
+		Clock: f.clock, Steady: f.clock, Log: zerolog.New(log), Store: f.remote, Dialect: testDialect{},
 		Engines:    func(*ferryexchange.Client, *ferryforward.Observer) Engines { return nil },
 		Objectives: Objectives{ConfigWithin: 2 * time.Second, LeaveWithin: 2 * time.Second, Grace: testGrace, AnswerLifetime: 2 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: 100},
 		Objects: Objects{
-			ConfigurationKind: "config", ConfigurationName: "main", Configuration: decodeTestConfiguration,
+			ConfigurationKind: "config", ConfigurationName: "main", Configuration: f.decode,
 			UpstreamKind: "upstreams", Upstream: decodeTestUpstream,
 		},
 		Listen: func(_, address string) (net.Listener, error) {
--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -44,6 +44,10 @@
 	_ = e.callerListener.Close()
 	waitCtx, cancel := context.WithTimeout(ctx, e.cfg.Objectives.Grace-exitMargin-e.cfg.Clock.Since(began))
 	defer cancel()
+	select {
+	case <-e.accepted:
+	case <-waitCtx.Done():
+	}
 	err := e.ingress.Wait(waitCtx)
 	conns, calls := e.ingress.Open()
 	e.cfg.Log.Info().Dur("Took", e.cfg.Clock.Since(began)).Int64("OpenConnections", conns).Int64("OpenCalls", calls).AnErr("Left", err).Msg("planned stop finished")
@@ -57,6 +61,7 @@
 // awaitCut waits until the requests that the end of the process has cancelled have ended, so that each is logged, and no
 // answer without a length looks complete.
 func (e *Edge) awaitCut() {
+	<-e.accepted
 	e.ingress.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), cutTime)
 	defer cancel()
--- a/ferryd/ferryedge/stop_test.go
+++ b/ferryd/ferryedge/stop_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryconfig"
 )
 
 // TestCutRequestsEndBeforeTheProcess has more calls and streams that outlast the grace than lines may be written in a second, at an entry
@@ -72,3 +74,35 @@
 		})
 	}
 }
+
+// TestStuckDutyDoesNotKeepAStopBeyondItsGrace has a duty that goes on after its context has ended, as closing the link of a silent peer does.
+func TestStuckDutyDoesNotKeepAStopBeyondItsGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, goOn(20*time.Second))
+		release := make(chan struct{})
+		defer close(release)
+		f.decode = func(b []byte) (*ferryconfig.Snapshot, error) {
+			if string(b) == "2" {
+				<-release
+			}
+			return decodeTestConfiguration(b)
+		}
+		e := f.start("e1", &slowLog{})
+		e.send(t, "/events/x", "stream")
+		o, err := f.store.Get(t.Context(), "config", "main")
+		assert.NilError(t, err)
+		_, err = f.store.Put(t.Context(), "config", "main", o.Version, []byte("2"))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		began := time.Now()
+		e.terminate()
+		select {
+		case err := <-e.ended:
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(began) < testGrace, "the process ended after %s", time.Since(began))
+		case <-time.After(time.Minute):
+			t.Fatal("the process goes on a minute after its stop began")
+		}
+		assert.Assert(t, e.log.count(`"Request":"stream"`) > 0)
+	})
+}
