Relay: a list of a lost platform does not outlast its return

What callers could see: CONFIG, an entry that was cut off from the platform while it read directly knows changes only up to 3 s plus a pause of up to 1 s after the cut, though it counts as sound 3 s after it.

Trace: the list that begins at 3.8 s is lost, as is its second call; it ends at 6.8 s. The next begins at 6.85 s, 0.15 s before the way is sound, has no second call since the platform counts as lost, and ends at 9.85 s; with the pause the entry knows the change at 9.95 to 10.05 s.

Change: a direct list that begins while the platform counts as lost ends after 1.1 s (the age from which a view is of no use); the next call finds the way that works again.

--- a/ferry/ferryrelay/current_test.go
+++ b/ferry/ferryrelay/current_test.go
@@ -287,6 +287,28 @@
 	}
 }
 
+// TestListOfALostPlatformDoesNotOutlastItsReturn cuts an entry off for all lengths of time, until it can only list, and changes the object at the
+// end of the cut.
+func TestListOfALostPlatformDoesNotOutlastItsReturn(t *testing.T) {
+	for lasting := 3 * time.Second; lasting < 12*time.Second; lasting += 150 * time.Millisecond {
+		t.Run(lasting.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := followFleet(ctx, t, "a", "b")
+				time.Sleep(2 * time.Second)
+				f.store["b"].set(func() { f.store["b"].cut, f.store["b"].epoch = true, 1 })
+				f.change(func() { f.reader = "b" })
+				time.Sleep(lasting)
+				f.store["b"].set(func() { f.store["b"].cut = false })
+				f.write(t)
+				time.Sleep(settled)
+				assert.NilError(t, f.check())
+			})
+		})
+	}
+}
+
 // TestOutageCausesNoStorm takes the platform away from a whole fleet in silence. The entries must call it seldom
 // meanwhile, and know of a change in time once it is back.
 func TestOutageCausesNoStorm(t *testing.T) {
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -190,6 +190,12 @@
 	if lost := r.lostUntilRetry(kind, err); lost != nil {
 		return ferryplatform.Changes{}, lost
 	}
+	if !r.PlatformReachable() {
+		// The next call finds the way that works again.
+		var cancel context.CancelFunc
+		ctx, cancel = clockwork.WithTimeout(ctx, r.cfg.Clock, r.budget(kind).stale)
+		defer cancel()
+	}
 	v, err := hedge(ctx, r, listCalls*r.budget(kind).call, func(ctx context.Context, _ bool) (view, error) {
 		at := r.cfg.Clock.Now()
 		c, err := r.cfg.Platform.List(ctx, kind)
