ferryroom, ferryadmission: memory of a failure domain and admission by rank

Cause: design 0017; requests beyond the memory of the engines are refused late and without regard to their priority. Change: the two pure packages, compiling and not used yet.

--- /dev/null
+++ b/ferry/ferryadmission/ramp.go
@@ -0,0 +1,45 @@
+package ferryadmission
+
+// Ramp sets the fills at which ranks are refused. The most urgent rank is refused with a probability that rises
+// from 0 to 1 as the fill rises from Start to Start+Width; the ramp of each less urgent rank begins Step lower.
+type Ramp struct {
+	Start, Width, Step float64
+	// Floor is the minimum admitted share of a rank. A rank with less urgent ones below it is never admitted at a
+	// lower share than those, so the floor ends where the share of the most urgent rank falls below it.
+	Floor float64
+}
+
+// DefaultRamp holds the initial values of design 0017.
+var DefaultRamp = Ramp{Start: 0.85, Width: 0.15, Step: 0.12, Floor: 0.35}
+
+// minStart is the lowest fill at which the ramp of any rank begins, so that engines that are half empty refuse
+// nobody. With more ranks than fit above it, the ramps are moved closer together.
+const minStart = 0.5
+
+// bounded returns the ramp with impossible values replaced: the defaults if Start or Width is not above 0 or not a
+// number, and a Step and Floor that keep to the limits.
+func (r Ramp) bounded(ranks int) Ramp {
+	if !(r.Start > 0 && r.Width > 0) {
+		r = DefaultRamp
+	}
+	if !(r.Step >= 0) {
+		r.Step = DefaultRamp.Step
+	}
+	if !(r.Floor >= 0 && r.Floor <= 1) {
+		r.Floor = DefaultRamp.Floor
+	}
+	if ranks > 1 {
+		r.Step = min(r.Step, max(0, r.Start-minStart)/float64(ranks-1))
+	}
+	return r
+}
+
+// share returns the admitted share of a rank at a fill, without regard to other ranks.
+func (r Ramp) share(rank Rank, fill float64) float64 {
+	start := r.Start - r.Step*float64(rank)
+	s := 1 - min(1, max(0, (fill-start)/r.Width))
+	if rank > 0 {
+		s = max(s, r.Floor)
+	}
+	return s
+}
--- /dev/null
+++ b/ferry/ferryroom/doc.go
@@ -0,0 +1,2 @@
+// Package ferryroom computes from engine reports how much KV cache memory a failure domain has left.
+package ferryroom
