Admission by rank: ranks from the configuration, decision before the first send

Cause: the most urgent streams were served worst when demand exceeded the engines' memory; priorities of routes and customers were decoded and read by nothing.

Change: a service whose routes have different priorities has ranks; streams are refused by rank while the engines are short of memory, before anything is sent; engines get the rank as their priority. Services with one priority are served as before.

--- a/ferry/ferryadmission/admission.go
+++ b/ferry/ferryadmission/admission.go
@@ -132,3 +132,6 @@
 	d = min(max(d, minRetryAfter), maxRetryAfter)
 	return d + time.Duration(c.random.Float64()*float64(d))
 }
+
+// Ranks returns the number of ranks.
+func (c *Core) Ranks() int { return len(c.ranks) }
--- a/ferry/ferryconfig/configuration.go
+++ b/ferry/ferryconfig/configuration.go
@@ -34,7 +34,7 @@
 type Customer struct {
 	Name ferryid.CustomerName
 	Keys []Key
-	// Priority overrides the route's priority if it is set.
+	// Priority goes before the route's priority if it is set; see Rank.
 	Priority *Priority
 }
 
--- a/ferry/ferryconfig/snapshot.go
+++ b/ferry/ferryconfig/snapshot.go
@@ -14,6 +14,7 @@
 	hosts    map[string][]*Route
 	services map[ferryid.ServiceName]*Service
 	keys     map[Key]*Customer
+	ranks    rankings
 }
 
 // NewSnapshot checks and indexes a configuration, which must not be modified afterwards.
@@ -26,6 +27,7 @@
 		hosts:         map[string][]*Route{},
 		services:      make(map[ferryid.ServiceName]*Service, len(c.Services)),
 		keys:          map[Key]*Customer{},
+		ranks:         newRankings(c),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/ferry/ferryforward/dialect.go
+++ b/ferry/ferryforward/dialect.go
@@ -39,8 +39,16 @@
 	Path *ferrypath.Path
 	// After is the id of the event after which a stream resumes, or empty.
 	After string
+	// Priority is the priority of a generation among those that wait at an engine, or nil for the engine's default.
+	Priority *EnginePriority
 }
 
+// EnginePriority is the priority of a generation at an engine, from 0 for the most urgent to MaxEnginePriority.
+type EnginePriority int
+
+// MaxEnginePriority is the least urgent priority.
+const MaxEnginePriority EnginePriority = 9
+
 // AnswerInfo holds the values decoded from the headers of an upstream's answer.
 type AnswerInfo struct {
 	// NotRun is set when the upstream states that it did not run the request.
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -202,6 +202,9 @@
 	if r.service == nil {
 		return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "The route's service is not known here yet.").WithRetryAfter(retryAfterRestart)
 	}
+	if r.service.chooser != nil {
+		r.rank, r.ranks = s.Rank(r.service.name, r.route, s.Customer(r.Key)), s.Ranks(r.service.name)
+	}
 	r.header = ferryexchange.EndToEndHeaders(c.Header)
 	return nil
 }
--- a/ferry/ferryforward/request.go
+++ b/ferry/ferryforward/request.go
@@ -21,6 +21,9 @@
 	route    *ferryconfig.Route
 	service  *service
 	customer ferryid.CustomerName
+	// rank is the rank of the request at its service, which has ranks of them.
+	rank  ferryconfig.Rank
+	ranks int
 	// version is the configuration under which the request was admitted, and proofAge the age that the proof
 	// of its being current had at that time.
 	version  ferryconfig.Version
@@ -63,6 +66,9 @@
 	if r.customer != "" {
 		ev.Str("Customer", string(r.customer))
 	}
+	if r.ranks > 1 {
+		ev.Int("Rank", int(r.rank))
+	}
 	return ev
 }
 
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"cactusferry.dev/ferry/ferryadmission"
 	"cactusferry.dev/ferry/ferrybalance"
 	"cactusferry.dev/ferry/ferrybudget"
 	"cactusferry.dev/ferry/ferryconfig"
@@ -26,6 +27,9 @@
 	moves      drainMoves
 	isolation  isolation
 	times      streamTimes
+	// admission decides which requests are refused while the engines are short of memory; it holds nil if all routes
+	// of the service have the same priority.
+	admission atomic.Pointer[ferryadmission.Core]
 	// inDomain is the number of entries in this failure domain.
 	inDomain atomic.Int64
 }
@@ -180,6 +184,7 @@
 		if sv.chooser != nil {
 			sv.chooser.Set(c.Model, upstreams)
 		}
+		sv.setRanks(s.config.Ranks(c.Name), s.cfg.Clock)
 		next[c.Name] = sv
 	}
 	s.current.Store(&next)
--- /dev/null
+++ b/ferry/ferryforward/shed.go
@@ -0,0 +1,52 @@
+package ferryforward
+
+import (
+	"github.com/jonboulle/clockwork"
+
+	"cactusferry.dev/ferry/ferryadmission"
+	"cactusferry.dev/ferry/ferryoutcome"
+)
+
+// setRanks sets the number of ranks of the service's requests. The counts of customers are kept while it stays the
+// same.
+func (s *service) setRanks(n int, clock clockwork.Clock) {
+	switch core := s.admission.Load(); {
+	case n <= 1 || s.chooser == nil:
+		s.admission.Store(nil)
+	case core == nil || core.Ranks() != n:
+		s.admission.Store(ferryadmission.New(ferryadmission.Config{Clock: clock, Ranks: n}))
+	}
+}
+
+// shed returns the problem of a request that is refused because the engines are short of memory and more urgent
+// requests need it, or nil. A stream that continues an earlier one is not refused: most of its work may be done.
+func (f *Forwarder) shed(r *request) *ferryoutcome.Problem {
+	core := r.service.admission.Load()
+	if core == nil || r.After != "" {
+		return nil
+	}
+	room := r.service.chooser.Room()
+	d := core.Decide(ferryadmission.Request{Rank: ferryadmission.Rank(r.rank), Customer: r.customer, Tokens: r.Prompt + r.expectedTokens()}, room)
+	f.metrics.fill(r.service.name, room.Fill)
+	refused, ok := d.(ferryadmission.Refused)
+	if !ok {
+		f.metrics.decided(r.service.name, r.rank, "admitted")
+		return nil
+	}
+	f.metrics.decided(r.service.name, r.rank, "refused")
+	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The engines are short of memory: %.2f used at layer %d; %.2f of the requests of rank %d are admitted.",
+		room.Fill, room.Layer, refused.Share, r.rank).WithRetryAfter(refused.RetryAfter)
+}
+
+// enginePriority returns the priority of the request at an engine, or nil if all requests of the service have the
+// same rank.
+func (r *request) enginePriority() *EnginePriority {
+	if r.ranks <= 1 {
+		return nil
+	}
+	p := EnginePriority(r.rank)
+	if r.ranks > int(MaxEnginePriority)+1 {
+		p = EnginePriority(int(r.rank) * int(MaxEnginePriority) / (r.ranks - 1))
+	}
+	return &p
+}
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -57,6 +57,10 @@
 
 // stream runs a request at one destination after another until its stream is complete.
 func (f *Forwarder) stream(ctx context.Context, r *request) {
+	if p := f.shed(r); p != nil {
+		f.answerProblem(r, p)
+		return
+	}
 	s := &callerStream{Forwarder: f, r: r, succession: succession{position: newPosition(r.After)}}
 	defer s.discardReplacement()
 	var last *ferryoutcome.Problem
@@ -176,6 +180,7 @@
 	o := OutgoingInfo{Instance: dest.first().Name, Timeout: s.r.remaining(s.cfg.Clock.Now()), Customer: s.r.customer, After: after}
 	if c, ok := dest.(enginePath); ok {
 		o.Path = c.run.Path()
+		o.Priority = s.r.enginePriority()
 	}
 	a, err := s.cfg.Client.Do(ctx, dest.first().Address, s.r.outgoing(s.cfg.Dialect, o))
 	if err == nil {
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -48,6 +48,7 @@
 	runs map[*Run]struct{}
 	// entries counts the entries that accept calls, by failure domain.
 	entries map[ferryid.DomainName]int
+	room    roomState
 }
 
 // NewChooser returns a chooser without engines.
