--- a/ferrybench/ferryexperiment/simulation.go
+++ b/ferrybench/ferryexperiment/simulation.go
@@ -28,12 +28,14 @@
 	Route       ferryservice.RoutePolicy `json:"Route"`
 	WaitingList bool                     `json:"WaitingList"`
 	ExcessShare float64                  `json:"ExcessShare,omitempty"`
+	// Admission is admission by rank, which only runs of package ferryshortage use.
+	Admission bool `json:"Admission,omitempty"`
 }
 
 // The two policies of every comparison.
 var (
 	Baseline = Policy{Name: "baseline", Queue: ferryservice.QueueFifo, Route: ferryservice.RouteRandom}
-	Present  = Policy{Name: "now", Queue: ferryservice.QueueFair, Route: ferryservice.RouteLeast}
+	Present  = Policy{Name: "now", Queue: ferryservice.QueueFair, Route: ferryservice.RouteLeast, Admission: true}
 )
 
 // simulation is the state of one run: entries, simulated units and pending events.
--- a/ferrybench/point.go
+++ b/ferrybench/point.go
@@ -37,6 +37,7 @@
 	{4, "slow", measureSlow},
 	{5, "fairness", measureFairness},
 	{6, "entries", measureEntries},
+	{8, "shortage", measureShortage},
 }
 
 // measurePoint runs both policies on the same arrivals.
