--- a/ferry/ferryadmission/admission_test.go
+++ b/ferry/ferryadmission/admission_test.go
@@ -287,16 +287,45 @@
 // TestRampIsBounded guards against ramps of many ranks that begin at or below an empty engine, and against
 // settings that refuse all requests.
 func TestRampIsBounded(t *testing.T) {
-	nan := math.NaN()
-	for _, r := range []Ramp{{}, {Start: nan, Width: 1}, {Start: 1, Width: nan, Step: nan, Floor: nan}, {Start: 0.8, Width: 0.1, Step: 9, Floor: 7}, {Start: 0.3, Width: 0.1, Step: 0.1}} {
-		b := r.bounded(10)
-		for rank := range Rank(10) {
-			assert.Equal(t, b.share(rank, min(minStart, b.Start)), 1.0, "%+v, rank %d", r, rank)
-			assert.Assert(t, b.share(rank, math.Inf(1)) >= 0, "%+v, rank %d", r, rank)
+	nan, inf := math.NaN(), math.Inf(1)
+	for _, r := range []Ramp{
+		{},
+		{Start: nan, Width: 1},
+		{Start: inf, Width: 1},
+		{Start: 0.8, Width: inf},
+		{Start: 1, Width: nan, Step: nan, Floor: nan},
+		{Start: 0.8, Width: 0.1, Step: inf},
+		{Start: 0.8, Width: 0.1, Step: 9, Floor: 7},
+		{Start: 0.3, Width: 0.1, Step: 0.1},
+	} {
+		for _, ranks := range []int{1, 10} {
+			b := r.bounded(ranks)
+			for rank := range Rank(ranks) {
+				assert.Equal(t, b.share(rank, min(minStart, b.Start)), 1.0, "%+v, rank %d of %d", r, rank, ranks)
+				s := b.share(rank, inf)
+				assert.Assert(t, s >= 0 && s < 1, "%+v, rank %d of %d: %v", r, rank, ranks, s)
+			}
 		}
 	}
 }
 
+// TestSnapshot guards against an operator who can't tell why a customer was refused: its part of the requests and its
+// share follow from the same state as the decisions.
+func TestSnapshot(t *testing.T) {
+	b := newBench(2, 13)
+	streams := append(customersOf(1, 4, 1), stream{1, "mill", 16})
+	b.run(2*time.Minute, streams, filled(0.79))
+	r := b.core.Snapshot().Ranks[1]
+	assert.Assert(t, math.Abs(r.Share-0.6) < 1e-9, "%v", r.Share)
+	assert.Equal(t, len(r.Customers), 5)
+	mill := r.Customers[4]
+	assert.Equal(t, mill.Customer, ferryid.CustomerName("mill"))
+	assert.Assert(t, mill.Part > 0.7 && mill.Part < 0.9 && mill.Share < r.Share, "%+v", mill)
+	for _, c := range r.Customers[:4] {
+		assert.Assert(t, c.Part < 0.15 && c.Share > r.Share, "%+v", c)
+	}
+}
+
 // TestIdleCustomersAreForgotten guards against memory that grows with the number of customers ever seen.
 func TestIdleCustomersAreForgotten(t *testing.T) {
 	b := newBench(1, 10)
@@ -311,6 +340,8 @@
 	assert.Equal(t, len(s.Customers), 1)
 	assert.Equal(t, s.Arrived, uint64(3*maxCustomers+1))
 	assert.Equal(t, s.Arrived, s.Admitted+s.Refused)
+	b.clock.Advance(24 * time.Hour)
+	assert.Equal(t, len(b.core.Snapshot().Ranks[0].Customers), 0)
 }
 
 // TestDecideDoesNotAllocate guards against garbage for each decision, in particular for each refusal.
--- a/ferry/ferryadmission/customer.go
+++ b/ferry/ferryadmission/customer.go
@@ -30,13 +30,14 @@
 	at    time.Time
 }
 
+// count returns the count at a time.
+func (d *decayed) count(now time.Time) float64 {
+	return d.value * math.Exp(-float64(max(0, now.Sub(d.at)))/float64(decayTime))
+}
+
 // add counts one arrival and returns the count.
 func (d *decayed) add(now time.Time) float64 {
-	if dt := now.Sub(d.at); dt > 0 {
-		d.value *= math.Exp(-float64(dt) / float64(decayTime))
-		d.at = now
-	}
-	d.value++
+	d.value, d.at = d.count(now)+1, now
 	return d.value
 }
 
--- a/ferry/ferryadmission/ramp.go
+++ b/ferry/ferryadmission/ramp.go
@@ -4,8 +4,9 @@
 // from 0 to 1 as the fill rises from Start to Start+Width; the ramp of each less urgent rank begins Step lower.
 type Ramp struct {
 	Start, Width, Step float64
-	// Floor is the minimum admitted share of a rank. A rank with less urgent ones below it is never admitted at a
-	// lower share than those, so the floor ends where the share of the most urgent rank falls below it.
+	// Floor is the minimum admitted share of the ranks other than the most urgent. It is a share of tries: of callers
+	// that try twice, 1-(1-Floor)^2 are admitted. No rank is admitted at a higher share than a more urgent one, so
+	// the floor ends where the share of the most urgent rank falls below it.
 	Floor float64
 }
 
@@ -16,13 +17,16 @@
 // nobody. With more ranks than fit above it, the ramps are moved closer together.
 const minStart = 0.5
 
-// bounded returns the ramp with impossible values replaced: the defaults if Start or Width is not above 0 or not a
-// number, and a Step and Floor that keep to the limits.
+// maxFill is the upper bound of Start and Width, far above any fill that engines report.
+const maxFill = 10
+
+// bounded returns the ramp with impossible values replaced: by the defaults if Start or Width is not above 0 and at
+// most maxFill, by the default Step or Floor if that one is not from 0 to 1.
 func (r Ramp) bounded(ranks int) Ramp {
-	if !(r.Start > 0 && r.Width > 0) {
+	if !(r.Start > 0 && r.Start <= maxFill && r.Width > 0 && r.Width <= maxFill) {
 		r = DefaultRamp
 	}
-	if !(r.Step >= 0) {
+	if !(r.Step >= 0 && r.Step <= 1) {
 		r.Step = DefaultRamp.Step
 	}
 	if !(r.Floor >= 0 && r.Floor <= 1) {
--- a/ferry/ferryadmission/snapshot.go
+++ b/ferry/ferryadmission/snapshot.go
@@ -24,7 +24,7 @@
 	Counts
 	// Share is the share of the rank that was admitted at the last decision.
 	Share float64
-	// Customers are the customers with recent requests, in order of name.
+	// Customers are the customers with requests within a minute, in order of name.
 	Customers []CustomerSnapshot
 }
 
@@ -32,20 +32,39 @@
 type CustomerSnapshot struct {
 	Customer ferryid.CustomerName
 	Counts
+	// Part is the customer's part of the recent requests of the rank, and Share the share of its requests that is
+	// currently admitted.
+	Part, Share float64
 }
 
 // Snapshot returns a copy of the counts.
 func (c *Core) Snapshot() Snapshot {
+	out := c.unsorted()
+	for i := range out.Ranks {
+		slices.SortFunc(out.Ranks[i].Customers, func(a, b CustomerSnapshot) int { return cmp.Compare(a.Customer, b.Customer) })
+	}
+	return out
+}
+
+// unsorted returns a Snapshot without the order of customers, so that decisions don't wait for the sorting.
+func (c *Core) unsorted() Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock.Now()
 	out := Snapshot{Ranks: make([]RankSnapshot, len(c.ranks))}
 	for i := range c.ranks {
 		r := &c.ranks[i]
-		s := RankSnapshot{Rank: Rank(i), Counts: r.counts, Share: r.share}
+		s := RankSnapshot{Rank: Rank(i), Counts: r.counts, Share: r.share, Customers: make([]CustomerSnapshot, 0, len(r.customers.byName))}
+		total := r.customers.total.count(now)
 		for name, cu := range r.customers.byName {
-			s.Customers = append(s.Customers, CustomerSnapshot{Customer: name, Counts: cu.counts})
+			if now.Sub(cu.arrivals.at) > idleTime {
+				continue
+			}
+			part := cu.arrivals.count(now) / total
+			s.Customers = append(s.Customers, CustomerSnapshot{
+				Customer: name, Counts: cu.counts, Part: part, Share: r.customers.admitted(part, r.share),
+			})
 		}
-		slices.SortFunc(s.Customers, func(a, b CustomerSnapshot) int { return cmp.Compare(a.Customer, b.Customer) })
 		out.Ranks[i] = s
 	}
 	return out
