Model: one copy of the formulas for request memory and token time

Cause: ferrypath computes an engine's memory for requests and its time for a token privately; an upper bound of a placement needs the same formulas. Paths are selected as before.

--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -245,7 +245,7 @@
 		l.Avoid = true
 		return
 	}
-	t := time.Duration(float64(tokenTime(c.model, e.kind, e.up.Layers.Len(), c.running(e, now)+1)) * e.pace(now))
+	t := time.Duration(float64(c.model.TokenTime(e.kind, e.up.Layers.Len(), c.running(e, now)+1)) * e.pace(now))
 	l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
 	l.Avoid = (cons.healthy && (e.pace(now) >= slowPace || !e.health.Usable(now, true))) ||
 		(cons.fits && !c.fits(e, w, now, cons)) || excluded(w.Avoid, e)
@@ -333,7 +333,7 @@
 		fill = preferredFill
 	}
 	if !e.reportFresh(now) || e.reported.Room == 0 {
-		share := overcommit * float64(requestMemory(c.model, e.kind, int(layers))) / float64(c.entriesSharing(e))
+		share := overcommit * float64(c.model.RequestMemory(e.kind, int(layers))) / float64(c.entriesSharing(e))
 		return e.running == 0 || float64(e.held+work) <= fill*share
 	}
 	factor := newWorkFactor
--- a/ferry/ferrypath/engine.go
+++ b/ferry/ferrypath/engine.go
@@ -51,24 +51,3 @@
 	}
 	return max(1, e.reported.Pace)
 }
-
-// requestMemory returns the memory left beside the layers, in tokens times layers.
-func requestMemory(m *ferryconfig.Model, kind ferryconfig.Accelerator, layers int) int64 {
-	free := float64(kind.Memory) - float64(layers)*float64(m.LayerSize)
-	perTokenLayer := float64(m.TokenBytes) / float64(m.Layers)
-	if free <= 0 || perTokenLayer <= 0 {
-		return 0
-	}
-	return int64(free * bytesPerMegabyte / perTokenLayer)
-}
-
-const bytesPerMegabyte = 1e6
-
-// tokenTime returns the time of one token through the engine's layers with the given
-// number of running generations.
-func tokenTime(m *ferryconfig.Model, kind ferryconfig.Accelerator, layers, running int) time.Duration {
-	share := float64(layers) / float64(m.Layers)
-	context := float64(m.ContextTime) * float64(m.UsualPrompt+m.UsualAnswer/2) / 1000
-	step := float64(m.StepTime) + float64(running)*(float64(m.RequestTime)+context)
-	return time.Duration(step * kind.StepFactor * share)
-}
