--- a/ferry/ferryadmission/admission_test.go
+++ b/ferry/ferryadmission/admission_test.go
@@ -384,23 +384,28 @@
 		}
 		fill := rapid.Float64Range(0.4, 1.1).Draw(t, "fill")
 		b.run(2*time.Minute, streams, filled(fill))
-		shares, before := b.core.Snapshot().Ranks, 1.0
-		for _, r := range shares {
-			share, err := admittedShare(r.Counts)
-			assert.Assert(t, share <= before+3*err+0.02, "%+v", shares)
-			before = share
+		shares := b.core.Snapshot().Ranks
+		for i, r := range shares {
+			share, err := admittedShare(r.Counts, r.Share)
+			assert.Assert(t, math.Abs(share-r.Share) <= 0.02+4*err, "%+v", r)
+			if i > 0 {
+				before, beforeErr := admittedShare(shares[i-1].Counts, shares[i-1].Share)
+				assert.Assert(t, r.Share <= shares[i-1].Share, "%+v", shares)
+				assert.Assert(t, share <= before+0.02+4*math.Hypot(err, beforeErr), "%+v", shares)
+			}
 			for _, c := range r.Customers {
-				s, err := admittedShare(c.Counts)
-				assert.Assert(t, s >= 0.25*share-3*err, "%+v of %+v", c, r.Counts)
+				s, err := admittedShare(c.Counts, 0.25*r.Share)
+				assert.Assert(t, c.Share >= 0.25*r.Share, "%+v of %+v", c, r.Counts)
+				assert.Assert(t, s >= 0.25*r.Share-4*err, "%+v of %+v", c, r.Counts)
 			}
 		}
 	})
 }
 
-// admittedShare returns the admitted share of the requests and its standard error.
-func admittedShare(c Counts) (share, err float64) {
-	share = float64(c.Admitted) / float64(c.Arrived)
-	return share, math.Sqrt((share*(1-share) + 1/float64(c.Arrived)) / float64(c.Arrived))
+// admittedShare returns the admitted share of the requests and its standard error if expected is admitted.
+func admittedShare(c Counts, expected float64) (share, err float64) {
+	n := float64(c.Arrived)
+	return float64(c.Admitted) / n, math.Sqrt((expected*(1-expected) + 1/n) / n)
 }
 
 // BenchmarkAdmission measures decisions for 4,500 customers in three ranks while nearly all requests are refused.
