Log: the last line of each upstream tells its state

Cause: an answer with more than 32 changed upstreams logged 32 of them and the number of the rest; a list or an upstream that expired after an outage logged none. The last line of an upstream could be wrong for good.

Lines of one upstream are written in order. TestLogOfManyChangesIsBounded now sets a clock; its checks are the same.

--- a/ferry/ferrydiscovery/table.go
+++ b/ferry/ferrydiscovery/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"sync"
@@ -57,6 +58,9 @@
 // Len returns the number of upstreams.
 func (v *View) Len() int { return len(v.byName) }
 
+// All returns the upstreams in any order. They must not be modified.
+func (v *View) All() iter.Seq[*Upstream] { return maps.Values(v.byName) }
+
 // Table is the table of upstreams. All methods are safe for concurrent use.
 type Table struct {
 	clock clockwork.Clock
--- a/ferryd/ferryedge/condition_test.go
+++ b/ferryd/ferryedge/condition_test.go
@@ -75,7 +75,7 @@
 // TestLogOfManyChangesIsBounded has all engines of a fleet change in one answer.
 func TestLogOfManyChangesIsBounded(t *testing.T) {
 	var b bytes.Buffer
-	e := &Edge{cfg: Config{Log: zerolog.New(&b)}}
+	e := &Edge{cfg: Config{Log: zerolog.New(&b), Clock: clockwork.NewFakeClock()}}
 	var changes []ferrydiscovery.Change
 	for i := range 3000 {
 		changes = append(changes, ferrydiscovery.Change{Upstream: ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: fmt.Sprint("e", i)}, Version: ferryplatform.Version(i + 1)}})
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -98,6 +98,8 @@
 	// crashReports counts the crashes that this entry has reported.
 	crashReports atomic.Uint32
 	metrics      *ferrymetrics.Metrics
+	// unlogged are the upstreams' states that have no log line yet.
+	unlogged unlogged
 }
 
 // New assembles an edge; Run starts it.
@@ -222,7 +224,7 @@
 	g.Go(func() error { return e.readPlatform(ctx) })
 	for name, duty := range map[string]func(context.Context){
 		"upstream expiry": e.expireUpstreams, "placement": e.placement.run, "placement lease": e.placement.runLease, "state sharing": e.shareEntryState,
-		"condition reader": e.readConditions, "probes of engines that are down": e.probeDown, "connection sweep": e.sweep,
+		"condition reader": e.readConditions, "probes of engines that are down": e.probeDown, "connection sweep": e.sweep, "late lines of upstreams": e.writeUnlogged,
 	} {
 		g.Go(func() error { return e.guard.Loop(ctx, name, duty) })
 	}
--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cactusferry.dev/ferry/ferrydiscovery"
 	"cactusferry.dev/ferry/ferryplatform"
 )
@@ -25,7 +27,9 @@
 			list = append(list, u)
 		}
 	}
+	before := w.upstreams.View()
 	w.upstreams.Replace(list, c.Version)
+	w.logDifferences(before, w.upstreams.View())
 	w.upstreamsListed.Store(true)
 	w.setReadyIfListed()
 }
@@ -73,24 +77,34 @@
 	return u, true
 }
 
-// logChanges logs the changes of one answer, and the number of those beyond maxLoggedChanges.
+// logChanges logs the first changes of one answer, and the number of those beyond maxLoggedChanges, of which only the
+// newest state of each upstream is logged later.
 func (w upstreamWatcher) logChanges(changes []ferrydiscovery.Change) {
-	for i, c := range changes {
-		if i == maxLoggedChanges {
-			w.cfg.Log.Info().Int("Upstreams", len(changes)-i).Uint64("FirstRevision", uint64(c.Upstream.Version)).
-				Uint64("LastRevision", uint64(changes[len(changes)-1].Upstream.Version)).Msg("further upstreams changed")
-			return
-		}
-		w.logChange(c.Upstream, c.Removed)
+	w.unlogged.mu.Lock()
+	defer w.unlogged.mu.Unlock()
+	direct, rest := changes[:min(len(changes), maxLoggedChanges)], changes[min(len(changes), maxLoggedChanges):]
+	for _, c := range direct {
+		w.unlogged.logged(c.Upstream.Name)
+		logChange(w.cfg.Log.Info(), c)
+	}
+	if len(rest) == 0 {
+		return
+	}
+	w.cfg.Log.Info().Int("Upstreams", len(rest)).Uint64("FirstRevision", uint64(rest[0].Upstream.Version)).
+		Uint64("LastRevision", uint64(rest[len(rest)-1].Upstream.Version)).Msg("further upstreams changed")
+	now := w.cfg.Clock.Now()
+	for _, c := range rest {
+		w.unlogged.add(c, now)
 	}
 }
 
-func (w upstreamWatcher) logChange(u ferrydiscovery.Upstream, removed bool) {
-	if removed {
-		w.cfg.Log.Info().Str("Upstream", u.Name).Uint64("Revision", uint64(u.Version)).Msg("upstream removed")
+func logChange(ev *zerolog.Event, c ferrydiscovery.Change) {
+	u := &c.Upstream
+	if c.Removed {
+		ev.Str("Upstream", u.Name).Uint64("Revision", uint64(u.Version)).Msg("upstream removed")
 		return
 	}
-	w.cfg.Log.Info().Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("Domain", string(u.FailureDomain)).Str("Accelerator", u.Accelerator).Str("State", string(u.State)).
+	ev.Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("Domain", string(u.FailureDomain)).Str("Accelerator", u.Accelerator).Str("State", string(u.State)).
 		Stringer("Layers", u.Layers).Uint64("Revision", uint64(u.Version)).Msg("upstream changed")
 }
 
@@ -100,6 +114,8 @@
 
 func (e *Edge) expireUpstreams(ctx context.Context) {
 	for e.pause(ctx, expireInterval) {
+		before := e.upstreams.View()
 		e.upstreams.Expire()
+		e.logDifferences(before, e.upstreams.View())
 	}
 }
