Paths: planned moves are counted, spread and remember refusals

Cause: a detour was counted only after its order had been carried out, so that all streams of an entry that moved at the same time took the same engine; a refused move left no trace, so that the next stream was sent there too. A run that ended while it was moved stayed counted on its new engines for good.

Change: PlanMove counts the memory of a move until it is done, cancelled or refused. Where the streams that move need more than a quarter of an engine's free memory, moves are spread at random, weighted by free memory; the remainder of an even share goes to as many entries as it has room for. An engine that refused a move gets none until it has reported or 2 s have passed; without a named engine, after two refusals. A named refusal also counts as that of a run. Detour is unchanged; with more room PlanMove returns its path (TestMovesAreAsBeforeWithRoom).

--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"sync"
@@ -28,6 +29,8 @@
 	// Domain is the failure domain of this entry. Paths are kept inside it where possible: a path that begins
 	// there causes no traffic between this entry and other domains.
 	Domain ferryid.DomainName
+	// Random is the source of random numbers; nil means the process's own.
+	Random rand.Source
 }
 
 // Chooser selects paths over the engines of one service. All methods are safe for concurrent use.
@@ -223,6 +226,8 @@
 	reserve bool
 	// moving is set for a running generation. Other entries probably move theirs at the same time.
 	moving bool
+	// movesPart is the part of those others that must fit too, all if it is zero.
+	movesPart float64
 	// present is set for an engine that already runs the generation.
 	present bool
 	// asOf replaces the time at which engines must want requests; it is zero for the present time.
@@ -346,7 +351,7 @@
 	}
 	if cons.moving {
 		// The moves that this one stands for.
-		work *= int64(factor)
+		work = movingWork(work, factor, cons.movesPart)
 	}
 	return float64(used+work) <= fill*float64(e.reported.Room)
 }
--- a/ferry/ferrypath/engine.go
+++ b/ferry/ferrypath/engine.go
@@ -25,6 +25,8 @@
 	reportedAt      time.Time
 	heldAtReport    int64
 	runningAtReport int
+	moveRefusals    moveRefusals
+	movesDraw       movesDraw
 }
 
 // Condition is an engine's report of its load.
