Reroutes: fewer orders that are refused, counted by result

Orders were repeated at each check without a bound, also for streams that the first engine did not run and for those whose first engine was known to be dead.

Counters reroute_orders (by result) and reroutes_not_ordered (by why).

--- a/ferry/ferryforward/metrics.go
+++ b/ferry/ferryforward/metrics.go
@@ -52,3 +52,13 @@
 func (m metrics) blocked(s ferryid.ServiceName) {
 	m.scope.Tagged(map[string]string{"service": string(s)}).Counter("requests_blocked").Inc(1)
 }
+
+// rerouteOrdered counts a reroute order by its result.
+func (m metrics) rerouteOrdered(s ferryid.ServiceName, result rerouteResult) {
+	m.scope.Tagged(map[string]string{"service": string(s), "result": string(result)}).Counter("reroute_orders").Inc(1)
+}
+
+// rerouteSkipped counts a needed move for which no order was sent, by the reason.
+func (m metrics) rerouteSkipped(s ferryid.ServiceName, why rerouteSkip) {
+	m.scope.Tagged(map[string]string{"service": string(s), "why": string(why)}).Counter("reroutes_not_ordered").Inc(1)
+}
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -32,8 +32,6 @@
 	eventGapShare   = 0.5
 	// livenessTTL is how long an event counts as proof that the engines of its path are alive.
 	livenessTTL = 40 * time.Millisecond
-	// rerouteTimeout is the timeout of one reroute order.
-	rerouteTimeout = 300 * time.Millisecond
 	// hostOverloadFactor multiplies the suspect limits while this machine is overloaded.
 	hostOverloadFactor = 4
 	// suspectGapFactor is the multiple of a run's mean gap between events from which its silence is suspect.
@@ -47,11 +45,6 @@
 // errRestartElsewhere ends a run that is better replaced by a new run in another failure domain.
 var errRestartElsewhere = errors.New("run ended: failure domain no longer holds all layers")
 
-// Rerouter moves a run in progress to another path that starts with the same engine.
-type Rerouter interface {
-	Reroute(ctx context.Context, id ferryid.RequestID, p *ferrypath.Path) error
-}
-
 // watchdog supervises one run. When events stop it replaces the run; over a path of engines it first probes the
 // engines and reroutes the run around those that are unreachable or slow.
 type watchdog struct {
@@ -81,6 +74,8 @@
 	// lastSlowReroute is the time of the last move off slow engines. Only check uses it, and its calls never
 	// overlap.
 	lastSlowReroute time.Time
+	// orders are the run's reroute orders.
+	orders rerouteOrders
 	// seenVersion is the version of the engines at the last drain check; only the forwarding goroutine uses it.
 	seenVersion int64
 }
@@ -258,56 +253,6 @@
 	return d.mayReplace && d.r.service.budget.Remaining() > 0
 }
 
-// BlockedError reports the engine of a path that prevents a run from being moved to that path.
-type BlockedError struct {
-	Address string
-	Err     error
-}
-
-func (e *BlockedError) Error() string {
-	return "reroute blocked by engine at " + e.Address + ": " + e.Err.Error()
-}
-
-// Unwrap returns the error of the blocking engine.
-func (e *BlockedError) Unwrap() error { return e.Err }
-
-// maxDetours is the maximum number of paths tried in one reroute.
-const maxDetours = 3
-
-// reroute moves the run to a path without the named engines and reports whether it succeeded. It may instead
-// start a replacement in another failure domain, which counts as success.
-func (d *watchdog) reroute(excluded []ferryid.UpstreamName, engineLost bool) bool {
-	for range maxDetours {
-		to, err := d.run.Detour(excluded)
-		if err == nil && engineLost && to.Crossings() > d.run.Path().Crossings() && d.canReplace() {
-			// A move would transfer all computed state between domains; a new run recomputes it faster.
-			d.replaceRun(errRestartElsewhere)
-			return true
-		}
-		if err == nil {
-			ctx, cancel := context.WithTimeout(context.Background(), rerouteTimeout)
-			err = d.cfg.Rerouter.Reroute(ctx, d.r.ID, to)
-			cancel()
-		}
-		if err == nil {
-			from := formatDestination(enginePath{d.run})
-			d.run.SwitchTo(to)
-			// The new engines first compute the run's state again.
-			d.last.Store(int64(d.cfg.Clock.Since(d.began)))
-			d.metrics.retried(d.r.service.name, "Moved")
-			d.log.Info().Str("Request", string(d.r.ID)).Str("From", from).Str("Path", formatPath(to)).Msg("run rerouted")
-			return true
-		}
-		d.log.Warn().Str("Request", string(d.r.ID)).Strs("Without", names(excluded)).Str("Path", formatDestination(enginePath{d.run})).Str("To", formatPath(to)).Err(err).Msg("could not reroute the run")
-		var blocked *BlockedError
-		if !errors.As(err, &blocked) || to.At(blocked.Address) <= 0 {
-			return false
-		}
-		excluded = append(excluded, ferryid.UpstreamName(to.Hops()[to.At(blocked.Address)].Upstream.Name))
-	}
-	return false
-}
-
 func names(list []ferryid.UpstreamName) []string {
 	out := make([]string, len(list))
 	for i, n := range list {
