Log: upstreams that are kept after an outage are not logged as removed

Change: removals are logged when they take effect, those of kept upstreams when they expire.

Figures: TestUpstreamKeptAfterOutageIsNotLoggedAsRemoved; the last lines of 3 of 3 upstreams are their state.

--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,7 +41,7 @@
 
 func (w upstreamWatcher) Changed(c ferryplatform.Changes) {
 	changes := make([]ferrydiscovery.Change, 0, len(c.Objects))
-	defer func() { w.logChanges(changes) }()
+	defer func() { w.logChanges(w.inEffect(changes)) }()
 	for _, o := range c.Objects {
 		u, ok := w.decode(o)
 		if !ok {
@@ -55,6 +56,13 @@
 	w.upstreams.Apply(changes)
 }
 
+// inEffect returns the changes without the removals of upstreams that are kept after an outage or are back already.
+// The former are logged when they expire: a list may tell that they are still there, which changes nothing then.
+func (w upstreamWatcher) inEffect(changes []ferrydiscovery.Change) []ferrydiscovery.Change {
+	view := w.upstreams.View()
+	return slices.DeleteFunc(changes, func(c ferrydiscovery.Change) bool { return c.Removed && view.Get(c.Upstream.Name) != nil })
+}
+
 func (w upstreamWatcher) Lost(error) { w.upstreams.MarkUnreachable() }
 
 func (w upstreamWatcher) versionOf(name string) ferryplatform.Version {
@@ -114,8 +122,12 @@
 
 func (e *Edge) expireUpstreams(ctx context.Context) {
 	for e.pause(ctx, expireInterval) {
-		before := e.upstreams.View()
-		e.upstreams.Expire()
-		e.logDifferences(before, e.upstreams.View())
+		e.expireOnce()
 	}
 }
+
+func (e *Edge) expireOnce() {
+	before := e.upstreams.View()
+	e.upstreams.Expire()
+	e.logDifferences(before, e.upstreams.View())
+}
--- a/ferryd/ferryedge/upstreamlog_test.go
+++ b/ferryd/ferryedge/upstreamlog_test.go
@@ -113,6 +113,34 @@
 	assert.Equal(t, strings.Count(b.String(), "\n"), 6, "lines without a change")
 }
 
+// TestUpstreamKeptAfterOutageIsNotLoggedAsRemoved has the first answer after an outage remove two upstreams, of which a
+// list shows one to be there. Its last line would else be that of its removal.
+func TestUpstreamKeptAfterOutageIsNotLoggedAsRemoved(t *testing.T) {
+	var b bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	e := &Edge{cfg: Config{Log: zerolog.New(&b), Clock: clock}, upstreams: ferrydiscovery.NewTable(clock)}
+	at := func(name string, v ferryplatform.Version) ferrydiscovery.Upstream {
+		return ferrydiscovery.Upstream{Instance: ferryplatform.Instance{Name: name, State: ferryplatform.StateLive}, Version: v}
+	}
+	apply := func(changes ...ferrydiscovery.Change) {
+		e.upstreams.Apply(changes)
+		upstreamWatcher{e}.logChanges(upstreamWatcher{e}.inEffect(changes))
+	}
+	apply(ferrydiscovery.Change{Upstream: at("a", 1)}, ferrydiscovery.Change{Upstream: at("b", 2)}, ferrydiscovery.Change{Upstream: at("c", 3)})
+	apply(ferrydiscovery.Change{Upstream: at("c", 4), Removed: true})
+	e.upstreams.MarkUnreachable()
+	apply(ferrydiscovery.Change{Upstream: at("a", 5), Removed: true}, ferrydiscovery.Change{Upstream: at("b", 6), Removed: true})
+	assert.DeepEqual(t, lastStates(t, b.String()), map[string]int{"a": 1, "b": 2, "c": -4})
+	before := e.upstreams.View()
+	e.upstreams.Replace([]ferrydiscovery.Upstream{at("a", 7), at("b", 2)}, 7)
+	e.logDifferences(before, e.upstreams.View())
+	clock.Advance(time.Minute)
+	e.expireOnce()
+	e.writeUnloggedOnce()
+	assert.Assert(t, e.upstreams.View().Get("a") != nil && e.upstreams.View().Get("b") == nil)
+	assert.DeepEqual(t, lastStates(t, b.String()), map[string]int{"a": 1, "b": -2, "c": -4})
+}
+
 // TestLateLinesAreWritten has an edge write the states of all upstreams that it lists at its start.
 func TestLateLinesAreWritten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
