Paths: spread moves stay within the failure domains of the best path

Cause: the random cost of crowded engines could outweigh that of a transfer between failure domains; a run whose engine is lost is then run again instead of moved.

Change: the best path is chosen as before.

--- a/ferry/ferrypath/move.go
+++ b/ferry/ferrypath/move.go
@@ -39,7 +39,7 @@
 	c := r.chooser
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	to, err := r.findDetour(slices.Concat(off, blocked), r.crowd(off))
+	to, err := r.crowdDetour(slices.Concat(off, blocked), r.crowd(off))
 	if err != nil {
 		return nil, err
 	}
@@ -147,27 +147,64 @@
 	return e.moveRefusals.guesses >= guessesToRefuse && e.moveRefusals.recent(e, now)
 }
 
-// crowd returns how many generations of this entry run on the given engines and probably move at the same time.
-func (r *Run) crowd(without []ferryid.UpstreamName) int {
-	n := 0
+// crowd describes the generations of this entry that probably move at the same time as one; it is empty for one alone.
+type crowd struct {
+	runs int
+	// like is set to spread the moves over other paths than it in its failure domains.
+	like *Path
+}
+
+// crowd returns the generations of this entry that run on the given engines.
+func (r *Run) crowd(off []ferryid.UpstreamName) crowd {
+	out := crowd{}
 	for run := range r.chooser.runs {
-		if run.Path().uses(without) {
-			n++
+		if run.Path().uses(off) {
+			out.runs++
 		}
 	}
-	return n
+	return out
+}
+
+// excludes reports whether the engine is in a failure domain to which moves are not spread.
+func (w crowd) excludes(e *engine) bool {
+	return w.like != nil && !slices.ContainsFunc(w.like.hops, func(h Hop) bool { return h.Upstream.FailureDomain == e.up.FailureDomain })
+}
+
+// crowdDetour returns the path that is best for the generation alone, or a random one that crosses between failure
+// domains no more often if the crowd would crowd the best path's new engines.
+func (r *Run) crowdDetour(without []ferryid.UpstreamName, with crowd) (*Path, error) {
+	best, err := r.findDetour(without, with)
+	if err != nil || !r.crowds(best, with) {
+		return best, err
+	}
+	with.like = best
+	if p, err := r.findDetour(without, with); err == nil && p.Crossings() <= best.Crossings() {
+		return p, nil
+	}
+	return best, nil
+}
+
+// crowds reports whether the crowd needs much of the free memory of an engine that is new to the generation.
+func (r *Run) crowds(p *Path, with crowd) bool {
+	now := r.chooser.opts.Clock.Now()
+	return slices.ContainsFunc(p.hops, func(h Hop) bool {
+		return !r.Path().has(h) && r.chooser.crowdShare(r.chooser.engineOf(h), r.work, with, now) >= crowdedShare
+	})
+}
+
+// crowdShare returns the memory that the crowds of all entries need on an engine, as a part of its free memory.
+func (c *Chooser) crowdShare(e *engine, w Work, with crowd, now time.Time) float64 {
+	need := float64(with.runs*c.entriesSharing(e)) * float64(w.Prompt+w.Answer) * float64(e.up.Layers.Len())
+	return need / float64(max(1, c.freeMemory(e, now)))
 }
 
-// spread returns a random cost of an engine for a generation that is one of a crowd. If the crowds of all entries fit
-// the free memory easily it is zero. Otherwise the engine with the least cost of several is a random one, weighted by
-// free memory.
-func (c *Chooser) spread(e *engine, w Work, crowd int, now time.Time) time.Duration {
-	need := float64(crowd*c.entriesSharing(e)) * float64(w.Prompt+w.Answer) * float64(e.up.Layers.Len())
-	share := need / float64(max(1, c.freeMemory(e, now)))
-	if crowd == 0 || share < crowdedShare {
+// spread returns a random cost of an engine for a generation of a crowd, or zero unless moves are to be spread. The
+// engine with the least cost of several is a random one, weighted by free memory.
+func (c *Chooser) spread(e *engine, w Work, with crowd, now time.Time) time.Duration {
+	if with.like == nil {
 		return 0
 	}
-	return time.Duration(min(share, maxSpreadShare) * float64(spreadCost) * c.exponential())
+	return time.Duration(min(c.crowdShare(e, w, with, now), maxSpreadShare) * float64(spreadCost) * c.exponential())
 }
 
 // maxSpreadShare keeps the random cost of a full engine finite.
--- a/ferry/ferrypath/move_test.go
+++ b/ferry/ferrypath/move_test.go
@@ -102,6 +102,24 @@
 	assert.Assert(t, count["b1"] >= 35 && count["b1"] <= 110 && count["b2"] >= 35 && count["b2"] <= 110 && count["b3"] >= 130, "%v", count)
 }
 
+// TestSpreadMovesStayInTheirDomain has an engine of another failure domain have most of the free memory. A move there
+// would transfer the run's whole state.
+func TestSpreadMovesStayInTheirDomain(t *testing.T) {
+	for seed := range uint64(50) {
+		c, runs, _ := movingRuns(t, 1, 300, 400, 400, 400)
+		c.opts.Random = rand.NewPCG(seed, 0)
+		list := []*ferrydiscovery.Upstream{upstream("far", "b", 2, 5)}
+		for _, e := range c.byName {
+			list = append(list, e.up)
+		}
+		c.Set(model(), list)
+		c.Report("far", Condition{Pace: 1, Room: 1 << 40}, c.opts.Clock.Now())
+		m, err := runs[0].PlanMove(lost, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, m.Path().Crossings(), 0, text(m.Path()))
+	}
+}
+
 // TestRefusedMoveCountsAgainstRoom has an engine refuse a move. Other runs must not be ordered there until it has
 // reported again or some time has passed.
 func TestRefusedMoveCountsAgainstRoom(t *testing.T) {
--- a/ferry/ferrypath/repath.go
+++ b/ferry/ferrypath/repath.go
@@ -25,17 +25,17 @@
 	c := r.chooser
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return r.findDetour(without, 0)
+	return r.findDetour(without, crowd{})
 }
 
 // findDetour returns the path of Detour for a generation that moves with a crowd.
-func (r *Run) findDetour(without []ferryid.UpstreamName, crowd int) (*Path, error) {
+func (r *Run) findDetour(without []ferryid.UpstreamName, with crowd) (*Path, error) {
 	for _, try := range []struct {
 		keep bool
 		cons constraints
 	}{{true, constraints{healthy: true}}, {true, constraints{}}, {false, constraints{healthy: true}}, {false, constraints{}}} {
 		try.cons.fits, try.cons.moving = true, true
-		if p, err := r.detour(without, crowd, try.keep, try.cons); err == nil {
+		if p, err := r.detour(without, with, try.keep, try.cons); err == nil {
 			return p, nil
 		}
 	}
@@ -44,7 +44,7 @@
 
 // detour returns a path under the given constraints. If keep is set, engines of the present path are used with
 // their present layers only.
-func (r *Run) detour(without []ferryid.UpstreamName, crowd int, keep bool, cons constraints) (*Path, error) {
+func (r *Run) detour(without []ferryid.UpstreamName, with crowd, keep bool, cons constraints) (*Path, error) {
 	c := r.chooser
 	d := c.detourCandidates(r.Path().hops, without, keep)
 	p, err := ferrypipeline.NewPlanner(ferrypipeline.PlannerConfig{Layers: ferryid.Layer(c.model.Layers), Candidates: d.candidates, Links: links(c.model, detourLinkWeight)})
@@ -56,13 +56,13 @@
 	for i, e := range d.engines {
 		engineCons := cons
 		engineCons.fits, engineCons.present = cons.fits && !d.kept[i], d.kept[i]
-		if crowd > 0 {
+		if with.runs > 0 {
 			engineCons.movesPart = c.movesPart(e)
 		}
 		c.updateLoad(&loads[i], e, r.work, now, engineCons)
 		if !d.kept[i] {
-			loads[i].Outstanding = ferryid.Tokens((newEngineCost + c.spread(e, r.work, crowd, now)).Seconds() * float64(loads[i].Rate))
-			loads[i].Avoid = loads[i].Avoid || e.refusesMoves(now)
+			loads[i].Outstanding = ferryid.Tokens((newEngineCost + c.spread(e, r.work, with, now)).Seconds() * float64(loads[i].Rate))
+			loads[i].Avoid = loads[i].Avoid || e.refusesMoves(now) || with.excludes(e)
 		}
 	}
 	loads[0].Avoid = false
