--- a/ferry/ferrypath/scale_bench_test.go
+++ b/ferry/ferrypath/scale_bench_test.go
@@ -73,3 +73,43 @@
 		})
 	}
 }
+
+// BenchmarkMove plans moves of one of 35 runs off the second engine of its path, alone and with the others.
+func BenchmarkMove(b *testing.B) {
+	for _, n := range []int{200, 1600} {
+		m, list := largeFleet(n)
+		clock := clockwork.NewFakeClock()
+		c := NewChooser(Options{Clock: clock, Domain: "d0"})
+		c.Set(m, list)
+		c.SetEntries(map[ferryid.DomainName]int{"d0": 25})
+		for _, u := range list {
+			room := int64(100000 * u.Layers.Len())
+			c.Report(u.Name, Condition{Pace: 1, Used: room / 20, Room: room}, clock.Now())
+		}
+		var runs []*Run
+		for range 35 {
+			r, err := c.Pick(Work{Prompt: 760, Answer: 140})
+			if err != nil {
+				b.Fatal(err)
+			}
+			runs = append(runs, r)
+		}
+		off := []ferryid.UpstreamName{ferryid.UpstreamName(runs[0].Path().Hops()[1].Upstream.Name)}
+		b.Run(fmt.Sprint("Detour/", n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := runs[0].Detour(off); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprint("PlanMove/", n), func(b *testing.B) {
+			for b.Loop() {
+				p, err := runs[0].PlanMove(off, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Cancelled()
+			}
+		})
+	}
+}
