--- a/ferry/ferrypath/move.go
+++ b/ferry/ferrypath/move.go
@@ -15,9 +15,9 @@
 	// guessesToRefuse is the number of refusals without a named engine after which the engine that probably caused them
 	// counts as refusing. A single one may have to do with the generation only.
 	guessesToRefuse = 2
-	// crowdedShare is the part of an engine's free memory which the generations that move at the same time may need
+	// spreadThreshold is the part of an engine's free memory which the generations that move at the same time may need
 	// before moves are spread at random.
-	crowdedShare = 0.25
+	spreadThreshold = 0.25
 	// spreadCost is the mean random cost of an engine whose free memory the moving generations would just fill. It
 	// outweighs the differences in speed of engines of one kind.
 	spreadCost = 600 * time.Millisecond
@@ -39,7 +39,7 @@
 	c := r.chooser
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	to, err := r.crowdDetour(slices.Concat(off, blocked), r.crowd(off))
+	to, err := r.groupDetour(slices.Concat(off, blocked), r.group(off))
 	if err != nil {
 		return nil, err
 	}
@@ -147,16 +147,16 @@
 	return e.moveRefusals.guesses >= guessesToRefuse && e.moveRefusals.recent(e, now)
 }
 
-// crowd describes the generations of this entry that probably move at the same time as one; it is empty for one alone.
-type crowd struct {
+// moveGroup describes the generations of this entry that probably move at the same time as one; it is empty for one alone.
+type moveGroup struct {
 	runs int
 	// like is set to spread the moves over other paths than it in its failure domains.
 	like *Path
 }
 
-// crowd returns the generations of this entry that run on the given engines.
-func (r *Run) crowd(off []ferryid.UpstreamName) crowd {
-	out := crowd{}
+// group returns the generations of this entry that run on the given engines.
+func (r *Run) group(off []ferryid.UpstreamName) moveGroup {
+	out := moveGroup{}
 	for run := range r.chooser.runs {
 		if run.Path().uses(off) {
 			out.runs++
@@ -166,15 +166,15 @@
 }
 
 // excludes reports whether the engine is in a failure domain to which moves are not spread.
-func (w crowd) excludes(e *engine) bool {
+func (w moveGroup) excludes(e *engine) bool {
 	return w.like != nil && !slices.ContainsFunc(w.like.hops, func(h Hop) bool { return h.Upstream.FailureDomain == e.up.FailureDomain })
 }
 
-// crowdDetour returns the path that is best for the generation alone, or a random one that crosses between failure
-// domains no more often if the crowd would crowd the best path's new engines.
-func (r *Run) crowdDetour(without []ferryid.UpstreamName, with crowd) (*Path, error) {
+// groupDetour returns the path that is best for the generation alone, or a random one that crosses between failure
+// domains no more often if the group would need much of the free memory of the best path's new engines.
+func (r *Run) groupDetour(without []ferryid.UpstreamName, with moveGroup) (*Path, error) {
 	best, err := r.findDetour(without, with)
-	if err != nil || !r.crowds(best, with) {
+	if err != nil || !r.fills(best, with) {
 		return best, err
 	}
 	with.like = best
@@ -184,27 +184,27 @@
 	return best, nil
 }
 
-// crowds reports whether the crowd needs much of the free memory of an engine that is new to the generation.
-func (r *Run) crowds(p *Path, with crowd) bool {
+// fills reports whether the group needs much of the free memory of an engine that is new to the generation.
+func (r *Run) fills(p *Path, with moveGroup) bool {
 	now := r.chooser.opts.Clock.Now()
 	return slices.ContainsFunc(p.hops, func(h Hop) bool {
-		return !r.Path().has(h) && r.chooser.crowdShare(r.chooser.engineOf(h), r.work, with, now) >= crowdedShare
+		return !r.Path().has(h) && r.chooser.groupShare(r.chooser.engineOf(h), r.work, with, now) >= spreadThreshold
 	})
 }
 
-// crowdShare returns the memory that the crowds of all entries need on an engine, as a part of its free memory.
-func (c *Chooser) crowdShare(e *engine, w Work, with crowd, now time.Time) float64 {
+// groupShare returns the memory that the groups of all entries need on an engine, as a part of its free memory.
+func (c *Chooser) groupShare(e *engine, w Work, with moveGroup, now time.Time) float64 {
 	need := float64(with.runs*c.entriesSharing(e)) * float64(w.Prompt+w.Answer) * float64(e.up.Layers.Len())
 	return need / float64(max(1, c.freeMemory(e, now)))
 }
 
-// spread returns a random cost of an engine for a generation of a crowd, or zero unless moves are to be spread. The
+// spread returns a random cost of an engine for a generation of a group, or zero unless moves are to be spread. The
 // engine with the least cost of several is a random one, weighted by free memory.
-func (c *Chooser) spread(e *engine, w Work, with crowd, now time.Time) time.Duration {
+func (c *Chooser) spread(e *engine, w Work, with moveGroup, now time.Time) time.Duration {
 	if with.like == nil {
 		return 0
 	}
-	return time.Duration(min(c.crowdShare(e, w, with, now), maxSpreadShare) * float64(spreadCost) * c.exponential())
+	return time.Duration(min(c.groupShare(e, w, with, now), maxSpreadShare) * float64(spreadCost) * c.exponential())
 }
 
 // maxSpreadShare keeps the random cost of a full engine finite.
--- a/ferry/ferrypath/repath.go
+++ b/ferry/ferrypath/repath.go
@@ -25,11 +25,11 @@
 	c := r.chooser
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return r.findDetour(without, crowd{})
+	return r.findDetour(without, moveGroup{})
 }
 
-// findDetour returns the path of Detour for a generation that moves with a crowd.
-func (r *Run) findDetour(without []ferryid.UpstreamName, with crowd) (*Path, error) {
+// findDetour returns the path of Detour for a generation that moves with a group.
+func (r *Run) findDetour(without []ferryid.UpstreamName, with moveGroup) (*Path, error) {
 	for _, try := range []struct {
 		keep bool
 		cons constraints
@@ -44,7 +44,7 @@
 
 // detour returns a path under the given constraints. If keep is set, engines of the present path are used with
 // their present layers only.
-func (r *Run) detour(without []ferryid.UpstreamName, with crowd, keep bool, cons constraints) (*Path, error) {
+func (r *Run) detour(without []ferryid.UpstreamName, with moveGroup, keep bool, cons constraints) (*Path, error) {
 	c := r.chooser
 	d := c.detourCandidates(r.Path().hops, without, keep)
 	p, err := ferrypipeline.NewPlanner(ferrypipeline.PlannerConfig{Layers: ferryid.Layer(c.model.Layers), Candidates: d.candidates, Links: links(c.model, detourLinkWeight)})
