--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cactusferry.dev/ferry/ferrydiscovery"
 	"cactusferry.dev/ferry/ferryplatform"
 )
@@ -25,7 +28,9 @@
 			list = append(list, u)
 		}
 	}
+	before := w.upstreams.View()
 	w.upstreams.Replace(list, c.Version)
+	w.logDifferences(before, w.upstreams.View())
 	w.upstreamsListed.Store(true)
 	w.setReadyIfListed()
 }
@@ -36,7 +41,7 @@
 
 func (w upstreamWatcher) Changed(c ferryplatform.Changes) {
 	changes := make([]ferrydiscovery.Change, 0, len(c.Objects))
-	defer func() { w.logChanges(changes) }()
+	defer func() { w.logChanges(w.inEffect(changes)) }()
 	for _, o := range c.Objects {
 		u, ok := w.decode(o)
 		if !ok {
@@ -51,6 +56,13 @@
 	w.upstreams.Apply(changes)
 }
 
+// inEffect returns the changes without the removals of upstreams that are kept after an outage or are back already.
+// The former are logged when they expire: a list may tell that they are still there, which changes nothing then.
+func (w upstreamWatcher) inEffect(changes []ferrydiscovery.Change) []ferrydiscovery.Change {
+	view := w.upstreams.View()
+	return slices.DeleteFunc(changes, func(c ferrydiscovery.Change) bool { return c.Removed && view.Get(c.Upstream.Name) != nil })
+}
+
 func (w upstreamWatcher) Lost(error) { w.upstreams.MarkUnreachable() }
 
 func (w upstreamWatcher) versionOf(name string) ferryplatform.Version {
@@ -73,24 +85,34 @@
 	return u, true
 }
 
-// logChanges logs the changes of one answer, and the number of those beyond maxLoggedChanges.
+// logChanges logs the first changes of one answer, and the number of those beyond maxLoggedChanges, of which only the
+// newest state of each upstream is logged later.
 func (w upstreamWatcher) logChanges(changes []ferrydiscovery.Change) {
-	for i, c := range changes {
-		if i == maxLoggedChanges {
-			w.cfg.Log.Info().Int("Upstreams", len(changes)-i).Uint64("FirstRevision", uint64(c.Upstream.Version)).
-				Uint64("LastRevision", uint64(changes[len(changes)-1].Upstream.Version)).Msg("further upstreams changed")
-			return
-		}
-		w.logChange(c.Upstream, c.Removed)
+	w.unlogged.mu.Lock()
+	defer w.unlogged.mu.Unlock()
+	direct, rest := changes[:min(len(changes), maxLoggedChanges)], changes[min(len(changes), maxLoggedChanges):]
+	for _, c := range direct {
+		w.unlogged.logged(c.Upstream.Name)
+		logChange(w.cfg.Log.Info(), c)
+	}
+	if len(rest) == 0 {
+		return
+	}
+	w.cfg.Log.Info().Int("Upstreams", len(rest)).Uint64("FirstRevision", uint64(rest[0].Upstream.Version)).
+		Uint64("LastRevision", uint64(rest[len(rest)-1].Upstream.Version)).Msg("further upstreams changed")
+	now := w.cfg.Clock.Now()
+	for _, c := range rest {
+		w.unlogged.add(c, now)
 	}
 }
 
-func (w upstreamWatcher) logChange(u ferrydiscovery.Upstream, removed bool) {
-	if removed {
-		w.cfg.Log.Info().Str("Upstream", u.Name).Uint64("Revision", uint64(u.Version)).Msg("upstream removed")
+func logChange(ev *zerolog.Event, c ferrydiscovery.Change) {
+	u := &c.Upstream
+	if c.Removed {
+		ev.Str("Upstream", u.Name).Uint64("Revision", uint64(u.Version)).Msg("upstream removed")
 		return
 	}
-	w.cfg.Log.Info().Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("Domain", string(u.FailureDomain)).Str("Accelerator", u.Accelerator).Str("State", string(u.State)).
+	ev.Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("Domain", string(u.FailureDomain)).Str("Accelerator", u.Accelerator).Str("State", string(u.State)).
 		Stringer("Layers", u.Layers).Uint64("Revision", uint64(u.Version)).Msg("upstream changed")
 }
 
@@ -100,6 +122,12 @@
 
 func (e *Edge) expireUpstreams(ctx context.Context) {
 	for e.pause(ctx, expireInterval) {
-		e.upstreams.Expire()
+		e.expireOnce()
 	}
 }
+
+func (e *Edge) expireOnce() {
+	before := e.upstreams.View()
+	e.upstreams.Expire()
+	e.logDifferences(before, e.upstreams.View())
+}
