Paths from a forecast, placement for scarce memory

Cause: where demand exceeds the engines' memory for requests, two things lost room. The 25 entries of a failure domain see the same reports and select the same path until the next one, so engines refused 44 of 100 sends. And 100,000 tokens an engine left 73 of 100 of all memory to copies of the layers; the layer with the least memory had 317,000 tokens in each failure domain.

Change, for services with ranks only: each entry computes from the same reports how the arrivals of its failure domain fill the engines, and selects one of the resulting paths at random. The first placement compares numbers of tokens for each engine and balances the layers, so that the layer with the least memory, without the engine that has most there, has most.

--- a/ferry/ferryadmission/admission_test.go
+++ b/ferry/ferryadmission/admission_test.go
@@ -28,10 +28,13 @@
 	random *rand.Rand
 }
 
+// testRamp is fixed, so that the fills of the tests do not depend on the default.
+var testRamp = Ramp{Start: 0.85, Width: 0.15, Step: 0.12, Least: 0.5, Floor: 0.35}
+
 func newBench(ranks int, seed uint64) *bench {
 	clock := clockwork.NewFakeClock()
 	return &bench{
-		core:   New(Config{Clock: clock, Random: rand.NewPCG(seed, 1), Ranks: ranks}),
+		core:   New(Config{Clock: clock, Random: rand.NewPCG(seed, 1), Ranks: ranks, Ramp: testRamp}),
 		clock:  clock,
 		random: rand.New(rand.NewPCG(seed, 2)),
 	}
@@ -171,7 +174,7 @@
 		b.run(4*time.Minute, streams, filled(fill))
 		s := b.rankShares()
 		assert.Assert(t, s[0] >= s[1]-0.02 && s[1] >= s[2]-0.02, "fill %.2f: %v", fill, s)
-		floor := min(DefaultRamp.Floor, s[0])
+		floor := min(testRamp.Floor, s[0])
 		assert.Assert(t, s[2] >= floor-0.02, "fill %.2f: %v", fill, s)
 	}
 }
@@ -301,7 +304,7 @@
 		for _, ranks := range []int{1, 10} {
 			b := r.bounded(ranks)
 			for rank := range Rank(ranks) {
-				assert.Equal(t, b.share(rank, min(minStart, b.Start)), 1.0, "%+v, rank %d of %d", r, rank, ranks)
+				assert.Equal(t, b.share(rank, b.Least), 1.0, "%+v, rank %d of %d", r, rank, ranks)
 				s := b.share(rank, inf)
 				assert.Assert(t, s >= 0 && s < 1, "%+v, rank %d of %d: %v", r, rank, ranks, s)
 			}
--- a/ferry/ferryforward/shed.go
+++ b/ferry/ferryforward/shed.go
@@ -10,6 +10,9 @@
 // setRanks sets the number of ranks of the service's requests. The counts of customers are kept while it stays the
 // same.
 func (s *service) setRanks(n int, clock clockwork.Clock) {
+	if s.chooser != nil {
+		s.chooser.SetContended(n > 1)
+	}
 	switch core := s.admission.Load(); {
 	case n <= 1 || s.chooser == nil:
 		s.admission.Store(nil)
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -52,6 +52,15 @@
 	// entries counts the entries that accept calls, by failure domain.
 	entries map[ferryid.DomainName]int
 	room    roomState
+	// contended is set if the requests of the service have ranks, which is for engines that are expected to be full.
+	contended bool
+	indexOf   map[ferryid.UpstreamName]int
+	arrivals  arrivals
+	forecast  forecast
+	// duration is the moving average of the durations of completed generations.
+	duration time.Duration
+	// stretch is the moving average of the ratios of those durations to the token times of the engines.
+	stretch float64
 }
 
 // NewChooser returns a chooser without engines.
@@ -79,6 +88,13 @@
 	return max(1, n)
 }
 
+// SetContended sets whether paths are selected for engines that are expected to be full.
+func (c *Chooser) SetContended(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.contended = on
+}
+
 // Version returns a number that increases whenever the engines or their layers may have changed.
 func (c *Chooser) Version() int64 { return c.version.Load() }
 
@@ -124,6 +140,10 @@
 		candidates = append(candidates, ferrypipeline.Candidate{Name: ferryid.UpstreamName(u.Name), Address: u.Address, Domain: u.FailureDomain, Layers: u.Layers})
 	}
 	c.loads = make([]ferrypipeline.Load, len(c.engines))
+	c.indexOf = make(map[ferryid.UpstreamName]int, len(c.engines))
+	for i, e := range c.engines {
+		c.indexOf[ferryid.UpstreamName(e.up.Name)] = i
+	}
 	c.planner = nil
 	p, err := ferrypipeline.NewPlanner(ferrypipeline.PlannerConfig{Layers: ferryid.Layer(c.model.Layers), Candidates: candidates, Links: links(c.model, domainLinkWeight)})
 	if err == nil {
@@ -170,7 +190,10 @@
 	work    Work
 	// reportAge is the age of the oldest engine report when the path was selected, or Unreported.
 	reportAge time.Duration
-	ended     atomic.Bool
+	began     time.Time
+	// tokenTimes is the predicted time of the tokens on the engines, without prefill and waiting.
+	tokenTimes time.Duration
+	ended      atomic.Bool
 	// progress is the time of the last event in Unix nanoseconds, by the chooser's clock.
 	progress atomic.Int64
 }
@@ -201,6 +224,11 @@
 		return nil, ErrNoPath
 	}
 	now := c.opts.Clock.Now()
+	if c.contended {
+		if run, ok := c.pickForecast(w, now); ok {
+			return run, nil
+		}
+	}
 	plan := ferrypipeline.Plan{}
 	for _, try := range []constraints{{sameDomain: true, healthy: true, fits: true, reserve: true}, {sameDomain: true, healthy: true, fits: true}, {healthy: true, fits: true}, {healthy: true, fits: true, tight: true}, {fits: true, tight: true}} {
 		c.updateLoads(w, now, try)
@@ -367,7 +395,7 @@
 		c.byName[ferryid.UpstreamName(h.Upstream.Name)].health.Chosen(now)
 	}
 	c.count(path, w, 1)
-	run := &Run{chooser: c, work: w, reportAge: c.reportAge(path, now)}
+	run := &Run{chooser: c, work: w, began: now, tokenTimes: c.tokenTimes(path, w, now), reportAge: c.reportAge(path, now)}
 	run.path.Store(path)
 	c.runs[run] = struct{}{}
 	return run, nil
@@ -392,7 +420,14 @@
 
 // Done ends a generation that was delivered completely.
 func (r *Run) Done() {
-	r.end(func(e *engine, _ time.Time) { e.health.Succeeded() })
+	recorded := false
+	r.end(func(e *engine, now time.Time) {
+		e.health.Succeeded()
+		if !recorded {
+			recorded = true
+			r.chooser.recordDuration(now.Sub(r.began), r.tokenTimes)
+		}
+	})
 }
 
 // Cancelled ends a generation that the caller or this entry cancelled.
--- /dev/null
+++ b/ferry/ferrypath/forecast.go
@@ -0,0 +1,239 @@
+package ferrypath
+
+import (
+	"math"
+	"time"
+
+	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrypipeline"
+)
+
+const (
+	// forecastParts is the number of equal parts into which the expected arrivals are divided; each part takes one path.
+	forecastParts = 24
+	// forecastInterval is how long a forecast is used. It is less than the interval of the engines' reports.
+	forecastInterval = 250 * time.Millisecond
+	// forecastHorizon is how far ahead the memory of engines is predicted: about the time until work that entries
+	// start now is in the reports of all.
+	forecastHorizon = time.Second
+	// rateTime is the time constant of the arrival rate and the mean work.
+	rateTime = 5 * time.Second
+	// minRateTime is the least time over which the first arrivals are averaged.
+	minRateTime = 500 * time.Millisecond
+	// forecastTries is the number of parts that are tried for a generation before the engines are searched for it.
+	forecastTries = 4
+	// forecastMargin is the part of an engine's memory that the forecast leaves free, in standard deviations of the number
+	// of generations on it: each entry selects at random.
+	forecastMargin = 2
+	// minForecastDuration bounds the predicted duration of a generation from below.
+	minForecastDuration = 300 * time.Millisecond
+	// defaultStretch is the assumed ratio of a generation's duration to the token times of its engines, until some have
+	// ended: prefill and waiting for batches add to them. maxStretch bounds the measured one.
+	defaultStretch = 1.5
+	maxStretch     = 100
+)
+
+// arrivals estimates the rate and the mean size of this entry's generations by exponentially decaying sums.
+type arrivals struct {
+	count, tokens float64
+	since, at     time.Time
+}
+
+func (a *arrivals) decay(now time.Time) {
+	if dt := now.Sub(a.at); dt > 0 {
+		f := math.Exp(-dt.Seconds() / rateTime.Seconds())
+		a.count, a.tokens, a.at = a.count*f, a.tokens*f, now
+	}
+}
+
+func (a *arrivals) add(w Work, now time.Time) {
+	if a.since.IsZero() {
+		a.since, a.at = now, now
+	}
+	a.decay(now)
+	a.count++
+	a.tokens += float64(w.Prompt + w.Answer)
+}
+
+// perSecond returns the arrival rate.
+func (a *arrivals) perSecond(now time.Time) float64 {
+	a.decay(now)
+	seen := 1 - math.Exp(-max(minRateTime, now.Sub(a.since)).Seconds()/rateTime.Seconds())
+	return a.count / (rateTime.Seconds() * seen)
+}
+
+// meanTokens returns the mean size of a generation, or usual if there were none.
+func (a *arrivals) meanTokens(usual float64) float64 {
+	if a.count < 1 {
+		return usual
+	}
+	return a.tokens / a.count
+}
+
+// forecast distributes the generations that all entries of a failure domain are expected to start over paths.
+//
+// Entries see each other's work only in the engines' reports, up to a second late. If each selected the best path
+// by these reports, all would select the same one until the next report. Instead each computes, from the same
+// reports, how the arrivals of the whole failure domain fill the engines, and selects one of the resulting paths at
+// random.
+type forecast struct {
+	at      time.Time
+	version int64
+	plans   []ferrypipeline.Plan
+	// rates are the predicted starts per second on each engine.
+	rates map[ferryid.UpstreamName]float64
+	// used is the predicted memory of each engine, in tokens times layers.
+	used []float64
+}
+
+// pickForecast selects a path of the forecast for the work, or reports false if none can be used.
+func (c *Chooser) pickForecast(w Work, now time.Time) (*Run, bool) {
+	c.arrivals.add(w, now)
+	f := c.updateForecast(now)
+	for range min(forecastTries, len(f.plans)) {
+		plan := &f.plans[int(c.uniform()*float64(len(f.plans)))]
+		if !c.allUsable(plan, w, now) {
+			continue
+		}
+		if run, err := c.begin(plan, w); err == nil {
+			return run, true
+		}
+	}
+	return nil, false
+}
+
+// allUsable reports whether all engines of a plan may be selected now.
+func (c *Chooser) allUsable(plan *ferrypipeline.Plan, w Work, now time.Time) bool {
+	for i := range plan.Stages {
+		e := c.byName[plan.Stages[i].Name]
+		if e == nil || e.down || e.up.Deferred(now) || !e.health.Usable(now, true) || excluded(w.Avoid, e) {
+			return false
+		}
+	}
+	return true
+}
+
+// updateForecast returns the forecast, computed anew if it is old or the engines have changed.
+func (c *Chooser) updateForecast(now time.Time) *forecast {
+	f := &c.forecast
+	if f.version == c.version.Load() && !f.at.IsZero() && now.Sub(f.at) < forecastInterval {
+		return f
+	}
+	f.at, f.version = now, c.version.Load()
+	usual := float64(c.model.UsualPrompt + c.model.UsualAnswer)
+	tokens := c.arrivals.meanTokens(usual)
+	rate := c.arrivals.perSecond(now) * float64(max(1, c.entries[c.opts.Domain]))
+	c.predictUsed(f, tokens, now)
+	f.plans = f.plans[:0]
+	rates := make(map[ferryid.UpstreamName]float64, len(c.engines))
+	part := rate / forecastParts
+	for range forecastParts {
+		if !c.placePart(f, rates, part, tokens, now) {
+			break
+		}
+	}
+	f.rates = rates
+	return f
+}
+
+// predictUsed predicts the memory that present generations need at the horizon.
+func (c *Chooser) predictUsed(f *forecast, tokens float64, now time.Time) {
+	f.used = f.used[:0]
+	for _, e := range c.engines {
+		layers := float64(e.up.Layers.Len())
+		started := f.rates[ferryid.UpstreamName(e.up.Name)] * tokens * layers
+		d := c.meanDuration().Seconds()
+		if !e.reportFresh(now) || e.reported.Room == 0 {
+			f.used = append(f.used, started*d*math.Exp(-forecastHorizon.Seconds()/d))
+			continue
+		}
+		used := float64(e.reported.Used) + expectedGrowth*float64(c.model.UsualAnswer)*layers*float64(e.reported.Running)
+		age := now.Sub(e.reportedAt).Seconds() + c.model.ReportLag.Seconds()
+		kept := math.Exp(-age / d)
+		atNow := used*kept + started*d*(1-kept)
+		f.used = append(f.used, atNow*math.Exp(-forecastHorizon.Seconds()/d))
+	}
+}
+
+// placePart adds the best path for one part of the arrivals and counts its memory, or reports false if there is none.
+func (c *Chooser) placePart(f *forecast, rates map[ferryid.UpstreamName]float64, part, tokens float64, now time.Time) bool {
+	for i, e := range c.engines {
+		l := &c.loads[i]
+		layers := float64(e.up.Layers.Len())
+		room := float64(e.reported.Room)
+		if !e.reportFresh(now) || e.reported.Room == 0 {
+			room = float64(c.model.RequestMemory(e.kind, int(layers)))
+		}
+		one := tokens * layers
+		l.Avoid = e.down || e.up.Deferred(now) || e.up.FailureDomain != c.opts.Domain || e.pace(now) >= slowPace || !e.health.Usable(now, true) ||
+			f.used[i]+max(one, part*c.meanDuration().Seconds()*one) > room-forecastMargin*math.Sqrt(room*one)
+		running := int(f.used[i] / one)
+		t := time.Duration(float64(c.model.TokenTime(e.kind, int(layers), running+1)) * e.pace(now))
+		l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
+	}
+	plan := ferrypipeline.Plan{}
+	if err := c.planner.Choose(c.loads, nil, max(1, ferryid.Tokens(c.model.UsualAnswer)), &plan); err != nil {
+		return false
+	}
+	d := c.planDuration(&plan).Seconds()
+	held := part * d * (1 - math.Exp(-forecastHorizon.Seconds()/d)) * tokens
+	for i := range plan.Stages {
+		s := &plan.Stages[i]
+		rates[s.Name] += part
+		f.used[c.indexOf[s.Name]] += held * float64(s.Layers.Len())
+	}
+	f.plans = append(f.plans, plan)
+	return true
+}
+
+// planDuration predicts the duration of a generation of usual length on a plan.
+func (c *Chooser) planDuration(p *ferrypipeline.Plan) time.Duration {
+	var sum time.Duration
+	for i := range p.Stages {
+		j := c.indexOf[p.Stages[i].Name]
+		sum += time.Duration(p.Stages[i].Share/float64(c.loads[j].Rate)*float64(time.Second)) + hopTime
+	}
+	return max(minForecastDuration, time.Duration(c.meanStretch()*float64(sum)*float64(c.model.UsualAnswer)))
+}
+
+// meanStretch returns the mean ratio of the durations of generations to the token times of their engines.
+func (c *Chooser) meanStretch() float64 {
+	if c.stretch == 0 {
+		return defaultStretch
+	}
+	return c.stretch
+}
+
+// tokenTimes returns the time of a generation's tokens on its engines, without prefill and waiting.
+func (c *Chooser) tokenTimes(p *Path, w Work, now time.Time) time.Duration {
+	var sum time.Duration
+	for _, h := range p.hops {
+		if e := c.byName[ferryid.UpstreamName(h.Upstream.Name)]; e != nil {
+			sum += c.model.TokenTime(e.kind, h.Layers.Len(), c.running(e, now)) + hopTime
+		}
+	}
+	return sum * time.Duration(max(1, w.Answer))
+}
+
+// meanDuration returns the mean duration of the forecast's generations.
+func (c *Chooser) meanDuration() time.Duration {
+	if c.duration == 0 {
+		return defaultDuration
+	}
+	return c.duration
+}
+
+// defaultDuration is assumed until a generation has ended.
+const defaultDuration = 2 * time.Second
+
+// durationWeight is the inverse weight of the newest duration in the moving average.
+const durationWeight = 16
+
+// recordDuration adds the duration of a completed generation to the moving averages.
+func (c *Chooser) recordDuration(d, tokenTimes time.Duration) {
+	c.duration = max(minForecastDuration, c.meanDuration()+(d-c.meanDuration())/durationWeight)
+	if tokenTimes > 0 {
+		s := min(maxStretch, d.Seconds()/tokenTimes.Seconds())
+		c.stretch = max(1, c.meanStretch()+(s-c.meanStretch())/durationWeight)
+	}
+}
--- a/ferry/ferrypath/move.go
+++ b/ferry/ferrypath/move.go
@@ -112,7 +112,7 @@
 func (c *Chooser) freeMemory(e *engine, now time.Time) int64 {
 	sharing := int64(c.entriesSharing(e))
 	if !e.reportFresh(now) || e.reported.Room == 0 {
-		room := overcommit * float64(requestMemory(c.model, e.kind, e.up.Layers.Len()))
+		room := overcommit * float64(c.model.RequestMemory(e.kind, e.up.Layers.Len()))
 		return max(0, int64(room)-sharing*e.held)
 	}
 	return max(0, e.reported.Room-e.reported.Used-sharing*max(0, e.held-e.heldAtReport))
--- a/ferry/ferryplacement/core.go
+++ b/ferry/ferryplacement/core.go
@@ -23,6 +23,7 @@
 // Core decides which orders to send. It is not safe for concurrent use.
 type Core struct {
 	model   *ferryconfig.Model
+	demand  MemoryDemand
 	engines map[ferryid.UpstreamName]*engine
 	placed  bool
 	// lacking is the time since which a failure domain has lacked at least one layer.
@@ -64,9 +65,19 @@
 	return &Core{engines: map[ferryid.UpstreamName]*engine{}, lacking: map[ferryid.DomainName]time.Time{}}
 }
 
-// Set replaces the model and the engines as the platform describes them now.
-func (c *Core) Set(m *ferryconfig.Model, list []*ferrydiscovery.Upstream, now time.Time) {
-	c.model = m
+// MemoryDemand tells whether the demand for a service is expected to exceed the memory for requests.
+type MemoryDemand int
+
+const (
+	// MemorySuffices means that the engines' memory for requests usually suffices.
+	MemorySuffices MemoryDemand = iota
+	// MemoryScarce means that requests compete for the engines' memory, as ranks in the configuration tell.
+	MemoryScarce
+)
+
+// Set replaces the model, the expected demand and the engines as the platform describes them now.
+func (c *Core) Set(m *ferryconfig.Model, d MemoryDemand, list []*ferrydiscovery.Upstream, now time.Time) {
+	c.model, c.demand = m, d
 	old := c.engines
 	c.engines = make(map[ferryid.UpstreamName]*engine, len(list))
 	for _, u := range list {
@@ -134,7 +145,7 @@
 	}
 	sends := c.repeatDoubtful(now)
 	loading += len(sends)
-	for _, o := range Plan(Input{Model: c.model, Engines: engines, Lacking: c.updateLacking(engines, now)}) {
+	for _, o := range Plan(Input{Model: c.model, Engines: engines, FavorMemory: c.demand == MemoryScarce, Lacking: c.updateLacking(engines, now)}) {
 		if c.placed && c.model.LoadsAtOnce > 0 && loading >= c.model.LoadsAtOnce {
 			break
 		}
--- a/ferry/ferryplacement/placer.go
+++ b/ferry/ferryplacement/placer.go
@@ -91,8 +91,9 @@
 
 // input is the latest model and engines.
 type input struct {
-	model *ferryconfig.Model
-	list  []*ferrydiscovery.Upstream
+	model  *ferryconfig.Model
+	demand MemoryDemand
+	list   []*ferrydiscovery.Upstream
 }
 
 // result is the outcome of one order.
@@ -106,9 +107,9 @@
 	return &Placer{cfg: cfg, core: NewCore(), input: make(chan input, 1), results: make(chan result, resultBuffer), open: make(chan struct{}, maxOrdersOpen)}
 }
 
-// Set replaces the model and the engines. It never blocks; an input that was not processed yet is replaced.
-func (p *Placer) Set(m *ferryconfig.Model, list []*ferrydiscovery.Upstream) {
-	in := input{model: m, list: list}
+// Set replaces the model, the expected demand and the engines. It never blocks; an input that was not processed yet is replaced.
+func (p *Placer) Set(m *ferryconfig.Model, d MemoryDemand, list []*ferrydiscovery.Upstream) {
+	in := input{model: m, demand: d, list: list}
 	for {
 		select {
 		case p.input <- in:
@@ -129,7 +130,7 @@
 		case <-ctx.Done():
 			return
 		case in := <-p.input:
-			p.core.Set(in.model, in.list, p.cfg.Clock.Now())
+			p.core.Set(in.model, in.demand, in.list, p.cfg.Clock.Now())
 		case r := <-p.results:
 			p.core.RecordOutcome(r.send, r.outcome, p.cfg.Clock.Now())
 			continue
--- a/ferry/ferryplacement/placer_test.go
+++ b/ferry/ferryplacement/placer_test.go
@@ -77,7 +77,7 @@
 			defer close(done)
 			p.Run(ctx)
 		}()
-		p.Set(m, list)
+		p.Set(m, MemorySuffices, list)
 		time.Sleep(settleFor + 3*time.Second)
 		cancel()
 		<-done
@@ -119,7 +119,7 @@
 					State: ferryplatform.StateLive, Layers: ferryid.LayerRange{From: from, To: from + 10},
 				}})
 			}
-			c.Set(m, list, time.Unix(0, 0))
+			c.Set(m, MemorySuffices, list, time.Unix(0, 0))
 			c.placed = true
 			for b.Loop() {
 				c.Next(time.Unix(100, 0))
--- a/ferry/ferryplacement/plan.go
+++ b/ferry/ferryplacement/plan.go
@@ -36,6 +36,9 @@
 type Input struct {
 	Model   *ferryconfig.Model
 	Engines []Engine
+	// FavorMemory is set if demand is expected to exceed the engines' memory for requests. Failure domains then hold
+	// fewer copies of the model if that leaves more memory at each layer.
+	FavorMemory bool
 	// Lacking is how long each failure domain has lacked at least one layer.
 	Lacking map[ferryid.DomainName]time.Duration
 }
@@ -72,6 +75,10 @@
 	}
 	p := newPlan(in)
 	for _, pool := range p.pools() {
+		if pool.fresh() && p.FavorMemory {
+			p.assignForDemand(pool)
+			continue
+		}
 		if pool.fresh() {
 			p.distribute(pool)
 			continue
@@ -91,11 +98,15 @@
 	cover, live *coverage
 	orders      []Order
 	ordered     map[ferryid.UpstreamName]bool
+	// spreads caches spreadForDemand by the failure domain of a pool's first engine.
+	spreads map[ferryid.DomainName]*spread
+	// wantedTokens replaces the model's number of tokens for each engine if it is set.
+	wantedTokens float64
 }
 
 func newPlan(in Input) *plan {
 	m := in.Model
-	p := &plan{Input: in, model: m, cover: newCoverage(m.Layers), live: newCoverage(m.Layers), ordered: map[ferryid.UpstreamName]bool{}}
+	p := &plan{Input: in, model: m, cover: newCoverage(m.Layers), live: newCoverage(m.Layers), ordered: map[ferryid.UpstreamName]bool{}, spreads: map[ferryid.DomainName]*spread{}}
 	for i := range in.Engines {
 		e := in.Engines[i]
 		if Capacity(m, e.Accelerator) == 0 {
@@ -206,10 +217,20 @@
 	return part
 }
 
-// tokens returns the number of tokens for which each engine of a pool has memory beside its layers: those that the
-// model asks for, or fewer if the pool would not hold the model otherwise. It visits the pool several times.
+// tokens returns the number of tokens for which each engine of a pool has memory beside its layers. It visits the pool
+// several times.
 func (p *plan) tokens(l pool) float64 {
-	tokens := float64(p.model.EngineTokens)
+	if p.FavorMemory {
+		return p.spreadForDemand(l).tokens
+	}
+	if p.wantedTokens > 0 {
+		return p.fittingTokens(l, p.wantedTokens)
+	}
+	return p.fittingTokens(l, float64(p.model.EngineTokens))
+}
+
+// fittingTokens returns the given number of tokens, or fewer if the pool would not hold the model otherwise.
+func (p *plan) fittingTokens(l pool, tokens float64) float64 {
 	for ; tokens > 1; tokens *= tokenReduction {
 		n := 0
 		for _, e := range l {
--- a/ferry/ferryplacement/plan_test.go
+++ b/ferry/ferryplacement/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -106,6 +107,36 @@
 	}
 }
 
+// TestPlacementForScarceMemory guards against a placement that gives memory for requests away to further copies of the
+// layers, or that leaves one layer with much less of it than the others.
+func TestPlacementForScarceMemory(t *testing.T) {
+	for _, text := range []string{"a: 3 huge 16 mid 14 small", "b: 2 huge 9 mid 24 small", "c: 4 huge 11 mid 10 small"} {
+		spare := func(scarce bool) (least, mean float64) {
+			m := model()
+			m.EngineTokens = 50000
+			engines := fleet(text)
+			for range 4 {
+				apply(engines, Plan(Input{Model: m, Engines: engines, FavorMemory: scarce}))
+			}
+			p := newPlan(Input{Model: m, Engines: engines})
+			s := &spread{plan: p, holders: make([][]*Engine, m.Layers)}
+			for _, e := range p.engines {
+				s.add(e, e.Held)
+			}
+			least = math.Inf(1)
+			for at := range m.Layers {
+				least = min(least, s.spare(ferryid.Layer(at)))
+				mean += s.spare(ferryid.Layer(at)) / float64(m.Layers)
+			}
+			return least, mean
+		}
+		before, _ := spare(false)
+		least, mean := spare(true)
+		assert.Assert(t, least > 1.2*before, "%s: %v, %v without the demand", text, least, before)
+		assert.Assert(t, least > 0.8*mean, "%s: least %v, mean %v", text, least, mean)
+	}
+}
+
 // TestEveryPlanKeepsToMemory checks the orders for random fleets that lose and gain engines: at most one for
 // each engine, none for a fixed engine, and no range beyond the engine's capacity.
 func TestEveryPlanKeepsToMemory(t *testing.T) {
--- a/ferryd/ferryedge/placement.go
+++ b/ferryd/ferryedge/placement.go
@@ -182,7 +182,11 @@
 			p.placers[s.Name] = pl
 			p.guard.Go("placement of "+string(s.Name), "", func() { p.runPlacer(p.ctx, s.Name, pl) })
 		}
-		pl.Set(s.Model, p.usableEngines(s.Name))
+		demand := ferryplacement.MemorySuffices
+		if p.config.Ranks(s.Name) > 1 {
+			demand = ferryplacement.MemoryScarce
+		}
+		pl.Set(s.Model, demand, p.usableEngines(s.Name))
 	}
 }
 
