Forecast: overflow to other failure domains, room left to urgent work

Cause: a failure domain that lost engines refused streams while others had room (324 and 148 refusals in one domain, 33 in another, none in the third), and refusals for want of room did not regard ranks.

Change: parts of the arrivals that do not fit in their failure domain take paths that lie in another one; where the forecast has no room and the engines report a fill of 0.8, a request passes with the probability of its urgency. The admission counts the engines of all failure domains once its own is 0.7 full.

--- a/ferry/ferryforward/destination.go
+++ b/ferry/ferryforward/destination.go
@@ -52,7 +52,7 @@
 
 // pickPath chooses a path, if possible apart from the runs that this one might crash or be ended by.
 func (f *Forwarder) pickPath(r *request, avoid []ferryid.UpstreamName) (*ferrypath.Run, error) {
-	work := ferrypath.Work{Prompt: r.Prompt, Answer: r.expectedTokens(), Avoid: avoid}
+	work := ferrypath.Work{Prompt: r.Prompt, Answer: r.expectedTokens(), Avoid: avoid, Urgency: r.urgency()}
 	now, suspect := f.cfg.Clock.Now(), f.isSuspect(r)
 	var run *ferrypath.Run
 	err := ferrypath.ErrNoPath
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -348,7 +348,7 @@
 		ev = s.log.Info().Bool("Late", true)
 	}
 	if c, ok := dest.(enginePath); ok {
-		ev.Int64("ReportAge", c.run.ReportAge().Milliseconds())
+		ev.Bool("Forecast", c.run.Forecast()).Int64("ReportAge", c.run.ReportAge().Milliseconds())
 	}
 	s.addLogFields(ev, r).Str("Path", formatDestination(dest)).Int("Events", s.events).Dur("First", first).Dur("LongestPause", s.longestGap).
 		Dur("Took", s.lastAt.Sub(r.call.At)).Int("Sends", r.arrived+r.unsent).Msg("stream completed")
@@ -424,7 +424,11 @@
 	s.r.full = append(s.r.full, ferryid.UpstreamName(name))
 	s.refusals++
 	s.r.service.congestion.recordRefusal(s.cfg.Clock.Now())
-	s.log.Info().Str("Request", string(s.r.ID)).Str("Upstream", name).Int("Status", status).Str("Path", formatDestination(dest)).Msg("upstream refused the stream without running it")
+	ev := s.log.Info().Str("Request", string(s.r.ID)).Str("Upstream", name).Int("Status", status).Str("Path", formatDestination(dest))
+	if c, ok := dest.(enginePath); ok {
+		ev.Bool("Forecast", c.run.Forecast()).Int64("ReportAge", c.run.ReportAge().Milliseconds())
+	}
+	ev.Msg("upstream refused the stream without running it")
 	return s.overloadProblem(s.r, nil)
 }
 
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -181,6 +181,8 @@
 type Work struct {
 	Prompt, Answer ferryid.Tokens
 	Avoid          []ferryid.UpstreamName
+	// Urgency is from 0 to 1, for the most urgent. Where the forecast has no room, the rest is left to urgent work.
+	Urgency float64
 }
 
 // Run is one generation on its path. The first of Done, Cancelled, Failed, Unreachable and Refused ends it.
@@ -191,6 +193,8 @@
 	// reportAge is the age of the oldest engine report when the path was selected, or Unreported.
 	reportAge time.Duration
 	began     time.Time
+	// forecast is set if the path is one of the forecast's.
+	forecast bool
 	// tokenTimes is the predicted time of the tokens on the engines, without prefill and waiting.
 	tokenTimes time.Duration
 	ended      atomic.Bool
@@ -212,6 +216,9 @@
 // It is Unreported if one of the engines had no recent report.
 func (r *Run) ReportAge() time.Duration { return r.reportAge }
 
+// Forecast reports whether the path was selected from the forecast of the failure domain's arrivals.
+func (r *Run) Forecast() bool { return r.forecast }
+
 // Chooser returns the chooser that started the run.
 func (r *Run) Chooser() *Chooser { return r.chooser }
 
@@ -225,8 +232,8 @@
 	}
 	now := c.opts.Clock.Now()
 	if c.contended {
-		if run, ok := c.pickForecast(w, now); ok {
-			return run, nil
+		if run, ok, err := c.pickForecast(w, now); ok || err != nil {
+			return run, err
 		}
 	}
 	plan := ferrypipeline.Plan{}
--- a/ferry/ferrypath/forecast.go
+++ b/ferry/ferrypath/forecast.go
@@ -1,7 +1,9 @@
 package ferrypath
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"cactusferry.dev/ferry/ferryid"
@@ -33,6 +35,10 @@
 	maxStretch     = 100
 )
 
+// scarceFill is the reported fill of the engines below which work without a path in the forecast is not refused: the
+// forecast follows an estimate of the arrivals, which may be too high.
+const scarceFill = 0.8
+
 // arrivals estimates the rate and the mean size of this entry's generations by exponentially decaying sums.
 type arrivals struct {
 	count, tokens float64
@@ -79,27 +85,38 @@
 type forecast struct {
 	at      time.Time
 	version int64
-	plans   []ferrypipeline.Plan
+	// plans has a path for each part of the arrivals that fits. Parts beyond forecastParts-len(plans) do not.
+	plans []ferrypipeline.Plan
 	// rates are the predicted starts per second on each engine.
 	rates map[ferryid.UpstreamName]float64
 	// used is the predicted memory of each engine, in tokens times layers.
 	used []float64
+	// tokens is the mean size of a generation.
+	tokens float64
 }
 
-// pickForecast selects a path of the forecast for the work, or reports false if none can be used.
-func (c *Chooser) pickForecast(w Work, now time.Time) (*Run, bool) {
+// pickForecast selects a path of the forecast for the work. It reports false if none can be used, and ErrNoRoom if
+// the forecast has no room for the work and more urgent work may need what is left.
+func (c *Chooser) pickForecast(w Work, now time.Time) (*Run, bool, error) {
 	c.arrivals.add(w, now)
 	f := c.updateForecast(now)
-	for range min(forecastTries, len(f.plans)) {
-		plan := &f.plans[int(c.uniform()*float64(len(f.plans)))]
-		if !c.allUsable(plan, w, now) {
+	for range forecastTries {
+		i := int(c.uniform() * forecastParts)
+		if i >= len(f.plans) {
+			if c.uniform() >= w.Urgency && c.updateRoom(now).Fill >= scarceFill {
+				return nil, false, ErrNoRoom
+			}
+			break
+		}
+		if !c.allUsable(&f.plans[i], w, now) {
 			continue
 		}
-		if run, err := c.begin(plan, w); err == nil {
-			return run, true
+		if run, err := c.begin(&f.plans[i], w); err == nil {
+			run.forecast = true
+			return run, true, nil
 		}
 	}
-	return nil, false
+	return nil, false, nil
 }
 
 // allUsable reports whether all engines of a plan may be selected now.
@@ -120,28 +137,65 @@
 		return f
 	}
 	f.at, f.version = now, c.version.Load()
-	usual := float64(c.model.UsualPrompt + c.model.UsualAnswer)
-	tokens := c.arrivals.meanTokens(usual)
-	rate := c.arrivals.perSecond(now) * float64(max(1, c.entries[c.opts.Domain]))
-	c.predictUsed(f, tokens, now)
+	f.tokens = c.arrivals.meanTokens(float64(c.model.UsualPrompt + c.model.UsualAnswer))
+	c.predictUsed(f, now)
 	f.plans = f.plans[:0]
-	rates := make(map[ferryid.UpstreamName]float64, len(c.engines))
-	part := rate / forecastParts
-	for range forecastParts {
-		if !c.placePart(f, rates, part, tokens, now) {
-			break
-		}
+	f.rates = make(map[ferryid.UpstreamName]float64, len(c.engines))
+	left := c.placeParts(f, c.opts.Domain, now)
+	if left > 0 {
+		c.placeOverflow(f, left, now)
 	}
-	f.rates = rates
 	return f
 }
 
+// placeParts places the arrivals of a failure domain on its own engines and returns the number of parts that do not
+// fit.
+func (c *Chooser) placeParts(f *forecast, d ferryid.DomainName, now time.Time) (left int) {
+	for i := range forecastParts {
+		if !c.placePart(f, d, d, now) {
+			return forecastParts - i
+		}
+	}
+	return 0
+}
+
+// placeOverflow places the parts that do not fit in this failure domain in others, beside the arrivals there. A path
+// lies in one domain: only the caller's request and the events then cross, not the state between layers.
+func (c *Chooser) placeOverflow(f *forecast, own int, now time.Time) {
+	domains := slices.Sorted(maps.Keys(c.entries))
+	left := map[ferryid.DomainName]int{c.opts.Domain: own}
+	for _, d := range domains {
+		if d != c.opts.Domain {
+			left[d] = c.placeParts(f, d, now)
+		}
+	}
+	for placed := true; placed && left[c.opts.Domain] > 0; {
+		placed = false
+		for _, d := range domains {
+			if left[d] > 0 && c.placeElsewhere(f, d, domains, now) {
+				left[d]--
+				placed = true
+			}
+		}
+	}
+}
+
+// placeElsewhere places a part of a failure domain's arrivals in another one and reports whether it fits.
+func (c *Chooser) placeElsewhere(f *forecast, from ferryid.DomainName, domains []ferryid.DomainName, now time.Time) bool {
+	for _, d := range domains {
+		if d != from && c.placePart(f, from, d, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // predictUsed predicts the memory that present generations need at the horizon.
-func (c *Chooser) predictUsed(f *forecast, tokens float64, now time.Time) {
+func (c *Chooser) predictUsed(f *forecast, now time.Time) {
 	f.used = f.used[:0]
 	for _, e := range c.engines {
 		layers := float64(e.up.Layers.Len())
-		started := f.rates[ferryid.UpstreamName(e.up.Name)] * tokens * layers
+		started := f.rates[ferryid.UpstreamName(e.up.Name)] * f.tokens * layers
 		d := c.meanDuration().Seconds()
 		if !e.reportFresh(now) || e.reported.Room == 0 {
 			f.used = append(f.used, started*d*math.Exp(-forecastHorizon.Seconds()/d))
@@ -155,37 +209,46 @@
 	}
 }
 
-// placePart adds the best path for one part of the arrivals and counts its memory, or reports false if there is none.
-func (c *Chooser) placePart(f *forecast, rates map[ferryid.UpstreamName]float64, part, tokens float64, now time.Time) bool {
+// placePart adds the best path in a failure domain for one part of the arrivals of another or the same one, counts its
+// memory, and reports whether it fits. It keeps the paths of this entry's failure domain.
+func (c *Chooser) placePart(f *forecast, from, in ferryid.DomainName, now time.Time) bool {
+	part := c.arrivals.perSecond(now) * float64(max(1, c.entries[from])) / forecastParts
 	for i, e := range c.engines {
-		l := &c.loads[i]
-		layers := float64(e.up.Layers.Len())
-		room := float64(e.reported.Room)
-		if !e.reportFresh(now) || e.reported.Room == 0 {
-			room = float64(c.model.RequestMemory(e.kind, int(layers)))
-		}
-		one := tokens * layers
-		l.Avoid = e.down || e.up.Deferred(now) || e.up.FailureDomain != c.opts.Domain || e.pace(now) >= slowPace || !e.health.Usable(now, true) ||
-			f.used[i]+max(one, part*c.meanDuration().Seconds()*one) > room-forecastMargin*math.Sqrt(room*one)
-		running := int(f.used[i] / one)
-		t := time.Duration(float64(c.model.TokenTime(e.kind, int(layers), running+1)) * e.pace(now))
-		l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
+		c.loadForPart(i, e, f, part, in, now)
 	}
 	plan := ferrypipeline.Plan{}
 	if err := c.planner.Choose(c.loads, nil, max(1, ferryid.Tokens(c.model.UsualAnswer)), &plan); err != nil {
 		return false
 	}
 	d := c.planDuration(&plan).Seconds()
-	held := part * d * (1 - math.Exp(-forecastHorizon.Seconds()/d)) * tokens
+	held := part * d * (1 - math.Exp(-forecastHorizon.Seconds()/d)) * f.tokens
 	for i := range plan.Stages {
 		s := &plan.Stages[i]
-		rates[s.Name] += part
+		f.rates[s.Name] += part
 		f.used[c.indexOf[s.Name]] += held * float64(s.Layers.Len())
 	}
-	f.plans = append(f.plans, plan)
+	if from == c.opts.Domain {
+		f.plans = append(f.plans, plan)
+	}
 	return true
 }
 
+// loadForPart updates the planner's load of one engine for a part of the arrivals, in generations per second.
+func (c *Chooser) loadForPart(i int, e *engine, f *forecast, part float64, in ferryid.DomainName, now time.Time) {
+	l := &c.loads[i]
+	layers := float64(e.up.Layers.Len())
+	room := float64(e.reported.Room)
+	if !e.reportFresh(now) || e.reported.Room == 0 {
+		room = float64(c.model.RequestMemory(e.kind, int(layers)))
+	}
+	one := f.tokens * layers
+	needed := max(one, part*c.meanDuration().Seconds()*one)
+	l.Avoid = e.up.FailureDomain != in || e.down || e.up.Deferred(now) || e.pace(now) >= slowPace || !e.health.Usable(now, true) ||
+		f.used[i]+needed > room-forecastMargin*math.Sqrt(room*one)
+	t := time.Duration(float64(c.model.TokenTime(e.kind, int(layers), int(f.used[i]/one)+1)) * e.pace(now))
+	l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
+}
+
 // planDuration predicts the duration of a generation of usual length on a plan.
 func (c *Chooser) planDuration(p *ferrypipeline.Plan) time.Duration {
 	var sum time.Duration
--- a/ferry/ferrypath/room.go
+++ b/ferry/ferrypath/room.go
@@ -18,15 +18,22 @@
 	engines    []ferryroom.Engine
 }
 
-// Room returns the memory for requests of the engines of this entry's failure domain, or of all engines if those do
-// not hold the whole model.
+// overflowFill is the fill of this failure domain from which the engines of the others count too.
+const overflowFill = 0.7
+
+// Room returns the memory for requests of the engines of this entry's failure domain, or of all engines if that is
+// short and they are less full.
 func (c *Chooser) Room() ferryroom.Room {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.opts.Clock.Now()
 	if c.model == nil {
 		return ferryroom.Room{}
 	}
+	return c.updateRoom(c.opts.Clock.Now())
+}
+
+// updateRoom returns the room, computed anew if it is old.
+func (c *Chooser) updateRoom(now time.Time) ferryroom.Room {
 	if s := &c.room; s.at.IsZero() || now.Sub(s.at) >= roomInterval {
 		s.at = now
 		s.room = c.computeRoom(now)
@@ -37,10 +44,12 @@
 func (c *Chooser) computeRoom(now time.Time) ferryroom.Room {
 	growth := ferryid.Tokens(expectedGrowth * float64(c.model.UsualAnswer))
 	inDomain := c.roomOf(now, growth, func(e *engine) bool { return e.up.FailureDomain == c.opts.Domain })
-	if inDomain.Known && inDomain.Free == 0 && inDomain.Fill == 1 {
-		if all := c.roomOf(now, growth, func(*engine) bool { return true }); all.Known {
-			return all
-		}
+	if inDomain.Known && inDomain.Fill < overflowFill {
+		return inDomain
+	}
+	all := c.roomOf(now, growth, func(*engine) bool { return true })
+	if all.Known && (!inDomain.Known || all.Fill < inDomain.Fill) {
+		return all
 	}
 	return inDomain
 }
