Status codes that are not final are no answers

Cause: upstreams that answer with status 000, 099, 600 or 999 had these passed on to callers as answers; 000 reached them as "HTTP/1.1 0". With a header that says that the request was not run, such an answer counted as a refusal, so that the request was sent again. net/http and ferryexchange check the syntax of the status only.

Change: ferrystatus.IsFinal decides (200 to 599). ferryexchange, ferryplain, ferryengine, ferryplatform, ferryadmin and the links of ferrypeer use it, all but the first by ferrystatus.Transport, an http.RoundTripper. Any other status is a *ferrystatus.InvalidError with the status as received and the address; the connection is closed, the outcome is Unknown, and ferryforward treats it as a broken answer. Interim answers are skipped as before, and 101 is accepted by ferrypeer only, in answer to Upgrade.

--- a/ferry/ferryadmin/client.go
+++ b/ferry/ferryadmin/client.go
@@ -19,6 +19,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 	"cactusferry.dev/ferry/ferryservice"
+	"cactusferry.dev/ferry/ferrystatus"
 	"cactusferry.dev/ferry/ferrytoml"
 )
 
@@ -45,7 +46,7 @@
 	return &Client{
 		base:  strings.TrimSuffix(base, "/"),
 		token: token,
-		http:  &http.Client{Transport: transport, Timeout: callTimeout},
+		http:  &http.Client{Transport: &ferrystatus.Transport{Base: transport}, Timeout: callTimeout},
 	}
 }
 
--- a/ferry/ferryengine/client.go
+++ b/ferry/ferryengine/client.go
@@ -19,6 +19,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrystatus"
 )
 
 const (
@@ -51,10 +52,13 @@
 
 // New returns a Client.
 func New(cfg ClientConfig) *Client {
-	c := &Client{http: cfg.HTTP, clock: cfg.Clock, idleTimeout: cfg.IdleTimeout, memory: cfg.Memory}
-	if c.http == nil {
-		c.http = &http.Client{Transport: NewTransport(nil)}
+	c := &Client{http: &http.Client{}, clock: cfg.Clock, idleTimeout: cfg.IdleTimeout, memory: cfg.Memory}
+	if cfg.HTTP != nil {
+		*c.http = *cfg.HTTP
+	} else {
+		c.http.Transport = NewTransport(nil)
 	}
+	c.http.Transport = &ferrystatus.Transport{Base: c.http.Transport}
 	if c.clock == nil {
 		c.clock = clockwork.NewRealClock()
 	}
@@ -242,6 +246,14 @@
 	}
 }
 
+// sendPhase returns the phase of a send that failed with the error. An answer without a final status counts as none.
+func (cl *call) sendPhase(err error) ferryoutcome.Phase {
+	if errors.As(err, new(*ferrystatus.InvalidError)) {
+		return ferryoutcome.PhaseWriting
+	}
+	return cl.phase()
+}
+
 // phase returns the phase of a failed send. It seals the connection, so that a call reported as not written
 // can't be written later.
 func (cl *call) phase() ferryoutcome.Phase {
@@ -269,7 +281,7 @@
 	}
 	resp, err := cl.client.http.Do(req)
 	if err != nil {
-		return nil, &DispatchError{Upstream: cl.address, Phase: cl.phase(), Err: cl.cause(err)}
+		return nil, &DispatchError{Upstream: cl.address, Phase: cl.sendPhase(err), Err: cl.cause(err)}
 	}
 	cl.resetTimeout()
 	if resp.StatusCode/100 == 2 {
--- a/ferry/ferryexchange/client.go
+++ b/ferry/ferryexchange/client.go
@@ -16,6 +16,7 @@
 
 	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrystatus"
 )
 
 const (
@@ -196,6 +197,8 @@
 				return nil, &LimitError{Part: "answer", Limit: fmt.Sprintf("%d interim answers", c.cfg.Limits.InterimAnswers)}
 			}
 			continue
+		case !ferrystatus.IsFinal(resp.StatusCode):
+			return nil, ferrystatus.Check(resp.StatusCode, cn.address)
 		case r.owns(resp.Header, reused):
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, body: resp.Body, conn: cn,
--- a/ferry/ferrypeer/node.go
+++ b/ferry/ferrypeer/node.go
@@ -18,6 +18,7 @@
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryring"
+	"cactusferry.dev/ferry/ferrystatus"
 )
 
 const (
@@ -121,7 +122,7 @@
 		conns: map[LinkID]*conn{}, byTag: map[Tag]*conn{}, askConns: map[Tag]*conn{},
 	}
 	n.guard = ferryguard.New(ferryguard.Config{Log: &n.cfg.Log, Clock: cfg.Clock})
-	n.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.TLS, DialContext: cfg.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
+	n.client = &http.Client{Transport: &ferrystatus.Transport{Base: &http.Transport{TLSClientConfig: cfg.TLS, DialContext: cfg.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}}
 	n.overlay = NewOverlay(OverlayConfig{Self: cfg.Self, Seeds: cfg.Seeds, Topics: cfg.Topics}, cfg.Clock.Now())
 	for _, t := range n.overlay.topics {
 		n.volatile[t.Name] = t.Volatile
--- a/ferry/ferryplain/client.go
+++ b/ferry/ferryplain/client.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cactusferry.dev/ferry/ferryoutcome"
+	"cactusferry.dev/ferry/ferrystatus"
 )
 
 const (
@@ -160,11 +161,11 @@
 	CopyHeader(r.Header, call.Header)
 	r.Header.Set(RequestIDHeader, string(call.RequestID))
 	if call.Idempotent {
-		return c.pooled.RoundTrip(r)
+		return (&ferrystatus.Transport{Base: c.pooled}).RoundTrip(r)
 	}
 	// With GetBody the transport would retry the call itself.
 	r.GetBody = nil
-	return c.unpooled.RoundTrip(r)
+	return (&ferrystatus.Transport{Base: c.unpooled}).RoundTrip(r)
 }
 
 func refusal(address string, status int, body io.Reader) error {
--- a/ferry/ferryplatform/client.go
+++ b/ferry/ferryplatform/client.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cactusferry.dev/ferry/ferrymemory"
+	"cactusferry.dev/ferry/ferrystatus"
 )
 
 const (
@@ -66,7 +67,7 @@
 	return &Client{
 		protocol: cfg.Protocol,
 		base:     strings.TrimSuffix(cfg.URL, "/"),
-		http:     withoutRedirects(cfg.HTTP),
+		http:     newHTTP(cfg.HTTP),
 		clock:    cfg.Clock,
 		timeout:  cfg.Timeout,
 		bucket:   newTokenBucket(cfg.Clock, cfg.Budget),
@@ -74,8 +75,9 @@
 	}
 }
 
-// withoutRedirects returns a copy of the client that follows no redirects, as that would send a write twice.
-func withoutRedirects(given *http.Client) *http.Client {
+// newHTTP returns a copy of the client that accepts final statuses only and follows no redirects, as that would send a
+// write twice.
+func newHTTP(given *http.Client) *http.Client {
 	c := http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
@@ -86,6 +88,7 @@
 	if given != nil {
 		c = *given
 	}
+	c.Transport = &ferrystatus.Transport{Base: c.Transport}
 	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &c
 }
