Numbers that cannot be used are refused or bounded where they come in

Cause: several inputs were converted without a check of their range.

An id beyond 64 bits ends its run with an *EventError. Configuration.Check has a fault for a priority below 0 or above 1,000: the protocol names no upper bound, and only the order of priorities counts.

--- a/ferry/ferryconfig/configuration.go
+++ b/ferry/ferryconfig/configuration.go
@@ -21,6 +21,12 @@
 // Priority is the priority of a request; 0 is the most urgent.
 type Priority int
 
+// MaxPriority is the greatest priority of a route or customer. Only the order of priorities counts, so that the bound
+// need not be that of engines; it keeps out values that are no priorities.
+const MaxPriority Priority = 1000
+
+func (p Priority) valid() bool { return p >= 0 && p <= MaxPriority }
+
 // Configuration is one complete version of what the operators have configured.
 type Configuration struct {
 	Version   Version
@@ -85,6 +91,9 @@
 	owners := map[Key]ferryid.CustomerName{}
 	for _, c := range customers {
 		f.add(c.Name != "", "a customer has no name")
+		if c.Priority != nil {
+			f.add(c.Priority.valid(), "customer %q: the priority must be from 0 to %d, is %d", c.Name, MaxPriority, *c.Priority)
+		}
 		for _, k := range c.Keys {
 			other, taken := owners[k]
 			f.add(k != "", "customer %q has an empty key", c.Name)
--- a/ferry/ferryconfig/route.go
+++ b/ferry/ferryconfig/route.go
@@ -70,6 +70,7 @@
 	f.add(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), "route %q: prefix %q must start and end with a slash", r.Name, r.Prefix)
 	f.add(len(r.Targets) > 0, "route %q has no service", r.Name)
 	f.add(r.Timeout >= 0, "route %q: the timeout must not be negative", r.Name)
+	f.add(r.Priority.valid(), "route %q: the priority must be from 0 to %d, is %d", r.Name, MaxPriority, r.Priority)
 	for _, t := range r.Targets {
 		f.add(services[t.Service], "route %q: service %q does not exist", r.Name, t.Service)
 		f.add(t.Weight >= 0, "route %q: the weight of service %q must not be negative", r.Name, t.Service)
--- a/ferry/ferryconfig/snapshot_test.go
+++ b/ferry/ferryconfig/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -75,3 +76,34 @@
 	none := Route{Targets: []Target{{Service: "a"}}}
 	assert.Equal(t, none.Target(7), ferryid.ServiceName("a"))
 }
+
+// TestPriorityOutOfRange guards against priorities that no rank can be computed from. Each fault names the route or
+// customer and the value, and the configuration is not accepted.
+func TestPriorityOutOfRange(t *testing.T) {
+	for _, tt := range []struct {
+		priority Priority
+		fault    string
+	}{
+		{0, ""},
+		{9, ""},
+		{MaxPriority, ""},
+		{-1, "the priority must be from 0 to 1000, is -1"},
+		{MaxPriority + 1, "the priority must be from 0 to 1000, is 1001"},
+		{math.MinInt, "the priority must be from 0 to 1000, is -9223372036854775808"},
+		{math.MaxInt, "the priority must be from 0 to 1000, is 9223372036854775807"},
+	} {
+		ofRoute, ofCustomer := sample(1), sample(1)
+		ofRoute.Routes[1].Priority = tt.priority
+		ofCustomer.Customers[0].Priority = &tt.priority
+		for name, c := range map[string]*Configuration{`route "deep": `: ofRoute, `customer "smolyan": `: ofCustomer} {
+			_, err := NewSnapshot(c)
+			if tt.fault == "" {
+				assert.NilError(t, err)
+				continue
+			}
+			var faults *FaultsError
+			assert.Assert(t, errors.As(err, &faults), "%s%d", name, tt.priority)
+			assert.DeepEqual(t, faults.Faults, []string{name + tt.fault})
+		}
+	}
+}
--- a/ferry/ferryforward/event.go
+++ b/ferry/ferryforward/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 )
@@ -110,6 +111,10 @@
 		return true, nil
 	}
 	n, err := strconv.ParseInt(string(id), 10, 64)
+	if errors.Is(err, strconv.ErrRange) {
+		// It would count as an id that is no number, after which the ids could go back.
+		return false, &EventError{Detail: fmt.Sprintf("id %.80q does not fit in 64 bits", id)}
+	}
 	if err == nil && p.known && n <= p.number {
 		return false, nil
 	}
--- a/ferry/ferryforward/stream_test.go
+++ b/ferry/ferryforward/stream_test.go
@@ -224,6 +224,27 @@
 	assert.Equal(t, p.id, "x")
 }
 
+// TestEventIDsThatGoBack guards against an event that reaches the caller twice because its id goes back within a run. An
+// id with more digits than fit in an int64 has no place in the order and ends the run.
+func TestEventIDsThatGoBack(t *testing.T) {
+	p := newPosition("")
+	for _, tt := range []struct {
+		id    string
+		isNew bool
+	}{{"1", true}, {"2", true}, {"1", false}, {"2", false}, {"0", false}, {"-1", false}, {"3", true}, {"-9223372036854775808", false}, {"9223372036854775807", true}, {"4", false}} {
+		isNew, err := p.advance([]byte("id: " + tt.id + "\ndata: a\n\n"))
+		assert.NilError(t, err)
+		assert.Equal(t, isNew, tt.isNew, tt.id)
+	}
+	for _, id := range []string{"9223372036854775808", "99999999999999999999", "-9223372036854775809"} {
+		before := p
+		_, err := p.advance([]byte("id: " + id + "\ndata: a\n\n"))
+		var e *EventError
+		assert.Assert(t, errors.As(err, &e), id)
+		assert.Equal(t, p, before)
+	}
+}
+
 // TestOnlyEventsAreForwarded checks which bytes count as an event.
 func TestOnlyEventsAreForwarded(t *testing.T) {
 	for _, tt := range []struct {
