--- a/ferryd/ferryedge/condition_test.go
+++ b/ferryd/ferryedge/condition_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -103,3 +104,26 @@
 	clock.Advance(time.Second)
 	assert.Equal(t, len(e.wanting(list)), 2)
 }
+
+// TestConditionsOutOfRange guards against numbers of an engine that overflow where an entry publishes or receives them.
+func TestConditionsOutOfRange(t *testing.T) {
+	for _, tt := range []struct {
+		value float64
+		want  uint64
+	}{{640, 10}, {-1, 0}, {math.NaN(), 0}, {math.Inf(1), maxRoom}, {math.Inf(-1), 0}, {1e300, maxRoom}} {
+		assert.Equal(t, toUnits(tt.value, roomUnit, maxRoom), tt.want, "%v", tt.value)
+	}
+	for _, tt := range []struct {
+		condition engineCondition
+		valid     bool
+	}{
+		{engineCondition{Pace: maxPace, Running: maxPace, Used: maxRoom, Room: maxRoom}, true},
+		{engineCondition{Used: 9, Room: 8}, true},
+		{engineCondition{Pace: maxPace + 1}, false},
+		{engineCondition{Running: math.MaxUint32}, false},
+		{engineCondition{Used: math.MaxUint64}, false},
+		{engineCondition{Room: maxRoom + 1}, false},
+	} {
+		assert.Equal(t, conditions{List: []engineCondition{tt.condition}}.Check() == nil, tt.valid, "%+v", tt.condition)
+	}
+}
