Placement for scarce memory leaves no layer without a holder

Cause: where a failure domain holds little more than one copy, the memory of each layer without its largest holder is 0, and the balance moved the only holders of layers away.

Change: a small part of a layer's whole memory counts too. The new test fails without it.

--- a/ferry/ferryplacement/memory.go
+++ b/ferry/ferryplacement/memory.go
@@ -14,6 +14,8 @@
 	memorySteps = 20
 	// memoryGain is the relative gain from which fewer copies are preferred.
 	memoryGain = 0.03
+	// holderWeight is the part of a layer's whole memory that counts beside its memory without one engine.
+	holderWeight = 0.01
 	// maxBalanceMoves bounds the moves that balance the memory of the layers.
 	maxBalanceMoves = 200
 )
@@ -85,7 +87,8 @@
 	return float64(s.plan.model.RequestMemory(e.Accelerator, e.Held.Len())) / float64(e.Held.Len())
 }
 
-// spare returns the memory of a layer without the engine that has most there.
+// spare returns the memory of a layer without the engine that has most there. A small part of all counts too, so that a
+// layer with one holder comes before one with none.
 func (s *spread) spare(layer ferryid.Layer) float64 {
 	sum, most := 0.0, 0.0
 	for _, e := range s.holders[layer] {
@@ -93,7 +96,7 @@
 		sum += m
 		most = max(most, m)
 	}
-	return sum - most
+	return sum - most + holderWeight*sum
 }
 
 // weakest returns the layer with the least spare memory, and the number of layers that have as little.
--- a/ferry/ferryplacement/plan_test.go
+++ b/ferry/ferryplacement/plan_test.go
@@ -137,6 +137,18 @@
 	}
 }
 
+// TestScarceMemoryLeavesNoLayerWithoutHolder guards against a balance that takes the only holder from a layer, in failure
+// domains that hold little more than one copy of the model.
+func TestScarceMemoryLeavesNoLayerWithoutHolder(t *testing.T) {
+	m := model()
+	engines := fleet(mixed)
+	apply(engines, Plan(Input{Model: m, Engines: engines, FavorMemory: true}))
+	for _, d := range []ferryid.DomainName{"a", "b", "c"} {
+		here := holders(engines, d, m.Layers)
+		assert.Assert(t, slices.Min(here) >= 1, "domain %s lacks layers, holders: %v", d, here)
+	}
+}
+
 // TestEveryPlanKeepsToMemory checks the orders for random fleets that lose and gain engines: at most one for
 // each engine, none for a fixed engine, and no range beyond the engine's capacity.
 func TestEveryPlanKeepsToMemory(t *testing.T) {
