Retries: a part is left to the most urgent requests

Cause: in a shortage the retry budget was used up regardless of ranks.

Change: less urgent ranks leave up to half of the entry's own retries. Services with one rank take retries as before. The new test fails without the reserve.

--- a/ferry/ferrybudget/budget.go
+++ b/ferry/ferrybudget/budget.go
@@ -110,11 +110,14 @@
 }
 
 // TakeRetry takes one retry from the budget and reports whether one was left.
-func (b *Budget) TakeRetry() bool {
+func (b *Budget) TakeRetry() bool { return b.TakeRetryAbove(0) }
+
+// TakeRetryAbove is like TakeRetry, but leaves a part, from 0 to 1, of what the entry has to itself to other requests.
+func (b *Budget) TakeRetryAbove(reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	if b.remaining() < 1 {
+	if b.remaining() < 1+reserve*b.own() {
 		return false
 	}
 	b.retries[b.head]++
--- a/ferry/ferrybudget/budget_test.go
+++ b/ferry/ferrybudget/budget_test.go
@@ -120,3 +120,17 @@
 	}
 	return out
 }
+
+// TestReserveIsLeftToUrgentRequests guards against less urgent requests that use up the retries of urgent ones.
+func TestReserveIsLeftToUrgentRequests(t *testing.T) {
+	b := New(Config{Clock: clockwork.NewFakeClock(), Window: 10 * time.Second, Allowance: 60})
+	less := 0
+	for b.TakeRetryAbove(0.5) {
+		less++
+	}
+	urgent := 0
+	for b.TakeRetry() {
+		urgent++
+	}
+	assert.Assert(t, less > 0 && urgent >= int(0.5*b.own()), "%d less urgent retries, then %d urgent ones", less, urgent)
+}
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -29,9 +29,12 @@
 	retryAfterOutage = 1500 * time.Millisecond
 )
 
-// takeRetry takes one retry from the retry budget of the service and reports whether one was left.
+// urgentReserve is the part of the entry's own retries that is left to the most urgent requests.
+const urgentReserve = 0.5
+
+// takeRetry takes one retry from the retry budget of the service and reports whether one was left for the request.
 func (f *Forwarder) takeRetry(r *request) bool {
-	if r.service.budget.TakeRetry() {
+	if r.service.budget.TakeRetryAbove(urgentReserve * (1 - r.rankUrgency())) {
 		return true
 	}
 	f.metrics.retryDenied(r.service.name)
--- a/ferry/ferryforward/shed.go
+++ b/ferry/ferryforward/shed.go
@@ -44,7 +44,15 @@
 // urgency returns how urgent the request is, from 0 to 1 for the most urgent. One that was sent before is most urgent,
 // since some of its work may be done.
 func (r *request) urgency() float64 {
-	if r.ranks <= 1 || r.arrived > 0 || r.After != "" {
+	if r.arrived > 0 || r.After != "" {
+		return 1
+	}
+	return r.rankUrgency()
+}
+
+// rankUrgency returns how urgent the request's rank is, from 0 to 1 for the most urgent.
+func (r *request) rankUrgency() float64 {
+	if r.ranks <= 1 {
 		return 1
 	}
 	return 1 - float64(r.rank)/float64(r.ranks-1)
