--- a/ferry/ferryplacement/core.go
+++ b/ferry/ferryplacement/core.go
@@ -28,6 +28,8 @@
 	placed  bool
 	// lacking is the time since which a failure domain has lacked at least one layer.
 	lacking map[ferryid.DomainName]time.Time
+	// spreads are the placements for scarce memory that the last plans computed.
+	spreads map[ferryid.DomainName]*spread
 	// firstSeen and newestSeen are the times when the first and the newest engine appeared.
 	firstSeen, newestSeen time.Time
 }
@@ -62,7 +64,7 @@
 
 // NewCore returns a core without engines.
 func NewCore() *Core {
-	return &Core{engines: map[ferryid.UpstreamName]*engine{}, lacking: map[ferryid.DomainName]time.Time{}}
+	return &Core{engines: map[ferryid.UpstreamName]*engine{}, lacking: map[ferryid.DomainName]time.Time{}, spreads: map[ferryid.DomainName]*spread{}}
 }
 
 // MemoryDemand tells whether the demand for a service is expected to exceed the memory for requests.
@@ -145,7 +147,7 @@
 	}
 	sends := c.repeatDoubtful(now)
 	loading += len(sends)
-	for _, o := range Plan(Input{Model: c.model, Engines: engines, FavorMemory: c.demand == MemoryScarce, Lacking: c.updateLacking(engines, now)}) {
+	for _, o := range Plan(Input{Model: c.model, Engines: engines, FavorMemory: c.demand == MemoryScarce, Lacking: c.updateLacking(engines, now), spreads: c.spreads}) {
 		if c.placed && c.model.LoadsAtOnce > 0 && loading >= c.model.LoadsAtOnce {
 			break
 		}
--- a/ferry/ferryplacement/plan.go
+++ b/ferry/ferryplacement/plan.go
@@ -41,6 +41,9 @@
 	FavorMemory bool
 	// Lacking is how long each failure domain has lacked at least one layer.
 	Lacking map[ferryid.DomainName]time.Duration
+	// spreads keeps the placements of spreadForDemand for the next plan, since they take long to compute and depend on
+	// the model and the engines' accelerators only. They are kept by the failure domain of a pool's first engine. It may be nil.
+	spreads map[ferryid.DomainName]*spread
 }
 
 // Order is the new range of one engine.
@@ -98,15 +101,16 @@
 	cover, live *coverage
 	orders      []Order
 	ordered     map[ferryid.UpstreamName]bool
-	// spreads caches spreadForDemand by the failure domain of a pool's first engine.
-	spreads map[ferryid.DomainName]*spread
 	// wantedTokens replaces the model's number of tokens for each engine if it is set.
 	wantedTokens float64
 }
 
 func newPlan(in Input) *plan {
 	m := in.Model
-	p := &plan{Input: in, model: m, cover: newCoverage(m.Layers), live: newCoverage(m.Layers), ordered: map[ferryid.UpstreamName]bool{}, spreads: map[ferryid.DomainName]*spread{}}
+	p := &plan{Input: in, model: m, cover: newCoverage(m.Layers), live: newCoverage(m.Layers), ordered: map[ferryid.UpstreamName]bool{}}
+	if p.spreads == nil {
+		p.spreads = map[ferryid.DomainName]*spread{}
+	}
 	for i := range in.Engines {
 		e := in.Engines[i]
 		if Capacity(m, e.Accelerator) == 0 {
--- a/ferry/ferryplacement/plan_test.go
+++ b/ferry/ferryplacement/plan_test.go
@@ -119,14 +119,12 @@
 				apply(engines, Plan(Input{Model: m, Engines: engines, FavorMemory: scarce}))
 			}
 			p := newPlan(Input{Model: m, Engines: engines})
-			s := &spread{plan: p, holders: make([][]*Engine, m.Layers)}
-			for _, e := range p.engines {
-				s.add(e, e.Held)
-			}
+			s := &spread{plan: p}
+			s.count()
 			least = math.Inf(1)
 			for at := range m.Layers {
-				least = min(least, s.spare(ferryid.Layer(at)))
-				mean += s.spare(ferryid.Layer(at)) / float64(m.Layers)
+				least = min(least, float64(s.layers[at].spare()))
+				mean += float64(s.layers[at].spare()) / float64(m.Layers)
 			}
 			return least, mean
 		}
