Refusals by reason, rank and customer in metrics and lines

Cause: operators could not see why a request was refused: the line had the reason in its sentence only, refusals in the choice of a path, by engines and for want of retry budget looked alike, and no metric named room, retry times or customers. The metrics looked up their series for each request.

Change: requests_admitted, requests_refused by reason and retry_after_seconds for each service and rank; the room of the engines as gauges of the service; part and admitted share of the 20 customers with most requests in each rank, the others together, at most 80 series in the life of a process, each 10 s. The line of a refusal has Reason, Ranks, Share, Fill, Layer, Free and RoomAge. The chooser tells the room that the forecast leaves to more urgent work (ErrNoForecastRoom) from paths without memory. admissions is replaced by requests_admitted and requests_refused.

--- a/ferry/ferryforward/destination.go
+++ b/ferry/ferryforward/destination.go
@@ -41,9 +41,13 @@
 	}
 	run, err := f.pickPath(r, avoid)
 	switch {
-	case errors.Is(err, ferrypath.ErrNoRoom):
+	case errors.Is(err, ferrypath.ErrNoRoom), errors.Is(err, ferrypath.ErrNoForecastRoom):
 		r.service.congestion.recordRefusal(f.cfg.Clock.Now())
-		return nil, f.overloadProblem(r, err)
+		reason := noRoom
+		if errors.Is(err, ferrypath.ErrNoForecastRoom) {
+			reason = noForecastRoom
+		}
+		return nil, f.overloadProblem(r, reason, err)
 	case err != nil:
 		return nil, f.unavailableProblem(r, "No engines hold the whole model now.", err)
 	}
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -57,6 +57,7 @@
 	// log is for failed and late requests, successLog for the others; each has its own rate limit.
 	log, successLog zerolog.Logger
 	metrics         metrics
+	customers       customerMetrics
 	prober          *prober
 	guard           *ferryguard.Guard
 	maxProofAge     atomic.Int64
--- a/ferry/ferryforward/metrics.go
+++ b/ferry/ferryforward/metrics.go
@@ -6,7 +6,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
 )
@@ -46,14 +45,6 @@
 	m.scope.Tagged(map[string]string{"service": string(s)}).Counter("requests_held_back").Inc(1)
 }
 
-func (m metrics) decided(s ferryid.ServiceName, rank ferryconfig.Rank, decision string) {
-	m.scope.Tagged(map[string]string{"service": string(s), "rank": strconv.Itoa(int(rank)), "decision": decision}).Counter("admissions").Inc(1)
-}
-
-func (m metrics) fill(s ferryid.ServiceName, fill float64) {
-	m.scope.Tagged(map[string]string{"service": string(s)}).Gauge("engine_memory_fill").Update(fill)
-}
-
 func (m metrics) retried(s ferryid.ServiceName, why string) {
 	m.scope.Tagged(map[string]string{"service": string(s), "why": why}).Counter("requests_sent_again").Inc(1)
 }
--- a/ferry/ferryforward/plain.go
+++ b/ferry/ferryforward/plain.go
@@ -37,9 +37,11 @@
 		r.chose(singleUpstream{pick})
 		if r.arrived > 0 && !f.takeRetry(r) {
 			pick.Cancelled()
+			r.refusal.reason = retryBudgetExhausted
 			f.answerFailure(ctx, r, last, nil)
 			return
 		}
+		r.refusal = refusal{}
 		a, p := f.sendTo(ctx, r, pick)
 		if a != nil {
 			f.deliver(r, a)
@@ -202,7 +204,7 @@
 		pick.Refused()
 	}
 	r.service.congestion.recordRefusal(f.cfg.Clock.Now())
-	return f.overloadProblem(r, nil)
+	return f.overloadProblem(r, engineRefused, nil)
 }
 
 func (f *Forwarder) logSendError(r *request, upstream string, err error, msg string) {
--- a/ferry/ferryforward/refuse.go
+++ b/ferry/ferryforward/refuse.go
@@ -41,10 +41,11 @@
 
 // overloadProblem returns the problem of a request refused for lack of capacity; Retry-After grows with the
 // duration of the congestion.
-func (f *Forwarder) overloadProblem(r *request, err error) *ferryoutcome.Problem {
+func (f *Forwarder) overloadProblem(r *request, reason refusalReason, err error) *ferryoutcome.Problem {
 	if p := f.deferredProblem(r, err); p != nil {
 		return p
 	}
+	r.refuse(reason)
 	after := r.service.congestion.retryAfter(f.cfg.Clock.Now())
 	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams have no room.").WithRetryAfter(after).WithCause(err)
 }
@@ -56,6 +57,7 @@
 	if !at.After(now) {
 		return nil
 	}
+	r.refuse(upstreamsDeferred)
 	// Rounding up keeps a caller from returning before that time.
 	wait := withJitter(at.Sub(now)) + time.Millisecond
 	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The upstreams want no requests for another %s.", at.Sub(now).Round(time.Millisecond)).WithRetryAfter(wait).WithCause(err)
@@ -66,6 +68,7 @@
 	if p := f.deferredProblem(r, err); p != nil {
 		return p
 	}
+	r.refuse(noUpstream)
 	return ferryoutcome.New(ferryoutcome.KindUnavailable, ferryoutcome.NotRun, "%s", detail).WithRetryAfter(retryAfterNoUpstream).WithCause(err)
 }
 
@@ -77,7 +80,12 @@
 	if p.Status == http.StatusNotFound || p.Status == http.StatusUnauthorized || p.Status == http.StatusBadRequest {
 		ev = f.log.Info()
 	}
-	f.addLogFields(ev, r).Str("Target", c.Target).Int("Sends", r.arrived+r.unsent).Int("Ran", r.ran).Dur("Held", f.cfg.Clock.Since(c.At)).Str("Kind", string(p.Kind)).Int("Status", p.Status).
+	f.addLogFields(ev, r)
+	if r.refusal.reason != "" && p.Outcome == ferryoutcome.NotRun {
+		f.metrics.refused(r, p.RetryAfter)
+		r.addRefusalFields(ev)
+	}
+	ev.Str("Target", c.Target).Int("Sends", r.arrived+r.unsent).Int("Ran", r.ran).Dur("Held", f.cfg.Clock.Since(c.At)).Str("Kind", string(p.Kind)).Int("Status", p.Status).
 		Str("Outcome", string(p.Outcome)).Dur("RetryAfter", p.RetryAfter).AnErr("Cause", p.Cause).Msg(p.Detail)
 	if c.Answered() {
 		return
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -30,6 +30,8 @@
 	// admission decides which requests are refused while the engines are short of memory; it holds nil if all routes
 	// of the service have the same priority.
 	admission atomic.Pointer[ferryadmission.Core]
+	// metrics are created at the first use.
+	metrics atomic.Pointer[serviceMetrics]
 	// inDomain is the number of entries in this failure domain.
 	inDomain atomic.Int64
 }
--- a/ferry/ferryforward/shed.go
+++ b/ferry/ferryforward/shed.go
@@ -30,13 +30,13 @@
 	}
 	room := r.service.chooser.Room()
 	d := core.Decide(ferryadmission.Request{Rank: ferryadmission.Rank(r.rank), Customer: r.customer, Tokens: r.Prompt + r.expectedTokens()}, room)
-	f.metrics.fill(r.service.name, room.Fill)
+	f.metrics.room(r, room)
 	refused, ok := d.(ferryadmission.Refused)
 	if !ok {
-		f.metrics.decided(r.service.name, r.rank, "admitted")
+		f.metrics.admitted(r)
 		return nil
 	}
-	f.metrics.decided(r.service.name, r.rank, "refused")
+	r.refusal = refusal{reason: enginesShort, room: room, share: refused.Share}
 	return ferryoutcome.New(ferryoutcome.KindOverloaded, ferryoutcome.NotRun, "The engines are short of memory: %.2f used at layer %d; %.2f of the requests of rank %d are admitted.",
 		room.Fill, room.Layer, refused.Share, r.rank).WithRetryAfter(refused.RetryAfter)
 }
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -107,9 +107,11 @@
 		finishCancelled(dest)
 		s.cfg.Suspects.Withdraw(s.r.ID, s.r.service.name, s.r.Parts)
 		s.noCapacity = true
+		s.r.refusal.reason = retryBudgetExhausted
 		return nil, false
 	}
 	s.noCapacity = false
+	s.r.refusal = refusal{}
 	p := s.run(ctx, dest)
 	return p, p == nil
 }
@@ -429,7 +431,7 @@
 		ev.Bool("Forecast", c.run.Forecast()).Int64("ReportAge", c.run.ReportAge().Milliseconds())
 	}
 	ev.Msg("upstream refused the stream without running it")
-	return s.overloadProblem(s.r, nil)
+	return s.overloadProblem(s.r, engineRefused, nil)
 }
 
 // probeRefusingEngine probes the engine that caused a refusal and marks it as down if it does not answer, so
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -23,6 +23,9 @@
 // ErrNoRoom is returned if every path needs an engine without enough free memory.
 var ErrNoRoom = errors.New("every path needs an engine without enough free memory")
 
+// ErrNoForecastRoom is returned if the forecast has no room for the work and more urgent work may need what is left.
+var ErrNoForecastRoom = errors.New("the forecast leaves the remaining memory to more urgent work")
+
 // Options configure a Chooser.
 type Options struct {
 	Clock clockwork.Clock
@@ -222,7 +225,7 @@
 // Chooser returns the chooser that started the run.
 func (r *Run) Chooser() *Chooser { return r.chooser }
 
-// Pick selects a path and counts the generation on it, or returns ErrNoPath or ErrNoRoom.
+// Pick selects a path and counts the generation on it, or returns ErrNoPath, ErrNoRoom or ErrNoForecastRoom.
 func (c *Chooser) Pick(w Work) (*Run, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ferry/ferrypath/forecast.go
+++ b/ferry/ferrypath/forecast.go
@@ -95,7 +95,7 @@
 	tokens float64
 }
 
-// pickForecast selects a path of the forecast for the work. It reports false if none can be used, and ErrNoRoom if
+// pickForecast selects a path of the forecast for the work. It reports false if none can be used, and ErrNoForecastRoom if
 // the forecast has no room for the work and more urgent work may need what is left.
 func (c *Chooser) pickForecast(w Work, now time.Time) (*Run, bool, error) {
 	c.arrivals.add(w, now)
@@ -104,7 +104,7 @@
 		i := int(c.uniform() * forecastParts)
 		if i >= len(f.plans) {
 			if c.uniform() >= w.Urgency && c.updateRoom(now).Fill >= scarceFill {
-				return nil, false, ErrNoRoom
+				return nil, false, ErrNoForecastRoom
 			}
 			break
 		}
--- a/ferry/ferrypath/scale_bench_test.go
+++ b/ferry/ferrypath/scale_bench_test.go
@@ -113,3 +113,61 @@
 		})
 	}
 }
+
+// BenchmarkForecast computes the forecast of 350 entries with 1,600 engines in five failure domains, with room for the
+// arrivals in each failure domain and with none in this entry's, and selects paths of a forecast that is still in use.
+func BenchmarkForecast(b *testing.B) {
+	for _, tt := range []struct {
+		name string
+		used float64
+	}{{"Room", 0.3}, {"Overflow", 4}} {
+		m, list := largeFleet(1600)
+		clock := clockwork.NewFakeClock()
+		c := NewChooser(Options{Clock: clock, Domain: "d0"})
+		c.Set(m, list)
+		c.SetContended(true)
+		entries := map[ferryid.DomainName]int{}
+		for d := range 5 {
+			entries[domainName(d)] = 70
+		}
+		c.SetEntries(entries)
+		work := Work{Prompt: 760, Answer: 140, Urgency: 1}
+		pick := func() {
+			if r, err := c.Pick(work); err == nil {
+				r.Done()
+			}
+		}
+		for range 15 {
+			clock.Advance(100 * time.Millisecond)
+			pick()
+		}
+		for _, u := range list {
+			room := int64(100000 * u.Layers.Len())
+			used := 0.3
+			if u.FailureDomain == "d0" {
+				used = tt.used
+			}
+			c.Report(u.Name, Condition{Pace: 1, Used: int64(used * float64(room)), Room: room}, clock.Now())
+		}
+		b.Run("Compute/"+tt.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c.forecast.at = time.Time{}
+				c.updateForecast(clock.Now())
+			}
+			b.ReportMetric(float64(len(c.forecast.plans)), "plans")
+		})
+		b.Run("Pick/"+tt.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				pick()
+			}
+		})
+		b.Run("Room/"+tt.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c.computeRoom(clock.Now())
+			}
+		})
+	}
+}
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -224,7 +224,7 @@
 	g.Go(func() error { return e.readPlatform(ctx) })
 	for name, duty := range map[string]func(context.Context){
 		"upstream expiry": e.expireUpstreams, "placement": e.placement.run, "placement lease": e.placement.runLease, "state sharing": e.shareEntryState,
-		"condition reader": e.readConditions, "probes of engines that are down": e.probeDown, "connection sweep": e.sweep, "late lines of upstreams": e.writeUnlogged,
+		"condition reader": e.readConditions, "probes of engines that are down": e.probeDown, "connection sweep": e.sweep, "late lines of upstreams": e.writeUnlogged, "metrics of customers": e.recordCustomers,
 	} {
 		g.Go(func() error { return e.guard.Loop(ctx, name, duty) })
 	}
@@ -275,6 +275,16 @@
 
 const sweepInterval = time.Second
 
+// recordCustomers updates the metrics of customers periodically.
+func (e *Edge) recordCustomers(ctx context.Context) {
+	for e.pause(ctx, customerInterval) {
+		e.forwarder.RecordCustomers()
+	}
+}
+
+// customerInterval is the time in which the weight of a customer's requests falls to 1/e.
+const customerInterval = 10 * time.Second
+
 // pause waits for d and reports whether the context is still active.
 func (e *Edge) pause(ctx context.Context, d time.Duration) bool {
 	select {
