--- a/ferry/ferryforward/admissionmetrics_test.go
+++ b/ferry/ferryforward/admissionmetrics_test.go
@@ -139,6 +139,9 @@
 				}
 				assert.Equal(t, line["Share"] != nil, tt.share)
 				rank := fmt.Sprint(tt.rank)
+				b.forwarder.RecordCustomers()
+				part := b.scope.Snapshot().Gauges()["customer_part+customer=smolyan,rank="+rank+",service=llm"]
+				assert.Assert(t, part != nil && part.Value() == 1, "%v", part)
 				assert.DeepEqual(t, counted(b.scope, "requests_refused"), map[string]int64{rank + " " + tt.reason: 1})
 				if tt.admitted > 0 {
 					assert.Assert(t, counted(b.scope, "requests_admitted")[rank] >= tt.admitted)
