Forecast: impossible sizes, clocks ahead, less time per overflow

Cause: a request of impossible size was given a path of the forecast, whose engines refuse it only when they get it, and raised the mean size so that the forecast had no room. Without sizes the forecast divided by zero and took the fullest engines for the fastest. A report dated by a clock that is ahead counted as missing for the room. The balance of the first placement never moved an engine to a weak layer nearer to the first one than the engine's number of layers (unsigned underflow).

Change: work that no empty engine has memory for is not counted, and paths whose engines are too small for the work are not used; sizes are at least 1; ages are at least 0; the lowest range is computed without underflow. In an overflow a failure domain without room for another's parts is tried once, and engines of other domains are skipped early.

--- a/ferry/ferryadmission/ramp.go
+++ b/ferry/ferryadmission/ramp.go
@@ -13,15 +13,16 @@
 	Floor float64
 }
 
-// DefaultRamp holds the values of design 0017. Engines that are less full are left to refuse by themselves.
+// DefaultRamp differs from the initial values of design 0017: it starts later, with smaller steps and a lower floor.
+// Engines that are less full are left to refuse by themselves.
 var DefaultRamp = Ramp{Start: 0.9, Width: 0.15, Step: 0.08, Least: 0.7, Floor: 0.25}
 
 // maxFill is the upper bound of Start and Width, far above any fill that engines report.
 const maxFill = 10
 
 // bounded returns the ramp with impossible values replaced: by the defaults if Start or Width is not above 0 and at
-// most maxFill, by the default Least if that one is not above 0 and at most Start, by the default Step or Floor if that one is not from
-// 0 to 1.
+// most maxFill, by the default Least if that one is not above 0 and at most Start, by the default Step or Floor if that
+// one is not from 0 to 1.
 func (r Ramp) bounded(ranks int) Ramp {
 	if !(r.Start > 0 && r.Start <= maxFill && r.Width > 0 && r.Width <= maxFill) {
 		r = DefaultRamp
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -55,8 +55,10 @@
 	// contended is set if the requests of the service have ranks, which is for engines that are expected to be full.
 	contended bool
 	indexOf   map[ferryid.UpstreamName]int
-	arrivals  arrivals
-	forecast  forecast
+	// largestWork is the size of the largest generation for which an empty engine has memory, or 0 if it is unknown.
+	largestWork ferryid.Tokens
+	arrivals    arrivals
+	forecast    forecast
 	// duration is the moving average of the durations of completed generations.
 	duration time.Duration
 	// stretch is the moving average of the ratios of those durations to the token times of the engines.
@@ -141,8 +143,12 @@
 	}
 	c.loads = make([]ferrypipeline.Load, len(c.engines))
 	c.indexOf = make(map[ferryid.UpstreamName]int, len(c.engines))
+	c.largestWork = 0
 	for i, e := range c.engines {
 		c.indexOf[ferryid.UpstreamName(e.up.Name)] = i
+		layers := e.up.Layers.Len()
+		memory := max(c.model.RequestMemory(e.kind, layers), e.reported.Room)
+		c.largestWork = max(c.largestWork, ferryid.Tokens(memory/int64(layers)))
 	}
 	c.planner = nil
 	p, err := ferrypipeline.NewPlanner(ferrypipeline.PlannerConfig{Layers: ferryid.Layer(c.model.Layers), Candidates: candidates, Links: links(c.model, domainLinkWeight)})
--- a/ferry/ferrypath/forecast.go
+++ b/ferry/ferrypath/forecast.go
@@ -63,6 +63,9 @@
 
 // perSecond returns the arrival rate.
 func (a *arrivals) perSecond(now time.Time) float64 {
+	if a.since.IsZero() {
+		return 0
+	}
 	a.decay(now)
 	seen := 1 - math.Exp(-max(minRateTime, now.Sub(a.since)).Seconds()/rateTime.Seconds())
 	return a.count / (rateTime.Seconds() * seen)
@@ -91,14 +94,17 @@
 	rates map[ferryid.UpstreamName]float64
 	// used is the predicted memory of each engine, in tokens times layers.
 	used []float64
-	// tokens is the mean size of a generation.
+	// tokens is the mean size of a generation, at least 1.
 	tokens float64
 }
 
 // pickForecast selects a path of the forecast for the work. It reports false if none can be used, and ErrNoRoom if
 // the forecast has no room for the work and more urgent work may need what is left.
 func (c *Chooser) pickForecast(w Work, now time.Time) (*Run, bool, error) {
-	c.arrivals.add(w, now)
+	// One that no engine has memory for would raise the mean size until the forecast has room for none.
+	if c.largestWork == 0 || w.Prompt+w.Answer <= c.largestWork {
+		c.arrivals.add(w, now)
+	}
 	f := c.updateForecast(now)
 	for range forecastTries {
 		i := int(c.uniform() * forecastParts)
@@ -119,13 +125,17 @@
 	return nil, false, nil
 }
 
-// allUsable reports whether all engines of a plan may be selected now.
+// allUsable reports whether all engines of a plan may be selected for the work now. The forecast is one of generations of
+// the mean size; an engine of its paths may be too small for a larger one.
 func (c *Chooser) allUsable(plan *ferrypipeline.Plan, w Work, now time.Time) bool {
 	for i := range plan.Stages {
 		e := c.byName[plan.Stages[i].Name]
 		if e == nil || e.down || e.up.Deferred(now) || !e.health.Usable(now, true) || excluded(w.Avoid, e) {
 			return false
 		}
+		if int64(w.Prompt+w.Answer)*int64(plan.Stages[i].Layers.Len()) > c.totalMemory(e, now) {
+			return false
+		}
 	}
 	return true
 }
@@ -137,7 +147,7 @@
 		return f
 	}
 	f.at, f.version = now, c.version.Load()
-	f.tokens = c.arrivals.meanTokens(float64(c.model.UsualPrompt + c.model.UsualAnswer))
+	f.tokens = max(1, c.arrivals.meanTokens(float64(c.model.UsualPrompt+c.model.UsualAnswer)))
 	c.predictUsed(f, now)
 	f.plans = f.plans[:0]
 	f.rates = make(map[ferryid.UpstreamName]float64, len(c.engines))
@@ -169,10 +179,12 @@
 			left[d] = c.placeParts(f, d, now)
 		}
 	}
+	// Parts of a failure domain are of one size and used memory only grows, so one that didn't fit is not tried again.
+	full := map[[2]ferryid.DomainName]bool{}
 	for placed := true; placed && left[c.opts.Domain] > 0; {
 		placed = false
 		for _, d := range domains {
-			if left[d] > 0 && c.placeElsewhere(f, d, domains, now) {
+			if left[d] > 0 && c.placeElsewhere(f, d, domains, full, now) {
 				left[d]--
 				placed = true
 			}
@@ -180,12 +192,18 @@
 	}
 }
 
-// placeElsewhere places a part of a failure domain's arrivals in another one and reports whether it fits.
-func (c *Chooser) placeElsewhere(f *forecast, from ferryid.DomainName, domains []ferryid.DomainName, now time.Time) bool {
+// placeElsewhere places a part of a failure domain's arrivals in another one and reports whether it fits. It records in
+// full the pairs of domains of which the second has no room for parts of the first.
+func (c *Chooser) placeElsewhere(f *forecast, from ferryid.DomainName, domains []ferryid.DomainName, full map[[2]ferryid.DomainName]bool, now time.Time) bool {
 	for _, d := range domains {
-		if d != from && c.placePart(f, from, d, now) {
+		pair := [2]ferryid.DomainName{from, d}
+		if d == from || full[pair] {
+			continue
+		}
+		if c.placePart(f, from, d, now) {
 			return true
 		}
+		full[pair] = true
 	}
 	return false
 }
@@ -202,7 +220,7 @@
 			continue
 		}
 		used := float64(e.reported.Used) + expectedGrowth*float64(c.model.UsualAnswer)*layers*float64(e.reported.Running)
-		age := now.Sub(e.reportedAt).Seconds() + c.model.ReportLag.Seconds()
+		age := (max(0, now.Sub(e.reportedAt)) + c.model.ReportLag).Seconds()
 		kept := math.Exp(-age / d)
 		atNow := used*kept + started*d*(1-kept)
 		f.used = append(f.used, atNow*math.Exp(-forecastHorizon.Seconds()/d))
@@ -236,19 +254,28 @@
 // loadForPart updates the planner's load of one engine for a part of the arrivals, in generations per second.
 func (c *Chooser) loadForPart(i int, e *engine, f *forecast, part float64, in ferryid.DomainName, now time.Time) {
 	l := &c.loads[i]
-	layers := float64(e.up.Layers.Len())
-	room := float64(e.reported.Room)
-	if !e.reportFresh(now) || e.reported.Room == 0 {
-		room = float64(c.model.RequestMemory(e.kind, int(layers)))
+	if e.up.FailureDomain != in || e.down {
+		l.Avoid = true
+		return
 	}
+	layers := float64(e.up.Layers.Len())
+	room := float64(c.totalMemory(e, now))
 	one := f.tokens * layers
 	needed := max(one, part*c.meanDuration().Seconds()*one)
-	l.Avoid = e.up.FailureDomain != in || e.down || e.up.Deferred(now) || e.pace(now) >= slowPace || !e.health.Usable(now, true) ||
+	l.Avoid = e.up.Deferred(now) || e.pace(now) >= slowPace || !e.health.Usable(now, true) ||
 		f.used[i]+needed > room-forecastMargin*math.Sqrt(room*one)
 	t := time.Duration(float64(c.model.TokenTime(e.kind, int(layers), int(f.used[i]/one)+1)) * e.pace(now))
 	l.Rate = ferryid.TokensPerSecond(1 / max(t, minTokenTime).Seconds())
 }
 
+// totalMemory returns the used and free memory of an engine for requests, in tokens times layers.
+func (c *Chooser) totalMemory(e *engine, now time.Time) int64 {
+	if !e.reportFresh(now) || e.reported.Room == 0 {
+		return c.model.RequestMemory(e.kind, e.up.Layers.Len())
+	}
+	return e.reported.Room
+}
+
 // planDuration predicts the duration of a generation of usual length on a plan.
 func (c *Chooser) planDuration(p *ferrypipeline.Plan) time.Duration {
 	var sum time.Duration
--- a/ferry/ferrypath/forecast_test.go
+++ b/ferry/ferrypath/forecast_test.go
@@ -116,3 +116,117 @@
 	}
 	assert.Assert(t, firsts["a1"] > 0 && firsts["a2"] > 0, "%v", firsts)
 }
+
+// TestOverflowGoesElsewhereAndReturns guards against arrivals that stay in a failure domain which has lost half its
+// engines, that leave it on paths over several domains, or that stay elsewhere when the engines are back.
+func TestOverflowGoesElsewhereAndReturns(t *testing.T) {
+	const perSecond, need, room = 110, 4 * 120, 100 * 4 * 120
+	fleet := func(inA int) (list []*ferrydiscovery.Upstream) {
+		for i := range 4 {
+			if i < inA {
+				list = append(list, upstream(fmt.Sprint("a-head", i), "a", 0, 4), upstream(fmt.Sprint("a-tail", i), "a", 4, 8))
+			}
+			list = append(list, upstream(fmt.Sprint("b-head", i), "b", 0, 4), upstream(fmt.Sprint("b-tail", i), "b", 4, 8))
+		}
+		return list
+	}
+	clock := clockwork.NewFakeClock()
+	c := NewChooser(Options{Clock: clock, Domain: "a", Random: rand.NewPCG(7, 1)})
+	c.SetEntries(map[ferryid.DomainName]int{"a": 1, "b": 1})
+	c.SetContended(true)
+	type running struct {
+		run  *Run
+		ends time.Time
+	}
+	var open []running
+	used := map[string]int64{}
+	// elsewhere applies the load for 8 s and returns which part of the last 4 s ran in the other domain.
+	elsewhere := func(list []*ferrydiscovery.Upstream) float64 {
+		c.Set(model(), list)
+		sent, inB := 0, 0
+		for i := range 8 * perSecond {
+			clock.Advance(time.Second / perSecond)
+			for len(open) > 0 && !open[0].ends.After(clock.Now()) {
+				for _, h := range open[0].run.Path().Hops() {
+					used[h.Upstream.Name] -= need
+				}
+				open[0].run.Done()
+				open = open[1:]
+			}
+			if i%(perSecond/2) == 0 {
+				for _, u := range list {
+					c.Report(u.Name, Condition{Pace: 1, Running: int(used[u.Name] / need), Used: used[u.Name], Room: room}, clock.Now())
+				}
+			}
+			run, err := c.Pick(Work{Prompt: 100, Answer: 20, Urgency: 1})
+			assert.NilError(t, err)
+			assert.Equal(t, run.Path().Crossings(), 0, "%s", text(run.Path()))
+			for _, h := range run.Path().Hops() {
+				used[h.Upstream.Name] += need
+			}
+			open = append(open, running{run, clock.Now().Add(2 * time.Second)})
+			if i < 4*perSecond {
+				continue
+			}
+			sent++
+			if run.Path().First().FailureDomain == "b" {
+				inB++
+			}
+		}
+		return float64(inB) / float64(sent)
+	}
+	whole, half, again := elsewhere(fleet(4)), elsewhere(fleet(2)), elsewhere(fleet(4))
+	t.Logf("in the other domain: %.3f with all engines, %.3f with half of them, %.3f with all again", whole, half, again)
+	assert.Equal(t, whole, 0.0)
+	assert.Assert(t, half > 0.1 && half < 0.6, "%v with half of the engines", half)
+	assert.Equal(t, again, 0.0)
+}
+
+// TestReportsFromAClockAhead guards against reports that count as missing, so that nothing is refused, because the
+// entry that read them has a clock which is ahead of this one's.
+func TestReportsFromAClockAhead(t *testing.T) {
+	c, clock := chooser(twoDomains())
+	for _, u := range twoDomains() {
+		c.Report(u.Name, Condition{Pace: 1, Used: 10000, Room: 20000}, clock.Now().Add(300*time.Millisecond))
+	}
+	r := c.Room()
+	assert.Assert(t, r.Known && r.Fill == 0.5, "%+v", r)
+}
+
+// TestForecastOfEmptyWork guards against a forecast that divides by the size of generations when it is zero.
+func TestForecastOfEmptyWork(t *testing.T) {
+	c, clock := chooser(twoDomains())
+	c.model.UsualPrompt, c.model.UsualAnswer = 0, 0
+	c.SetContended(true)
+	for _, u := range twoDomains() {
+		c.Report(u.Name, Condition{Pace: 1, Used: 1000, Room: 20000}, clock.Now())
+	}
+	_, err := c.Pick(Work{})
+	assert.NilError(t, err)
+	f := c.updateForecast(clock.Now())
+	assert.Equal(t, len(f.plans), forecastParts)
+	for i := range c.loads {
+		// The token time on an engine with one running generation is at least half of the model's step time.
+		assert.Assert(t, c.engines[i].up.FailureDomain != "a" || c.loads[i].Rate <= 2000, "%v tokens per second", c.loads[i].Rate)
+	}
+}
+
+// TestForecastIgnoresImpossibleWork guards against a request of impossible size that is sent to engines too small for it,
+// and after which the forecast has no room, so that all less urgent requests are refused for seconds.
+func TestForecastIgnoresImpossibleWork(t *testing.T) {
+	c, clock := chooser(twoDomains())
+	c.SetContended(true)
+	for _, u := range twoDomains() {
+		c.Report(u.Name, Condition{Pace: 1, Used: 1000, Room: 20000}, clock.Now())
+	}
+	for range 10 {
+		clock.Advance(100 * time.Millisecond)
+		run, err := c.Pick(Work{Prompt: 100, Answer: 20})
+		assert.NilError(t, err)
+		run.Done()
+	}
+	_, err := c.Pick(Work{Prompt: 1_000_000_000, Answer: 20})
+	assert.ErrorIs(t, err, ErrNoRoom)
+	clock.Advance(forecastInterval)
+	assert.Assert(t, len(c.updateForecast(clock.Now()).plans) > 0)
+}
--- a/ferry/ferrypath/room.go
+++ b/ferry/ferrypath/room.go
@@ -64,7 +64,8 @@
 		}
 		r := ferryroom.Engine{Layers: e.up.Layers, Age: ferryroom.MaxAge}
 		if !e.reportedAt.IsZero() {
-			r.Used, r.Room, r.Running, r.Age = e.reported.Used, e.reported.Room, e.reported.Running, now.Sub(e.reportedAt)
+			// Another entry's clock, by which reports are dated, may be ahead of this one's.
+			r.Used, r.Room, r.Running, r.Age = e.reported.Used, e.reported.Room, e.reported.Running, max(0, now.Sub(e.reportedAt))
 		}
 		s.engines = append(s.engines, r)
 	}
--- a/ferry/ferrypath/scale_bench_test.go
+++ b/ferry/ferrypath/scale_bench_test.go
@@ -113,3 +113,52 @@
 		})
 	}
 }
+
+// BenchmarkForecast computes the forecast of one of 350 entries over n engines in 8 failure domains, while the arrivals
+// fit and while those of this entry's failure domain and of others overflow.
+func BenchmarkForecast(b *testing.B) {
+	const domains = 8
+	for _, n := range []int{200, 1600} {
+		for _, tt := range []struct {
+			name string
+			// own and others are the used parts of the engines in percent, and rate is this entry's arrivals per second.
+			own, others int64
+			rate        float64
+		}{{"fits", 5, 5, 0.1}, {"overflow", 100, 20, 1}, {"full", 100, 100, 20}} {
+			b.Run(fmt.Sprint(tt.name, "/", n), func(b *testing.B) {
+				m, list := largeFleet(n)
+				entries := map[ferryid.DomainName]int{}
+				for i := range domains {
+					entries[domainName(i)] = 44
+				}
+				for i, u := range list {
+					u.FailureDomain = domainName(i % domains)
+					u.Layers = ferryid.LayerRange{From: ferryid.Layer(i/domains%10) * 8, To: ferryid.Layer(i/domains%10)*8 + 8}
+				}
+				clock := clockwork.NewFakeClock()
+				c := NewChooser(Options{Clock: clock, Domain: "d0"})
+				c.Set(m, list)
+				c.SetEntries(entries)
+				c.SetContended(true)
+				for _, u := range list {
+					room := int64(100000 * u.Layers.Len())
+					used := room * tt.others / 100
+					if u.FailureDomain == "d0" {
+						used = room * tt.own / 100
+					}
+					c.Report(u.Name, Condition{Pace: 1, Used: used, Room: room}, clock.Now())
+				}
+				c.updatePlanner()
+				now, rate := clock.Now(), tt.rate*float64(n)/100
+				c.arrivals = arrivals{count: rate * rateTime.Seconds(), tokens: 900 * rate * rateTime.Seconds(), since: now.Add(-time.Minute), at: now}
+				placed := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					c.forecast.at = time.Time{}
+					placed = len(c.updateForecast(now).plans)
+				}
+				b.ReportMetric(float64(placed), "parts")
+			})
+		}
+	}
+}
--- a/ferry/ferryplacement/memory.go
+++ b/ferry/ferryplacement/memory.go
@@ -163,7 +163,7 @@
 		if n == 0 || e.Held.Contains(layer) || (e.Held.From == 0 && len(s.layers[0].holders) <= firstHolders) {
 			continue
 		}
-		for from := max(0, layer-n+1); from <= min(layer, ferryid.Layer(len(s.layers))-n); from++ {
+		for from := max(layer+1, n) - n; from <= min(layer, ferryid.Layer(len(s.layers))-n); from++ {
 			if to := (ferryid.LayerRange{From: from, To: from + n}); s.helps(e, to, least) {
 				s.remove(e)
 				e.Held = to
--- a/ferry/ferryplacement/memory_test.go
+++ b/ferry/ferryplacement/memory_test.go
@@ -104,6 +104,25 @@
 	assert.Assert(t, spreadOf() != fewer)
 }
 
+// TestBalanceOfFirstLayers guards against a balance that never moves engines to a weak layer near the first one, as the
+// lowest range with that layer would begin before it.
+func TestBalanceOfFirstLayers(t *testing.T) {
+	m := model()
+	m.Layers = 10
+	engines := fleet("a: 6 mid")
+	for i := range engines {
+		engines[i].Held = ferryid.LayerRange{From: 5, To: 10}
+		if i < 2 {
+			engines[i].Held = ferryid.LayerRange{To: 5}
+		}
+	}
+	s := &spread{plan: newPlan(Input{Model: m, Engines: engines})}
+	s.count()
+	_, before, _ := s.weakest()
+	s.balance()
+	assert.Equal(t, s.least, 2*before)
+}
+
 // BenchmarkSpreadForDemand plans for 1,600 engines in 8 failure domains that hold no layers.
 func BenchmarkSpreadForDemand(b *testing.B) {
 	m := model()
