Reroutes: a run that has not begun is not counted as refused

Cause: an answer that the first engine does not run the request counted as a refusal by the engines; after six of them the run was not moved off a lost engine any more, although it may have begun late. Change: such answers only delay the next order, as before.

--- a/ferry/ferryforward/reroute.go
+++ b/ferry/ferryforward/reroute.go
@@ -83,7 +83,7 @@
 // rerouteOrders are the reroute orders of one run. At most one is in progress.
 type rerouteOrders struct {
 	mu sync.Mutex
-	// refused counts the refused orders since the run was last moved, by the engines that it was to be moved off, and
+	// refused counts the refused and failed orders since the run was last moved, by the engines that it was to be moved off, and
 	// engines are those of the present order.
 	refused map[string]int
 	engines []ferryid.UpstreamName
@@ -174,6 +174,13 @@
 		d.last.Store(int64(d.cfg.Clock.Since(d.began)))
 		return rerouteMoved, ""
 	}
+	var notRunning *NotRunningError
+	if errors.As(err, &notRunning) {
+		m.Cancelled()
+		// It tells nothing about the room of engines, so it doesn't count as refused.
+		o.notRunningAt, o.progressThen = d.cfg.Clock.Now(), d.last.Load()
+		return rerouteNotRunning, ""
+	}
 	if o.refused == nil {
 		o.refused = map[string]int{}
 	}
@@ -187,11 +194,6 @@
 		return result, m.Refused(blocked.Address)
 	}
 	m.Cancelled()
-	var notRunning *NotRunningError
-	if errors.As(err, &notRunning) {
-		o.notRunningAt, o.progressThen = d.cfg.Clock.Now(), d.last.Load()
-		return rerouteNotRunning, ""
-	}
 	return rerouteFailed, ""
 }
 
--- a/ferry/ferryforward/reroute_test.go
+++ b/ferry/ferryforward/reroute_test.go
@@ -77,6 +77,20 @@
 	assert.DeepEqual(t, h.counted("reroutes_not_ordered", "why"), map[string]int64{"NotRunning": 1})
 }
 
+// TestRunThatBeginsLateIsMoved guards against answers that the run has not begun yet which count as refusals, after
+// which the run is not moved off a lost engine any more.
+func TestRunThatBeginsLateIsMoved(t *testing.T) {
+	h := newRerouteHarness(t, func(*ferrypath.Path) error { return &NotRunningError{Err: errBusy} })
+	for range maxRefusedOrders {
+		orders, moved := h.try("lost")
+		assert.Assert(t, orders == 1 && !moved)
+		h.clock.Advance(notRunningDelay)
+	}
+	h.rerouter.result = func(*ferrypath.Path) error { return nil }
+	_, moved := h.try("lost")
+	assert.Assert(t, moved)
+}
+
 // TestNoOrderForRunWhoseFirstEngineIsDown has the engine that would get the order be dead.
 func TestNoOrderForRunWhoseFirstEngineIsDown(t *testing.T) {
 	h := newRerouteHarness(t, func(*ferrypath.Path) error { return nil })
