Forecast: each request is one arrival; refused requests keep their rank

Cause: each attempt counted as an arrival. A started stream that waits for room tries ten times a second, so a shortage raised the expected arrivals and with it the refusals. A less urgent request became most urgent when an engine refused it, although nothing of it had run, while the replacement of a run in progress had the urgency of a new request.

Change: Work.Counted marks further attempts; urgent are requests that may have run.

--- a/ferry/ferryforward/destination.go
+++ b/ferry/ferryforward/destination.go
@@ -52,14 +52,15 @@
 
 // pickPath chooses a path, if possible apart from the runs that this one might crash or be ended by.
 func (f *Forwarder) pickPath(r *request, avoid []ferryid.UpstreamName) (*ferrypath.Run, error) {
-	work := ferrypath.Work{Prompt: r.Prompt, Answer: r.expectedTokens(), Avoid: avoid, Urgency: r.urgency()}
+	work := ferrypath.Work{Prompt: r.Prompt, Answer: r.expectedTokens(), Avoid: avoid, Urgency: r.urgency(), Counted: r.picked}
+	r.picked = true
 	now, suspect := f.cfg.Clock.Now(), f.isSuspect(r)
 	var run *ferrypath.Run
 	err := ferrypath.ErrNoPath
 	if apart := r.service.isolation.avoided(suspect, now); len(apart) > 0 {
 		work.Avoid = slices.Concat(avoid, apart)
 		run, err = r.service.chooser.Pick(work)
-		work.Avoid = avoid
+		work.Avoid, work.Counted = avoid, true
 	}
 	if err != nil {
 		run, err = r.service.chooser.Pick(work)
--- a/ferry/ferryforward/request.go
+++ b/ferry/ferryforward/request.go
@@ -24,6 +24,8 @@
 	// rank is the rank of the request at its service, which has ranks of them.
 	rank  ferryconfig.Rank
 	ranks int
+	// picked is set once a path was looked for.
+	picked bool
 	// version is the configuration under which the request was admitted, and proofAge the age that the proof
 	// of its being current had at that time.
 	version  ferryconfig.Version
--- a/ferry/ferryforward/shed.go
+++ b/ferry/ferryforward/shed.go
@@ -41,10 +41,10 @@
 		room.Fill, room.Layer, refused.Share, r.rank).WithRetryAfter(refused.RetryAfter)
 }
 
-// urgency returns how urgent the request is, from 0 to 1 for the most urgent. One that was sent before is most urgent,
-// since some of its work may be done.
+// urgency returns how urgent the request is, from 0 to 1 for the most urgent. One that may have run before is most
+// urgent, since some of its work may be done. One that an engine refused is not.
 func (r *request) urgency() float64 {
-	if r.ranks <= 1 || r.arrived > 0 || r.After != "" {
+	if r.ranks <= 1 || r.mayHaveRun || r.After != "" {
 		return 1
 	}
 	return 1 - float64(r.rank)/float64(r.ranks-1)
--- a/ferry/ferryforward/succession.go
+++ b/ferry/ferryforward/succession.go
@@ -294,6 +294,7 @@
 	if (!dead && !s.mayRestart()) || s.isBlocked() != nil {
 		return nil
 	}
+	s.r.mayHaveRun = true // on the present destination, so its replacement is urgent
 	dest, none := s.pickDestination(s.r, ferryid.UpstreamName(present.first().Name))
 	if none != nil {
 		s.r.full = nil // they may have room at the next attempt
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -189,6 +189,8 @@
 	Avoid          []ferryid.UpstreamName
 	// Urgency is from 0 to 1, for the most urgent. Where the forecast has no room, the rest is left to urgent work.
 	Urgency float64
+	// Counted is set if an earlier Pick was for the same request, which then is no further arrival.
+	Counted bool
 }
 
 // Run is one generation on its path. The first of Done, Cancelled, Failed, Unreachable and Refused ends it.
--- a/ferry/ferrypath/forecast.go
+++ b/ferry/ferrypath/forecast.go
@@ -103,7 +103,7 @@
 // the forecast has no room for the work and more urgent work may need what is left.
 func (c *Chooser) pickForecast(w Work, now time.Time) (*Run, bool, error) {
 	// One that no engine has memory for would raise the mean size until the forecast has room for none.
-	if c.largestWork == 0 || w.Prompt+w.Answer <= c.largestWork {
+	if !w.Counted && (c.largestWork == 0 || w.Prompt+w.Answer <= c.largestWork) {
 		c.arrivals.add(w, now)
 	}
 	f := c.updateForecast(now)
--- a/ferry/ferrypath/forecast_test.go
+++ b/ferry/ferrypath/forecast_test.go
@@ -267,3 +267,18 @@
 	assert.NilError(t, err)
 	assert.Assert(t, c.forecast.at.After(at), "the forecast of another model was kept")
 }
+
+// TestRepeatedPickIsNoArrival guards against streams that wait for room, ten attempts a second each, and so raise the
+// expected arrivals until the forecast has no room for others.
+func TestRepeatedPickIsNoArrival(t *testing.T) {
+	c, clock := chooser(twoDomains())
+	c.SetContended(true)
+	for i := range 50 {
+		clock.Advance(100 * time.Millisecond)
+		run, err := c.Pick(Work{Prompt: 50, Answer: 10, Counted: i%10 != 0})
+		assert.NilError(t, err)
+		run.Done()
+	}
+	rate := c.arrivals.perSecond(clock.Now())
+	assert.Assert(t, rate > 0.5 && rate < 1.5, "%v arrivals per second of 1", rate)
+}
