--- a/ferry/ferryforward/request.go
+++ b/ferry/ferryforward/request.go
@@ -26,6 +26,8 @@
 	ranks int
 	// refusal is why the request is refused if it gets no further run.
 	refusal refusal
+	// picked is set once a path was looked for.
+	picked bool
 	// version is the configuration under which the request was admitted, and proofAge the age that the proof
 	// of its being current had at that time.
 	version  ferryconfig.Version
--- a/ferry/ferryforward/shed.go
+++ b/ferry/ferryforward/shed.go
@@ -41,13 +41,17 @@
 		room.Fill, room.Layer, refused.Share, r.rank).WithRetryAfter(refused.RetryAfter)
 }
 
-// urgency returns how urgent the request is, from 0 to 1 for the most urgent. One that was sent before is most urgent,
-// since some of its work may be done.
+// minUrgency is the urgency of the least urgent rank. Without it the forecast would refuse those that the floor of the
+// admission has let through.
+const minUrgency = 0.25
+
+// urgency returns how urgent the request is, from 0 to 1 for the most urgent. One that may have run before is most
+// urgent, since some of its work may be done. One that an engine refused is not.
 func (r *request) urgency() float64 {
-	if r.arrived > 0 || r.After != "" {
+	if r.mayHaveRun || r.After != "" {
 		return 1
 	}
-	return r.rankUrgency()
+	return max(minUrgency, r.rankUrgency())
 }
 
 // rankUrgency returns how urgent the request's rank is, from 0 to 1 for the most urgent.
