Urgency by the part of requests that are more urgent

Cause: with customers of priority 0 each route has two ranks. Nearly all streams of the most urgent route were of rank 3 of 0 to 5, so that they left retries and room to ranks with 2 of 100 requests.

Change: the urgency of a rank is the part of the recent requests that are not more urgent.

--- a/ferry/ferryadmission/admission.go
+++ b/ferry/ferryadmission/admission.go
@@ -135,3 +135,26 @@
 
 // Ranks returns the number of ranks.
 func (c *Core) Ranks() int { return len(c.ranks) }
+
+// Urgency returns the part of the recent requests that are not more urgent than a rank, from 0 to 1. It is 1 for the most
+// urgent rank and without requests.
+//
+// It does not follow from the rank's number: where a few customers have ranks of their own, most requests are of later
+// ranks.
+func (c *Core) Urgency(r Rank) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	above, all := 0.0, 0.0
+	for i := range c.ranks {
+		n := c.ranks[i].customers.total.valueAt(now)
+		all += n
+		if Rank(i) < r {
+			above += n
+		}
+	}
+	if all <= 0 {
+		return 1
+	}
+	return 1 - above/all
+}
--- a/ferry/ferryadmission/customer.go
+++ b/ferry/ferryadmission/customer.go
@@ -35,6 +35,11 @@
 	return d.value * math.Exp(-float64(max(0, now.Sub(d.at)))/float64(decayTime))
 }
 
+// valueAt returns the count at a later time.
+func (d *decayed) valueAt(now time.Time) float64 {
+	return d.value * math.Exp(-float64(max(0, now.Sub(d.at)))/float64(decayTime))
+}
+
 // add counts one arrival and returns the count.
 func (d *decayed) add(now time.Time) float64 {
 	d.value, d.at = d.count(now)+1, now
--- a/ferry/ferryforward/admissionmetrics_test.go
+++ b/ferry/ferryforward/admissionmetrics_test.go
@@ -119,7 +119,12 @@
 					left = service.budget.TakeRetry()
 				}
 				if tt.admit {
-					service.admission.Store(ferryadmission.New(ferryadmission.Config{Clock: b.clock, Ranks: 3, Ramp: ferryadmission.Ramp{Start: 9, Width: 1}}))
+					core := ferryadmission.New(ferryadmission.Config{Clock: b.clock, Ranks: 3, Ramp: ferryadmission.Ramp{Start: 9, Width: 1}})
+					// With only its own requests a rank is most urgent.
+					for range 20 {
+						core.Decide(ferryadmission.Request{Customer: "smolyan"}, ferryroom.Room{})
+					}
+					service.admission.Store(core)
 				}
 				b.setFill(tt.fill)
 				refused, tries := false, int64(0)
--- a/ferry/ferryforward/shed.go
+++ b/ferry/ferryforward/shed.go
@@ -54,12 +54,13 @@
 	return max(minUrgency, r.rankUrgency())
 }
 
-// rankUrgency returns how urgent the request's rank is, from 0 to 1 for the most urgent.
+// rankUrgency returns how urgent the request's rank is among the recent requests, from 0 to 1 for the most urgent.
 func (r *request) rankUrgency() float64 {
-	if r.ranks <= 1 {
+	core := r.service.admission.Load()
+	if core == nil {
 		return 1
 	}
-	return 1 - float64(r.rank)/float64(r.ranks-1)
+	return core.Urgency(ferryadmission.Rank(r.rank))
 }
 
 // enginePriority returns the priority of the request at an engine, or nil if all requests of the service have the
