Admission: ramps follow the requests before a rank

Cause: with few customers of priority 0, the streams of the most urgent route are of rank 3 of 0 to 5 and were refused from a fill of 0.78.

Change: a rank's ramp begins by the part of the other ranks' recent arrivals that are more urgent. Three ranks with equal arrivals keep their ramps. The new test fails on the ramps by number.

--- a/ferry/ferryadmission/admission.go
+++ b/ferry/ferryadmission/admission.go
@@ -35,6 +35,9 @@
 	Ramp Ramp
 }
 
+// minOthers is the number of recent arrivals of other ranks from which they are compared.
+const minOthers = 1
+
 // shortageGap is the time without decisions after which a shortage counts as a new one.
 const shortageGap = 4 * time.Second
 
@@ -56,6 +59,8 @@
 	share     float64
 	since     time.Time
 	customers customers
+	// recent is the decayed number of arrivals, and steps how many steps the ramp begins below that of rank 0.
+	recent, steps float64
 }
 
 // New returns a Core without arrivals.
@@ -112,11 +117,12 @@
 	gap := now.Sub(c.last) > shortageGap
 	c.last = now
 	limit := 1.0
+	c.updateSteps(now)
 	for i := range c.ranks {
 		r := &c.ranks[i]
 		share := 1.0
 		if known {
-			share = min(limit, c.ramp.share(Rank(i), room.Fill))
+			share = min(limit, c.ramp.share(r.steps, room.Fill))
 		}
 		limit = share
 		if share < 1 && (r.share >= 1 || gap) {
@@ -145,16 +151,36 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	above, all := 0.0, 0.0
-	for i := range c.ranks {
-		n := c.ranks[i].customers.total.valueAt(now)
-		all += n
-		if Rank(i) < r {
-			above += n
-		}
+	all := c.updateRecent(now)
+	above := 0.0
+	for i := range min(max(0, int(r)), len(c.ranks)) {
+		above += c.ranks[i].recent
 	}
 	if all <= 0 {
 		return 1
 	}
 	return 1 - above/all
 }
+
+// updateRecent sets the recent arrivals of each rank and returns their sum.
+func (c *Core) updateRecent(now time.Time) (all float64) {
+	for i := range c.ranks {
+		c.ranks[i].recent = c.ranks[i].customers.total.valueAt(now)
+		all += c.ranks[i].recent
+	}
+	return all
+}
+
+// updateSteps sets where the ramp of each rank begins: by the part of the other ranks' recent arrivals that are more
+// urgent, and by the number of the rank while there are no others.
+func (c *Core) updateSteps(now time.Time) {
+	all, above, last := c.updateRecent(now), 0.0, float64(len(c.ranks)-1)
+	for i := range c.ranks {
+		r := &c.ranks[i]
+		r.steps = float64(i)
+		if others := all - r.recent; others > minOthers {
+			r.steps = last * min(1, above/others)
+		}
+		above += r.recent
+	}
+}
--- a/ferry/ferryadmission/admission_test.go
+++ b/ferry/ferryadmission/admission_test.go
@@ -305,8 +305,8 @@
 		for _, ranks := range []int{1, 10} {
 			b := r.bounded(ranks)
 			for rank := range Rank(ranks) {
-				assert.Equal(t, b.share(rank, b.Least), 1.0, "%+v, rank %d of %d", r, rank, ranks)
-				s := b.share(rank, inf)
+				assert.Equal(t, b.share(float64(rank), b.Least), 1.0, "%+v, rank %d of %d", r, rank, ranks)
+				s := b.share(float64(rank), inf)
 				assert.Assert(t, s >= 0 && s < 1, "%+v, rank %d of %d: %v", r, rank, ranks, s)
 			}
 		}
@@ -457,3 +457,17 @@
 	}
 	b.ReportMetric(float64(held), "heap-B")
 }
+
+// TestRampsFollowTheRequests guards against a rank that is refused early only because few requests have ranks of their own
+// before it.
+func TestRampsFollowTheRequests(t *testing.T) {
+	b := newBench(6, 21)
+	var streams []stream
+	for rank, rate := range []float64{0.4, 0.2, 0.2, 10, 5, 4} {
+		streams = append(streams, stream{Rank(rank), "mill", rate})
+	}
+	b.run(time.Minute, streams, filled(0.2))
+	s := b.run(4*time.Minute, streams, filled(0.8))
+	assert.Assert(t, s[3] > 0.98, "the most urgent of the usual ranks: %v", s)
+	assert.Assert(t, s[4] < 0.9 && s[5] < s[4]+0.02, "less urgent ranks: %v", s)
+}
--- a/ferry/ferryadmission/ramp.go
+++ b/ferry/ferryadmission/ramp.go
@@ -42,11 +42,12 @@
 	return r
 }
 
-// share returns the admitted share of a rank at a fill, without regard to other ranks.
-func (r Ramp) share(rank Rank, fill float64) float64 {
-	start := r.Start - r.Step*float64(rank)
+// share returns the admitted share at a fill of a rank whose ramp begins a number of steps below that of the most urgent
+// one, without regard to other ranks.
+func (r Ramp) share(steps, fill float64) float64 {
+	start := r.Start - r.Step*steps
 	s := 1 - min(1, max(0, (fill-start)/r.Width))
-	if rank > 0 {
+	if steps > 0 {
 		s = max(s, r.Floor)
 	}
 	return s
