--- a/review/standins-2/case_part.go
+++ b/review/standins-2/case_part.go
@@ -11,8 +11,9 @@
 )
 
 func init() {
-	cases["part"] = func(r *run) (verdict, error) { return part(r, 40) }
-	cases["part-short"] = func(r *run) (verdict, error) { return part(r, 10) }
+	cases["part"] = func(r *run) (verdict, error) { return part(r, 40, false) }
+	cases["part-short"] = func(r *run) (verdict, error) { return part(r, 10, false) }
+	cases["part-dark"] = func(r *run) (verdict, error) { return part(r, 10, true) }
 }
 
 const (
@@ -68,7 +69,7 @@
 }
 
 // part has requests come that hold a part on which engines crash, as the last but one of the given number of parts.
-func part(r *run, parts int) (verdict, error) {
+func part(r *run, parts int, dark bool) (verdict, error) {
 	key := "n2ctnfzs989anu6wsjnb"
 	draft := map[string]any{
 		"name": "draft", "host": host, "pathPrefix": "/draft/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 500, "priority": 1, "service": "scribe-pool",
@@ -80,7 +81,7 @@
 	if err := r.begin(desired(7, []any{draft}, []any{model}, []any{tenant("hule930", key)})); err != nil {
 		return verdict{}, err
 	}
-	f := &fleet{rec: r.rec, store: r.store, engines: map[string]*engine{}}
+	f := &fleet{rec: r.rec, store: r.store, dark: dark, engines: map[string]*engine{}}
 	r.cleanup = append(r.cleanup, f.stop)
 	if r.trouble {
 		f.deadly = deadlyPart
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +31,8 @@
 	store *store
 	// deadly is the part of a prompt that crashes each engine that begins to write an answer on it.
 	deadly string
+	// dark is set if an engine that crashes is silent while it is down: its channels stay open, and it accepts no others.
+	dark bool
 
 	mu      sync.Mutex
 	engines map[string]*engine
@@ -50,6 +54,7 @@
 	registered int
 	running    int
 	server     *http.Server
+	listener   net.Listener
 	stopped    chan struct{}
 }
 
@@ -95,7 +100,7 @@
 	e.fleet.mu.Unlock()
 	s := &http.Server{Handler: e}
 	e.mu.Lock()
-	e.id, e.born, e.up, e.busy, e.from, e.to, e.orders, e.server = id, time.Now(), true, false, 0, 0, 0, s
+	e.id, e.born, e.up, e.busy, e.from, e.to, e.orders, e.server, e.listener = id, time.Now(), true, false, 0, 0, 0, s, l
 	e.mu.Unlock()
 	go func() { _ = s.Serve(l) }()
 	e.checkIn()
@@ -111,7 +116,12 @@
 	e.up = false
 	id, s := e.id, e.server
 	e.mu.Unlock()
-	_ = s.Close()
+	lighten := func() {}
+	if e.fleet.dark {
+		lighten = e.darken(s)
+	} else {
+		_ = s.Close()
+	}
 	e.fleet.mu.Lock()
 	e.fleet.crashes = append(e.fleet.crashes, time.Now())
 	n := len(e.fleet.crashes)
@@ -124,6 +134,7 @@
 			return
 		default:
 		}
+		lighten()
 		for range 50 {
 			if l, err := net.Listen("tcp", e.address); err == nil {
 				e.boot(l)
@@ -297,6 +308,9 @@
 			for _, p := range parts[:len(parts)-1] {
 				if part, _, _ := strings.Cut(p, ":"); part == e.fleet.deadly {
 					e.crash(id)
+					if e.fleet.dark {
+						<-q.Context().Done()
+					}
 					panic(http.ErrAbortHandler)
 				}
 			}
@@ -316,3 +330,50 @@
 		}
 	}
 }
+
+// darken makes the engine silent: nobody reads its channels, and the queue of new channels is full, so that their opening
+// packets are dropped. The function that it returns ends that.
+func (e *engine) darken(s *http.Server) func() {
+	e.mu.Lock()
+	l := e.listener
+	e.mu.Unlock()
+	_ = l.Close()
+	fill := func() {}
+	if fd, err := listenFull(e.address); err == nil {
+		var held []net.Conn
+		for range 3 {
+			if c, err := net.DialTimeout("tcp", e.address, 50*time.Millisecond); err == nil {
+				held = append(held, c)
+			}
+		}
+		fill = func() {
+			for _, c := range held {
+				_ = c.Close()
+			}
+			_ = syscall.Close(fd)
+		}
+	} else {
+		e.fleet.rec.line("engine at %s could not fall silent: %s", e.address, err)
+	}
+	return func() {
+		fill()
+		_ = s.Close()
+	}
+}
+
+// listenFull listens with the shortest queue, from which nothing is taken.
+func listenFull(address string) (int, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return 0, err
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}); err != nil {
+		return 0, err
+	}
+	return fd, syscall.Listen(fd, 0)
+}
