--- a/review/standins-2/case_drill.go
+++ b/review/standins-2/case_drill.go
@@ -99,3 +99,34 @@
 
 	return judgeDrain(r, leaves)
 }
+
+// leaving is a runner and when the store accepted that it leaves.
+type leaving struct {
+	at time.Time
+	u  *runner
+}
+
+// judgeDrain counts the requests that clients sent later than drainMs after the ack and that reached a leaving runner.
+func judgeDrain(r *run, leaves []leaving) (verdict, error) {
+	sent := map[string]time.Time{}
+	served := 0
+	for _, c := range r.rec.allCalls() {
+		sent[c.id] = c.sent
+		if c.status == http.StatusOK {
+			served++
+		}
+	}
+	if served < 50 {
+		return verdict{}, errUnstable
+	}
+	late := 0
+	for _, a := range r.rec.allArrivals() {
+		for _, l := range leaves {
+			if a.runner == l.u.id && sent[a.id].After(l.at.Add(drainMs)) {
+				late++
+				r.rec.line("request %s was sent %.3f s after the ack and reached runner %s", a.id, sent[a.id].Sub(l.at).Seconds(), a.runner)
+			}
+		}
+	}
+	return verdict{late > 0, fmt.Sprintf("DRAIN: %d requests that clients sent later than drainMs after the ack reached a leaving runner; %d of %d requests were served", late, served, len(sent))}, nil
+}
--- a/review/standins-2/case_part.go
+++ b/review/standins-2/case_part.go
@@ -11,9 +11,9 @@
 )
 
 func init() {
-	cases["part"] = func(r *run) (verdict, error) { return part(r, 40, false) }
-	cases["part-short"] = func(r *run) (verdict, error) { return part(r, 10, false) }
-	cases["part-dark"] = func(r *run) (verdict, error) { return part(r, 10, true) }
+	cases["dark"] = func(r *run) (verdict, error) { return part(r, true) }
+	// For comparison: the runners crash with their channels closed.
+	cases["not-dark"] = func(r *run) (verdict, error) { return part(r, false) }
 }
 
 const (
@@ -68,8 +68,8 @@
 	return c
 }
 
-// part has requests come that hold a part on which engines crash, as the last but one of the given number of parts.
-func part(r *run, parts int, dark bool) (verdict, error) {
+// part has requests come that hold a part on which engines crash. If dark is set, an engine that has crashed is silent until it is back.
+func part(r *run, dark bool) (verdict, error) {
 	key := "n2ctnfzs989anu6wsjnb"
 	draft := map[string]any{
 		"name": "draft", "host": host, "pathPrefix": "/draft/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 500, "priority": 1, "service": "scribe-pool",
@@ -86,7 +86,7 @@
 	if r.trouble {
 		f.deadly = deadlyPart
 	}
-	for i := range 9 {
+	for i := range 15 {
 		if err := f.start(network+".200", "scribe-pool", zones[i%3]); err != nil {
 			return verdict{}, err
 		}
@@ -107,7 +107,7 @@
 	var bad sync.Map
 	deadly := sendStreams(0.7, stop, func() {
 		list := []string{commonPart}
-		for range parts - 3 {
+		for range 5 {
 			list = append(list, randomPart())
 		}
 		c := stream(r.rec, r.anyFront(), key, append(list, deadlyPart, randomPart()))
--- a/review/standins-2/config.go
+++ b/review/standins-2/config.go
@@ -32,6 +32,7 @@
 			"kinds": []any{
 				map[string]any{"name": "h100", "sizeMb": 72000.0, "pace": 1.4, "readFactor": 1.0},
 				map[string]any{"name": "l4", "sizeMb": 21600.0, "pace": 16.0, "readFactor": 8.2},
+				map[string]any{"name": "t4", "sizeMb": 14400.0, "pace": 15.0, "readFactor": 15.0},
 			},
 		},
 	}
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	modelLayers = 8
+	modelLayers = 16
 	// outage is how long an engine that crashed is down, and silence the time after which its entry is removed.
 	outage  = 3 * time.Second
 	silence = 3 * heartbeat
@@ -154,7 +154,7 @@
 	e.registered++
 	b, _ := json.Marshal(map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 192, "state": "ready", "coldLeftMs": 0, "stage": "both",
-		"models": []any{map[string]any{"name": "daka510000", "version": 1, "adapters": []any{}}}, "kind": "l4",
+		"models": []any{map[string]any{"name": "daka510000", "version": 1, "adapters": []any{}}}, "kind": "t4",
 		"layers": map[string]int{"from": e.from, "target": e.to, "version": 1}, "born": e.born.UnixMilli(),
 	})
 	_, _ = e.fleet.store.put("servers", e.id, nil, b)
@@ -191,7 +191,7 @@
 	v := map[string]any{
 		"stage": "both", "models": []any{map[string]any{"name": "daka510000", "version": 1, "adapters": []any{}}}, "busy": e.busy, "sequence": e.orders,
 		"queued": 0, "running": e.running, "kvUsedTokens": e.running * 200 * (e.to - e.from), "kvCapacity": 100000 * (e.to - e.from), "handles": 0,
-		"layers": map[string]int{"from": e.from, "target": e.to, "version": 1}, "kind": "l4", "pace": 1.0, "born": e.born.UnixMilli(), "stalled": []any{},
+		"layers": map[string]int{"from": e.from, "target": e.to, "version": 1}, "kind": "t4", "pace": 1.0, "born": e.born.UnixMilli(), "stalled": []any{},
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, v)
