--- a/review/standins-2/case_part.go
+++ b/review/standins-2/case_part.go
@@ -11,9 +11,10 @@
 )
 
 func init() {
-	cases["dark"] = func(r *run) (verdict, error) { return part(r, true) }
-	// For comparison: the runners crash with their channels closed.
-	cases["not-dark"] = func(r *run) (verdict, error) { return part(r, false) }
+	cases["dark"] = func(r *run) (verdict, error) { return part(r, true, false) }
+	cases["last"] = func(r *run) (verdict, error) { return part(r, false, true) }
+	// For comparison: the first runners crash with their channels closed.
+	cases["not-dark"] = func(r *run) (verdict, error) { return part(r, false, false) }
 }
 
 const (
@@ -68,8 +69,9 @@
 	return c
 }
 
-// part has requests come that hold a part on which engines crash. If dark is set, an engine that has crashed is silent until it is back.
-func part(r *run, dark bool) (verdict, error) {
+// part has requests come that hold a part on which the first or the last engine of a path crashes. If dark is set, an engine that has
+// crashed is silent until it is back.
+func part(r *run, dark, last bool) (verdict, error) {
 	key := "n2ctnfzs989anu6wsjnb"
 	draft := map[string]any{
 		"name": "draft", "host": host, "pathPrefix": "/draft/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 500, "priority": 1, "service": "scribe-pool",
@@ -81,7 +83,7 @@
 	if err := r.begin(desired(7, []any{draft}, []any{model}, []any{tenant("hule930", key)})); err != nil {
 		return verdict{}, err
 	}
-	f := &fleet{rec: r.rec, store: r.store, dark: dark, engines: map[string]*engine{}}
+	f := &fleet{rec: r.rec, store: r.store, dark: dark, last: last, engines: map[string]*engine{}, begun: map[string]bool{}}
 	r.cleanup = append(r.cleanup, f.stop)
 	if r.trouble {
 		f.deadly = deadlyPart
@@ -98,14 +100,14 @@
 	stop := make(chan struct{})
 	// Sound requests share their tenant and the first part with the others.
 	sound := sendStreams(8, stop, func() { stream(r.rec, r.anyFront(), key, []string{commonPart, randomPart()}) })
-	time.Sleep(4 * time.Second)
-	before := r.soundShare(time.Time{}, time.Now())
-	if before < 0.9 {
+	time.Sleep(6 * time.Second)
+	if n, begun := f.sound(nil, time.Time{}, time.Now().Add(-time.Second)); n < 20 || begun < n-1 {
 		return verdict{}, errUnstable
 	}
+	from := time.Now()
 	r.rec.line("requests with the deadly part begin")
 	var bad sync.Map
-	deadly := sendStreams(0.7, stop, func() {
+	deadly := sendStreams(1, stop, func() {
 		list := []string{commonPart}
 		for range 5 {
 			list = append(list, randomPart())
@@ -114,6 +116,7 @@
 		bad.Store(c.id, true)
 	})
 	time.Sleep(35 * time.Second)
+	ended := time.Now()
 	close(stop)
 	sound.Wait()
 	deadly.Wait()
@@ -127,35 +130,44 @@
 			late++
 		}
 	}
-	after := 1.0
-	if len(crashes) >= 5 {
-		after = r.soundShareOf(&bad, crashes[4].Add(2*stable), time.Now())
+	before, begunBefore := f.sound(&bad, time.Time{}, from.Add(-time.Second))
+	after, begunAfter := 0, 0
+	if n := min(len(crashes), 5); n > 0 {
+		after, begunAfter = f.sound(&bad, crashes[n-1].Add(2*stable), ended)
 	}
-	return verdict{late > 3, fmt.Sprintf("BUDGET: %d crashes; %d requests with the deadly part reached runners later than stableWindowMs after the fifth crash; of the sound ones %.2f were served before, and %.2f from 2 x stableWindowMs after it on",
-		len(crashes), late, before, after)}, nil
-}
-
-func (r *run) anyFront() string {
-	list := r.fronts()
-	return list[rand.IntN(len(list))]
+	lost := after >= 20 && before >= 20 && 2*begunAfter*before < begunBefore*after
+	v := verdict{late > 3, fmt.Sprintf("%d crashes. BUDGET: %d requests with the deadly part reached runners later than stableWindowMs after the fifth crash (bound 3). LOST: %d of %d sound requests began before the crashes, %d of %d from 2 x stableWindowMs after the fifth or last crash on (bound: half the share)",
+		len(crashes), late, begunBefore, before, begunAfter, after)}
+	if last {
+		v.broken = lost
+	}
+	return v, nil
 }
 
-// soundShare returns the share of the streams sent in a time that were served.
-func (r *run) soundShare(from, to time.Time) float64 { return r.soundShareOf(&sync.Map{}, from, to) }
-
-// soundShareOf is soundShare without the given requests.
-func (r *run) soundShareOf(without *sync.Map, from, to time.Time) float64 {
-	n, served := 0.0, 0.0
-	for _, c := range r.rec.allCalls() {
-		if _, ok := without.Load(c.id); ok || !c.sent.After(from) || c.sent.After(to) {
+// sound returns the number of requests sent in a time, without the given ones, and of those that began.
+func (f *fleet) sound(without *sync.Map, from, to time.Time) (n, begun int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.rec.allCalls() {
+		if without != nil {
+			if _, ok := without.Load(c.id); ok {
+				continue
+			}
+		}
+		if !c.sent.After(from) || c.sent.After(to) {
 			continue
 		}
 		n++
-		if c.status == http.StatusOK {
-			served++
+		if f.begun[c.id] {
+			begun++
 		}
 	}
-	return served / max(1, n)
+	return n, begun
+}
+
+func (r *run) anyFront() string {
+	list := r.fronts()
+	return list[rand.IntN(len(list))]
 }
 
 // sendStreams calls send at random times at a mean rate until stop is closed.
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -21,8 +21,10 @@
 	// loadTime is how long an engine takes for an order.
 	loadTime = 300 * time.Millisecond
 	readTime = 40 * time.Millisecond
-	stepTime = 20 * time.Millisecond
-	events   = 20
+	// stallTime is the stall_ms of the settings.
+	stallTime = 2 * time.Second
+	stepTime  = 20 * time.Millisecond
+	events    = 20
 )
 
 // fleet is all engines by address.
@@ -33,11 +35,15 @@
 	deadly string
 	// dark is set if an engine that crashes is silent while it is down: its channels stay open, and it accepts no others.
 	dark bool
+	// last is set if the part crashes the last runner of a path, which returns the tokens, and not the first.
+	last bool
 
 	mu      sync.Mutex
 	engines map[string]*engine
 	crashes []time.Time
-	boots   int
+	// begun holds the requests of which a token was written.
+	begun map[string]bool
+	boots int
 }
 
 // engine is a sound runner of a model service. Each start is a boot with a new id.
@@ -56,6 +62,56 @@
 	server     *http.Server
 	listener   net.Listener
 	stopped    chan struct{}
+	// jobs are the requests that it runs as the first runner, by their ids.
+	jobs map[string]*job
+}
+
+// hop is a part of a path: an engine, as of one boot.
+type hop struct {
+	engine *engine
+	boot   string
+}
+
+// works reports whether the engine is up and has not been started again.
+func (h hop) works() bool {
+	h.engine.mu.Lock()
+	defer h.engine.mu.Unlock()
+	return h.engine.up && h.engine.id == h.boot
+}
+
+// job is a request in progress.
+type job struct {
+	mu    sync.Mutex
+	hops  []hop
+	moves int
+}
+
+// path returns the job's hops and the number of its moves.
+func (j *job) path() ([]hop, int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.hops, j.moves
+}
+
+// dead returns the address of a hop that doesn't work, or an empty string.
+func (j *job) dead() string {
+	hops, _ := j.path()
+	for _, h := range hops {
+		if !h.works() {
+			return h.engine.address
+		}
+	}
+	return ""
+}
+
+// stall waits until all hops work, since the job was moved, or reports false after stall_ms.
+func (j *job) stall() bool {
+	for end := time.Now().Add(stallTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if j.dead() == "" {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *fleet) start(ip, service, zone string) error {
@@ -63,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	e := &engine{fleet: f, service: service, address: l.Addr().String(), zone: zone, stopped: make(chan struct{})}
+	e := &engine{fleet: f, service: service, address: l.Addr().String(), zone: zone, stopped: make(chan struct{}), jobs: map[string]*job{}}
 	f.mu.Lock()
 	f.engines[e.address] = e
 	f.mu.Unlock()
@@ -202,10 +258,15 @@
 		Operation    string
 		From, Target *int
 		Expected     *int
-		Path         string
+		ID, Path     string
 	}
-	if err := json.NewDecoder(q.Body).Decode(&o); err != nil || o.Operation != "place" || o.From == nil || o.Target == nil {
-		w.WriteHeader(http.StatusNotFound) // no request is moved here
+	err := json.NewDecoder(q.Body).Decode(&o)
+	if err == nil && o.Operation == "repath" {
+		e.repath(w, o.ID, o.Path)
+		return
+	}
+	if err != nil || o.Operation != "place" || o.From == nil || o.Target == nil {
+		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	e.mu.Lock()
@@ -235,8 +296,29 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
-// hops returns the other engines of a path, or the address of the one at fault with a status.
-func (e *engine) hops(path string) (others []*engine, status int, fault string) {
+// repath moves a request in progress to another path.
+func (e *engine) repath(w http.ResponseWriter, id, path string) {
+	e.mu.Lock()
+	j := e.jobs[id]
+	e.mu.Unlock()
+	if j == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	hops, status, fault := e.hops(path)
+	if status != 0 {
+		writeJSON(w, http.StatusConflict, map[string]string{"error": "a part is not there", "address": fault})
+		return
+	}
+	j.mu.Lock()
+	j.hops = hops
+	j.moves++
+	j.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+// hops returns the engines of a path, or a status and the address of the engine at fault.
+func (e *engine) hops(path string) (list []hop, status int, fault string) {
 	if path == "" {
 		path = fmt.Sprintf("%s=0-%d", e.address, modelLayers)
 	}
@@ -253,7 +335,7 @@
 			return nil, http.StatusServiceUnavailable, address
 		}
 		o.mu.Lock()
-		up, holds := o.up, o.from <= from && to <= o.to
+		h, up, holds := hop{o, o.id}, o.up, o.from <= from && to <= o.to
 		o.mu.Unlock()
 		switch {
 		case !up:
@@ -261,42 +343,69 @@
 		case !holds:
 			return nil, http.StatusMisdirectedRequest, address
 		}
-		if o != e {
-			others = append(others, o)
+		list = append(list, h)
+	}
+	return list, 0, ""
+}
+
+// refuse records a request that is not run and answers so.
+func (e *engine) refuse(w http.ResponseWriter, a arrival, status int, fault string) {
+	a.refused, a.status = true, status
+	e.fleet.rec.arrived(a)
+	e.turnAway(w, status, fault)
+}
+
+// turnAway answers that a request was not run.
+func (e *engine) turnAway(w http.ResponseWriter, status int, fault string) {
+	w.Header().Set("X-Not-Executed", "1")
+	if fault != "" {
+		w.Header().Set("At-Server", fault)
+	}
+	w.WriteHeader(status)
+}
+
+// begins records the first token of a request.
+func (f *fleet) begins(id, runner string) {
+	f.mu.Lock()
+	f.begun[id] = true
+	f.mu.Unlock()
+	f.rec.line("request %s begins at runner %s", id, runner)
+}
+
+// isDeadly reports whether a prompt holds the deadly part, other than as its last one.
+func (f *fleet) isDeadly(parts []string) bool {
+	for _, p := range parts[:len(parts)-1] {
+		if part, _, _ := strings.Cut(p, ":"); f.deadly != "" && part == f.deadly {
+			return true
 		}
 	}
-	return others, 0, ""
+	return false
 }
 
 func (e *engine) request(w http.ResponseWriter, q *http.Request, self, id string) {
-	parts := strings.Split(q.Header.Get("X-Prefix-Hash"), ",")
+	deadly := e.fleet.isDeadly(strings.Split(q.Header.Get("X-Prefix-Hash"), ","))
 	a := arrival{id: id, runner: self, service: e.service, tenant: q.Header.Get("X-Tenant"), at: time.Now()}
-	others, status, fault := e.hops(q.Header.Get("X-Hop-Count"))
+	hops, status, fault := e.hops(q.Header.Get("X-Hop-Count"))
 	if status != 0 {
-		a.refused, a.status = true, status
-		e.fleet.rec.arrived(a)
-		w.Header().Set("X-Not-Executed", "1")
-		if fault != "" {
-			w.Header().Set("At-Server", fault)
-		}
-		w.WriteHeader(status)
+		e.refuse(w, a, status, fault)
 		return
 	}
+	a.status = http.StatusOK
+	e.fleet.rec.arrived(a)
+	j := &job{hops: hops}
 	e.mu.Lock()
 	e.running++
+	e.jobs[id] = j
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
 		e.running--
+		delete(e.jobs, id)
 		e.mu.Unlock()
 	}()
-	a.ran, a.status = true, http.StatusOK
-	e.fleet.rec.arrived(a)
-	w.Header().Set("X-Response-Signature", signature(self, id))
-	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
-	pause := readTime
+	pause, moved := readTime, 0
 	for i := after + 1; i <= events; i++ {
 		select {
 		case <-time.After(pause):
@@ -304,25 +413,38 @@
 			return
 		}
 		pause = stepTime
-		if e.fleet.deadly != "" && i == after+1 {
-			for _, p := range parts[:len(parts)-1] {
-				if part, _, _ := strings.Cut(p, ":"); part == e.fleet.deadly {
-					e.crash(id)
-					if e.fleet.dark {
-						<-q.Context().Done()
-					}
-					panic(http.ErrAbortHandler)
+		first := i == after+1
+		if first && deadly {
+			list, _ := j.path()
+			victim := e
+			if e.fleet.last {
+				victim = list[len(list)-1].engine
+			}
+			victim.crash(id)
+			if victim == e {
+				if e.fleet.dark {
+					<-q.Context().Done()
 				}
+				panic(http.ErrAbortHandler)
 			}
 		}
-		for _, o := range others {
-			o.mu.Lock()
-			up := o.up
-			o.mu.Unlock()
-			if !up {
-				time.Sleep(2 * time.Second) // stall_ms, and then the work is cut off
-				panic(http.ErrAbortHandler)
+		if fault := j.dead(); fault != "" && !j.stall() {
+			if first {
+				e.turnAway(w, http.StatusServiceUnavailable, fault)
+				return
 			}
+			panic(http.ErrAbortHandler)
+		}
+		if _, moves := j.path(); moves != moved {
+			// The new parts read all tokens so far.
+			moved, pause = moves, readTime
+			i--
+			continue
+		}
+		if first {
+			e.fleet.begins(id, self)
+			w.Header().Set("X-Response-Signature", signature(self, id))
+			w.Header().Set("Content-Type", "text/event-stream")
 		}
 		fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", i, i, id)
 		if flush.Flush() != nil {
--- a/review/standins-2/record.go
+++ b/review/standins-2/record.go
@@ -42,11 +42,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, a)
-	what := "runs"
+	what := "reaches"
+	if a.ran {
+		what = "runs at"
+	}
 	if a.refused {
 		what = fmt.Sprintf("is refused with %d by", a.status)
 	}
-	r.lineLocked(a.at, "request %s %s at runner %s of %s, tenant %q", a.id, what, a.runner, a.service, a.tenant)
+	r.lineLocked(a.at, "request %s %s runner %s of %s, tenant %q", a.id, what, a.runner, a.service, a.tenant)
 }
 
 func (r *record) called(c call) {
