--- a/review/standins-2/case_part.go
+++ b/review/standins-2/case_part.go
@@ -111,7 +111,11 @@
 	from := time.Now()
 	r.rec.line("requests with the deadly part begin")
 	var bad sync.Map
-	deadly := sendStreams(1, stop, func() {
+	perSecond := 1.0
+	if last {
+		perSecond = 2
+	}
+	deadly := sendStreams(perSecond, stop, func() {
 		list := []string{commonPart}
 		for range 5 {
 			list = append(list, randomPart())
