Configuration: a fault of one part leaves out only that part

Evidence: all entries log "cannot unmarshal number 771.6 into Go struct field MeanTokens.services.engine.usual.prompt of type int" and then "could not prove the configuration current"; the 503s name that proof's age. Ruled out: the relay (the direct reader logs the same), the order of versions (no verdict is logged).

Change: numbers are decoded in any JSON form; fractions are kept where they count and refused where a number must be whole. Priorities have no bound, since only their order counts. Routes, services, customers and accelerators are decoded and checked one by one; a fault leaves out its part, is logged and counted (edge_configuration_faults, edge_configurations_undecodable). This works because the store accepts only valid configurations: what stays refused whole has no version or is no configuration.

--- a/ferry/ferryconfig/configuration.go
+++ b/ferry/ferryconfig/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,14 +19,8 @@
 // Key is the secret that authenticates a caller as a customer.
 type Key string
 
-// Priority is the priority of a request; 0 is the most urgent.
-type Priority int
-
-// MaxPriority is the greatest priority of a route or customer. Only the order of priorities counts, so that the bound
-// need not be that of engines; it keeps out values that are no priorities.
-const MaxPriority Priority = 1000
-
-func (p Priority) valid() bool { return p >= 0 && p <= MaxPriority }
+// Priority is the priority of a request; 0 is the most urgent, and only the order of priorities counts.
+type Priority float64
 
 // Configuration is one complete version of what the operators have configured.
 type Configuration struct {
@@ -34,6 +29,8 @@
 	Services  []Service
 	Customers []Customer
 	Limits    Limits
+	// Undecoded lists the fields that could not be decoded and have their zero value.
+	Undecoded []string `json:",omitempty"`
 }
 
 // Customer is one customer with its API keys.
@@ -52,7 +49,7 @@
 	IdleTimeout   time.Duration
 }
 
-// FaultsError lists all faults of a configuration.
+// FaultsError lists the faults of a configuration.
 type FaultsError struct {
 	Version Version
 	Faults  []string
@@ -64,7 +61,7 @@
 
 // Check returns a *FaultsError with all faults, or nil.
 func (c *Configuration) Check() error {
-	f := faults{}
+	f := slices.Clone(faults(c.Undecoded))
 	f.add(c.Version > 0, "the version must be above 0")
 	services := map[ferryid.ServiceName]bool{}
 	for _, s := range c.Services {
@@ -86,14 +83,37 @@
 	return &FaultsError{Version: c.Version, Faults: f}
 }
 
+// usable returns the configuration without the parts that have faults. A route with a fault stays without targets, so that
+// its requests are refused and do not match a shorter prefix.
+func (c *Configuration) usable() *Configuration {
+	out := *c
+	out.Services, out.Routes, out.Customers = nil, nil, nil
+	names := map[ferryid.ServiceName]bool{}
+	for _, s := range c.Services {
+		if s, ok := s.usable(); ok && !names[s.Name] {
+			names[s.Name] = true
+			out.Services = append(out.Services, s)
+		}
+	}
+	for _, r := range c.Routes {
+		if r.check(nil) != nil {
+			r.Targets = nil
+		}
+		out.Routes = append(out.Routes, r)
+	}
+	for _, customer := range c.Customers {
+		if customer.Name != "" {
+			out.Customers = append(out.Customers, customer)
+		}
+	}
+	return &out
+}
+
 func checkCustomers(customers []Customer) error {
 	f := faults{}
 	owners := map[Key]ferryid.CustomerName{}
 	for _, c := range customers {
 		f.add(c.Name != "", "a customer has no name")
-		if c.Priority != nil {
-			f.add(c.Priority.valid(), "customer %q: the priority must be from 0 to %d, is %d", c.Name, MaxPriority, *c.Priority)
-		}
 		for _, k := range c.Keys {
 			other, taken := owners[k]
 			f.add(k != "", "customer %q has an empty key", c.Name)
--- a/ferry/ferryconfig/route.go
+++ b/ferry/ferryconfig/route.go
@@ -60,9 +60,10 @@
 // Target is a service with its weight among a route's targets.
 type Target struct {
 	Service ferryid.ServiceName
-	Weight  int
+	Weight  float64
 }
 
+// check returns the faults of a route; services are those that exist, or nil if that does not matter.
 func (r Route) check(services map[ferryid.ServiceName]bool) error {
 	f := faults{}
 	f.add(r.Name != "", "a route has no name")
@@ -70,24 +71,24 @@
 	f.add(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), "route %q: prefix %q must start and end with a slash", r.Name, r.Prefix)
 	f.add(len(r.Targets) > 0, "route %q has no service", r.Name)
 	f.add(r.Timeout >= 0, "route %q: the timeout must not be negative", r.Name)
-	f.add(r.Priority.valid(), "route %q: the priority must be from 0 to %d, is %d", r.Name, MaxPriority, r.Priority)
 	for _, t := range r.Targets {
-		f.add(services[t.Service], "route %q: service %q does not exist", r.Name, t.Service)
+		f.add(services == nil || services[t.Service], "route %q: service %q does not exist", r.Name, t.Service)
 		f.add(t.Weight >= 0, "route %q: the weight of service %q must not be negative", r.Name, t.Service)
 	}
 	return f.err()
 }
 
-// Target selects the service of a request by weight; draw must be uniformly distributed.
+// Target selects the service of a request by weight, or returns an empty name if the route has no targets; draw must be
+// uniformly distributed.
 func (r *Route) Target(draw uint64) ferryid.ServiceName {
-	sum := 0
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	sum := 0.0
 	for _, t := range r.Targets {
 		sum += t.Weight
 	}
-	if sum <= 0 {
-		return r.Targets[0].Service
-	}
-	at := int(draw % uint64(sum))
+	at := float64(draw>>11) / (1 << 53) * sum // 53 bits are the precision of a float64
 	for _, t := range r.Targets {
 		if at < t.Weight {
 			return t.Service
--- a/ferry/ferryconfig/service.go
+++ b/ferry/ferryconfig/service.go
@@ -1,6 +1,7 @@
 package ferryconfig
 
 import (
+	"slices"
 	"time"
 
 	"cactusferry.dev/ferry/ferryid"
@@ -54,7 +55,7 @@
 	// ReportLag is the age of an engine's load report.
 	ReportLag time.Duration
 	// UsualPrompt and UsualAnswer are the mean numbers of tokens of prompts and answers.
-	UsualPrompt, UsualAnswer int
+	UsualPrompt, UsualAnswer float64
 	// HandoverBytes is the number of bytes that one engine sends to the next for each token.
 	HandoverBytes int
 	// LinkRate and DomainLinkRate are in megabits per second: the rate of one engine's link, and the rate
@@ -88,6 +89,20 @@
 	return Accelerator{}, false
 }
 
+// usable returns the service without the accelerators and limits that have faults; false means that its requests cannot
+// be served.
+func (s Service) usable() (Service, bool) {
+	s.MaxConnections = max(0, s.MaxConnections)
+	if s.Model != nil && s.Model.Layers != 0 {
+		m := *s.Model
+		m.Accelerators = slices.DeleteFunc(slices.Clone(m.Accelerators), func(a Accelerator) bool { return !a.valid() })
+		s.Model = &m
+	}
+	return s, s.Name != "" && s.check() == nil
+}
+
+func (a Accelerator) valid() bool { return a.Memory > 0 && a.StepFactor > 0 && a.ReadFactor > 0 }
+
 func (s Service) check() error {
 	f := faults{}
 	f.add(s.MaxConnections >= 0, "service %q: the number of connections must not be negative", s.Name)
@@ -98,7 +113,7 @@
 	f.add(s.Model.LayerSize > 0, "service %q: the size of a layer must be above 0", s.Name)
 	f.add(len(s.Model.Accelerators) > 0, "service %q: no kind of accelerator is described", s.Name)
 	for _, a := range s.Model.Accelerators {
-		f.add(a.Memory > 0 && a.StepFactor > 0 && a.ReadFactor > 0, "service %q: memory and factors of accelerator %q must be above 0", s.Name, a.Name)
+		f.add(a.valid(), "service %q: memory and factors of accelerator %q must be above 0", s.Name, a.Name)
 	}
 	return f.err()
 }
--- a/ferry/ferryconfig/snapshot.go
+++ b/ferry/ferryconfig/snapshot.go
@@ -2,33 +2,45 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"strings"
 
 	"cactusferry.dev/ferry/ferryid"
 )
 
-// Snapshot is an immutable, indexed configuration.
+// Snapshot is an immutable, indexed configuration without the parts that have faults.
 type Snapshot struct {
 	*Configuration
+	// Faults lists the faults of the parts that were left out.
+	Faults   []string
+	keyed    bool
 	hosts    map[string][]*Route
 	services map[ferryid.ServiceName]*Service
 	keys     map[Key]*Customer
 	ranks    rankings
 }
 
-// NewSnapshot checks and indexes a configuration, which must not be modified afterwards.
+// NewSnapshot checks and indexes a configuration, which must not be modified afterwards. A fault concerns only the part that
+// has it, since the others are what the operators want; without a version the error is a *FaultsError.
 func NewSnapshot(c *Configuration) (*Snapshot, error) {
-	if err := c.Check(); err != nil {
+	var faults *FaultsError
+	if err := c.Check(); errors.As(err, &faults) && c.Version == 0 {
 		return nil, err
 	}
+	keyed := len(c.Customers) > 0
+	c = c.usable()
 	s := &Snapshot{
 		Configuration: c,
+		keyed:         keyed,
 		hosts:         map[string][]*Route{},
 		services:      make(map[ferryid.ServiceName]*Service, len(c.Services)),
 		keys:          map[Key]*Customer{},
 		ranks:         newRankings(c),
 	}
+	if faults != nil {
+		s.Faults = faults.Faults
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -42,7 +54,9 @@
 	}
 	for i := range c.Customers {
 		for _, k := range c.Customers[i].Keys {
-			s.keys[k] = &c.Customers[i]
+			if s.keys[k] == nil && k != "" {
+				s.keys[k] = &c.Customers[i]
+			}
 		}
 	}
 	return s, nil
@@ -78,5 +92,5 @@
 
 // Keyed reports whether requests on routes that are not public need an API key.
 func (s *Snapshot) Keyed() bool {
-	return len(s.Customers) > 0
+	return s.keyed
 }
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -394,7 +394,7 @@
 	}
 	used := e.reported.Used + int64(factor*float64(max(0, e.held-e.heldAtReport)))
 	if !cons.tight {
-		used += int64(expectedGrowth*float64(c.model.UsualAnswer)) * layers * int64(e.reported.Running)
+		used += int64(expectedGrowth*c.model.UsualAnswer) * layers * int64(e.reported.Running)
 	}
 	if cons.moving {
 		// The moves that this one stands for.
--- a/ferry/ferrypath/forecast.go
+++ b/ferry/ferrypath/forecast.go
@@ -153,7 +153,7 @@
 		return f
 	}
 	f.at, f.model = now, c.model
-	f.tokens = max(1, c.arrivals.meanTokens(float64(c.model.UsualPrompt+c.model.UsualAnswer)))
+	f.tokens = max(1, c.arrivals.meanTokens(c.model.UsualPrompt+c.model.UsualAnswer))
 	c.predictUsed(f, now)
 	f.plans = f.plans[:0]
 	f.rates = make(map[ferryid.UpstreamName]float64, len(c.engines))
@@ -225,7 +225,7 @@
 			f.used = append(f.used, started*d*math.Exp(-forecastHorizon.Seconds()/d))
 			continue
 		}
-		used := float64(e.reported.Used) + expectedGrowth*float64(c.model.UsualAnswer)*layers*float64(e.reported.Running)
+		used := float64(e.reported.Used) + expectedGrowth*c.model.UsualAnswer*layers*float64(e.reported.Running)
 		age := (max(0, now.Sub(e.reportedAt)) + c.model.ReportLag).Seconds()
 		kept := math.Exp(-age / d)
 		atNow := used*kept + started*d*(1-kept)
@@ -289,7 +289,7 @@
 		j := c.indexOf[p.Stages[i].Name]
 		sum += time.Duration(p.Stages[i].Share/float64(c.loads[j].Rate)*float64(time.Second)) + hopTime
 	}
-	return max(minForecastDuration, time.Duration(c.meanStretch()*float64(sum)*float64(c.model.UsualAnswer)))
+	return max(minForecastDuration, time.Duration(c.meanStretch()*float64(sum)*c.model.UsualAnswer))
 }
 
 // meanStretch returns the mean ratio of the durations of generations to the token times of their engines.
--- a/ferry/ferrypath/room.go
+++ b/ferry/ferrypath/room.go
@@ -42,7 +42,7 @@
 }
 
 func (c *Chooser) computeRoom(now time.Time) ferryroom.Room {
-	growth := ferryid.Tokens(expectedGrowth * float64(c.model.UsualAnswer))
+	growth := ferryid.Tokens(expectedGrowth * c.model.UsualAnswer)
 	inDomain := c.roomOf(now, growth, func(e *engine) bool { return e.up.FailureDomain == c.opts.Domain })
 	if inDomain.Known && inDomain.Fill < overflowFill {
 		return inDomain
--- a/ferry/ferryplacement/bound.go
+++ b/ferry/ferryplacement/bound.go
@@ -126,7 +126,7 @@
 func newBounder(m *ferryconfig.Model, d Demand) *bounder {
 	prompt, answer := max(1, d.Prompt), max(1, d.Answer)
 	with := *m
-	with.UsualPrompt, with.UsualAnswer = int(prompt), int(answer)
+	with.UsualPrompt, with.UsualAnswer = float64(prompt), float64(answer)
 	b := &bounder{model: &with, prompt: float64(prompt), steps: float64(answer - 1), delays: map[[2]ferryid.DomainName]float64{}}
 	for _, delay := range m.Delays {
 		b.delays[[2]ferryid.DomainName{delay.From, delay.To}] = delay.OneWay.Seconds()
--- a/ferrybench/ferryfleet/fleet.go
+++ b/ferrybench/ferryfleet/fleet.go
@@ -169,7 +169,7 @@
 		Layers: m.Layers, LayerSize: ferryconfig.Megabytes(m.LayerSize), TokenBytes: m.TokenBytes, EngineTokens: m.EngineTokens, Slots: m.Slots,
 		StepTime: time.Duration(m.StepTime), RequestTime: time.Duration(m.RequestTime), ContextTime: time.Duration(m.ContextTime),
 		ReadRate: m.ReadRate, PairTime: time.Duration(m.PairTime), StepsInPass: m.StepsInPass, ReadInStep: m.ReadInStep,
-		UsualPrompt: m.UsualPrompt, UsualAnswer: m.UsualAnswer, HandoverBytes: m.HandoverBytes, DomainLinkRate: m.DomainLinkRate,
+		UsualPrompt: float64(m.UsualPrompt), UsualAnswer: float64(m.UsualAnswer), HandoverBytes: m.HandoverBytes, DomainLinkRate: m.DomainLinkRate,
 	}
 	for _, d := range f.Delays {
 		out.Delays = append(out.Delays, ferryconfig.Delay{From: d.From, To: d.To, OneWay: time.Duration(d.OneWay)})
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -39,7 +39,10 @@
 func (w configWatcher) apply(c ferryplatform.Changes) {
 	for _, o := range c.Objects {
 		if o.Name == w.cfg.Objects.ConfigurationName && !o.Deleted {
-			w.offer(o, "watch")
+			if _, err := w.offer(o, "watch"); err != nil {
+				w.metrics.Scope.Counter("configurations_undecodable").Inc(1)
+				w.cfg.Log.Error().Err(err).Uint64("Revision", uint64(o.Version)).Msg("could not decode the configuration; keeping the current one")
+			}
 		}
 	}
 }
@@ -57,20 +60,23 @@
 	return min(watchPause, within/pauseDivisor)
 }
 
-// offer decodes a configuration and puts it in force if it is newer.
-func (e *Edge) offer(o ferryplatform.Object, source string) bool {
+// offer decodes a configuration, puts it in force if it is newer, and returns it.
+func (e *Edge) offer(o ferryplatform.Object, source string) (*ferryconfig.Snapshot, error) {
 	s, err := e.decodeConfig(o)
 	if err != nil {
-		e.cfg.Log.Error().Err(err).Str("Source", source).Uint64("Revision", uint64(o.Version)).Msg("could not decode the configuration; keeping the current one")
-		return false
+		return nil, err
 	}
 	verdict := e.holder.Offer(s)
-	if verdict.InForce() {
-		return true
+	if verdict != ferryconfig.Taken {
+		return s, nil
+	}
+	e.metrics.Scope.Gauge("configuration_faults").Update(float64(len(s.Faults)))
+	if len(s.Faults) > 0 {
+		e.cfg.Log.Warn().Str("Source", source).Uint64("Version", uint64(s.Version)).Strs("Faults", s.Faults).Msg("configuration has faults; the parts that have them are left out")
 	}
 	e.cfg.Log.Info().Str("Source", source).Uint64("Version", uint64(s.Version)).Str("Verdict", verdict.String()).
 		Int("Routes", len(s.Routes)).Int("Services", len(s.Services)).Int("Customers", len(s.Customers)).Msg("configuration received from the platform")
-	return true
+	return s, nil
 }
 
 // proveConfig reads the configuration periodically, since a watch without changes does
@@ -130,11 +136,10 @@
 	if err != nil {
 		return err
 	}
-	s, err := e.decodeConfig(o)
+	s, err := e.offer(o, "proof")
 	if err != nil {
 		return err
 	}
-	e.holder.Offer(s)
 	e.holder.Prove(s.Version, at)
 	e.startIfProved()
 	return nil
