Platform: versions are not compared across a restore

Cause: a version was the store's revision, and a higher one counted as a later write. A restore gives revisions out again; nothing read the epoch that the store states in its answers.

Ruled out: the watch (it gets its 410) and the list (it has the state).

Change: a version is an epoch and a revision within it, and later epochs are higher. The client adds the epoch of an answer to its versions and refuses what reaches across a restore: watches, conditional writes, lists in pages, late answers. That settles each comparison at once: table, follower, relay and mirrors.

--- a/ferry/ferrydiscovery/table.go
+++ b/ferry/ferrydiscovery/table.go
@@ -22,6 +22,9 @@
 	// tombstoneRetention is how long the version of a removal is kept, so that older updates of
 	// the upstream are ignored.
 	tombstoneRetention = 5 * time.Minute
+	// restoredHold is how long a removed upstream that a copy of the platform lists again gets no requests. The platform
+	// removes an upstream after three missed heartbeats, so that one that is still listed then is running.
+	restoredHold = 5 * time.Second
 )
 
 // Upstream is one upstream as last described by the platform.
@@ -70,8 +73,13 @@
 	rows       map[string]*Upstream
 	tombstones map[string]tombstone
 	graceUntil map[string]time.Time
-	outage     bool
-	changed    []func(*View)
+	// held are the upstreams of a restored list that had been removed before.
+	held    map[string]heldUpstream
+	outage  bool
+	changed []func(*View)
+	// epoch is that of the last complete list, if there was one.
+	epoch  ferryplatform.Epoch
+	listed bool
 	// touched are the names whose rows may differ from the view.
 	touched map[string]bool
 	// processes are those with a row, and others for tombstoneRetention.
@@ -82,11 +90,19 @@
 type tombstone struct {
 	version ferryplatform.Version
 	at      time.Time
+	// last is the removed row, or nil if there was none.
+	last *Upstream
+}
+
+// heldUpstream is a listed upstream that counts as removed until the given time.
+type heldUpstream struct {
+	upstream Upstream
+	until    time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
-	t := &Table{clock: clock, rows: map[string]*Upstream{}, tombstones: map[string]tombstone{}, graceUntil: map[string]time.Time{}, touched: map[string]bool{}, processes: map[processKey]*process{}}
+	t := &Table{clock: clock, rows: map[string]*Upstream{}, tombstones: map[string]tombstone{}, graceUntil: map[string]time.Time{}, held: map[string]heldUpstream{}, touched: map[string]bool{}, processes: map[processKey]*process{}}
 	t.view.Store(&View{services: map[ferryid.ServiceName][]*Upstream{}, byName: map[string]*Upstream{}})
 	return t
 }
@@ -132,15 +148,23 @@
 }
 
 // Replace applies the complete list at a version. Upstreams that it lacks have been removed.
+//
+// The first list of an epoch is a copy some seconds old and what has been written since: upstreams that it lacks may be
+// running, and ones that it has may have left.
 func (t *Table) Replace(list []Upstream, at ferryplatform.Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.outage = t.outage || t.listed && at.Epoch() > t.epoch
+	t.epoch, t.listed = max(t.epoch, at.Epoch()), true
 	updated := t.endOutage()
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.Name] = true
-		updated = t.put(u) || updated
+		if !t.hold(u) {
+			updated = t.put(u) || updated
+		}
 	}
+	maps.DeleteFunc(t.held, func(name string, _ heldUpstream) bool { return !listed[name] })
 	for name, u := range t.rows {
 		if !listed[name] && u.Version <= at {
 			updated = t.remove(name, at) || updated
@@ -159,8 +183,7 @@
 	updated := false
 	for name, until := range t.graceUntil {
 		if !now.Before(until) {
-			delete(t.graceUntil, name)
-			t.setRow(name, nil)
+			t.drop(name)
 			updated = true
 			continue
 		}
@@ -168,6 +191,12 @@
 			next = until
 		}
 	}
+	for name, h := range t.held {
+		if !now.Before(h.until) {
+			delete(t.held, name)
+			updated = t.put(h.upstream) || updated
+		}
+	}
 	for name, g := range t.tombstones {
 		if now.Sub(g.at) > tombstoneRetention {
 			delete(t.tombstones, name)
@@ -195,12 +224,18 @@
 	if old != nil && old.Version >= u.Version {
 		return false
 	}
-	if g, ok := t.tombstones[u.Name]; ok && g.version >= u.Version {
+	g := t.tombstones[u.Name]
+	if g.version >= u.Version && g.version != ferryplatform.NoVersion {
 		return false
 	}
 	delete(t.tombstones, u.Name)
 	delete(t.graceUntil, u.Name)
+	delete(t.held, u.Name)
 	u.process = t.processOf(&u)
+	if before := cmp.Or(old, g.last); before != nil && !before.Ready() && before.SameProcess(&u) && before.Version.Epoch() < u.Version.Epoch() {
+		// A copy may show the upstream as it was before it began to leave.
+		u.process.leaving.Store(true)
+	}
 	if u.process.leaving.Load() {
 		u.State = ferryplatform.StateLeaving
 	}
@@ -208,6 +243,23 @@
 	return old == nil || old.Instance != u.Instance
 }
 
+// hold reports whether a listed upstream counts as removed: a process whose removal is known, as a copy from before the
+// removal shows it. Nothing distinguishes that from a registration written since but a later change.
+func (t *Table) hold(u Upstream) bool {
+	g := t.tombstones[u.Name]
+	if t.rows[u.Name] != nil || g.last == nil || !g.last.SameProcess(&u) || g.version.Epoch() >= u.Version.Epoch() || g.version.Revision() <= u.Version.Revision() {
+		return false
+	}
+	now := t.clock.Now()
+	h, held := t.held[u.Name]
+	if !held {
+		h.until = now.Add(restoredHold)
+	}
+	h.upstream = u
+	t.held[u.Name] = h
+	return now.Before(h.until)
+}
+
 // remove removes an upstream, or starts its grace period if its registration may have expired because of an
 // outage.
 func (t *Table) remove(name string, v ferryplatform.Version) bool {
@@ -216,9 +268,12 @@
 		return false
 	}
 	if g := t.tombstones[name]; g.version < v {
-		t.tombstones[name] = tombstone{version: v, at: t.clock.Now()}
+		t.tombstones[name] = tombstone{version: v, at: t.clock.Now(), last: g.last}
 	}
 	if old == nil {
+		if h, held := t.held[name]; held && h.upstream.Version <= v {
+			delete(t.held, name)
+		}
 		return false
 	}
 	if t.outage && old.Ready() {
@@ -227,9 +282,17 @@
 		}
 		return false
 	}
+	t.drop(name)
+	return true
+}
+
+// drop removes the row of an upstream that has a tombstone.
+func (t *Table) drop(name string) {
+	g := t.tombstones[name]
+	g.last = t.rows[name]
+	t.tombstones[name] = g
 	t.setRow(name, nil)
 	delete(t.graceUntil, name)
-	return true
 }
 
 // setRow sets the row of an upstream; nil removes it.
--- a/ferry/ferryfollow/follower.go
+++ b/ferry/ferryfollow/follower.go
@@ -101,7 +101,7 @@
 		return 0, err
 	}
 	f.after, f.listed = changes.Version, true
-	f.cfg.Log.Info().Str("Kind", f.cfg.Kind).Int("Objects", len(changes.Objects)).Uint64("Version", uint64(changes.Version)).Msg("platform objects listed")
+	f.cfg.Log.Info().Str("Kind", f.cfg.Kind).Int("Objects", len(changes.Objects)).Uint64("Version", changes.Version.Revision()).Uint16("Epoch", uint16(changes.Version.Epoch())).Msg("platform objects listed")
 	f.cfg.Watcher.Listed(changes)
 	return len(changes.Objects), nil
 }
@@ -144,7 +144,7 @@
 	f.failures = 0
 	if f.lost {
 		f.lost = false
-		f.cfg.Log.Info().Str("Kind", f.cfg.Kind).Uint64("Version", uint64(f.after)).Msg("platform reachable again: view is current")
+		f.cfg.Log.Info().Str("Kind", f.cfg.Kind).Uint64("Version", f.after.Revision()).Uint16("Epoch", uint16(f.after.Epoch())).Msg("platform reachable again: view is current")
 	}
 }
 
--- a/ferry/ferryplatform/call.go
+++ b/ferry/ferryplatform/call.go
@@ -34,6 +34,11 @@
 // do sends one call, subject to the budget and the timeout.
 func (c *Client) do(ctx context.Context, in Call) (Reply, error) {
 	op := in.String()
+	if latest, known := c.epoch.get(); known {
+		if err := checkEpoch(in, latest, false); err != nil {
+			return Reply{}, err
+		}
+	}
 	if err := c.bucket.take(op); err != nil {
 		return Reply{}, err
 	}
@@ -91,9 +96,16 @@
 
 // read decodes an answer, or returns the error for its status.
 func (c *Client) read(in Call, encoded HTTPRequest, res *http.Response) (Reply, error) {
+	epoch, err := c.answerEpoch(res.Header)
+	if err != nil {
+		return Reply{}, incompleteError(in, true, err)
+	}
 	if res.StatusCode/100 != 2 {
 		return Reply{}, c.statusError(in, res)
 	}
+	if err := checkEpoch(in, epoch, true); err != nil {
+		return Reply{}, err
+	}
 	maxBytes := encoded.MaxAnswer
 	if maxBytes == 0 {
 		maxBytes = maxListBytes
@@ -112,6 +124,9 @@
 		return Reply{}, &UnavailableError{Op: in.String(), Err: err}
 	}
 	out, err := c.protocol.Decode(in, res.Header, b)
+	if err == nil {
+		err = out.setEpoch(epoch)
+	}
 	if err != nil {
 		return Reply{}, incompleteError(in, true, err)
 	}
--- a/ferry/ferryplatform/client.go
+++ b/ferry/ferryplatform/client.go
@@ -51,6 +51,7 @@
 	memory   *ferrymemory.Budget
 	calls    counters
 	down     atomic.Bool
+	epoch    epochState
 }
 
 // New returns a client of the platform.
@@ -139,7 +140,7 @@
 }
 
 // List returns all objects of a kind. A list of several pages has the version of the first page, so that a
-// watch from it misses no change made while the others were read.
+// watch from it misses no change made while the others were read. If the epoch changes meanwhile, the list begins anew.
 func (c *Client) List(ctx context.Context, kind string) (Changes, error) {
 	var out Changes
 	call := Call{Op: OpList, Kind: kind}
@@ -149,7 +150,11 @@
 			return Changes{}, err
 		}
 		if call.PageToken == "" {
-			out.Version = r.Changes.Version
+			out = Changes{Version: r.Changes.Version}
+		}
+		if r.Changes.Version.Epoch() != out.Version.Epoch() {
+			call.PageToken = ""
+			continue
 		}
 		out.Objects = append(out.Objects, r.Changes.Objects...)
 		if r.NextPageToken == "" {
--- a/ferry/ferryplatform/ferryplatformtest/fake.go
+++ b/ferry/ferryplatform/ferryplatformtest/fake.go
@@ -41,6 +41,7 @@
 	faults    Faults
 	calls     ferryplatform.Calls
 	version   ferryplatform.Version
+	epoch     ferryplatform.Epoch
 	objects   map[objectKey][]change
 	pending   []write
 	instances []listing
@@ -99,6 +100,9 @@
 	f.applyDue()
 	f.version = f.saved.version
 	f.objects = cloneObjects(f.saved.objects)
+	if f.epoch > 0 {
+		f.epoch++
+	}
 	f.wake()
 	return true
 }
@@ -123,7 +127,7 @@
 	if o.Version == ferryplatform.NoVersion || o.Deleted {
 		return ferryplatform.Object{}, &ferryplatform.NotFoundError{Kind: kind, Name: name}
 	}
-	return copyObject(o), nil
+	return f.statedObject(copyObject(o)), nil
 }
 
 // Renew does nothing, since there are no connections.
@@ -156,8 +160,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.applyDue()
+	revision, ok := f.revision(w.expected)
+	if !ok {
+		return 0, &ferryplatform.ConflictError{Kind: w.key.kind, Name: w.key.name, Expected: w.expected}
+	}
+	w.expected = revision
 	if f.faults.LoseAnswers == 0 {
-		return f.apply(w, f.clock.Now())
+		v, err := f.apply(w, f.clock.Now())
+		return f.stated(v), err
 	}
 	f.faults.LoseAnswers--
 	if f.faults.LateEffectMS > 0 {
--- a/ferry/ferryplatform/ferryplatformtest/watch.go
+++ b/ferry/ferryplatform/ferryplatformtest/watch.go
@@ -17,7 +17,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.applyDue()
-	return f.list(kind), nil
+	return f.statedChanges(f.list(kind)), nil
 }
 
 func (f *Fake) list(kind string) ferryplatform.Changes {
@@ -92,9 +92,14 @@
 	if out, ok := f.oldWatchAnswer(kind, after); ok {
 		return out, f.changed, nil
 	}
+	asked := after
+	after, ok := f.revision(asked)
+	if !ok {
+		return ferryplatform.Changes{}, nil, &ferryplatform.HistoryGoneError{Kind: kind, After: asked}
+	}
 	state := f.readState()
 	if after > state.version {
-		return listSnapshot(state, kind), f.changed, nil
+		return f.statedChanges(listSnapshot(state, kind)), f.changed, nil
 	}
 	horizon := f.clock.Now().Add(-millis(f.faults.WatchLagMS))
 	out := ferryplatform.Changes{Version: after, Objects: []ferryplatform.Object{}}
@@ -116,7 +121,7 @@
 	if len(out.Objects) == 0 && nextVisible > 0 {
 		f.wakeAfter(nextVisible)
 	}
-	return out, f.changed, nil
+	return f.statedChanges(out), f.changed, nil
 }
 
 // visible returns the newest version up to the horizon, and the time until the next one becomes visible.
--- a/ferry/ferryplatform/protocol.go
+++ b/ferry/ferryplatform/protocol.go
@@ -74,7 +74,8 @@
 	Instances     Instances
 }
 
-// Protocol encodes the calls and decodes the answers of a platform's HTTP API.
+// Protocol encodes the calls and decodes the answers of a platform's HTTP API. It encodes the revisions of versions and
+// returns revisions as versions; the client adds the epoch.
 type Protocol interface {
 	// Encode returns the HTTP request of a call.
 	Encode(c Call) (HTTPRequest, error)
@@ -83,6 +84,8 @@
 	// Refusal returns the *NotFoundError, *ConflictError or *HistoryGoneError for a status other than 2xx, or
 	// nil if the status means none of them.
 	Refusal(c Call, status int) error
+	// Epoch returns the epoch that an answer states; false means that it states none.
+	Epoch(h http.Header) (Epoch, bool, error)
 }
 
 // conditionalProtocol is the default protocol; it uses the conditional request header fields of RFC 9110.
@@ -141,6 +144,9 @@
 	return nil
 }
 
+// Epoch returns false: this protocol has no epochs.
+func (conditionalProtocol) Epoch(http.Header) (Epoch, bool, error) { return 0, false, nil }
+
 func etag(h http.Header) (Version, error) {
 	tag := h.Get("ETag")
 	n, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
--- a/ferry/ferryplatform/store.go
+++ b/ferry/ferryplatform/store.go
@@ -8,7 +8,7 @@
 	"cactusferry.dev/ferry/ferryid"
 )
 
-// Version is the version of an object; it increases with every write to any object.
+// Version is the version of an object; it increases with every write to any object, also from one epoch to the next.
 type Version uint64
 
 // NoVersion is the version of an object that does not exist.
@@ -48,6 +48,8 @@
 	Store
 	// Renew makes later calls use new connections.
 	Renew()
+	// Epoch returns the latest epoch that the platform has stated; false means that it has stated none.
+	Epoch() (Epoch, bool)
 }
 
 // InstanceRole is the role of an instance.
@@ -118,7 +120,7 @@
 }
 
 func (e *HistoryGoneError) Error() string {
-	return fmt.Sprintf("changes of kind %s after version %d are gone", e.Kind, e.After)
+	return fmt.Sprintf("changes of kind %s after version %s are gone", e.Kind, e.After)
 }
 
 // ConflictError reports that the object was not at the expected version; the write had no effect.
@@ -129,7 +131,7 @@
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("object %s/%s is not at version %d", e.Kind, e.Name, e.Expected)
+	return fmt.Sprintf("object %s/%s is not at version %s", e.Kind, e.Name, e.Expected)
 }
 
 // UnavailableError reports that the platform could not be reached or did not serve the call, which had no
--- a/ferry/ferryrelay/current_test.go
+++ b/ferry/ferryrelay/current_test.go
@@ -90,6 +90,8 @@
 	return c, err
 }
 
+func (l *faultyLink) Epoch() (ferryplatform.Epoch, bool) { return 0, false }
+
 func (l *faultyLink) Renew() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -17,8 +17,9 @@
 	"cactusferry.dev/ferry/ferryplatform"
 )
 
-// AskKind is the overlay's request kind of relay reads.
-const AskKind ferrypeer.AskKind = 6
+// AskKind is the overlay's request kind of relay reads. It was 6 while versions had no epoch: entries of that time must not
+// compare theirs with those of later ones.
+const AskKind ferrypeer.AskKind = 8
 
 const (
 	// askGrace is the time allowed for an answer to a list or a proof beyond the wait of its request. Links within a
@@ -53,6 +54,8 @@
 	Watch(ctx context.Context, kind string, after ferryplatform.Version, wait time.Duration) (ferryplatform.Changes, error)
 	// Renew makes later calls use new connections.
 	Renew()
+	// Epoch returns the latest epoch that the platform has stated; false means that it has stated none.
+	Epoch() (ferryplatform.Epoch, bool)
 }
 
 // Config configures a Relay. All fields but Log, Scope and Within are required.
@@ -85,9 +88,12 @@
 	// failingSince is the time since which direct calls have failed, zero if they succeed; lastDirect is
 	// the time of the last one.
 	failingSince, lastDirect time.Time
-	excluded                 Reader
-	excludedUntil            time.Time
-	source                   string
+	// epoch is the epoch of the platform as last recorded; epochKnown is set once it has stated one.
+	epoch         ferryplatform.Epoch
+	epochKnown    bool
+	excluded      Reader
+	excludedUntil time.Time
+	source        string
 	// behind maps the kinds whose reader has not proved them current in time to that reader.
 	behind map[string]ferryid.EntryName
 	// relayed holds the operations and kinds for which another entry has answered.
@@ -107,7 +113,7 @@
 
 // counts are the numbers of reads by their source.
 type counts struct {
-	relayed, direct, refused, behind, hedged tally.Counter
+	relayed, direct, refused, behind, hedged, restored tally.Counter
 }
 
 // proof is an object as read from the platform and the start of that read. An object
@@ -144,7 +150,7 @@
 		return cfg.Scope.Tagged(map[string]string{"from": from}).Counter("platform_readings")
 	}
 	return &Relay{
-		cfg: cfg, counts: counts{relayed: count("entry"), direct: count("platform"), refused: count("none"), behind: cfg.Scope.Counter("platform_readers_behind"), hedged: cfg.Scope.Counter("platform_calls_repeated")},
+		cfg: cfg, counts: counts{relayed: count("entry"), direct: count("platform"), refused: count("none"), behind: cfg.Scope.Counter("platform_readers_behind"), hedged: cfg.Scope.Counter("platform_calls_repeated"), restored: cfg.Scope.Counter("platform_restores")},
 		mirrors: map[string]*mirror{}, proofs: map[string]proof{}, views: map[string]time.Time{}, lastGets: map[string]time.Time{}, behind: map[string]ferryid.EntryName{}, relayed: map[relayedKey]bool{}, directWatches: map[*directWatch]context.CancelCauseFunc{},
 	}
 }
@@ -474,6 +480,7 @@
 // recordDirect records the outcome of a direct call.
 func (r *Relay) recordDirect(ctx context.Context, err error) {
 	r.counts.direct.Inc(1)
+	r.recordEpoch()
 	if err != nil && !isAnswer(err) && errors.Is(context.Cause(ctx), context.Canceled) {
 		return
 	}
@@ -495,6 +502,21 @@
 	}
 }
 
+// recordEpoch logs that the platform has come back from a copy, in which writes may be missing that it had accepted.
+func (r *Relay) recordEpoch() {
+	e, known := r.cfg.Platform.Epoch()
+	if !known {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.epochKnown && e > r.epoch {
+		r.counts.restored.Inc(1)
+		r.cfg.Log.Warn().Uint16("From", uint16(r.epoch)).Uint16("Epoch", uint16(e)).Msg("platform has come back from a copy; all its objects are read again")
+	}
+	r.epoch, r.epochKnown = max(e, r.epoch), true
+}
+
 // isAnswer reports whether an error is an answer of the platform rather than a failure.
 func isAnswer(err error) bool {
 	var missing *ferryplatform.NotFoundError
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"cactusferry.dev/ferry/ferryconfig"
@@ -41,7 +42,7 @@
 		if o.Name == w.cfg.Objects.ConfigurationName && !o.Deleted {
 			if _, err := w.offer(o, "watch"); err != nil {
 				w.metrics.Scope.Counter("configurations_undecodable").Inc(1)
-				w.cfg.Log.Error().Err(err).Uint64("Revision", uint64(o.Version)).Msg("could not decode the configuration; keeping the current one")
+				w.cfg.Log.Error().Err(err).Uint64("Revision", o.Version.Revision()).Msg("could not decode the configuration; keeping the current one")
 			}
 		}
 	}
@@ -140,11 +141,38 @@
 	if err != nil {
 		return err
 	}
+	if err := e.checkRestored(s.Version, o.Version.Epoch()); err != nil {
+		return err
+	}
 	e.holder.Prove(s.Version, at)
 	e.startIfProved()
 	return nil
 }
 
+// RestoredConfigurationError reports that the platform has come back from a copy with an older configuration than the one in
+// force. It does not show whether a later one took keys away.
+type RestoredConfigurationError struct {
+	Read, InForce ferryconfig.Version
+}
+
+func (e *RestoredConfigurationError) Error() string {
+	return fmt.Sprintf("configuration %d of a restored platform is older than %d, which is in force", e.Read, e.InForce)
+}
+
+// checkRestored returns a *RestoredConfigurationError for a configuration that was read in a later epoch than the one in
+// force and is older.
+func (e *Edge) checkRestored(read ferryconfig.Version, epoch ferryplatform.Epoch) error {
+	inForce := e.holder.Current().Version
+	if read >= inForce {
+		e.configEpoch.Store(uint32(epoch))
+		return nil
+	}
+	if uint32(epoch) > e.configEpoch.Load() {
+		return &RestoredConfigurationError{Read: read, InForce: inForce}
+	}
+	return nil
+}
+
 // decodeConfig decodes a configuration; a panic of the decoder is its error.
 func (e *Edge) decodeConfig(o ferryplatform.Object) (s *ferryconfig.Snapshot, err error) {
 	if panicked := e.guard.Run("configuration decoder", o.Name, func() { s, err = e.cfg.Objects.Configuration(o.Value) }); panicked != nil {
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -86,6 +86,8 @@
 	answers atomic.Uint32
 	// configStale is set while this entry cannot prove its configuration current.
 	configStale atomic.Bool
+	// configEpoch is the epoch of the platform in which it last had the configuration in force.
+	configEpoch atomic.Uint32
 	// conditions are the engines' conditions as published by the entries that read them.
 	conditions *ferrypeer.Latest[conditions]
 	// engineIndex belongs to the condition reader.
--- a/ferryd/ferryedge/harness_test.go
+++ b/ferryd/ferryedge/harness_test.go
@@ -182,9 +182,14 @@
 }
 
 func decodeTestUpstream(o ferryplatform.Object) (ferrydiscovery.Upstream, error) {
-	return ferrydiscovery.Upstream{Version: o.Version, Instance: ferryplatform.Instance{
-		Name: o.Name, Service: "plain", Address: string(o.Value), State: ferryplatform.StateLive, FailureDomain: "d", Slots: 1000,
-	}}, nil
+	address, leaving := strings.CutSuffix(strings.TrimSpace(string(o.Value)), " leaving")
+	u := ferrydiscovery.Upstream{Version: o.Version, Instance: ferryplatform.Instance{
+		Name: o.Name, Service: "plain", Address: address, State: ferryplatform.StateLive, FailureDomain: "d", Slots: 1000,
+	}}
+	if leaving {
+		u.State = ferryplatform.StateLeaving
+	}
+	return u, nil
 }
 
 // send sends a request to the edge on a new connection.
--- a/ferryd/ferryedge/upstream.go
+++ b/ferryd/ferryedge/upstream.go
@@ -79,7 +79,7 @@
 		err = panicked
 	}
 	if err != nil {
-		w.cfg.Log.Warn().Err(err).Uint64("Revision", uint64(o.Version)).Msg("could not decode the upstream's registration; ignored")
+		w.cfg.Log.Warn().Err(err).Uint64("Revision", o.Version.Revision()).Msg("could not decode the upstream's registration; ignored")
 		return u, false
 	}
 	return u, true
@@ -98,8 +98,8 @@
 	if len(rest) == 0 {
 		return
 	}
-	w.cfg.Log.Info().Int("Upstreams", len(rest)).Uint64("FirstRevision", uint64(rest[0].Upstream.Version)).
-		Uint64("LastRevision", uint64(rest[len(rest)-1].Upstream.Version)).Msg("further upstreams changed")
+	w.cfg.Log.Info().Int("Upstreams", len(rest)).Uint64("FirstRevision", rest[0].Upstream.Version.Revision()).
+		Uint64("LastRevision", rest[len(rest)-1].Upstream.Version.Revision()).Msg("further upstreams changed")
 	now := w.cfg.Clock.Now()
 	for _, c := range rest {
 		w.unlogged.add(c, now)
@@ -109,11 +109,11 @@
 func logChange(ev *zerolog.Event, c ferrydiscovery.Change) {
 	u := &c.Upstream
 	if c.Removed {
-		ev.Str("Upstream", u.Name).Uint64("Revision", uint64(u.Version)).Msg("upstream removed")
+		ev.Str("Upstream", u.Name).Uint64("Revision", u.Version.Revision()).Uint16("Epoch", uint16(u.Version.Epoch())).Msg("upstream removed")
 		return
 	}
 	ev.Str("Upstream", u.Name).Str("Service", string(u.Service)).Str("Domain", string(u.FailureDomain)).Str("Accelerator", u.Accelerator).Str("State", string(u.State)).
-		Stringer("Layers", u.Layers).Uint64("Revision", uint64(u.Version)).Msg("upstream changed")
+		Stringer("Layers", u.Layers).Uint64("Revision", u.Version.Revision()).Uint16("Epoch", uint16(u.Version.Epoch())).Msg("upstream changed")
 }
 
 func (e *Edge) followUpstreams(ctx context.Context) {
