Lease: no second holder after a restore of the platform

Callers could see orders of two holders at once, and engines that check fences refuse the present holder: a copy may lack the last lease or name an earlier holder, who acquired it again at once while the last one was still valid, and fencing numbers went back with the record.

Change: the lease knows the platform's epoch. In a new one, and where the record is of an earlier epoch or one that must exist is missing, nobody acquires the lease before a lost one has expired (TTL + margin), but the holder at the time of the restore. A write that landed in a later epoch than its record says is no tenure. Each epoch has its own range of fencing numbers.

--- a/ferry/ferrylease/core.go
+++ b/ferry/ferrylease/core.go
@@ -61,6 +61,17 @@
 	validUntil   time.Time
 	writeStarted time.Time // start of the write that the lease term counts from
 
+	// epoch is the latest known epoch of the platform; epochKnown is set once it has stated one.
+	epoch      ferryplatform.Epoch
+	epochKnown bool
+	// first is set if a missing lease has never been written.
+	first bool
+	// acquireFrom is when each lease that the platform may have lost has expired, and resumeUntil the end of this entry's
+	// own one, which was the last.
+	acquireFrom, resumeUntil time.Time
+	// awaited is the last epoch for which acquireFrom was set.
+	awaited ferryplatform.Epoch
+
 	inFlight        *pendingWrite
 	conflictedWrite *pendingWrite // a write with unknown outcome that then met a conflict
 	notBefore       time.Time
@@ -84,6 +95,35 @@
 	return now.Before(until) && now.Round(0).Before(until.Round(0))
 }
 
+// fencesPerEpoch is the distance between the first fencing numbers of two epochs, since a copy may hold a lower number than
+// the last one used.
+const fencesPerEpoch = 1 << 20
+
+// setEpoch sets the platform's epoch.
+func (c *core) setEpoch(now time.Time, e ferryplatform.Epoch) {
+	if c.epochKnown && e <= c.epoch {
+		return
+	}
+	restored := c.epochKnown
+	c.epoch, c.epochKnown = e, true
+	if restored {
+		c.awaitLost(now, e)
+	}
+}
+
+// awaitLost delays the acquisition until the lease of another holder has expired of which the platform may no longer know
+// since the given epoch.
+func (c *core) awaitLost(now time.Time, e ferryplatform.Epoch) {
+	if e <= c.awaited {
+		return
+	}
+	c.awaited = e
+	c.acquireFrom, c.resumeUntil = now.Add(c.ttl+c.margin), time.Time{}
+	if c.valid(now) {
+		c.resumeUntil = c.validUntil
+	}
+}
+
 // next returns the call to make now, or nil.
 func (c *core) next(now time.Time) action {
 	if now.Before(c.notBefore) {
@@ -134,12 +174,15 @@
 		c.mayBeHolder = false
 		return nil
 	}
-	return c.write(now, Record{Fence: c.record.Fence, TTLMS: c.ttl.Milliseconds()})
+	return c.write(now, Record{Fence: c.record.Fence, TTLMS: c.ttl.Milliseconds(), Epoch: c.epoch})
 }
 
 // available reports whether the lease may be acquired. The holder's term counts from before its write, and the
 // wait from after the write was seen, so that the two cannot overlap.
 func (c *core) available(now time.Time) bool {
+	if before(now, c.acquireFrom) && !before(now, c.resumeUntil) {
+		return false
+	}
 	if c.version == ferryplatform.NoVersion || c.record.Holder == "" || c.record.Holder == c.self || c.holderEnded(c.record.Holder) {
 		return true
 	}
@@ -147,7 +190,8 @@
 }
 
 func (c *core) acquired() Record {
-	return Record{Holder: c.self, Fence: max(c.record.Fence+1, c.minFence), TTLMS: c.ttl.Milliseconds()}
+	fence := max(c.record.Fence+1, c.minFence, ferryid.Fence(c.epoch)*fencesPerEpoch)
+	return Record{Holder: c.self, Fence: fence, TTLMS: c.ttl.Milliseconds(), Epoch: c.epoch}
 }
 
 func (c *core) renewed() Record {
@@ -192,6 +236,9 @@
 	var missing *ferryplatform.NotFoundError
 	if errors.As(ans.err, &missing) {
 		ans = answer{}
+		if c.epochKnown && !c.first {
+			c.awaitLost(now, c.epoch)
+		}
 	}
 	r := Record{}
 	if ans.err == nil && ans.object.Version != ferryplatform.NoVersion {
@@ -206,11 +253,14 @@
 		if ans.object.Version != c.version || c.versionSeen.IsZero() {
 			c.versionSeen = now
 		}
+		if e := ans.object.Version.Epoch(); r.Epoch < e {
+			c.awaitLost(now, e)
+		}
 		c.version, c.record = ans.object.Version, r
 	}
 	c.read, c.lastRead = true, now
 	c.mayBeHolder = r.Holder == c.self
-	if w := c.conflictedWrite; w != nil && r == w.record && r.Holder == c.self {
+	if w := c.conflictedWrite; w != nil && r == w.record && r.Holder == c.self && r.Epoch == ans.object.Version.Epoch() {
 		c.hold(w)
 	}
 	c.conflictedWrite = nil
@@ -227,6 +277,10 @@
 	w := c.inFlight
 	var conflict *ferryplatform.ConflictError
 	switch {
+	case ans.err == nil && ans.version.Epoch() > w.record.Epoch:
+		// The platform was restored since the lease was found to be available.
+		c.inFlight, c.held, c.read = nil, false, false
+		c.awaitLost(now, ans.version.Epoch())
 	case ans.err == nil:
 		c.inFlight, c.backoff = nil, 0
 		c.version, c.record = ans.version, w.record
--- a/ferry/ferrylease/core_rapid_test.go
+++ b/ferry/ferrylease/core_rapid_test.go
@@ -14,20 +14,45 @@
 
 var errLost = errors.New("answer lost")
 
-// object simulates the lease object with unavailability, lost answers and late writes.
+// object simulates the lease object with unavailability, lost answers and late writes, and restores from a copy.
 type object struct {
-	version ferryplatform.Version
-	value   []byte
-	late    []put
+	epoch    ferryplatform.Epoch
+	revision uint64
+	value    []byte
+	late     []put
+	// saved is the copy; one without a revision lacks the lease.
+	saved struct {
+		revision uint64
+		value    []byte
+	}
+}
+
+func (o *object) version() ferryplatform.Version {
+	if o.revision == 0 {
+		return ferryplatform.NoVersion
+	}
+	return ferryplatform.VersionAt(o.epoch, o.revision)
+}
+
+func (o *object) save() { o.saved.revision, o.saved.value = o.revision, o.value }
+
+func (o *object) restore() {
+	o.epoch++
+	o.revision, o.value = o.saved.revision, o.saved.value
 }
 
+// apply writes the object if its revision is the expected one, whatever the epoch, as the platform knows no epochs of
+// conditions.
 func (o *object) apply(p put) (ferryplatform.Version, error) {
-	if o.version != p.expected {
+	if o.revision != p.expected.Revision() {
 		return 0, &ferryplatform.ConflictError{Kind: ObjectKind, Expected: p.expected}
 	}
-	o.version++
+	o.revision++
 	o.value = p.record.encode()
-	return o.version, nil
+	if p.expected != ferryplatform.NoVersion && p.expected.Epoch() != o.epoch {
+		return 0, &ferryplatform.UnknownOutcomeError{Op: "x", Err: errLost}
+	}
+	return o.version(), nil
 }
 
 func (o *object) do(a action, fault int) answer {
@@ -36,10 +61,10 @@
 	switch {
 	case fault == 1:
 		return answer{err: down}
-	case !write && o.version == 0:
+	case !write && o.revision == 0:
 		return answer{err: &ferryplatform.NotFoundError{}}
 	case !write:
-		return answer{object: ferryplatform.Object{Version: o.version, Value: o.value}}
+		return answer{object: ferryplatform.Object{Version: o.version(), Value: o.value}}
 	case fault == 2:
 		_, _ = o.apply(p)
 	case fault == 3:
@@ -57,6 +82,8 @@
 	rate    float64
 	pending action
 	ans     answer
+	// epoch is the platform's as of the answer.
+	epoch ferryplatform.Epoch
 }
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -68,18 +95,31 @@
 // step starts a call or delivers its answer. A paused holder makes no steps.
 func (h *holder) step(o *object, elapsed time.Duration, fault int) {
 	if h.pending == nil {
-		if h.pending = h.c.next(h.now(elapsed)); h.pending != nil {
+		h.pending = h.c.next(h.now(elapsed))
+		p, write := h.pending.(put)
+		switch {
+		case h.pending == nil:
+		case write && p.expected != ferryplatform.NoVersion && p.expected.Epoch() < h.c.epoch:
+			h.ans = answer{err: &ferryplatform.ConflictError{Kind: ObjectKind, Expected: p.expected}} // by the client
+		default:
 			h.ans = o.do(h.pending, fault)
+			if !errors.As(h.ans.err, new(*ferryplatform.UnavailableError)) && !errors.Is(h.ans.err, errLost) {
+				h.epoch = o.epoch
+			}
 		}
 		return
 	}
 	a := h.pending
 	h.pending = nil
+	if h.epoch > 0 {
+		h.c.setEpoch(h.now(elapsed), h.epoch)
+	}
 	h.c.handle(h.now(elapsed), a, h.ans)
 }
 
-func leaseHistory(rt *rapid.T) {
-	o := &object{}
+// leaseHistory plays a history on a platform that is restored from a copy if its epoch is above 0.
+func leaseHistory(rt *rapid.T, epoch ferryplatform.Epoch) {
+	o := &object{epoch: epoch}
 	var hs []*holder
 	for i, rate := range []float64{1, 1.01, 0.99} {
 		c := newCore(ferryid.Incarnation(fmt.Sprint("i", i)), 10*time.Second, time.Second, nil)
@@ -124,6 +164,13 @@
 		},
 		"want":     func(rt *rapid.T) { pick(rt).c.setWanted(rapid.IntRange(0, 3).Draw(rt, "want") > 0) },
 		"platform": func(rt *rapid.T) { down = rapid.IntRange(0, 3).Draw(rt, "down") == 0 },
+		"copy":     func(*rapid.T) { o.save() },
+		"restore": func(*rapid.T) {
+			if o.epoch > 0 {
+				o.restore()
+				o.late = nil
+			}
+		},
 		"late writes": func(*rapid.T) {
 			for _, p := range o.late {
 				_, _ = o.apply(p)
@@ -165,5 +212,11 @@
 }
 
 func TestLeaseHistories(t *testing.T) {
-	rapid.Check(t, leaseHistory)
+	rapid.Check(t, func(rt *rapid.T) { leaseHistory(rt, 0) })
+}
+
+// TestLeaseHistoriesWithRestores guards against two holders at a time and against fencing numbers that go back after the
+// platform has lost the last lease.
+func TestLeaseHistoriesWithRestores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { leaseHistory(rt, 1) })
 }
--- a/ferry/ferrylease/lease.go
+++ b/ferry/ferrylease/lease.go
@@ -25,6 +25,11 @@
 	Clock clockwork.Clock
 	// TTL is the lease term, from the start of each write; 0 means 10 s.
 	TTL time.Duration
+	// Epoch, if set, returns the latest epoch that the platform has stated; false means that it has stated none.
+	Epoch func() (ferryplatform.Epoch, bool)
+	// First is set if the lease has not been written before, unless the platform has it. Otherwise one that is missing on a
+	// platform that states its epoch may have been lost by a restore.
+	First bool
 	// HolderEnded, if set, reports whether a holder's process has certainly ended, so that
 	// its lease can be acquired before it expires.
 	HolderEnded func(ferryid.Incarnation) bool
@@ -70,7 +75,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clockwork.NewRealClock()
 	}
-	return &Lease{cfg: cfg, core: newCore(cfg.Self, cfg.TTL, cfg.Margin, cfg.HolderEnded), wake: make(chan struct{}, 1)}
+	l := &Lease{cfg: cfg, core: newCore(cfg.Self, cfg.TTL, cfg.Margin, cfg.HolderEnded), wake: make(chan struct{}, 1)}
+	l.core.first = cfg.First
+	return l
 }
 
 // Want sets whether this entry should hold the lease. A held lease that is no longer wanted is released.
@@ -133,8 +140,12 @@
 		l.core.follow = l.follow.Load()
 		l.core.minFence = ferryid.Fence(l.minFence.Load())
 		now := l.cfg.Clock.Now()
+		l.setEpoch(now)
 		if a := l.core.next(now); a != nil {
-			l.core.handle(l.cfg.Clock.Now(), a, l.do(ctx, a))
+			ans := l.do(ctx, a)
+			now = l.cfg.Clock.Now()
+			l.setEpoch(now)
+			l.core.handle(now, a, ans)
 			l.publish()
 			continue
 		}
@@ -148,6 +159,15 @@
 	return ctx.Err()
 }
 
+func (l *Lease) setEpoch(now time.Time) {
+	if l.cfg.Epoch == nil {
+		return
+	}
+	if e, known := l.cfg.Epoch(); known {
+		l.core.setEpoch(now, e)
+	}
+}
+
 func (l *Lease) publish() {
 	c := l.core
 	l.released.Store(!c.wanted && !c.mayBeHolder && c.inFlight == nil)
--- a/ferry/ferrylease/record.go
+++ b/ferry/ferrylease/record.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferryplatform"
 )
 
 // ObjectKind is the object kind of leases.
@@ -26,6 +27,9 @@
 	Renewal uint64 `json:"Renewal"`
 	// TTLMS is the lease term from the start of the write, in milliseconds.
 	TTLMS int64 `json:"TTLMS"`
+	// Epoch is the epoch of the platform in which the record was written. A record of an earlier epoch than its object's is
+	// from a copy, and later ones may have been lost.
+	Epoch ferryplatform.Epoch `json:"Epoch,omitempty"`
 }
 
 func (r Record) ttl() time.Duration {
--- a/ferryd/ferryedge/placement.go
+++ b/ferryd/ferryedge/placement.go
@@ -54,7 +54,7 @@
 	return &placement{
 		Edge: e, placers: map[ferryid.ServiceName]*ferryplacement.Placer{},
 		lease: ferrylease.New(ferrylease.Config{
-			Name: string(dutyPlacement), Self: e.self, Store: e.cfg.Store, Clock: e.cfg.Steady, TTL: leaseTTL, Margin: leaseMargin, HolderEnded: e.incarnationEnded,
+			Name: string(dutyPlacement), Self: e.self, Store: e.cfg.Store, Epoch: e.cfg.Store.Epoch, First: e.cfg.FirstStart, Clock: e.cfg.Steady, TTL: leaseTTL, Margin: leaseMargin, HolderEnded: e.incarnationEnded,
 		}),
 	}
 }
