Configuration: keys are asked for though no customer is left

Cause: whether keys are asked for was derived from the list of customers, so that an empty list and no list were the same.

Where no keys are asked for, a key that nobody has is refused as well, since it may have been taken away with the field; requests without a key run as before.

--- a/ferry/ferryconfig/configuration.go
+++ b/ferry/ferryconfig/configuration.go
@@ -28,7 +28,10 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
-	Limits    Limits
+	// Keyed is set if requests on routes that are not public need an API key, also where no customer is left to have one.
+	// Customers imply it.
+	Keyed  bool
+	Limits Limits
 	// Undecoded lists the fields that could not be decoded and have their zero value.
 	Undecoded []string `json:",omitempty"`
 }
@@ -87,6 +90,7 @@
 // its requests are refused and do not match a shorter prefix.
 func (c *Configuration) usable() *Configuration {
 	out := *c
+	out.Keyed = c.Keyed || len(c.Customers) > 0
 	out.Services, out.Routes, out.Customers = nil, nil, nil
 	names := map[ferryid.ServiceName]bool{}
 	for _, s := range c.Services {
--- a/ferry/ferryconfig/snapshot.go
+++ b/ferry/ferryconfig/snapshot.go
@@ -14,7 +14,6 @@
 	*Configuration
 	// Faults lists the faults of the parts that were left out.
 	Faults   []string
-	keyed    bool
 	hosts    map[string][]*Route
 	services map[ferryid.ServiceName]*Service
 	keys     map[Key]*Customer
@@ -28,11 +27,9 @@
 	if err := c.Check(); errors.As(err, &faults) && c.Version == 0 {
 		return nil, err
 	}
-	keyed := len(c.Customers) > 0
 	c = c.usable()
 	s := &Snapshot{
 		Configuration: c,
-		keyed:         keyed,
 		hosts:         map[string][]*Route{},
 		services:      make(map[ferryid.ServiceName]*Service, len(c.Services)),
 		keys:          map[Key]*Customer{},
@@ -89,8 +86,3 @@
 func (s *Snapshot) Customer(k Key) *Customer {
 	return s.keys[k]
 }
-
-// Keyed reports whether requests on routes that are not public need an API key.
-func (s *Snapshot) Keyed() bool {
-	return s.keyed
-}
--- a/ferry/ferryconfig/snapshot_test.go
+++ b/ferry/ferryconfig/snapshot_test.go
@@ -49,7 +49,7 @@
 	}
 	assert.Equal(t, s.Customer("k2").Name, ferryid.CustomerName("smolyan"))
 	assert.Assert(t, s.Customer("") == nil)
-	assert.Assert(t, s.Keyed())
+	assert.Assert(t, s.Keyed)
 }
 
 func TestCheckListsAllFaults(t *testing.T) {
@@ -134,7 +134,7 @@
 			}
 			assert.Equal(t, customer, tt.customer)
 			assert.Assert(t, s.Customer("") == nil, "requests without a key must not get a customer")
-			assert.Assert(t, s.Keyed())
+			assert.Assert(t, s.Keyed)
 			count := 0
 			if llm := s.Service("llm"); llm != nil {
 				count = len(llm.Model.Accelerators)
--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -214,9 +214,10 @@
 const maxTimeout = 10 * time.Minute
 
 // authenticate resolves the customer. A key is accepted only while the configuration is proved to be current,
-// since it may have been revoked.
+// since it may have been revoked. A key that nobody has is refused even where none is needed: it may have been one of the
+// last to be revoked.
 func (f *Forwarder) authenticate(r *request, s *ferryconfig.Snapshot) *ferryoutcome.Problem {
-	if !s.Keyed() || r.route.Public {
+	if r.route.Public || (!s.Keyed && r.Key == "") {
 		return nil
 	}
 	if limit := time.Duration(f.maxProofAge.Load()); limit > 0 && (r.proofAge == noProof || r.proofAge >= limit) {
--- a/ferry/ferryforward/forwarder_test.go
+++ b/ferry/ferryforward/forwarder_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactusferry.dev/ferry/ferryconfig"
 )
 
 func TestAdmission(t *testing.T) {
@@ -46,6 +48,48 @@
 	}
 }
 
+// TestAdmissionWithoutCustomers guards against requests with revoked or unknown keys that are let through since no customer
+// is left, and against refusals where no keys are asked for.
+func TestAdmissionWithoutCustomers(t *testing.T) {
+	for _, tt := range []struct {
+		name, target, key string
+		keyed             bool
+		later             time.Duration
+		want              int
+	}{
+		{"revoked key", "/safe/x", "good", true, 0, 401},
+		{"key that never existed", "/safe/x", "bad", true, 0, 401},
+		{"no key", "/safe/x", "", true, 0, 401},
+		{"revoked key of a call that runs once", "/once/x", "good", true, 0, 401},
+		{"revoked key of a stream", "/gen/x", "good", true, 0, 401},
+		{"public route", "/open/x", "", true, 0, 200},
+		{"revoked key with an old proof", "/safe/x", "good", true, testMaxProofAge, 503},
+		{"no keys are asked for", "/safe/x", "", false, 0, 200},
+		{"no keys are asked for, old proof", "/safe/x", "", false, testMaxProofAge, 200},
+		{"key that nobody has where none are asked for", "/safe/x", "good", false, 0, 401},
+		{"key that nobody has where none are asked for, old proof", "/safe/x", "good", false, testMaxProofAge, 503},
+		{"public route where none are asked for", "/open/x", "good", false, 0, 200},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t, "u")
+				cfg := configuration()
+				cfg.Version, cfg.Customers, cfg.Keyed = 2, nil, tt.keyed
+				s, err := ferryconfig.NewSnapshot(cfg)
+				assert.NilError(t, err)
+				b.holder.Offer(s)
+				b.holder.Prove(2, b.clock.Now())
+				time.Sleep(tt.later)
+				header := "A: b"
+				if tt.key != "" {
+					header = "Key: " + tt.key
+				}
+				assert.Equal(t, b.call("GET", tt.target, "1", header).status, tt.want)
+			})
+		})
+	}
+}
+
 func TestAnswerIsForwardedUnchanged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newHarness(t, "u")
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -190,7 +190,7 @@
 	if s == nil || !e.upstreamsListed.Load() {
 		return
 	}
-	if _, proved := e.holder.Age(e.cfg.Steady.Now()); proved || !s.Keyed() || e.cfg.Objectives.KeyAge <= 0 {
+	if _, proved := e.holder.Age(e.cfg.Steady.Now()); proved || !s.Keyed || e.cfg.Objectives.KeyAge <= 0 {
 		e.startOnce.Do(func() { close(e.started) })
 	}
 }
