Forward: a fixed seed in TestRefusalsAreExplained

Traced: admission control draws at random whether it admits a request; if it admits the first three, they hold the memory and the fourth finds no room before it is refused.

--- a/ferry/ferryforward/admissionmetrics_test.go
+++ b/ferry/ferryforward/admissionmetrics_test.go
@@ -118,13 +118,18 @@
 				for left := tt.noBudget; left; {
 					left = service.budget.TakeRetry()
 				}
+				// With a random seed the first requests are sometimes all admitted, and run or find no room.
+				cfg := ferryadmission.Config{Clock: b.clock, Ranks: 3, Random: rand.NewPCG(1, 1)}
+				if tt.admit {
+					cfg.Ramp = ferryadmission.Ramp{Start: 9, Width: 1}
+				}
+				core := ferryadmission.New(cfg)
+				service.admission.Store(core)
 				if tt.admit {
-					core := ferryadmission.New(ferryadmission.Config{Clock: b.clock, Ranks: 3, Ramp: ferryadmission.Ramp{Start: 9, Width: 1}})
 					// With only its own requests a rank is most urgent.
 					for range 20 {
 						core.Decide(ferryadmission.Request{Customer: "smolyan"}, ferryroom.Room{})
 					}
-					service.admission.Store(core)
 				}
 				b.setFill(tt.fill)
 				refused, tries := false, int64(0)
