Edge: an entry that starts after a restore takes the others' configuration

Callers could see, after the store had come back from a copy with an older configuration: an entry that started meanwhile served by that one, with keys that had been taken away, and since the others could not prove theirs they named it alone to callers that asked where to connect.

An entry that starts has nothing to compare the copy with.

Change: an entry whose configuration is ahead of the platform's publishes that. One that starts takes it from there over the overlay (versions never decrease, as before) and counts it as unproved, so that requests with keys are refused until the operators have written it, or a later one, again.

--- a/ferry/ferryconfig/holder.go
+++ b/ferry/ferryconfig/holder.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// Distrust records that the configuration in force is known not to be current.
+func (h *Holder) Distrust() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.proved.Store(nil)
+}
+
 // Age returns the time since the configuration in force was last known to be current; false means never.
 func (h *Holder) Age(now time.Time) (time.Duration, bool) {
 	at := h.proved.Load()
--- a/ferry/ferryrelay/message.go
+++ b/ferry/ferryrelay/message.go
@@ -23,6 +23,7 @@
 	opList operation = iota + 1
 	opWatch
 	opProve
+	opInForce
 )
 
 // status is the status of an answer.
@@ -88,7 +89,7 @@
 	if err := cbor.Unmarshal(b, &q); err != nil {
 		return q, fmt.Errorf("decode question: %w", err)
 	}
-	if q.Op < opList || q.Op > opProve {
+	if q.Op < opList || q.Op > opInForce {
 		return q, fmt.Errorf("decode question: operation %d", q.Op)
 	}
 	if q.Kind == "" || len(q.Kind) > maxNameBytes || len(q.Name) > maxNameBytes {
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -58,7 +58,7 @@
 	Epoch() (ferryplatform.Epoch, bool)
 }
 
-// Config configures a Relay. All fields but Log, Scope and Within are required.
+// Config configures a Relay. All fields but Log, Scope, Within and InForce are required.
 type Config struct {
 	Platform Source
 	// Clock must include the time for which the instance is suspended.
@@ -69,6 +69,8 @@
 	Reader func() (Reader, bool)
 	// Within returns the time within which changes to a kind must be known here; zero means the default of 2 s.
 	Within func(kind string) time.Duration
+	// InForce returns an object that this entry has in force, also if the platform holds another one; nil means none.
+	InForce func(kind, name string) (ferryplatform.Object, bool)
 	// Ask sends a request over the overlay.
 	Ask func(ctx context.Context, name ferryid.EntryName, inc ferryid.Incarnation, kind ferrypeer.AskKind, body []byte) ([]byte, error)
 }
@@ -335,6 +337,18 @@
 	return r.prove(ctx, kind, name)
 }
 
+// InForce returns an object that another entry has in force, whatever the platform holds. It proves nothing.
+func (r *Relay) InForce(ctx context.Context, from Reader, kind, name string) (ferryplatform.Object, error) {
+	a, err := r.send(ctx, from, question{Op: opInForce, Kind: kind, Name: name}, askGrace)
+	switch {
+	case err != nil:
+		return ferryplatform.Object{}, err
+	case a.Status != statusOK || len(a.Objects) != 1:
+		return ferryplatform.Object{}, &ferryplatform.NotFoundError{Kind: kind, Name: name}
+	}
+	return a.changes(kind).Objects[0], nil
+}
+
 // prove reads an object from the platform directly and keeps the proof for other entries.
 func (r *Relay) prove(ctx context.Context, kind, name string) (ferryplatform.Object, time.Time, error) {
 	p, err := hedge(ctx, r, r.budget(kind).call, func(ctx context.Context, _ bool) (proof, error) {
--- a/ferryd/ferryedge/configuration_test.go
+++ b/ferryd/ferryedge/configuration_test.go
@@ -14,6 +14,7 @@
 
 	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryguard"
+	"cactusferry.dev/ferry/ferrypeer"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryplatform/ferryplatformtest"
 	"cactusferry.dev/ferry/ferryrelay"
@@ -29,7 +30,7 @@
 		defer cancel()
 		clock := clockwork.NewRealClock()
 		platform := ferryplatformtest.New(clock)
-		e := &Edge{metrics: &ferrymetrics.Metrics{Scope: tally.NoopScope}, holder: &ferryconfig.Holder{}, guard: ferryguard.New(ferryguard.Config{Clock: clock}), started: make(chan struct{})}
+		e := &Edge{states: ferrypeer.NewLatest[entryState](ferrypeer.LatestConfig{Clock: clock, Size: 1}), metrics: &ferrymetrics.Metrics{Scope: tally.NoopScope}, holder: &ferryconfig.Holder{}, guard: ferryguard.New(ferryguard.Config{Clock: clock}), started: make(chan struct{})}
 		e.cfg.Clock, e.cfg.Steady, e.cfg.Log = clock, clock, zerolog.Nop()
 		e.cfg.Objectives.ConfigWithin = 2 * time.Second
 		e.cfg.Objects = Objects{ConfigurationKind: "config", ConfigurationName: "main", Configuration: func(b []byte) (*ferryconfig.Snapshot, error) {
--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -25,6 +25,7 @@
 	"cactusferry.dev/ferry/ferrylog"
 	"cactusferry.dev/ferry/ferrymemory"
 	"cactusferry.dev/ferry/ferrypeer"
+	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferryrelay"
 	"cactusferry.dev/ferry/ferrysuspect"
 	"cactusferry.dev/ferryd/ferrymetrics"
@@ -86,8 +87,12 @@
 	answers atomic.Uint32
 	// configStale is set while this entry cannot prove its configuration current.
 	configStale atomic.Bool
-	// configEpoch is the epoch of the platform in which it last had the configuration in force.
+	// configObject is the object of the configuration in force.
+	configObject atomic.Pointer[ferryplatform.Object]
+	// configEpoch is the epoch of the platform in which it last had the configuration in force, plus one.
 	configEpoch atomic.Uint32
+	// configAhead is the version in force while the platform holds an older one, else 0.
+	configAhead atomic.Uint64
 	// conditions are the engines' conditions as published by the entries that read them.
 	conditions *ferrypeer.Latest[conditions]
 	// engineIndex belongs to the condition reader.
--- a/ferryd/ferryedge/relay.go
+++ b/ferryd/ferryedge/relay.go
@@ -15,7 +15,7 @@
 
 func (e *Edge) newRelay() {
 	e.relay = ferryrelay.New(ferryrelay.Config{
-		Platform: e.cfg.Store, Clock: e.cfg.Steady, Log: e.cfg.Log, Scope: e.metrics.Scope, Reader: e.reader, Within: e.knownWithin,
+		Platform: e.cfg.Store, Clock: e.cfg.Steady, Log: e.cfg.Log, Scope: e.metrics.Scope, Reader: e.reader, Within: e.knownWithin, InForce: e.configInForce,
 		// The overlay is created later, since its configuration contains the relay.
 		Ask: func(ctx context.Context, name ferryid.EntryName, inc ferryid.Incarnation, kind ferrypeer.AskKind, body []byte) ([]byte, error) {
 			return e.peer.Ask(ctx, name, inc, kind, body)
--- a/ferryd/ferryedge/restore_test.go
+++ b/ferryd/ferryedge/restore_test.go
@@ -158,3 +158,42 @@
 		check("next version", 6, true)
 	})
 }
+
+// TestEntryThatStartsAfterARestore guards against an entry that starts while the platform holds an older configuration than
+// the others have in force: it must get theirs, must not take the older one for proved, since keys that have been taken away
+// are valid in it, and the others must not send all callers to it.
+func TestEntryThatStartsAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, goOn(time.Second))
+		f.store.StateEpochs()
+		others := []*testEdge{f.start("e1", &slowLog{}), f.start("e2", &slowLog{})}
+		f.write("config", "main", "2")
+		time.Sleep(2 * time.Second)
+		f.store.Snapshot()
+		f.write("config", "main", "5")
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, f.store.Restore())
+		time.Sleep(idleProofInterval + time.Second)
+		late := f.start("e3", &slowLog{})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, late.holder.Current().Version, ferryconfig.Version(5), "not taken from another entry")
+		_, proved := late.holder.Age(f.clock.Now())
+		assert.Assert(t, !proved)
+		assert.Assert(t, late.configStale.Load())
+		for _, e := range others {
+			assert.Assert(t, e.isConfigStale("e3"), "%s", e.cfg.Name)
+			assert.Equal(t, e.holder.Current().Version, ferryconfig.Version(5))
+		}
+		time.Sleep(idleProofInterval + time.Second)
+		_, proved = late.holder.Age(f.clock.Now())
+		assert.Assert(t, !proved, "proved by the older one that the platform holds")
+		f.write("config", "main", "5")
+		time.Sleep(idleProofInterval + time.Second)
+		for _, e := range append(others, late) {
+			assert.Equal(t, e.holder.Current().Version, ferryconfig.Version(5))
+			_, proved := e.holder.Age(f.clock.Now())
+			assert.Assert(t, proved, "%s", e.cfg.Name)
+			assert.Assert(t, !e.configStale.Load(), "%s", e.cfg.Name)
+		}
+	})
+}
--- a/ferryd/ferryedge/share.go
+++ b/ferryd/ferryedge/share.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusferry.dev/ferry/ferrybudget"
+	"cactusferry.dev/ferry/ferryconfig"
 	"cactusferry.dev/ferry/ferryevent"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferrypeer"
@@ -39,6 +40,9 @@
 	PlatformLost bool `cbor:"4,keyasint,omitempty"`
 	// Process is the incarnation that published the state.
 	Process ferryid.Incarnation `cbor:"5,keyasint,omitempty"`
+	// ConfigAhead is the version of the configuration in force while the platform holds an older one, since it has come
+	// back from a copy; else 0.
+	ConfigAhead ferryconfig.Version `cbor:"6,keyasint,omitempty"`
 }
 
 // Check returns an error if a number is out of range.
@@ -70,7 +74,7 @@
 		e.services.SetRetryUsage(e.reportedRetryUsage(received))
 		now := entryState{
 			RetryUsage: e.services.RetryUsage(), ConfigStale: e.configStale.Load(), Orders: e.placement.held.Load(),
-			PlatformLost: !e.relay.PlatformReachable(), Process: e.self,
+			PlatformLost: !e.relay.PlatformReachable(), Process: e.self, ConfigAhead: ferryconfig.Version(e.configAhead.Load()),
 		}
 		if !published.differs(now) && e.cfg.Clock.Since(publishedAt) < e.republishInterval(now) {
 			continue
@@ -161,10 +165,10 @@
 			return true
 		}
 	}
-	return s.ConfigStale != newer.ConfigStale || s.Orders != newer.Orders || s.PlatformLost != newer.PlatformLost
+	return s.ConfigStale != newer.ConfigStale || s.Orders != newer.Orders || s.PlatformLost != newer.PlatformLost || s.ConfigAhead != newer.ConfigAhead
 }
 
 // quiet reports whether the state need not be published again before it expires.
 func (s entryState) quiet() bool {
-	return len(s.RetryUsage) == 0 && !s.ConfigStale && !s.Orders && !s.PlatformLost
+	return len(s.RetryUsage) == 0 && !s.ConfigStale && !s.Orders && !s.PlatformLost && s.ConfigAhead == 0
 }
--- a/ferryd/ferryedge/state_test.go
+++ b/ferryd/ferryedge/state_test.go
@@ -33,6 +33,7 @@
 		{"configuration no longer proved current", entryState{}, entryState{ConfigStale: true}, true, false},
 		{"configuration proved current again", entryState{ConfigStale: true}, entryState{}, true, true},
 		{"acquired the placement lease", entryState{}, entryState{Orders: true}, true, false},
+		{"configuration ahead of the platform's", entryState{}, entryState{ConfigAhead: 7}, true, false},
 		{"lost the platform", entryState{}, entryState{PlatformLost: true}, true, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
