Platform: calls at a later epoch than the client's are sent; at most 16 faults logged

A version that another entry has told may be of a later epoch than the last one that this client has seen; the platform decides on such calls. A configuration with a fault in each of thousands of routes would have had a log line of a megabyte.

--- a/ferry/ferryplatform/call.go
+++ b/ferry/ferryplatform/call.go
@@ -34,7 +34,7 @@
 // do sends one call, subject to the budget and the timeout.
 func (c *Client) do(ctx context.Context, in Call) (Reply, error) {
 	op := in.String()
-	if latest, known := c.epoch.get(); known {
+	if latest, known := c.epoch.get(); known && max(in.After, in.Expected).Epoch() < latest {
 		if err := checkEpoch(in, latest, false); err != nil {
 			return Reply{}, err
 		}
--- a/ferryd/ferryedge/configuration.go
+++ b/ferryd/ferryedge/configuration.go
@@ -23,6 +23,8 @@
 	// proofsPerKeyAge is the number of proofs within the maximum age of keys. What another entry has read
 	// may already be as old as that entry's interval.
 	proofsPerKeyAge = 2.5
+	// maxLoggedFaults is the number of faults of a configuration that are logged.
+	maxLoggedFaults = 16
 	// proofRetryDelay is the delay after a failed proof.
 	proofRetryDelay = 500 * time.Millisecond
 	// proofTimeout bounds one proof, including the fallback from another entry to the platform.
@@ -81,7 +83,7 @@
 	e.configObject.Store(&o)
 	e.metrics.Scope.Gauge("configuration_faults").Update(float64(len(s.Faults)))
 	if len(s.Faults) > 0 {
-		e.cfg.Log.Warn().Str("Source", source).Uint64("Version", uint64(s.Version)).Strs("Faults", s.Faults).Msg("configuration has faults; the parts that have them are left out")
+		e.cfg.Log.Warn().Str("Source", source).Uint64("Version", uint64(s.Version)).Int("Count", len(s.Faults)).Strs("Faults", s.Faults[:min(len(s.Faults), maxLoggedFaults)]).Msg("configuration has faults; the parts that have them are left out")
 	}
 	e.cfg.Log.Info().Str("Source", source).Uint64("Version", uint64(s.Version)).Str("Verdict", verdict.String()).
 		Int("Routes", len(s.Routes)).Int("Services", len(s.Services)).Int("Customers", len(s.Customers)).Msg("configuration received from the platform")
