--- a/ferry/ferryconfig/holder.go
+++ b/ferry/ferryconfig/holder.go
@@ -31,9 +31,6 @@
 	return "Unknown"
 }
 
-// InForce reports whether the offered version was already in force.
-func (v Verdict) InForce() bool { return v == Known }
-
 // Holder holds the configuration in force and the time at which it was last known to be current.
 //
 // The version never decreases.
--- a/ferry/ferryconfig/holder_test.go
+++ b/ferry/ferryconfig/holder_test.go
@@ -59,4 +59,11 @@
 	h.Prove(5, start.Add(4*time.Second)) // the latest version is not in force here
 	age, _ = h.Age(start.Add(5 * time.Second))
 	assert.Equal(t, age, 3*time.Second)
+
+	h.Distrust()
+	_, proved = h.Age(start.Add(5 * time.Second))
+	assert.Assert(t, !proved, "Age after Distrust")
+	h.Prove(4, start.Add(time.Second)) // any later proof counts
+	age, _ = h.Age(start.Add(5 * time.Second))
+	assert.Equal(t, age, 4*time.Second)
 }
--- a/ferry/ferrydiscovery/table.go
+++ b/ferry/ferrydiscovery/table.go
@@ -22,9 +22,6 @@
 	// tombstoneRetention is how long the version of a removal is kept, so that older updates of
 	// the upstream are ignored.
 	tombstoneRetention = 5 * time.Minute
-	// restoredHold is how long a removed upstream that a copy of the platform lists again gets no requests. The platform
-	// removes an upstream after three missed heartbeats, so that one that is still listed then is running.
-	restoredHold = 5 * time.Second
 )
 
 // Upstream is one upstream as last described by the platform.
@@ -94,12 +91,6 @@
 	last *Upstream
 }
 
-// heldUpstream is a listed upstream that counts as removed until the given time.
-type heldUpstream struct {
-	upstream Upstream
-	until    time.Time
-}
-
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
 	t := &Table{clock: clock, rows: map[string]*Upstream{}, tombstones: map[string]tombstone{}, graceUntil: map[string]time.Time{}, held: map[string]heldUpstream{}, touched: map[string]bool{}, processes: map[processKey]*process{}}
@@ -191,12 +182,7 @@
 			next = until
 		}
 	}
-	for name, h := range t.held {
-		if !now.Before(h.until) {
-			delete(t.held, name)
-			updated = t.put(h.upstream) || updated
-		}
-	}
+	updated = t.release(now) || updated
 	for name, g := range t.tombstones {
 		if now.Sub(g.at) > tombstoneRetention {
 			delete(t.tombstones, name)
@@ -232,8 +218,7 @@
 	delete(t.graceUntil, u.Name)
 	delete(t.held, u.Name)
 	u.process = t.processOf(&u)
-	if before := cmp.Or(old, g.last); before != nil && !before.Ready() && before.SameProcess(&u) && before.Version.Epoch() < u.Version.Epoch() {
-		// A copy may show the upstream as it was before it began to leave.
+	if before := cmp.Or(old, g.last); before != nil && before.leftBefore(&u) {
 		u.process.leaving.Store(true)
 	}
 	if u.process.leaving.Load() {
@@ -243,23 +228,6 @@
 	return old == nil || old.Instance != u.Instance
 }
 
-// hold reports whether a listed upstream counts as removed: a process whose removal is known, as a copy from before the
-// removal shows it. Nothing distinguishes that from a registration written since but a later change.
-func (t *Table) hold(u Upstream) bool {
-	g := t.tombstones[u.Name]
-	if t.rows[u.Name] != nil || g.last == nil || !g.last.SameProcess(&u) || g.version.Epoch() >= u.Version.Epoch() || g.version.Revision() <= u.Version.Revision() {
-		return false
-	}
-	now := t.clock.Now()
-	h, held := t.held[u.Name]
-	if !held {
-		h.until = now.Add(restoredHold)
-	}
-	h.upstream = u
-	t.held[u.Name] = h
-	return now.Before(h.until)
-}
-
 // remove removes an upstream, or starts its grace period if its registration may have expired because of an
 // outage.
 func (t *Table) remove(name string, v ferryplatform.Version) bool {
--- a/ferry/ferryrelay/relay.go
+++ b/ferry/ferryrelay/relay.go
@@ -337,18 +337,6 @@
 	return r.prove(ctx, kind, name)
 }
 
-// InForce returns an object that another entry has in force, whatever the platform holds. It proves nothing.
-func (r *Relay) InForce(ctx context.Context, from Reader, kind, name string) (ferryplatform.Object, error) {
-	a, err := r.send(ctx, from, question{Op: opInForce, Kind: kind, Name: name}, askGrace)
-	switch {
-	case err != nil:
-		return ferryplatform.Object{}, err
-	case a.Status != statusOK || len(a.Objects) != 1:
-		return ferryplatform.Object{}, &ferryplatform.NotFoundError{Kind: kind, Name: name}
-	}
-	return a.changes(kind).Objects[0], nil
-}
-
 // prove reads an object from the platform directly and keeps the proof for other entries.
 func (r *Relay) prove(ctx context.Context, kind, name string) (ferryplatform.Object, time.Time, error) {
 	p, err := hedge(ctx, r, r.budget(kind).call, func(ctx context.Context, _ bool) (proof, error) {
@@ -516,21 +504,6 @@
 	}
 }
 
-// recordEpoch logs that the platform has come back from a copy, in which writes may be missing that it had accepted.
-func (r *Relay) recordEpoch() {
-	e, known := r.cfg.Platform.Epoch()
-	if !known {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.epochKnown && e > r.epoch {
-		r.counts.restored.Inc(1)
-		r.cfg.Log.Warn().Uint16("From", uint16(r.epoch)).Uint16("Epoch", uint16(e)).Msg("platform has come back from a copy; all its objects are read again")
-	}
-	r.epoch, r.epochKnown = max(e, r.epoch), true
-}
-
 // isAnswer reports whether an error is an answer of the platform rather than a failure.
 func isAnswer(err error) bool {
 	var missing *ferryplatform.NotFoundError
--- a/ferry/ferryrelay/serve.go
+++ b/ferry/ferryrelay/serve.go
@@ -83,18 +83,6 @@
 	return statusPlatformLost
 }
 
-// answerInForce answers with an object that this entry has in force.
-func (r *Relay) answerInForce(q question) answer {
-	if r.cfg.InForce == nil {
-		return answer{Status: statusNotRead}
-	}
-	o, ok := r.cfg.InForce(q.Kind, q.Name)
-	if !ok {
-		return answer{Status: statusNotRead}
-	}
-	return answer{Status: statusOK, Objects: []object{{Name: o.Name, Version: o.Version, Value: o.Value}}}
-}
-
 // answerProof answers a question that arrived at the given time with this entry's last proof.
 func (r *Relay) answerProof(q question, asked time.Time) answer {
 	p, ok := r.latestProof(q)
