Discovery: the process before the known one, in a copy of the platform

What a copy shows was held against what is known only where both describe the same process. The copy shows the process before, under the same name and mostly the same address; that one was neither leaving nor removed, so it replaced the known one and got requests, which reached its successor.

Change: a record of the first list of an epoch whose process started before the known one is outdated unless its revision is higher. It has no effect for 5 s, as that of a removed upstream, and the known process is treated as one that the list lacks: 2 s to register again if it was ready. A change ends that at once, and a record that is still listed after 5 s counts, so a clock that is behind costs seconds only. Only the first list of an epoch is a copy; later ones held records for a revision that a later registration may have.

--- a/ferry/ferrydiscovery/process_test.go
+++ b/ferry/ferrydiscovery/process_test.go
@@ -19,6 +19,12 @@
 	return u
 }
 
+func leavingSince(name string, v ferryplatform.Version, n int64) Upstream {
+	u := liveSince(name, v, n)
+	u.State = ferryplatform.StateLeaving
+	return u
+}
+
 func TestMarkLeaving(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- a/ferry/ferrydiscovery/table.go
+++ b/ferry/ferrydiscovery/table.go
@@ -70,7 +70,7 @@
 	rows       map[string]*Upstream
 	tombstones map[string]tombstone
 	graceUntil map[string]time.Time
-	// held are the upstreams of a restored list that had been removed before.
+	// held are the outdated records of a restored list.
 	held    map[string]heldUpstream
 	outage  bool
 	changed []func(*View)
@@ -141,17 +141,22 @@
 // Replace applies the complete list at a version. Upstreams that it lacks have been removed.
 //
 // The first list of an epoch is a copy some seconds old and what has been written since: upstreams that it lacks may be
-// running, and ones that it has may have left.
+// running, and ones that it has may have left or been replaced.
 func (t *Table) Replace(list []Upstream, at ferryplatform.Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.outage = t.outage || t.listed && at.Epoch() > t.epoch
+	restored := t.listed && at.Epoch() > t.epoch
+	t.outage = t.outage || restored
 	t.epoch, t.listed = max(t.epoch, at.Epoch()), true
 	updated := t.endOutage()
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.Name] = true
-		if !t.hold(u) {
+		switch {
+		case t.isHeld(&u):
+		case restored && t.isOutdated(&u):
+			updated = t.hold(u) || updated
+		default:
 			updated = t.put(u) || updated
 		}
 	}
--- a/ferryd/ferryedge/harness_test.go
+++ b/ferryd/ferryedge/harness_test.go
@@ -181,14 +181,19 @@
 	})
 }
 
+// decodeTestUpstream decodes an address, "restarted" if a second process has that address, and "leaving" if it leaves.
 func decodeTestUpstream(o ferryplatform.Object) (ferrydiscovery.Upstream, error) {
-	address, leaving := strings.CutSuffix(strings.TrimSpace(string(o.Value)), " leaving")
+	value, leaving := strings.CutSuffix(strings.TrimSpace(string(o.Value)), " leaving")
+	address, restarted := strings.CutSuffix(value, " restarted")
 	u := ferrydiscovery.Upstream{Version: o.Version, Instance: ferryplatform.Instance{
 		Name: o.Name, Service: "plain", Address: address, State: ferryplatform.StateLive, FailureDomain: "d", Slots: 1000,
 	}}
 	if leaving {
 		u.State = ferryplatform.StateLeaving
 	}
+	if restarted {
+		u.Started = time.Unix(7, 0).UTC()
+	}
 	return u, nil
 }
 
--- a/ferryd/ferryedge/restore_test.go
+++ b/ferryd/ferryedge/restore_test.go
@@ -86,6 +86,23 @@
 			time.AfterFunc(1500*time.Millisecond, func() { f.write("upstreams", "c", "c:1") })
 		}, "a b c", "a b c"},
 		{"registered after the copy and gone since", func(f *testFleet) { f.write("upstreams", "c", "c:1") }, func(*testFleet) {}, "a b c", "a b"},
+		{"restarted after the copy and leaving", func(f *testFleet) { f.write("upstreams", "a", "a:1 restarted leaving") }, func(f *testFleet) {
+			time.AfterFunc(4*time.Second, func() { f.remove("upstreams", "a") })
+		}, "b", "b"},
+		{"restarted after the copy and leaving, written again", func(f *testFleet) { f.write("upstreams", "a", "a:1 restarted leaving") }, func(f *testFleet) {
+			f.write("upstreams", "a", "a:1 restarted leaving")
+		}, "-a b", "-a b"},
+		{"restarted after the copy and removed", func(f *testFleet) {
+			f.write("upstreams", "a", "a:1 restarted")
+			time.Sleep(500 * time.Millisecond)
+			f.remove("upstreams", "a")
+		}, func(f *testFleet) {
+			time.AfterFunc(4*time.Second, func() { f.remove("upstreams", "a") })
+		}, "b", "b"},
+		{"restarted after the copy and written again", func(f *testFleet) { f.write("upstreams", "a", "a:1 restarted") }, func(f *testFleet) {
+			time.AfterFunc(1500*time.Millisecond, func() { f.write("upstreams", "a", "a:1 restarted") })
+		}, "a b", "a b"},
+		{"a later process whose clock is behind", func(f *testFleet) { f.write("upstreams", "a", "a:1 restarted") }, func(*testFleet) {}, "a b", "a b"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
