Exchange: the memory test dials within its own deadline

Cause: the client gives a dial 1 s by default, and its error satisfies errors.Is(err, context.DeadlineExceeded) like that of the call, which has a minute. 64 servers that write without end leave the dials no processor on a loaded machine.

Ruled out: the deadline of the call, as the test takes 0.3 s and failed in its first row.

Change: dials have the minute that the calls have.

--- a/ferry/ferryexchange/memory_test.go
+++ b/ferry/ferryexchange/memory_test.go
@@ -62,7 +62,7 @@
 		{"trailer lines", chunked + "0\r\n", "a: b\r\n"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			c := New(Config{})
+			c := New(Config{DialTimeout: time.Minute})
 			defer c.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
