--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,17 @@
 vet:
 	$(GO) vet $(PACKAGES)
 
-# Runs all tests but the ones listed in KNOWN-RED.txt.
+# Runs all tests but the ones listed in KNOWN-RED.txt. Under the race detector of Go 1.26 a process
+# crashes when timers of a synctest bubble expire on several threads at once; Go 1.27 has this mended.
+# So ferryrelay, whose tests do that most, runs with the race detector of RACE_TOOLCHAIN, and without
+# one on the Go that builds the programs.
+RACE_TOOLCHAIN ?= go1.27.3
 race:
-	@skip="$$(bash .ci/known-red)" && $(GO) test -race $${skip:+"-skip=$$skip"} $(PACKAGES)
+	@skip="$$(bash .ci/known-red)" && set -- $${skip:+"-skip=$$skip"} && \
+	relay="$$($(GO) list ./ferry/ferryrelay)" && others="$$($(GO) list $(PACKAGES) | grep -vxF "$$relay")" && \
+	$(GO) test -race "$$@" $$others && \
+	GOTOOLCHAIN="$$(GO="$(GO)" bash .ci/toolchain $(RACE_TOOLCHAIN))" $(GO) test -race "$$@" $$relay && \
+	$(GO) test "$$@" $$relay
 
 # The commands that README names must exist.
 readme:
