Claims: callers of the test come back when told to

Cause: the test demanded that one of six calls runs at their first attempt. Two entries that claim a key at once while the store loses answers may both give way.

Evidence: three failures of 500 runs (-race, GOMAXPROCS=2), all alike: of the calls with that key two are told "the claim was given up before anything was sent; retry with the same key" (NotRun), four that a call with the key is in progress (Unknown), and none runs. What they are told is true, and a caller that comes back runs.

Change: callers come back after the stated time, at most 20 times, until their call has run or they have its result. Each key must have run exactly once, where the sum of ten could hide one that ran twice beside one that did not run, and all entries must have the result of each key, not of the first only.

--- a/ferry/ferryclaim/claims_test.go
+++ b/ferry/ferryclaim/claims_test.go
@@ -8,9 +8,11 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryoutcome"
@@ -75,34 +77,50 @@
 	return Call{Customer: "c", Service: "s", Key: key, Digest: DigestOf([]byte("one"))}
 }
 
+// TestOneOfManyConcurrentCallsRuns guards against a key that runs twice, or not at all though its callers come back as
+// they are told to.
 func TestOneOfManyConcurrentCallsRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		const keys, callers = 10, 6
 		f := newTestCluster(t, 3)
 		f.platform.SetFaults(ferryplatformtest.Faults{LoseAnswers: 3, LateEffectMS: 20})
-		var ran, not atomic.Int32
+		var ran [keys]atomic.Int32
 		var wg sync.WaitGroup
-		for i := range 60 {
+		for i := range keys * callers {
 			wg.Go(func() {
 				c := f.claims[incarnation(i%3+1)]
-				cl, err := c.Begin(t.Context(), call(fmt.Sprintf("k%d", i/6)))
-				if err != nil {
-					not.Add(1)
-					return
-				}
-				if cl.MarkDispatched() == nil {
-					ran.Add(1)
-					cl.Finish(t.Context(), Result{Outcome: ferryoutcome.Ran, Status: 200, Complete: true, Body: []byte("fed")})
+				k := i / callers
+				for range 20 {
+					cl, err := c.Begin(t.Context(), call(fmt.Sprintf("k%d", k)))
+					if err == nil {
+						if cl.MarkDispatched() == nil {
+							ran[k].Add(1)
+							cl.Finish(t.Context(), Result{Outcome: ferryoutcome.Ran, Status: 200, Complete: true, Body: []byte("fed")})
+						}
+						return
+					}
+					if errors.As(err, new(*Replay)) {
+						return
+					}
+					var p *ferryoutcome.Problem
+					assert.Check(t, errors.As(err, &p), "%v", err)
+					time.Sleep(p.RetryAfter)
 				}
+				t.Errorf("a caller of k%d has no answer", k)
 			})
 		}
 		wg.Wait()
-		assert.Equal(t, ran.Load(), int32(10))
+		for k := range keys {
+			assert.Check(t, is.Equal(ran[k].Load(), int32(1)), "runs of k%d", k)
+		}
 		for _, c := range f.claims {
 			assert.Check(t, c.Flush(t.Context()))
-			_, err := c.Begin(t.Context(), call("k0"))
-			var rep *Replay
-			assert.Check(t, errors.As(err, &rep), "%v", err)
-			assert.Check(t, rep != nil && rep.Complete && string(rep.Body) == "fed")
+			for k := range keys {
+				_, err := c.Begin(t.Context(), call(fmt.Sprintf("k%d", k)))
+				var rep *Replay
+				assert.Check(t, errors.As(err, &rep), "%v", err)
+				assert.Check(t, rep != nil && rep.Complete && string(rep.Body) == "fed")
+			}
 		}
 	})
 }
