Suspect: an engine that falls silent on a prompt part counts as a crash once it has ended

Cause: only an engine whose connection broke and that then refused others counted. An engine of a path that fails the watchdog's probes did not: probes fail for cuts too, and then sound parts were blocked. So the router itself led the request around the dead engine, to the next one, without a bound.

Change: an engine that fails a probe before it has written on a request is kept as lost, with the request's parts and the time at which the request was sent to it. It counts as a crash once the platform shows that its process has ended: its record is gone or replaced, or another process has registered at its address, and it was not leaving. Answers on a part after the loss clear it, here and at other entries, which now keep the time of answers to contradict a late report. A request that was sent after some entry found the engine silent is no evidence: the engine was dead already; nor is each later loss of that engine another crash. Of several engines that are dead at once one counts. A request that lost three engines before one wrote on it is not moved on, nor one with a blocked part, and a part whose trial lost an engine is not tried again for 5 s. The same cause acted on runs that their first engine breaks off when another one has ended, and on single upstreams that fall silent; both are mended here.

Why it works: what a cut and a crash have in common is the failed probe; what tells them apart is known to the platform after three heartbeats. Ruled out: counting failed probes (TestUnreachableEnginesBlockNoPart), and moving on twice only (TestThirdEngineServesWhenTheReplacementIsSilentToo).

Tests that failed before (bounds written out): PartThatSilencesEnginesIsBlockedOnceTheyHaveEnded at each place, ReplacedProcessIsACrash, PartThatSilencesSingleUpstreamsIsSuspected, BrokenRunIsACrashOfItsDeadEngine; EngineThatLeavesIsNoCrash passed before too. Those of ferrysuspect are of new functions.

--- a/ferry/ferryforward/forwarder.go
+++ b/ferry/ferryforward/forwarder.go
@@ -65,6 +65,8 @@
 	configChanged atomic.Pointer[time.Time]
 	// stopping is set once a planned stop has begun.
 	stopping atomic.Pointer[stopping]
+	// lost are the engines of which it is not known yet whether they crashed on a request.
+	lost lostEngines
 }
 
 // New returns a Forwarder.
@@ -83,6 +85,7 @@
 	}
 	f.log, f.successLog = f.rateLimited(problemLinesPerSecond), f.rateLimited(successLinesPerSecond)
 	f.prober = newProber(cfg.Client, cfg.Clock, f.guard)
+	cfg.Services.onView(f.settleLosses)
 	f.SetMaxProofAge(cfg.MaxProofAge)
 	cfg.Holder.OnChange(func(*ferryconfig.Snapshot) {
 		now := cfg.Clock.Now()
--- a/ferry/ferryforward/request.go
+++ b/ferry/ferryforward/request.go
@@ -45,6 +45,8 @@
 	mayHaveRun bool
 	// crashes counts the engines that crashed before they wrote on the request.
 	crashes int
+	// lost are those and the ones that stopped answering before.
+	lost lostNames
 	// unsent counts attempts that sent no byte.
 	unsent int
 	// destinations are those that were chosen for the request so far.
@@ -83,7 +85,7 @@
 
 // mayRunAgain reports whether the request may run at one more upstream.
 func (r *request) mayRunAgain() bool {
-	if r.crashes >= maxCrashes {
+	if r.crashes >= maxCrashes || r.lost.count() >= maxLost {
 		return false
 	}
 	return r.ran == 0 || (r.repeatable() && r.ran < max(1, r.route.MaxAttempts))
--- a/ferry/ferryforward/service.go
+++ b/ferry/ferryforward/service.go
@@ -71,6 +71,8 @@
 	reportDelay time.Duration
 	config      *ferryconfig.Snapshot
 	view        *ferrydiscovery.View
+	// viewed is called with each new view; it may be nil.
+	viewed func(*ferrydiscovery.View)
 }
 
 // NewServices returns Services without any service.
@@ -167,9 +169,27 @@
 // SetView applies a new view of the upstreams.
 func (s *Services) SetView(v *ferrydiscovery.View) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.view = v
 	s.rebuild()
+	viewed := s.viewed
+	s.mu.Unlock()
+	if viewed != nil {
+		viewed(v)
+	}
+}
+
+// onView sets the function that is called with each new view.
+func (s *Services) onView(f func(*ferrydiscovery.View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.viewed = f
+}
+
+// currentView returns the last view, or nil if there was none.
+func (s *Services) currentView() *ferrydiscovery.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
 }
 
 func (s *Services) rebuild() {
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -192,6 +192,9 @@
 	case silent >= timeout && d.attempt && d.presentGoesOn():
 		d.cancel(errStalled)
 	case silent >= timeout && d.canReplace() && !d.isReplacing():
+		if d.run == nil {
+			d.inspectSingle()
+		}
 		if d.run == nil || !d.inspect(silent) {
 			d.replaceRun(errStalled)
 		}
@@ -216,13 +219,12 @@
 		}
 		return false
 	}
-	var deadNames []ferryid.UpstreamName
-	for _, i := range dead {
-		name := hops[i].Upstream.Name
-		d.run.Chooser().MarkDown(name)
-		deadNames = append(deadNames, ferryid.UpstreamName(name))
-	}
+	deadNames := d.markDead(d.run, hops, dead)
 	d.log.Warn().Str("Request", string(d.r.ID)).Dur("Silent", silent).Strs("Dead", names(deadNames)).Msg("engines failed the liveness probe")
+	if d.mayCrashMore() {
+		d.cancel(errNotMoved)
+		return true
+	}
 	if dead[0] == 0 {
 		d.leaveFirstEngine(silent)
 		return true
@@ -233,6 +235,13 @@
 	return true
 }
 
+// inspectSingle probes the upstream of a run at a single one, which records its loss if it is dead.
+func (d *watchdog) inspectSingle() {
+	if u := d.dest.first(); d.prober.deadBeside(u.Address, d.others(u), time.Time{}) {
+		d.recordLoss(u, d.cfg.Clock.Since(d.began))
+	}
+}
+
 // leaveFirstEngine starts a replacement of a run whose first engine does not answer. The engine may be alive and
 // continue, so the run goes on until the replacement is accepted; a run that has forwarded nothing ends in time for
 // its caller to get an answer.
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"cactusferry.dev/ferry/ferrydiscovery"
 	"cactusferry.dev/ferry/ferryexchange"
 	"cactusferry.dev/ferry/ferryid"
 	"cactusferry.dev/ferry/ferryingress"
@@ -483,12 +484,18 @@
 	if !s.written.Load() && !errors.Is(err, errFirstEngineDead) && (gone || (!endedByEntry(err) && s.onlyUpstreamGone(dest))) {
 		s.crashedBeforeWriting(s.r, dest.first().Name)
 	}
+	if !gone && !endedByEntry(err) {
+		s.probeBroken(dest)
+	}
 	events, last := s.progress()
 	s.log.Warn().Str("Request", string(s.r.ID)).Str("Path", formatDestination(dest)).Int("Events", events).Str("Last", last).
 		Bool("Gone", gone).Err(err).Msg("run ended before its stream was complete")
-	if gone {
+	switch {
+	case gone:
 		s.r.avoidUpstream(finishUnreachable(dest, ""))
-	} else {
+	case errors.Is(err, errNotMoved):
+		finishCancelled(dest)
+	default:
 		s.r.avoidUpstream(finishFailed(dest))
 	}
 	return ferryoutcome.New(ferryoutcome.KindUpstreamFailed, ferryoutcome.Unknown, "The upstream broke off.").WithCause(err)
@@ -496,7 +503,7 @@
 
 // endedByEntry reports whether this entry ended the run itself, while its first upstream was alive.
 func endedByEntry(err error) bool {
-	return errors.Is(err, errStalled) || errors.Is(err, errRestartElsewhere) || errors.Is(err, errReplaced)
+	return errors.Is(err, errStalled) || errors.Is(err, errRestartElsewhere) || errors.Is(err, errReplaced) || errors.Is(err, errNotMoved)
 }
 
 // breakSlack is how long before the end of a run its engine may have been probed. The runs of an engine that dies end
@@ -515,13 +522,18 @@
 	if c, ok := dest.(enginePath); ok && len(c.run.Path().Hops()) > 1 {
 		return false
 	}
-	var others []string
-	for _, u := range s.cfg.Services.upstreams(s.r.service.name) {
-		if u.Name != dest.first().Name {
-			others = append(others, u.Address)
+	return s.prober.deadBeside(dest.first().Address, s.others(dest.first()), s.cfg.Clock.Now().Add(-breakSlack))
+}
+
+// others returns the addresses of the other upstreams of the service.
+func (s *callerStream) others(u *ferrydiscovery.Upstream) []string {
+	var out []string
+	for _, o := range s.cfg.Services.upstreams(s.r.service.name) {
+		if o.Name != u.Name {
+			out = append(out, o.Address)
 		}
 	}
-	return s.prober.deadBeside(dest.first().Address, others, s.cfg.Clock.Now().Add(-breakSlack))
+	return out
 }
 
 // formatDestination formats the upstreams of a destination for the log.
--- a/ferry/ferryforward/suspect.go
+++ b/ferry/ferryforward/suspect.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// maxCrashes is the number of engines that may crash before they write on a request until it is not sent again.
+	// maxCrashes is the number of engines that may crash before they write on a request until it is not sent again, and
+	// maxLost the number of those that may crash or stop answering.
 	maxCrashes = 2
+	maxLost    = 3
 	// writingProof is how long after the first event of a run its engine has survived the start of the answer.
 	writingProof = 100 * time.Millisecond
 	// isolationTime is how long a suspect run and runs moved off a crashed engine are kept apart.
@@ -46,6 +48,7 @@
 // crashedBeforeWriting records that an engine crashed before it wrote on the request.
 func (f *Forwarder) crashedBeforeWriting(r *request, engine string) {
 	r.crashes++
+	r.lost.add(ferryid.UpstreamName(engine))
 	f.cfg.Suspects.Crashed(r.ID, r.service.name, ferryid.UpstreamName(engine), r.Parts)
 }
 
@@ -71,6 +74,7 @@
 		return
 	}
 	w.proved = true
+	s.r.lost.clear()
 	s.written.Store(true)
 	s.cfg.Suspects.Written(s.r.service.name, s.r.Parts)
 }
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -209,8 +209,9 @@
 	// tokenTimes is the predicted time of the tokens on the engines, without prefill and waiting.
 	tokenTimes time.Duration
 	ended      atomic.Bool
-	// progress is the time of the last event in Unix nanoseconds, by the chooser's clock.
-	progress atomic.Int64
+	// progress is the time of the last event in Unix nanoseconds, by the chooser's clock, and switched that of the last
+	// switch to another path.
+	progress, switched atomic.Int64
 }
 
 // Progress records an event, which shows that all engines of the path were working.
@@ -219,6 +220,15 @@
 // Path returns the current path of the generation.
 func (r *Run) Path() *Path { return r.path.Load() }
 
+// PathAge returns how long ago the generation began on its current path.
+func (r *Run) PathAge() time.Duration {
+	now := r.chooser.opts.Clock.Now()
+	if at := r.switched.Load(); at != 0 {
+		return now.Sub(time.Unix(0, at))
+	}
+	return now.Sub(r.began)
+}
+
 // Unreported is the report age if an engine has no recent report.
 const Unreported = time.Duration(-1)
 
--- a/ferry/ferrypath/repath.go
+++ b/ferry/ferrypath/repath.go
@@ -145,6 +145,7 @@
 	c.count(r.Path(), r.work, -1)
 	c.count(to, r.work, 1)
 	r.path.Store(to)
+	r.switched.Store(c.opts.Clock.Now().UnixNano())
 }
 
 // count adds n generations to the engines of a path; n may be negative.
--- a/ferry/ferrysuspect/conclude.go
+++ b/ferry/ferrysuspect/conclude.go
@@ -20,7 +20,7 @@
 	for k, u := range s.suspicions {
 		was := old[k]
 		if was != nil && was.unexplained == u.unexplained {
-			u.trial, u.trialAt = was.trial, was.trialAt
+			u.trial, u.trialUntil = was.trial, was.trialUntil
 		}
 		if u.blocked() && (was == nil || was.unexplained < u.unexplained) {
 			s.cfg.Scope.Counter("prompt_parts_blocked").Inc(1)
@@ -47,7 +47,7 @@
 			}
 			if out[k] == nil {
 				out[k] = &suspicion{}
-				if s.proven[k] || s.provenBefore[k] {
+				if s.isProven(k) {
 					out[k].crashes, out[k].proven = -provenCrashes, true
 				}
 			}
@@ -57,6 +57,13 @@
 	return out
 }
 
+// isProven reports whether this entry saw an answer on a part lately.
+func (s *Suspects) isProven(k key) bool {
+	_, now := s.proven[k]
+	_, before := s.provenBefore[k]
+	return now || before
+}
+
 // countUnexplained counts the crashes of each part without those that also involve a part of more crashes, which is
 // the likelier cause.
 func (s *Suspects) countUnexplained() {
--- a/ferry/ferrysuspect/crash.go
+++ b/ferry/ferrysuspect/crash.go
@@ -15,26 +15,35 @@
 	engine  ferryid.UpstreamName
 	at      ferryevent.Timestamp
 	seen    time.Time
-	parts   []PartID
+	// sent is when the request was sent to a lost engine, and zero for an engine that was known at once to have crashed.
+	sent  ferryevent.Timestamp
+	parts []PartID
 }
 
 // compare orders sightings by time; those that compare as equal are of one crash and moment.
 func (g sighting) compare(o sighting) int {
-	return cmp.Or(g.at.Compare(o.at), cmp.Compare(g.service, o.service), cmp.Compare(g.engine, o.engine))
+	return cmp.Or(g.at.Compare(o.at), cmp.Compare(g.service, o.service), cmp.Compare(g.engine, o.engine), g.sent.Compare(o.sent))
 }
 
+// lost reports whether the engine was lost first.
+func (g sighting) lost() bool { return g.sent != ferryevent.Timestamp{} }
+
 // crash is the crash of one engine with the parts that it had not written on.
 type crash struct {
 	service ferryid.ServiceName
 	engine  ferryid.UpstreamName
 	at      ferryevent.Timestamp
 	seen    time.Time
+	lost    bool
 	parts   []PartID
 }
 
-// addSighting adds a report of a crash. If there are too many, the oldest are dropped.
+// addSighting adds a report of a crash, made at the given time and age ago. If there are too many, the oldest are dropped.
 func (s *Suspects) addSighting(r Report, at ferryevent.Timestamp, age time.Duration) {
-	g := sighting{service: r.Service, engine: r.Crashed, at: at, seen: s.cfg.Clock.Now().Add(-age)}
+	g := sighting{service: r.Service, engine: r.Crashed, at: before(at, r.Age), seen: s.cfg.Clock.Now().Add(-age - r.Age)}
+	if r.Age > 0 {
+		g.sent = before(at, max(r.Sent, r.Age))
+	}
 	i, found := slices.BinarySearchFunc(s.sightings, g, sighting.compare)
 	if !found {
 		s.sightings = slices.Insert(s.sightings, i, g)
@@ -97,10 +106,13 @@
 	for _, g := range s.sightings {
 		c := crashed{g.service, g.engine}
 		i, known := last[c]
-		if !known || g.at.Time().Sub(crashes[i].at.Time()) >= sameCrash {
+		if !known || g.at.Time().Sub(crashes[i].at.Time()) >= crashes[i].span(g) {
 			i = len(crashes)
 			last[c] = i
-			crashes = append(crashes, crash{service: g.service, engine: g.engine, at: g.at, seen: g.seen})
+			crashes = append(crashes, crash{service: g.service, engine: g.engine, at: g.at, seen: g.seen, lost: g.lost()})
+		}
+		if g.sent.Compare(crashes[i].at) > 0 {
+			continue // the engine had crashed before
 		}
 		for _, p := range g.parts {
 			if len(crashes[i].parts) < maxCrashedParts && !slices.Contains(crashes[i].parts, p) {
@@ -110,3 +122,12 @@
 	}
 	return crashes[max(0, len(crashes)-maxCrashes):]
 }
+
+// span returns the time from the first sighting of a crash within which another one of its engine is of the same crash. An
+// engine that answers no more is lost whenever another request is sent to it.
+func (c crash) span(g sighting) time.Duration {
+	if c.lost || g.lost() {
+		return LossRetention
+	}
+	return sameCrash
+}
--- a/ferry/ferrysuspect/fleet_test.go
+++ b/ferry/ferrysuspect/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,13 +42,17 @@
 // fleet plays entries before engines, of which a deadly part crashes each that begins to write on it.
 type fleet struct {
 	clockwork.Clock
-	now     time.Time
-	queue   events
-	order   int
-	random  *rand.Rand
+	now    time.Time
+	queue  events
+	order  int
+	random *rand.Rand
+	// shared is the number of parts that all prompts begin with. silent is set if engines fall silent as they crash.
+	shared  int
+	silent  bool
 	entries []*Suspects
 	engines []*engine
 	ids     int
+	boots   int
 
 	// fifthCrash is the time of the fifth crash by the deadly part, of deadlyCrashes so far.
 	fifthCrash    time.Time
@@ -65,6 +70,8 @@
 	name      ferryid.UpstreamName
 	downUntil time.Time
 	runs      map[*run]bool
+	// knownDown are the entries that know a silent engine to be down.
+	knownDown map[int]bool
 }
 
 type run struct {
@@ -73,6 +80,7 @@
 	parts  []PartID
 	deadly bool
 	tries  int
+	sent   time.Time
 }
 
 func (f *fleet) Now() time.Time { return f.now }
@@ -84,7 +92,7 @@
 }
 
 const (
-	deadlyPart    PartID = 666
+	deadlyPart    PartID = 999
 	stableWindow         = 3 * time.Second
 	firstWriting         = 70 * time.Millisecond
 	restart              = 3 * time.Second
@@ -95,7 +103,7 @@
 	start := time.Unix(1_000_000, 0)
 	f := &fleet{now: start, start: start, sound: map[int]int{}, refused: map[int]int{}, random: rand.New(rand.NewPCG(seed, uint64(entries)))}
 	for i := range engines {
-		f.engines = append(f.engines, &engine{name: ferryid.UpstreamName(fmt.Sprintf("engine-%d", i)), runs: map[*run]bool{}})
+		f.engines = append(f.engines, &engine{name: ferryid.UpstreamName(fmt.Sprintf("engine-%d", i)), runs: map[*run]bool{}, knownDown: map[int]bool{}})
 	}
 	for i := range entries {
 		name := ferryid.EntryName(fmt.Sprintf("entry-%d", i))
@@ -140,7 +148,7 @@
 	}
 	var up []*engine
 	for range 3 {
-		if e := f.engines[f.random.IntN(len(f.engines))]; f.now.After(e.downUntil) {
+		if e := f.engines[f.random.IntN(len(f.engines))]; f.now.After(e.downUntil) || f.silent && !e.knownDown[r.entry] {
 			up = append(up, e)
 		}
 	}
@@ -149,6 +157,11 @@
 	}
 	e := up[0]
 	r.tries++
+	r.sent = f.now
+	if !f.now.After(e.downUntil) {
+		f.lose(e, r)
+		return
+	}
 	e.runs[r] = true
 	if r.deadly {
 		if f.deadlyCrashes >= 5 && f.now.After(f.fifthCrash.Add(stableWindow)) {
@@ -181,9 +194,19 @@
 
 // crash ends all runs of an engine, which are sent again.
 func (f *fleet) crash(e *engine) {
+	if f.silent && !f.now.After(e.downUntil) {
+		return
+	}
 	e.downUntil = f.now.Add(restart)
+	if f.silent {
+		f.AfterFunc(restart, func() { f.restart(e) })
+	}
 	for r := range e.runs {
 		delete(e.runs, r)
+		if f.silent {
+			f.lose(e, r)
+			continue
+		}
 		delay := time.Duration(1+f.random.IntN(20)) * time.Millisecond
 		f.AfterFunc(delay, func() {
 			f.entries[r.entry].Crashed(r.id, service, e.name, r.parts)
@@ -192,12 +215,38 @@
 	}
 }
 
+// lose has an entry find that the engine of a run is silent, and send the run again.
+func (f *fleet) lose(e *engine, r *run) {
+	name, sent := e.name, r.sent
+	f.AfterFunc(250*time.Millisecond+time.Duration(f.random.IntN(100))*time.Millisecond, func() {
+		if e.name == name {
+			e.knownDown[r.entry] = true
+		}
+		f.entries[r.entry].Lost(r.id, service, name, r.parts, f.now.Sub(sent))
+		f.send(r)
+	})
+}
+
+// restart brings a silent engine back under another name, and all entries hear of that.
+func (f *fleet) restart(e *engine) {
+	old := e.name
+	f.boots++
+	e.name, e.knownDown = ferryid.UpstreamName(fmt.Sprint("engine-", len(f.engines)+f.boots)), map[int]bool{}
+	for _, s := range f.entries {
+		f.AfterFunc(time.Duration(f.random.IntN(600))*time.Millisecond, func() { s.Ended(service, old) })
+	}
+}
+
 // request sends a new request to a random entry.
 func (f *fleet) request(deadlyShare float64, subjects int) {
 	f.ids++
-	r := &run{id: ferryid.RequestID(fmt.Sprint(f.ids)), entry: f.random.IntN(len(f.entries)), parts: []PartID{1, PartID(1000 + f.random.IntN(subjects))}}
+	r := &run{id: ferryid.RequestID(fmt.Sprint(f.ids)), entry: f.random.IntN(len(f.entries))}
+	for p := range f.shared {
+		r.parts = append(r.parts, PartID(1+p))
+	}
+	r.parts = append(r.parts, PartID(1000+f.random.IntN(subjects)))
 	if f.random.Float64() < deadlyShare {
-		r.deadly, r.parts = true, append(r.parts, deadlyPart)
+		r.deadly, r.parts = true, slices.Insert(r.parts, f.random.IntN(len(r.parts)+1), deadlyPart)
 	}
 	f.send(r)
 }
@@ -224,15 +273,21 @@
 		entries, engines, perSecond, subjects int
 		deadlyShare                           float64
 		seeds                                 uint64
+		shared                                int
+		silent                                bool
 	}{
-		{7, 39, 60, 200, 0.05, 10},
-		{7, 39, 60, 2000, 0.01, 10},
-		{7, 10, 60, 40, 0.2, 10},
-		{350, 400, 600, 3000, 0.05, 1},
+		{7, 39, 60, 200, 0.05, 10, 1, false},
+		{7, 39, 60, 2000, 0.01, 10, 1, false},
+		{7, 10, 60, 40, 0.2, 10, 1, false},
+		{350, 400, 600, 3000, 0.05, 1, 1, false},
+		{7, 39, 60, 200, 0.05, 10, 1, true},
+		{7, 39, 60, 2000, 0.01, 10, 1, true},
+		{350, 400, 600, 3000, 0.005, 1, 1, true},
 	} {
 		for seed := range tt.seeds {
-			t.Run(fmt.Sprintf("%d entries, share %.2f, seed %d", tt.entries, tt.deadlyShare, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d entries, share %.2f, %d shared parts, silent %t, seed %d", tt.entries, tt.deadlyShare, tt.shared, tt.silent, seed), func(t *testing.T) {
 				f := newFleet(seed, tt.entries, tt.engines)
+				f.shared, f.silent = tt.shared, tt.silent
 				f.every(time.Second/time.Duration(tt.perSecond), func() { f.request(tt.deadlyShare, tt.subjects) })
 				f.every(700*time.Millisecond, func() { f.crash(f.engines[f.random.IntN(len(f.engines))]) })
 				f.play(time.Minute)
--- a/ferry/ferrysuspect/report.go
+++ b/ferry/ferrysuspect/report.go
@@ -16,6 +16,7 @@
 	// MaxParts is the number of parts of one prompt that are looked at.
 	MaxParts     = 32
 	maxNameBytes = 256
+	maxSent      = time.Hour
 )
 
 // Report is one observation of an entry: the crash of an engine that had not written on the parts of a prompt yet, or
@@ -25,6 +26,11 @@
 	Parts   []PartID            `cbor:"2,keyasint"`
 	// Crashed is the engine that crashed; it is empty for an answer.
 	Crashed ferryid.UpstreamName `cbor:"3,keyasint,omitempty"`
+	// Age is how long before the report the engine was lost, or the answer was seen; it is zero for an engine that was known
+	// at once to have crashed, and for a new answer.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Sent is how long before the report the request was sent to the lost engine.
+	Sent time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Check returns an error if a field is missing or too long.
@@ -36,6 +42,10 @@
 		return fmt.Errorf("report of a service with a name of %d bytes", len(r.Service))
 	case len(r.Crashed) > maxNameBytes:
 		return fmt.Errorf("report of an engine with a name of %d bytes", len(r.Crashed))
+	case r.Age < 0 || r.Age > Retention:
+		return fmt.Errorf("report of what was seen %s before, at most %s allowed", r.Age, Retention)
+	case r.Sent < 0 || r.Sent > maxSent:
+		return fmt.Errorf("report of a request that was sent %s before, at most %s allowed", r.Sent, maxSent)
 	}
 	return nil
 }
--- a/ferry/ferrysuspect/suspects.go
+++ b/ferry/ferrysuspect/suspects.go
@@ -87,9 +87,9 @@
 	proven bool
 	// rivals are the parts, with this one, that the same crashes speak against.
 	rivals []PartID
-	// trial is the request that tries the part again, since the given time.
-	trial   ferryid.RequestID
-	trialAt time.Time
+	// trial is the request that tries the part again; no other one may before the given time.
+	trial      ferryid.RequestID
+	trialUntil time.Time
 }
 
 func (s *suspicion) blocked() bool { return s.unexplained >= s.threshold() }
@@ -127,8 +127,10 @@
 	crashes    []crash
 	written    map[key]answer
 	suspicions map[key]*suspicion
-	// proven and provenBefore hold the parts that this entry saw answers on, in two generations.
-	proven, provenBefore map[key]bool
+	// losses are lost engines of which it is not known whether they crashed, oldest first.
+	losses []*loss
+	// proven and provenBefore hold the times of the last answers that this entry saw, in two generations.
+	proven, provenBefore map[key]ferryevent.Timestamp
 	provenFrom           time.Time
 	// unreported maps the crashes that are kept back to their parts.
 	unreported map[crashed][]PartID
@@ -148,7 +150,7 @@
 	if cfg.TrialDelay == nil {
 		cfg.TrialDelay = func(ferryid.ServiceName, PartID) time.Duration { return 0 }
 	}
-	return &Suspects{cfg: cfg, written: map[key]answer{}, suspicions: map[key]*suspicion{}, unreported: map[crashed][]PartID{}, proven: map[key]bool{}}
+	return &Suspects{cfg: cfg, written: map[key]answer{}, suspicions: map[key]*suspicion{}, unreported: map[crashed][]PartID{}, proven: map[key]ferryevent.Timestamp{}}
 }
 
 // Admit returns a *BlockedError if a request must not be sent because of a part of its prompt. Once the block of a part
@@ -172,7 +174,7 @@
 		trials = append(trials, u)
 	}
 	for _, u := range trials {
-		u.trial, u.trialAt = id, now
+		u.trial, u.trialUntil = id, now.Add(trialTimeout)
 		s.cfg.Log.Info().Str("Request", string(id)).Int("Crashes", u.unexplained).Msg("prompt part tried again")
 	}
 	return nil
@@ -187,7 +189,7 @@
 	defer s.mu.Unlock()
 	for _, p := range parts {
 		if u := s.suspicions[key{service, p}]; u != nil && u.trial == id {
-			u.trial, u.trialAt = "", time.Time{}
+			u.trial, u.trialUntil = "", time.Time{}
 		}
 	}
 }
@@ -198,8 +200,8 @@
 	if wait <= 0 {
 		wait = max(0, wait+s.cfg.TrialDelay(k.service, k.part))
 	}
-	if !u.trialAt.IsZero() {
-		wait = max(wait, u.trialAt.Add(trialTimeout).Sub(now))
+	if !u.trialUntil.IsZero() {
+		wait = max(wait, u.trialUntil.Sub(now))
 	}
 	return (wait + time.Millisecond - 1).Truncate(time.Millisecond)
 }
@@ -284,9 +286,10 @@
 		return
 	}
 	s.mu.Lock()
-	s.prove(service, parts)
-	r := Report{Service: service}
 	at := s.cfg.Now()
+	s.prove(service, parts, at)
+	s.clearLosses(service, parts)
+	r := Report{Service: service}
 	for _, p := range parts[:min(len(parts), MaxParts)] {
 		if k := (key{service, p}); s.suspicions[k] != nil {
 			s.recordAnswer(k, at, 0)
@@ -303,30 +306,35 @@
 }
 
 // prove remembers the parts of an answer.
-func (s *Suspects) prove(service ferryid.ServiceName, parts []PartID) {
+func (s *Suspects) prove(service ferryid.ServiceName, parts []PartID, at ferryevent.Timestamp) {
 	now := s.cfg.Clock.Now()
 	age := now.Sub(s.provenFrom)
 	if age >= 2*provenTime {
 		s.proven = nil
 	}
 	if age >= provenTime || len(s.proven) >= maxProven/2 {
-		s.proven, s.provenBefore, s.provenFrom = map[key]bool{}, s.proven, now
+		s.proven, s.provenBefore, s.provenFrom = map[key]ferryevent.Timestamp{}, s.proven, now
 	}
 	for _, p := range parts[:min(len(parts), MaxParts)] {
-		s.proven[key{service, p}] = true
+		s.proven[key{service, p}] = at
 	}
 }
 
-// Receive records an observation of another entry, made at the given time and age ago.
+// Receive records an observation of another entry, reported at the given time and age ago.
 func (s *Suspects) Receive(r Report, at ferryevent.Timestamp, age time.Duration, origin ferryid.EntryName) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	var answered Report
 	if r.Crashed != "" {
 		s.addSighting(r, at, age)
+		answered = s.contradict(r, at)
 	} else {
 		for _, p := range r.Parts {
-			s.recordAnswer(key{r.Service, p}, at, age)
+			s.recordAnswer(key{r.Service, p}, before(at, r.Age), age+r.Age)
 		}
 	}
 	s.conclude(origin)
+	s.mu.Unlock()
+	if len(answered.Parts) > 0 {
+		s.cfg.Publish(answered)
+	}
 }
