Suspect: all parts of a prompt are judged, however many it has

Cause: the decoder kept the first 32 parts of a prompt, and crashes and answers were recorded for as many. The shared parts were blamed in place of the deadly one, and where answers stopped, blocked.

Memory and work are bounded by what a crash keeps: 512 parts, without those that this entry saw answers on first; where several requests are involved each gives as many, so that made-up parts of one do not push out those of another. A report has up to 256 parts, still 8 a second. An answer reports the 32 parts with the most crashes that it clears; the others are cleared by the answers that each entry sees. Parts are compared by sorted lists. 16,384 answers are remembered instead of 4,096, the oldest dropped a sixteenth at a time, since a prompt now has more of them.

Why it works: sound prompts hold all parts but the deadly one, so answers clear all but that one, wherever it is. An entry of an older version drops a report of more than 32 parts; while a fleet is updated, long prompts are judged as before there.

TestReportCheck has the new bound of a report.

--- a/ferry/ferrysuspect/crash.go
+++ b/ferry/ferrysuspect/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -58,7 +59,8 @@
 		}
 	}
 	if len(known.parts) > maxCrashedParts {
-		known.parts = known.parts[:maxCrashedParts]
+		known.parts = s.likely(r.Service, known.parts)
+		slices.Sort(known.parts)
 	}
 	if len(s.sightings) > maxSightings {
 		s.sightings = slices.Delete(s.sightings, 0, 1)
@@ -66,7 +68,7 @@
 	s.crashes = nil
 }
 
-// recordAnswer records an answer on a part. If there are too many, the oldest is dropped.
+// recordAnswer records an answer on a part. If there are too many, the oldest are dropped.
 func (s *Suspects) recordAnswer(k key, at ferryevent.Timestamp, age time.Duration) {
 	if s.written[k].at.Compare(at) >= 0 {
 		return
@@ -75,13 +77,12 @@
 	if len(s.written) <= maxWritten {
 		return
 	}
-	oldest := k
-	for o, a := range s.written {
-		if cmp.Or(a.at.Compare(s.written[oldest].at), cmp.Compare(o.service, oldest.service), cmp.Compare(o.part, oldest.part)) < 0 {
-			oldest = o
-		}
+	oldest := slices.SortedFunc(maps.Keys(s.written), func(o, p key) int {
+		return cmp.Or(s.written[o].at.Compare(s.written[p].at), cmp.Compare(o.service, p.service), cmp.Compare(o.part, p.part))
+	})
+	for _, k := range oldest[:maxWritten/writtenShare] {
+		delete(s.written, k)
 	}
-	delete(s.written, oldest)
 }
 
 // forgetOld drops what was observed longer than Retention ago.
@@ -102,6 +103,7 @@
 // deriveCrashes returns the crashes that the sightings are of, oldest first.
 func (s *Suspects) deriveCrashes() []crash {
 	crashes := []crash{}
+	sources := [][][]PartID{}
 	last := map[crashed]int{}
 	for _, g := range s.sightings {
 		c := crashed{g.service, g.engine}
@@ -110,17 +112,40 @@
 			i = len(crashes)
 			last[c] = i
 			crashes = append(crashes, crash{service: g.service, engine: g.engine, at: g.at, seen: g.seen, lost: g.lost()})
+			sources = append(sources, nil)
 		}
 		if g.sent.Compare(crashes[i].at) > 0 {
 			continue // the engine had crashed before
 		}
-		for _, p := range g.parts {
-			if len(crashes[i].parts) < maxCrashedParts && !slices.Contains(crashes[i].parts, p) {
-				crashes[i].parts = append(crashes[i].parts, p)
+		sources[i] = append(sources[i], g.parts)
+	}
+	for i := range crashes {
+		crashes[i].parts = s.merge(crashes[i].service, sources[i])
+	}
+	return crashes[max(0, len(crashes)-maxCrashes):]
+}
+
+// merge returns the parts of one crash from its sightings. If there are too many, each sighting gives as many, so that the
+// parts of one request do not push out those of another.
+func (s *Suspects) merge(service ferryid.ServiceName, sightings [][]PartID) []PartID {
+	all := slices.Concat(sightings...)
+	if len(all) <= maxCrashedParts {
+		slices.Sort(all)
+		return slices.Compact(all)
+	}
+	for i, parts := range sightings {
+		sightings[i] = s.provenLast(service, parts)
+	}
+	out, known := []PartID{}, map[PartID]bool{}
+	for i := 0; len(out) < maxCrashedParts && i < len(all); i++ {
+		for _, parts := range sightings {
+			if i < len(parts) && !known[parts[i]] && len(out) < maxCrashedParts {
+				known[parts[i]] = true
+				out = append(out, parts[i])
 			}
 		}
 	}
-	return crashes[max(0, len(crashes)-maxCrashes):]
+	return out
 }
 
 // span returns the time from the first sighting of a crash within which another one of its engine is of the same crash. An
--- a/ferry/ferrysuspect/loss.go
+++ b/ferry/ferrysuspect/loss.go
@@ -45,9 +45,9 @@
 	if len(parts) == 0 {
 		return
 	}
-	parts = parts[:min(len(parts), MaxParts)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	parts = s.likely(service, parts)
 	now := s.cfg.Clock.Now()
 	for _, p := range parts {
 		if u := s.suspicions[key{service, p}]; u != nil && id != "" && u.trial == id {
@@ -59,7 +59,7 @@
 		return
 	}
 	i, _ := slices.BinarySearchFunc(l.runs, sent, func(r lostRun, t time.Time) int { return r.sent.Compare(t) })
-	l.runs = slices.Insert(l.runs, i, lostRun{sent, slices.Clone(parts)})
+	l.runs = slices.Insert(l.runs, i, lostRun{sent, parts})
 	l.runs = l.runs[:min(len(l.runs), maxLostRuns)]
 }
 
@@ -83,13 +83,20 @@
 
 // clearLosses records an answer on parts that engines were lost on.
 func (s *Suspects) clearLosses(service ferryid.ServiceName, parts []PartID) {
+	if len(s.losses) == 0 {
+		return
+	}
+	sorted := slices.Sorted(slices.Values(parts))
 	for _, l := range s.losses {
 		if l.service != service {
 			continue
 		}
 		for i := range l.runs {
 			r := &l.runs[i]
-			r.parts = slices.DeleteFunc(r.parts, func(p PartID) bool { return slices.Contains(parts, p) })
+			r.parts = slices.DeleteFunc(r.parts, func(p PartID) bool {
+				_, found := slices.BinarySearch(sorted, p)
+				return found
+			})
 		}
 	}
 }
@@ -108,12 +115,17 @@
 		s.addSighting(r, now, 0)
 	}
 	s.conclude("")
-	reports = slices.DeleteFunc(reports, func(Report) bool { return !s.takeReport() })
+	var allowed []Report
+	for _, r := range reports {
+		allowed = append(allowed, s.takeReports(r)...)
+	}
 	s.mu.Unlock()
 	s.cfg.Scope.Counter("prompt_part_crashes").Inc(1)
 	for _, r := range reports {
-		s.cfg.Log.Warn().Str("Service", string(service)).Str("Engine", string(engine)).Stringers("Parts", stringers(r.Parts)).Dur("Lost", r.Age).Dur("Sent", r.Sent).
-			Msg("prompt parts suspected: a lost engine has ended")
+		s.cfg.Log.Warn().Str("Service", string(service)).Str("Engine", string(engine)).Stringers("Parts", stringers(r.Parts[:min(len(r.Parts), maxLoggedParts)])).
+			Int("AllParts", len(r.Parts)).Dur("Lost", r.Age).Dur("Sent", r.Sent).Msg("prompt part suspected: a lost engine has ended")
+	}
+	for _, r := range allowed {
 		s.cfg.Publish(r)
 	}
 }
@@ -147,6 +159,9 @@
 	}
 	lost, now := before(at, r.Age), s.cfg.Now()
 	for _, p := range r.Parts {
+		if len(out.Parts) == maxAnswered {
+			break
+		}
 		k := key{r.Service, p}
 		last, known := s.proven[k]
 		if !known {
--- a/ferry/ferrysuspect/report.go
+++ b/ferry/ferrysuspect/report.go
@@ -13,10 +13,12 @@
 func (p PartID) String() string { return fmt.Sprintf("%016x", uint64(p)) }
 
 const (
-	// MaxParts is the number of parts of one prompt that are looked at.
-	MaxParts     = 32
+	// maxParts is the number of parts of one report.
+	maxParts     = 256
 	maxNameBytes = 256
-	maxSent      = time.Hour
+	// maxLoggedParts is the number of parts of one crash in the log.
+	maxLoggedParts = 32
+	maxSent        = time.Hour
 )
 
 // Report is one observation of an entry: the crash of an engine that had not written on the parts of a prompt yet, or
@@ -36,8 +38,8 @@
 // Check returns an error if a field is missing or too long.
 func (r Report) Check() error {
 	switch {
-	case len(r.Parts) == 0 || len(r.Parts) > MaxParts:
-		return fmt.Errorf("report of %d prompt parts, 1 to %d allowed", len(r.Parts), MaxParts)
+	case len(r.Parts) == 0 || len(r.Parts) > maxParts:
+		return fmt.Errorf("report of %d prompt parts, 1 to %d allowed", len(r.Parts), maxParts)
 	case r.Service == "" || len(r.Service) > maxNameBytes:
 		return fmt.Errorf("report of a service with a name of %d bytes", len(r.Service))
 	case len(r.Crashed) > maxNameBytes:
--- a/ferry/ferrysuspect/suspects.go
+++ b/ferry/ferrysuspect/suspects.go
@@ -1,6 +1,7 @@
 package ferrysuspect
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,13 +35,20 @@
 	sameCrash = 2 * time.Second
 	// provenTime is how long at least an answer on a part speaks for it, so that it is blocked only from provenCrashes more
 	// crashes on than a part that nothing speaks for.
-	provenTime      = time.Minute
-	provenCrashes   = 2
-	maxProven       = 4096
-	maxCrashes      = 128
-	maxCrashedParts = 256 // of one crash, over all reports
-	maxSightings    = 1024
-	maxWritten      = 4096
+	provenTime    = time.Minute
+	provenCrashes = 2
+	maxProven     = 1 << 14
+	maxCrashes    = 128
+	// maxCrashedParts is the number of parts that are kept of one crash, over all reports.
+	maxCrashedParts = 512
+	// maxUnreported is the number of parts of one crash that are kept back.
+	maxUnreported = 8 * maxCrashedParts
+	maxSightings  = 1024
+	maxWritten    = 1 << 14
+	// writtenShare is the part of maxWritten that is dropped at once.
+	writtenShare = 16
+	// maxAnswered is the number of parts of one answer that are reported.
+	maxAnswered = 32
 	// maxReportsPerSecond bounds the crashes that this entry reports.
 	maxReportsPerSecond = 8
 )
@@ -102,9 +110,12 @@
 	return minCrashes
 }
 
-// until returns the end of the block for a request with the given parts.
-func (s *suspicion) until(parts []PartID) time.Time {
-	if slices.ContainsFunc(s.rivals, func(p PartID) bool { return !slices.Contains(parts, p) }) {
+// until returns the end of the block for a request with the given parts, which are sorted.
+func (s *suspicion) until(sorted []PartID) time.Time {
+	if slices.ContainsFunc(s.rivals, func(p PartID) bool {
+		_, found := slices.BinarySearch(sorted, p)
+		return !found
+	}) {
 		return s.last.Add(rivalBlock)
 	}
 	d := firstBlock
@@ -163,12 +174,16 @@
 	defer s.mu.Unlock()
 	now := s.cfg.Clock.Now()
 	var trials []*suspicion
+	var sorted []PartID
 	for _, p := range parts {
 		u := s.suspicions[key{service, p}]
 		if u == nil || !u.blocked() || (id != "" && u.trial == id) {
 			continue
 		}
-		if wait := s.wait(u, key{service, p}, parts, now); wait > 0 {
+		if sorted == nil {
+			sorted = slices.Sorted(slices.Values(parts))
+		}
+		if wait := s.wait(u, key{service, p}, sorted, now); wait > 0 {
 			return &BlockedError{Part: p, Crashes: u.unexplained, RetryAfter: wait}
 		}
 		trials = append(trials, u)
@@ -194,9 +209,9 @@
 	}
 }
 
-// wait returns in how long a request with the given parts may try a blocked one, rounded up to milliseconds.
-func (s *Suspects) wait(u *suspicion, k key, parts []PartID, now time.Time) time.Duration {
-	wait := u.until(parts).Sub(now)
+// wait returns in how long a request with the given parts, which are sorted, may try a blocked one, rounded up to milliseconds.
+func (s *Suspects) wait(u *suspicion, k key, sorted []PartID, now time.Time) time.Duration {
+	wait := u.until(sorted).Sub(now)
 	if wait <= 0 {
 		wait = max(0, wait+s.cfg.TrialDelay(k.service, k.part))
 	}
@@ -221,25 +236,64 @@
 	if len(parts) == 0 {
 		return
 	}
-	r := Report{Service: service, Crashed: engine, Parts: parts[:min(len(parts), MaxParts)]}
 	s.mu.Lock()
+	r := Report{Service: service, Crashed: engine, Parts: s.likely(service, parts)}
 	s.addSighting(r, s.cfg.Now(), 0)
 	s.conclude("")
 	urgent := slices.ContainsFunc(r.Parts, func(p PartID) bool {
 		u := s.suspicions[key{service, p}]
 		return u != nil && u.blocked()
 	})
-	if urgent = urgent && s.takeReport(); !urgent {
+	var reports []Report
+	if urgent {
+		reports = s.takeReports(r)
+	}
+	if len(reports) == 0 {
 		s.reportLater(r)
 	}
 	s.mu.Unlock()
 	s.cfg.Scope.Counter("prompt_part_crashes").Inc(1)
-	s.cfg.Log.Warn().Str("Request", string(id)).Str("Service", string(service)).Str("Engine", string(engine)).Stringers("Parts", stringers(r.Parts)).Msg("prompt part suspected")
-	if urgent {
+	s.cfg.Log.Warn().Str("Request", string(id)).Str("Service", string(service)).Str("Engine", string(engine)).Stringers("Parts", stringers(r.Parts[:min(len(r.Parts), maxLoggedParts)])).Int("AllParts", len(parts)).Msg("prompt part suspected")
+	for _, r := range reports {
 		s.cfg.Publish(r)
 	}
 }
 
+// likely returns the parts of a prompt that may have crashed an engine. If there are too many, those that this entry saw
+// answers on are dropped first.
+func (s *Suspects) likely(service ferryid.ServiceName, parts []PartID) []PartID {
+	if len(parts) <= maxCrashedParts {
+		return slices.Clone(parts)
+	}
+	return s.provenLast(service, parts)[:maxCrashedParts]
+}
+
+// provenLast returns parts with those at the end that this entry saw answers on.
+func (s *Suspects) provenLast(service ferryid.ServiceName, parts []PartID) []PartID {
+	var unproven, proven []PartID
+	for _, p := range parts {
+		if s.isProven(key{service, p}) {
+			proven = append(proven, p)
+		} else {
+			unproven = append(unproven, p)
+		}
+	}
+	return append(unproven, proven...)
+}
+
+// takeReports returns a report as several ones of at most maxParts each, as far as this entry may send them.
+func (s *Suspects) takeReports(r Report) []Report {
+	var out []Report
+	for chunk := range slices.Chunk(r.Parts, maxParts) {
+		if s.takeReport() {
+			part := r
+			part.Parts = chunk
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
 // takeReport reports whether this entry may report one more crash in this second.
 func (s *Suspects) takeReport() bool {
 	if now := s.cfg.Clock.Now(); now.Sub(s.reportsFrom) >= time.Second {
@@ -255,7 +309,7 @@
 	if _, kept := s.unreported[c]; !kept {
 		s.cfg.Clock.AfterFunc(reportDelay, func() { s.reportRemaining(c) })
 	}
-	if have := s.unreported[c]; len(have) < maxCrashedParts {
+	if have := s.unreported[c]; len(have) < maxUnreported {
 		s.unreported[c] = append(have, r.Parts...)
 	}
 }
@@ -266,12 +320,11 @@
 	var reports []Report
 	parts := slices.DeleteFunc(s.unreported[c], func(p PartID) bool { return s.suspicions[key{c.service, p}] == nil })
 	slices.Sort(parts)
-	for chunk := range slices.Chunk(slices.Compact(parts), MaxParts) {
-		if !s.takeReport() {
-			s.cfg.Log.Warn().Str("Service", string(c.service)).Str("Engine", string(c.engine)).Int("Parts", len(chunk)).Msg("crash not reported to other entries: too many reports")
-			continue
+	if parts = slices.Compact(parts); len(parts) > 0 {
+		reports = s.takeReports(Report{Service: c.service, Crashed: c.engine, Parts: parts})
+		if len(reports) < (len(parts)+maxParts-1)/maxParts {
+			s.cfg.Log.Warn().Str("Service", string(c.service)).Str("Engine", string(c.engine)).Int("Parts", len(parts)).Msg("crash not reported to other entries: too many reports")
 		}
-		reports = append(reports, Report{Service: c.service, Crashed: c.engine, Parts: chunk})
 	}
 	delete(s.unreported, c)
 	s.mu.Unlock()
@@ -290,12 +343,13 @@
 	s.prove(service, parts, at)
 	s.clearLosses(service, parts)
 	r := Report{Service: service}
-	for _, p := range parts[:min(len(parts), MaxParts)] {
+	for _, p := range parts {
 		if k := (key{service, p}); s.suspicions[k] != nil {
 			s.recordAnswer(k, at, 0)
 			r.Parts = append(r.Parts, p)
 		}
 	}
+	r.Parts = s.mostSuspect(service, r.Parts)
 	if len(r.Parts) > 0 {
 		s.conclude("")
 	}
@@ -305,6 +359,17 @@
 	}
 }
 
+// mostSuspect returns at most maxAnswered of some parts, those with the most crashes. Each takes a message, and other
+// entries see answers on the parts that many prompts share themselves.
+func (s *Suspects) mostSuspect(service ferryid.ServiceName, parts []PartID) []PartID {
+	if len(parts) <= maxAnswered {
+		return parts
+	}
+	crashes := func(p PartID) int { return s.suspicions[key{service, p}].crashes }
+	slices.SortStableFunc(parts, func(p, q PartID) int { return cmp.Compare(crashes(q), crashes(p)) })
+	return parts[:maxAnswered]
+}
+
 // prove remembers the parts of an answer.
 func (s *Suspects) prove(service ferryid.ServiceName, parts []PartID, at ferryevent.Timestamp) {
 	now := s.cfg.Clock.Now()
@@ -315,7 +380,7 @@
 	if age >= provenTime || len(s.proven) >= maxProven/2 {
 		s.proven, s.provenBefore, s.provenFrom = map[key]ferryevent.Timestamp{}, s.proven, now
 	}
-	for _, p := range parts[:min(len(parts), MaxParts)] {
+	for _, p := range parts {
 		s.proven[key{service, p}] = at
 	}
 }
--- a/ferry/ferrysuspect/suspects_test.go
+++ b/ferry/ferrysuspect/suspects_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -259,8 +260,74 @@
 func TestReportCheck(t *testing.T) {
 	assert.NilError(t, Report{Service: service, Parts: []PartID{1}}.Check())
 	assert.ErrorContains(t, Report{Service: service}.Check(), "report of 0 prompt parts")
-	assert.ErrorContains(t, Report{Service: service, Parts: make([]PartID, MaxParts+1)}.Check(), "report of 33 prompt parts")
+	assert.ErrorContains(t, Report{Service: service, Parts: make([]PartID, maxParts+1)}.Check(), "report of 257 prompt parts")
 	assert.ErrorContains(t, Report{Parts: []PartID{1}}.Check(), "name of 0 bytes")
 	long := ferryid.UpstreamName(make([]byte, maxNameBytes+1))
 	assert.ErrorContains(t, Report{Service: service, Crashed: long, Parts: []PartID{1}}.Check(), "name of 257 bytes")
 }
+
+// parts returns n parts from the given one on.
+func parts(from PartID, n int) []PartID {
+	out := make([]PartID, n)
+	for i := range out {
+		out[i] = from + PartID(i)
+	}
+	return out
+}
+
+// TestPartBehindManyOthersIsBlocked has prompts begin with more parts than are kept of a crash, all of which are sound, and
+// end with one that crashes engines.
+func TestPartBehindManyOthersIsBlocked(t *testing.T) {
+	for _, n := range []int{1, 31, 32, 400, maxCrashedParts, 4 * maxCrashedParts} {
+		e, shared := newEntry(), parts(1000, n)
+		e.written(shared...)
+		for range minCrashes {
+			e.clock.Advance(time.Millisecond)
+			e.crash(append(shared, 1)...)
+		}
+		e.written(shared...)
+		assert.Assert(t, e.block("a", append(shared, 1)...) > 0, "%d parts before it", n)
+		assert.Equal(t, e.block("b", append(shared, 2)...), time.Duration(0), "%d parts before it", n)
+	}
+}
+
+// TestMadeUpPartsPushOutNothing has prompts of very many new parts wait at the engines that crash on another part.
+func TestMadeUpPartsPushOutNothing(t *testing.T) {
+	const deadly = math.MaxUint64
+	for _, before := range []bool{true, false} {
+		e := newEntry()
+		for n := range minCrashes {
+			engine := ferryid.UpstreamName(fmt.Sprint("engine-", n))
+			made := func() {
+				for m := range 8 {
+					e.clock.Advance(time.Millisecond)
+					e.Crashed("r", service, engine, parts(PartID(1_000_000*(1+8*n+m)), 8*maxCrashedParts))
+				}
+			}
+			if before {
+				made()
+			}
+			e.clock.Advance(time.Millisecond)
+			e.Crashed("r", service, engine, []PartID{deadly})
+			if !before {
+				made()
+			}
+		}
+		assert.Assert(t, e.block("a", deadly) > 0)
+		assert.Equal(t, e.block("b", 2), time.Duration(0))
+	}
+}
+
+// TestAnswerReportsThePartsWithTheMostCrashes has an answer clear more parts than it reports.
+func TestAnswerReportsThePartsWithTheMostCrashes(t *testing.T) {
+	e, shared := newEntry(), parts(1000, 4*maxAnswered)
+	e.crash(shared...)
+	e.crash(append(shared, 1, 2)...)
+	e.crash(1, 2)
+	e.crash(1, 2)
+	e.written(append(shared, 1, 2)...)
+	last := e.reports()[len(e.reports())-1]
+	assert.Equal(t, len(last.Parts), maxAnswered)
+	assert.DeepEqual(t, last.Parts[:2], []PartID{1, 2})
+	assert.Assert(t, !e.Suspected(service, append(shared, 1, 2)), "all are cleared here")
+}
