Suspect: an outage of all engines blames no part that was answered shortly before

Callers: after an outage in which all engines of a service fall silent and end, requests with the part that most prompts begin with would be refused for up to 300 s, though it is sound.

Cause: a lost engine that has ended speaks against the parts of its requests unless an answer on them was seen since. In an outage nothing is answered, so nothing clears the parts that all requests share, and each lost engine counts against them.

Ruled out: letting any answer of the last minute speak for a part (tried): an old part that turns deadly would crash engines for a minute before the first crash counts.

Change: if the entry that reports the crash saw no answer of the service at all since the loss, it leaves out the parts that it saw answers on within the last minute. As soon as the service answers other requests, such parts count as before.

TestOutageBlocksNoPartThatWasAnsweredBefore failed before (the shared part was blocked after ten lost engines), and passes; the other tests of ferrysuspect pass unchanged.

--- a/ferry/ferrysuspect/loss.go
+++ b/ferry/ferrysuspect/loss.go
@@ -130,7 +130,9 @@
 	}
 }
 
-// takeLoss removes the record of a lost engine and returns the reports of its crash.
+// takeLoss removes the record of a lost engine and returns the reports of its crash. If the service answered nothing since,
+// many engines may be lost with the parts that most prompts share, and no answer could clear these: then answers from before
+// the loss speak for a part.
 func (s *Suspects) takeLoss(c crashed) []Report {
 	i := s.indexLoss(c)
 	if i < 0 {
@@ -141,8 +143,12 @@
 	if now.Sub(l.seen) > LossRetention {
 		return nil
 	}
+	outage := s.answered[c.service].Compare(l.at) <= 0
 	var out []Report
 	for _, r := range l.runs {
+		if outage {
+			r.parts = slices.DeleteFunc(r.parts, func(p PartID) bool { return s.isProven(key{c.service, p}) })
+		}
 		if len(r.parts) > 0 {
 			out = append(out, Report{Service: c.service, Crashed: c.engine, Parts: r.parts, Age: cmp.Or(now.Sub(l.seen), 1), Sent: min(now.Sub(r.sent), maxSent)})
 		}
--- a/ferry/ferrysuspect/loss_test.go
+++ b/ferry/ferrysuspect/loss_test.go
@@ -19,7 +19,7 @@
 	e.Lost("r", service, engine, parts, 300*time.Millisecond)
 }
 
-// received returns a report as the entry receives it, and when it was made.
+// receive has the entry receive a report that was made just now.
 func (e *entry) receive(r Report) {
 	e.Receive(r, ferryevent.Timestamp{Micros: e.clock.Now().UnixMicro()}, 0, "other")
 }
@@ -175,3 +175,32 @@
 		assert.ErrorContains(t, r.Check(), "before")
 	}
 }
+
+// TestOutageBlocksNoPartThatWasAnsweredBefore has requests that share a part lose many engines, after which the service
+// answers nothing at this entry. It guards against outages that block the parts which most prompts share.
+func TestOutageBlocksNoPartThatWasAnsweredBefore(t *testing.T) {
+	const shared = 1
+	for _, tt := range []struct {
+		name string
+		// before is what was answered before the losses, and since what was answered since.
+		before, since []PartID
+		want          bool
+	}{
+		{"outage", []PartID{shared}, nil, false},
+		{"never answered", []PartID{2}, nil, true},
+		{"other requests are served", []PartID{shared}, []PartID{2}, true},
+	} {
+		e := newEntry()
+		e.Written(service, tt.before)
+		e.clock.Advance(provenTime - time.Second)
+		for n := range 10 {
+			e.lose(ferryid.UpstreamName(fmt.Sprint("engine-", n)), shared, PartID(100+n))
+		}
+		e.clock.Advance(untilEnded)
+		e.Written(service, tt.since)
+		for n := range 10 {
+			e.Ended(service, ferryid.UpstreamName(fmt.Sprint("engine-", n)))
+		}
+		assert.Equal(t, e.block("a", shared) > 0, tt.want, tt.name)
+	}
+}
--- a/ferry/ferrysuspect/suspects.go
+++ b/ferry/ferrysuspect/suspects.go
@@ -143,6 +143,8 @@
 	// proven and provenBefore hold the times of the last answers that this entry saw, in two generations.
 	proven, provenBefore map[key]ferryevent.Timestamp
 	provenFrom           time.Time
+	// answered holds the times of the last answers of the services that this entry saw.
+	answered map[ferryid.ServiceName]ferryevent.Timestamp
 	// unreported maps the crashes that are kept back to their parts.
 	unreported map[crashed][]PartID
 	// reports counts the crashes reported since reportsFrom.
@@ -161,7 +163,7 @@
 	if cfg.TrialDelay == nil {
 		cfg.TrialDelay = func(ferryid.ServiceName, PartID) time.Duration { return 0 }
 	}
-	return &Suspects{cfg: cfg, written: map[key]answer{}, suspicions: map[key]*suspicion{}, unreported: map[crashed][]PartID{}, proven: map[key]ferryevent.Timestamp{}}
+	return &Suspects{cfg: cfg, written: map[key]answer{}, suspicions: map[key]*suspicion{}, unreported: map[crashed][]PartID{}, proven: map[key]ferryevent.Timestamp{}, answered: map[ferryid.ServiceName]ferryevent.Timestamp{}}
 }
 
 // Admit returns a *BlockedError if a request must not be sent because of a part of its prompt. Once the block of a part
@@ -380,6 +382,7 @@
 	if age >= provenTime || len(s.proven) >= maxProven/2 {
 		s.proven, s.provenBefore, s.provenFrom = map[key]ferryevent.Timestamp{}, s.proven, now
 	}
+	s.answered[service] = at
 	for _, p := range parts {
 		s.proven[key{service, p}] = at
 	}
