Discovery: what an upstream asks for after a restart outlives its registration

Cause: the time that an upstream asks for is held by its process. An engine that had crashed and was back refused a request 90 ms before its new registration arrived (store impaired). The entry knew only the process before, and the registration ended what the new one had asked for. The entry's log shows the order: connection broken and refused at 54.100, probe answered at 58.712, refusal at 58.716, registration at 58.806, next request at 60.289.

Change: from when an upstream could not be reached, the entry keeps apart what is stated at its address; the next process there takes it over when it is reported. All places that mark an upstream as unreachable record it: balancer, paths, probes.

TestRestartedUpstreamGetsNothingUntilItsRetryAfter (call, stream, generation: 2 requests for 1) and two rows of TestDeferBeforeRegistration failed before.

--- a/ferry/ferrybalance/balancer.go
+++ b/ferry/ferrybalance/balancer.go
@@ -206,6 +206,7 @@
 	c.end(func(r *upstreamState, now time.Time) {
 		r.failureRate.add(1)
 		r.health.Unreachable(now)
+		r.up.RecordUnreachable()
 	})
 }
 
--- a/ferry/ferrydiscovery/process_test.go
+++ b/ferry/ferrydiscovery/process_test.go
@@ -106,14 +106,66 @@
 	assert.Assert(t, !unlisted.Deferred(now))
 }
 
+// TestDeferBeforeRegistration has the next process at an address want no requests before the platform reports it.
+func TestDeferBeforeRegistration(t *testing.T) {
+	const before, after = 20 * time.Second, 9 * time.Second
+	moved := liveSince("a", 9, 101)
+	moved.Address = "elsewhere"
+	for _, tt := range []struct {
+		name        string
+		unreachable []bool
+		then        []Change
+		want        time.Duration
+	}{
+		{"could be reached", []bool{false}, []Change{{Upstream: liveSince("a", 9, 101)}}, 0},
+		{"restarted", []bool{true}, []Change{{Upstream: liveSince("a", 9, 101)}}, after},
+		{"restarted twice", []bool{true, true}, []Change{{Upstream: liveSince("a", 9, 101)}}, 0},
+		{"removed in between", []bool{true}, []Change{removed("a", 8), {Upstream: liveSince("a", 9, 101)}}, after},
+		{"the same process", []bool{true}, []Change{{Upstream: liveSince("a", 9, 100)}}, before},
+		{"an earlier process", []bool{true}, []Change{{Upstream: liveSince("a", 9, 99)}}, 0},
+		{"another address", []bool{true}, []Change{{Upstream: moved}}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			tb := NewTable(clock)
+			now := clock.Now()
+			tb.Apply([]Change{{Upstream: liveSince("a", 1, 100)}})
+			a := tb.View().Get("a")
+			a.Defer(now.Add(before))
+			for i, lost := range tt.unreachable {
+				if lost {
+					a.RecordUnreachable()
+				}
+				if i == 0 {
+					a.Defer(now.Add(after))
+				}
+			}
+			tb.Apply(tt.then)
+			if tt.want == 0 {
+				assert.Assert(t, tb.View().Get("a").RetryAt().IsZero())
+				return
+			}
+			assert.Equal(t, tb.View().Get("a").RetryAt(), now.Add(tt.want))
+			a.Defer(now.Add(time.Minute))
+			assert.Equal(t, tb.View().Get("a").RetryAt(), now.Add(time.Minute), "answer to a request that was sent before the registration")
+		})
+	}
+	unlisted := live("b", 1)
+	unlisted.RecordUnreachable()
+}
+
 // TestAnswersAreNotUndone applies answers of all processes so far and records of the platform in random order. What
-// a process has stated holds for it in each view.
+// a process has stated holds for it in each view, and what was stated at its address since the one before it could not be
+// reached.
 func TestAnswersAreNotUndone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := clockwork.NewFakeClock()
 		tb := NewTable(clock)
 		left := map[processKey]bool{}
-		retryAt := map[processKey]time.Time{}
+		retryAt := map[processKey]*time.Time{}
+		// next holds what was stated since a process could not be reached.
+		next := map[processKey]*time.Time{}
+		last := map[string]*Upstream{}
 		stated := map[processKey]ferryplatform.InstanceState{}
 		var seen []*Upstream
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -121,7 +173,7 @@
 			u := liveSince(fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "name")), version, int64(rapid.IntRange(1, 3).Draw(t, "started")))
 			u.State = rapid.SampledFrom([]ferryplatform.InstanceState{ferryplatform.StateLive, ferryplatform.StateLeaving}).Draw(t, "state")
 			before := tb.View().Get(u.Name)
-			switch rapid.IntRange(0, 6).Draw(t, "kind") {
+			switch rapid.IntRange(0, 7).Draw(t, "kind") {
 			case 0:
 				tb.Apply([]Change{{Upstream: u, Removed: true}})
 			case 1:
@@ -134,8 +186,10 @@
 					answered := rapid.SampledFrom(seen).Draw(t, "answered")
 					until := clock.Now().Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "after")) * time.Second)
 					answered.Defer(until)
-					if until.After(retryAt[keyOf(answered)]) {
-						retryAt[keyOf(answered)] = until
+					for _, at := range []*time.Time{retryAt[keyOf(answered)], next[keyOf(answered)]} {
+						if at != nil && until.After(*at) {
+							*at = until
+						}
 					}
 				}
 			case 4:
@@ -144,17 +198,32 @@
 					tb.MarkLeaving(answered)
 					left[keyOf(answered)] = true
 				}
+			case 5:
+				if len(seen) > 0 {
+					lost := rapid.SampledFrom(seen).Draw(t, "unreachable")
+					lost.RecordUnreachable()
+					next[keyOf(lost)] = &time.Time{}
+				}
 			default:
+				known := tb.processes[keyOf(&u)] != nil
 				tb.Apply([]Change{{Upstream: u}})
-				if now := tb.View().Get(u.Name); now != before && now.Version == version {
-					stated[keyOf(now)] = u.State
+				now := tb.View().Get(u.Name)
+				if now == before || now.Version != version {
+					break
+				}
+				if !known {
+					retryAt[keyOf(now)] = &time.Time{}
+					if l := last[u.Name]; l != nil && next[keyOf(l)] != nil && u.Started.After(l.Started) {
+						retryAt[keyOf(now)] = next[keyOf(l)]
+					}
 				}
+				stated[keyOf(now)], last[u.Name] = u.State, now
 			}
 			for _, now := range tb.View().Of("s") {
 				seen = append(seen, now)
 				want := !left[keyOf(now)] && stated[keyOf(now)] == ferryplatform.StateLive
-				if at := retryAt[keyOf(now)]; !now.RetryAt().Equal(at) {
-					t.Fatalf("%s of %s at version %d: wants no requests until %s, want %s", now.Name, now.Started, now.Version, now.RetryAt(), at)
+				if at := retryAt[keyOf(now)]; !now.RetryAt().Equal(*at) {
+					t.Fatalf("%s of %s at version %d: wants no requests until %s, want %s", now.Name, now.Started, now.Version, now.RetryAt(), *at)
 				}
 				if now.Ready() != want {
 					t.Fatalf("%s of %s at version %d: ready %t, want %t", now.Name, now.Started, now.Version, now.Ready(), want)
--- a/ferry/ferrydiscovery/table.go
+++ b/ferry/ferrydiscovery/table.go
@@ -222,8 +222,9 @@
 	delete(t.tombstones, u.Name)
 	delete(t.graceUntil, u.Name)
 	delete(t.held, u.Name)
-	u.process = t.processOf(&u)
-	if before := cmp.Or(old, g.last); before != nil && before.leftBefore(&u) {
+	before := cmp.Or(old, g.last)
+	u.process = t.processOf(&u, before)
+	if before != nil && before.leftBefore(&u) {
 		u.process.leaving.Store(true)
 	}
 	if u.process.leaving.Load() {
--- a/ferry/ferryforward/observer_test.go
+++ b/ferry/ferryforward/observer_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferrypath"
 	"cactusferry.dev/ferry/ferryplatform"
 )
@@ -198,6 +199,41 @@
 	}
 }
 
+// TestRestartedUpstreamGetsNothingUntilItsRetryAfter has an upstream refuse a request after its restart, before the platform
+// reports that. It guards against refusals that are forgotten with the registration of the process that made them.
+func TestRestartedUpstreamGetsNothingUntilItsRetryAfter(t *testing.T) {
+	for _, target := range []string{"/safe/x", "/events/x", "/gen/x"} {
+		t.Run(target, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t, "u", "v")
+				name, other := "u", "v"
+				if target == "/gen/x" {
+					name, other = "first-a", "first-b"
+				}
+				s, o := b.upstreams[name], b.upstreams[other]
+				o.setHandler(streamSlowly("Signed: yes"))
+				s.l.Close()
+				b.callFor(time.Second, target, 200)
+				s.l = ferrynettest.ListenAt(s.address)
+				s.setHandler(countRuns(s, answerHead(503, "Not-Run: 1", "Retry-After: 4.5")))
+				go s.serve()
+				b.forwarder.cfg.Services.Chooser("llm").MarkUp(name)
+				for n := 0; s.runCount() == 0; n++ {
+					b.holder.Prove(1, time.Now())
+					b.call("POST", target, fmt.Sprint("restarted", n))
+				}
+				b.relist(func(up string, started *time.Time) {
+					if up == name {
+						*started = time.Now()
+					}
+				})
+				b.callFor(4*time.Second, target, 200)
+				assert.Equal(t, s.runCount(), 1, "requests in the time that the upstream asked for")
+			})
+		})
+	}
+}
+
 // TestEngineOfAPathGetsNothingUntilItsRetryAfter has the first engine pass on the refusal of a later one.
 func TestEngineOfAPathGetsNothingUntilItsRetryAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/ferry/ferrynettest/memory.go
+++ b/ferry/ferrynettest/memory.go
@@ -145,8 +145,13 @@
 
 // Listen returns a listener with a new address.
 func Listen() net.Listener {
-	l := &memoryListener{addr: address(fmt.Sprintf("memory-%d:80", listenerCount.Add(1))), conns: make(chan net.Conn), closed: make(chan struct{})}
-	listeners.Store(l.addr.String(), l)
+	return ListenAt(fmt.Sprintf("memory-%d:80", listenerCount.Add(1)))
+}
+
+// ListenAt returns a listener with the address of one that has been closed.
+func ListenAt(addr string) net.Listener {
+	l := &memoryListener{addr: address(addr), conns: make(chan net.Conn), closed: make(chan struct{})}
+	listeners.Store(addr, l)
 	return l
 }
 
--- a/ferry/ferrypath/chooser.go
+++ b/ferry/ferrypath/chooser.go
@@ -473,7 +473,7 @@
 func (r *Run) Unreachable(at int) {
 	r.endAt(at, func(e *engine, now time.Time) {
 		if !e.down {
-			e.down, e.downAt = true, now
+			e.markDown(now)
 		}
 	})
 }
--- a/ferry/ferrypath/repath.go
+++ b/ferry/ferrypath/repath.go
@@ -174,10 +174,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.byName[ferryid.UpstreamName(name)]
-	if e == nil || e.down == down {
-		return
+	switch {
+	case e == nil || e.down == down:
+	case down:
+		e.markDown(c.opts.Clock.Now())
+	default:
+		e.down = false
 	}
-	e.down, e.downAt = down, c.opts.Clock.Now()
+}
+
+func (e *engine) markDown(now time.Time) {
+	e.down, e.downAt = true, now
+	e.up.RecordUnreachable()
 }
 
 // IsDown reports whether an engine is marked as down.
