Suspect: a request that tries a blocked part again is sent once

Cause: the first engine of the path breaks the run off, and whether the last one has crashed is known only after a probe. Before that had ended, the request, which was the part's trial, was sent to another path: its entry's log shows two runs of s300005-c11-73 within 33 ms, which crashed i-24 and i-21.

Ruled out: a block that ends too soon (the part was blocked for 20 s from the third crash on, and all other requests refused).

Change: a run that breaks off, or that makes no progress, before an engine has written ends the trial of its request, and the part is not tried again for 5 s, as after the loss of an engine.

TestTrialIsSentOnce failed before in both rows (2 runs for 1) and passes ten times. All tests of ferryforward and ferrysuspect pass.

--- a/ferry/ferryforward/loss.go
+++ b/ferry/ferryforward/loss.go
@@ -120,6 +120,13 @@
 	return !s.written.Load() && (s.r.lost.count() >= maxLost || s.isBlocked() != nil)
 }
 
+// interruptTrial ends the trial of a blocked part by the request if no engine has written on it. It is not sent again then.
+func (s *callerStream) interruptTrial() {
+	if !s.written.Load() {
+		s.cfg.Suspects.Interrupted(s.r.ID, s.r.service.name, s.r.Parts)
+	}
+}
+
 // settleLosses counts the lost engines whose process a view shows to have ended.
 func (f *Forwarder) settleLosses(v *ferrydiscovery.View) {
 	for _, e := range f.lost.takeEnded(v, f.cfg.Clock.Now()) {
--- a/ferry/ferryforward/loss_test.go
+++ b/ferry/ferryforward/loss_test.go
@@ -14,6 +14,7 @@
 
 	"cactusferry.dev/ferry/ferrydiscovery"
 	"cactusferry.dev/ferry/ferryid"
+	"cactusferry.dev/ferry/ferrynettest"
 	"cactusferry.dev/ferry/ferrypath"
 	"cactusferry.dev/ferry/ferryplatform"
 	"cactusferry.dev/ferry/ferrysuspect"
@@ -177,3 +178,41 @@
 		assert.Assert(t, h.suspected(666))
 	})
 }
+
+// TestTrialIsSentOnce has the request that tries a blocked part again be broken off by its first engine, since the last one
+// crashed, or wait at a silent engine. It guards against trials that are sent to one more engine before it is known whether
+// the first one has crashed.
+func TestTrialIsSentOnce(t *testing.T) {
+	for _, silent := range []time.Duration{0, 4 * time.Second} {
+		t.Run(silent.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newLossHarness(t, 2)
+				var sent []string
+				for name, u := range h.upstreams {
+					if strings.HasPrefix(name, "first") {
+						u.setHandler(func(_ net.Conn, r *http.Request) bool {
+							last := strings.Fields(r.Header.Get("Path"))[2]
+							sent = append(sent, last)
+							if time.Sleep(silent); silent == 0 {
+								ferrynettest.ListenAt(h.upstreams[last].address) // accepts no connections, so that probes end late
+							}
+							return false
+						})
+					}
+				}
+				suspects := h.forwarder.cfg.Suspects
+				for _, engine := range []ferryid.UpstreamName{"x", "y"} {
+					suspects.Crashed("earlier", "llm", engine, []ferrysuspect.PartID{666})
+				}
+				time.Sleep(5 * time.Second)
+				h.holder.Prove(1, time.Now())
+				a := h.call("POST", "/gen/x", "trial", "Key: good", "Wait-Ms: 20000", "Prompt: 666")
+				assert.Equal(t, a.status, http.StatusBadGateway, a.body)
+				assert.Equal(t, a.header.Get("Outcome"), "Unknown")
+				assert.Equal(t, len(sent), 1, "%q", sent)
+				late := h.call("POST", "/gen/x", "later", "Key: good", "Wait-Ms: 20000", "Prompt: 666")
+				assert.Equal(t, late.header.Get("Outcome"), "NotRun", late.body)
+			})
+		})
+	}
+}
--- a/ferry/ferryforward/stall.go
+++ b/ferry/ferryforward/stall.go
@@ -196,6 +196,7 @@
 			d.inspectSingle()
 		}
 		if d.run == nil || !d.inspect(silent) {
+			d.interruptTrial()
 			d.replaceRun(errStalled)
 		}
 	case d.run != nil:
--- a/ferry/ferryforward/stream.go
+++ b/ferry/ferryforward/stream.go
@@ -485,6 +485,7 @@
 		s.crashedBeforeWriting(s.r, dest.first().Name)
 	}
 	if !gone && !endedByEntry(err) {
+		s.interruptTrial()
 		s.probeBroken(dest)
 	}
 	events, last := s.progress()
--- a/ferry/ferrysuspect/loss.go
+++ b/ferry/ferrysuspect/loss.go
@@ -45,15 +45,11 @@
 	if len(parts) == 0 {
 		return
 	}
+	s.Interrupted(id, service, parts)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	parts = s.likely(service, parts)
 	now := s.cfg.Clock.Now()
-	for _, p := range parts {
-		if u := s.suspicions[key{service, p}]; u != nil && id != "" && u.trial == id {
-			u.trial, u.trialUntil = "", now.Add(lossTimeout)
-		}
-	}
 	l, sent := s.addLoss(crashed{service, engine}, now), now.Add(-age)
 	if sent.After(l.seen) {
 		return
--- a/ferry/ferrysuspect/suspects.go
+++ b/ferry/ferrysuspect/suspects.go
@@ -199,14 +199,25 @@
 
 // Withdraw ends the trial of a request that was not sent after all.
 func (s *Suspects) Withdraw(id ferryid.RequestID, service ferryid.ServiceName, parts []PartID) {
+	s.endTrial(id, service, parts, time.Time{})
+}
+
+// Interrupted ends the trial of a request whose run broke off before an engine had written on it. Which engine crashed on it,
+// if one did, may be known only later, so the part is not tried again meanwhile.
+func (s *Suspects) Interrupted(id ferryid.RequestID, service ferryid.ServiceName, parts []PartID) {
+	s.endTrial(id, service, parts, s.cfg.Clock.Now().Add(lossTimeout))
+}
+
+// endTrial ends the trial of a request, and has its parts not tried again until the given time.
+func (s *Suspects) endTrial(id ferryid.RequestID, service ferryid.ServiceName, parts []PartID, until time.Time) {
 	if !s.any.Load() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range parts {
-		if u := s.suspicions[key{service, p}]; u != nil && u.trial == id {
-			u.trial, u.trialUntil = "", time.Time{}
+		if u := s.suspicions[key{service, p}]; u != nil && id != "" && u.trial == id {
+			u.trial, u.trialUntil = "", until
 		}
 	}
 }
