Edge: a stop announces its departure while it cuts what is left

Cause: at 7.7 s an entry notified its peers, for 100 ms at most, and cut the requests that were left after that, for 150 ms at most. With 50 ms for the end of the process nothing is left. Lines of two entries at load 38 show each wait used up: the departure not announced 131 ms after the end of service, and requests left 206 ms after it (7.906 s after the signal).

Change: both at the same time; the overlay has a context of its own, which ends after the announcement. By its timers a stop takes 7.85 s at most now, 7.95 s before. The grace and all margins are as they were.

TestCutRequestsDoNotWaitForThePeers fails with one wait after the other and passes.

--- a/ferryd/ferryedge/edge.go
+++ b/ferryd/ferryedge/edge.go
@@ -75,9 +75,11 @@
 	callerListener  net.Listener
 	events          *ferryevent.Log
 	peer            *ferrypeer.Node
-	placement       *placement
-	states          *ferrypeer.Latest[entryState]
-	relay           *ferryrelay.Relay
+	// leave announces the departure to the peers.
+	leave     func(context.Context) error
+	placement *placement
+	states    *ferrypeer.Latest[entryState]
+	relay     *ferryrelay.Relay
 	// started is closed when requests can be served.
 	started   chan struct{}
 	startOnce sync.Once
@@ -147,6 +149,7 @@
 	e.newStates()
 	e.newConditions()
 	e.newOverlay()
+	e.leave = e.peer.Leave
 	return e
 }
 
@@ -227,7 +230,9 @@
 	if err := e.listen(ctx, g); err != nil {
 		return merry.Prepend(err, "listen")
 	}
-	g.Go(func() error { return e.peer.Run(ctx) })
+	peerCtx, endPeer := context.WithCancel(context.WithoutCancel(ctx))
+	defer endPeer()
+	g.Go(func() error { return e.peer.Run(peerCtx) })
 	g.Go(func() error { return e.readPlatform(ctx) })
 	for name, duty := range map[string]func(context.Context){
 		"upstream expiry": e.expireUpstreams, "placement": e.placement.run, "placement lease": e.placement.runLease, "state sharing": e.shareEntryState,
@@ -235,14 +240,20 @@
 	} {
 		g.Go(func() error { return e.guard.Loop(ctx, name, duty) })
 	}
-	stopped := make(chan struct{})
+	stopped := make(chan time.Time, 1)
 	go func() {
-		defer close(stopped)
-		e.stop(ctx, signals)
+		stopped <- e.stop(ctx, signals)
 		cancel()
 	}()
 	<-ctx.Done()
-	<-stopped
+	left := make(chan struct{})
+	go func(began time.Time) {
+		defer close(left)
+		defer endPeer()
+		if !began.IsZero() {
+			e.announceDeparture(began)
+		}
+	}(<-stopped)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -250,6 +261,7 @@
 	}()
 	limit := e.cfg.Clock.After(cutTime)
 	e.awaitCut()
+	<-left
 	select {
 	case <-ended:
 	case <-limit:
--- a/ferryd/ferryedge/stop.go
+++ b/ferryd/ferryedge/stop.go
@@ -26,11 +26,11 @@
 //
 // First the entry is no longer ready, so that no callers are sent here. Callers that still arrive are served
 // for a while, unless the process may end before their answer. Then idle connections are closed, and the process ends
-// with the last answer.
-func (e *Edge) stop(ctx context.Context, signals <-chan os.Signal) {
+// with the last answer. It returns when the stop began, or zero if the context ended before.
+func (e *Edge) stop(ctx context.Context, signals <-chan os.Signal) time.Time {
 	select {
 	case <-ctx.Done():
-		return
+		return time.Time{}
 	case sig := <-signals:
 		e.cfg.Log.Info().Str("Signal", sig.String()).Msg("planned stop requested by signal")
 	}
@@ -51,9 +51,15 @@
 	err := e.ingress.Wait(waitCtx)
 	conns, calls := e.ingress.Open()
 	e.cfg.Log.Info().Dur("Took", e.cfg.Clock.Since(began)).Int64("OpenConnections", conns).Int64("OpenCalls", calls).AnErr("Left", err).Msg("planned stop finished")
-	leaveCtx, cancel := context.WithTimeout(ctx, min(leaveTimeout, e.cfg.Objectives.Grace-e.cfg.Clock.Since(began)-cutTime-flushTime))
+	return began
+}
+
+// announceDeparture notifies the peers of a planned stop. The requests that did not end within the grace are cut meanwhile, since
+// one after the other would leave no time for the end of the process.
+func (e *Edge) announceDeparture(began time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(leaveTimeout, e.cfg.Objectives.Grace-e.cfg.Clock.Since(began)-cutTime-flushTime))
 	defer cancel()
-	if err := e.peer.Leave(leaveCtx); err != nil {
+	if err := e.leave(ctx); err != nil {
 		e.cfg.Log.Info().Err(err).Msg("could not notify all peers of the departure")
 	}
 }
--- a/ferryd/ferryedge/stop_test.go
+++ b/ferryd/ferryedge/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -54,6 +55,27 @@
 	})
 }
 
+// TestCutRequestsDoNotWaitForThePeers has a peer that does not hear of the departure, and a request that does not end with the
+// entry. It guards against stops that use up the time for the end of the process.
+func TestCutRequestsDoNotWaitForThePeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, goOn(20*time.Second))
+		e := f.start("e1", &slowLog{lineTime: 5 * time.Second})
+		e.leave = func(ctx context.Context) error {
+			<-ctx.Done()
+			return context.Cause(ctx)
+		}
+		e.send(t, "/events/x", "stream")
+		time.Sleep(time.Second)
+		began := time.Now()
+		e.terminate()
+		assert.NilError(t, <-e.ended)
+		assert.Equal(t, time.Since(began), testGrace-exitMargin+cutTime)
+		assert.Equal(t, e.log.count("could not notify"), 1)
+		assert.Equal(t, e.log.count("process ends before its requests"), 1)
+	})
+}
+
 // TestPeersHearOfAStopThatUsesUpItsGrace stops one of two entries with a stream open that outlasts the grace.
 func TestPeersHearOfAStopThatUsesUpItsGrace(t *testing.T) {
 	for _, length := range []time.Duration{2 * time.Second, 20 * time.Second} {
