--- a/ferry/ferryforward/observer_test.go
+++ b/ferry/ferryforward/observer_test.go
@@ -214,6 +214,7 @@
 				o.setHandler(streamSlowly("Signed: yes"))
 				s.l.Close()
 				b.callFor(time.Second, target, 200)
+				synctest.Wait() // the goroutine that accepted connections has ended
 				s.l = ferrynettest.ListenAt(s.address)
 				s.setHandler(countRuns(s, answerHead(503, "Not-Run: 1", "Retry-After: 4.5")))
 				go s.serve()
